--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+LIBRARIES := $(wildcard libraries/*)
+INSTALL := $(foreach library,$(LIBRARIES),-e ./$(library))
+
+.PHONY: setup format lint types imports pytest test demo bench experiment faults capacity clean
+
+$(VENV)/.ready: constraints.txt requirements-dev.txt $(wildcard libraries/*/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt setuptools wheel
+	$(BIN)/pip install --quiet --constraint constraints.txt --requirement requirements-dev.txt
+	$(BIN)/pip install --quiet --no-build-isolation --constraint constraints.txt $(INSTALL)
+	touch $@
+
+setup: $(VENV)/.ready
+
+format: setup
+	$(BIN)/ruff format libraries
+
+lint: setup
+	$(BIN)/ruff format --check libraries
+	$(BIN)/flake8 libraries
+
+types: setup
+	$(BIN)/mypy
+
+imports: setup
+	$(BIN)/lint-imports --no-cache
+
+pytest: setup
+	HYPOTHESIS_PROFILE=ci $(BIN)/python -m pytest
+
+test: lint types imports pytest
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/libraries/cli/src/sardinepier/cli/__init__.py
@@ -0,0 +1,1 @@
+"""sardinepier: the command-line tool."""
--- /dev/null
+++ b/libraries/cli/src/sardinepier/cli/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the cli library; not part of its interface."""
--- /dev/null
+++ b/libraries/configuration/src/sardinepier/configuration/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the configuration library; not part of its interface."""
--- /dev/null
+++ b/libraries/daemon/src/sardinepier/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""sardinepierd: the daemon that composes the libraries."""
--- /dev/null
+++ b/libraries/daemon/src/sardinepier/daemon/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the daemon library; not part of its interface."""
--- /dev/null
+++ b/libraries/gateway/src/sardinepier/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The request path: admission, choice, attempt, answer."""
--- /dev/null
+++ b/libraries/gateway/src/sardinepier/gateway/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the gateway library; not part of its interface."""
--- /dev/null
+++ b/libraries/health/src/sardinepier/health/__init__.py
@@ -0,0 +1,1 @@
+"""Evidence per target, change detection, ejection under the floor, readmission."""
--- /dev/null
+++ b/libraries/health/src/sardinepier/health/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the health library; not part of its interface."""
--- /dev/null
+++ b/libraries/membership/src/sardinepier/membership/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the membership library; not part of its interface."""
--- /dev/null
+++ b/libraries/once/src/sardinepier/once/__init__.py
@@ -0,0 +1,1 @@
+"""Keys, homes and the record of non-idempotent requests."""
--- /dev/null
+++ b/libraries/once/src/sardinepier/once/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the once library; not part of its interface."""
--- /dev/null
+++ b/libraries/platform/src/sardinepier/platform/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the platform library; not part of its interface."""
--- /dev/null
+++ b/libraries/routing/src/sardinepier/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of target, limits, admission, retry budget and hedging."""
--- /dev/null
+++ b/libraries/routing/src/sardinepier/routing/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the routing library; not part of its interface."""
--- /dev/null
+++ b/libraries/settings/src/sardinepier/settings/__init__.py
@@ -0,0 +1,1 @@
+"""INI files in, one checked immutable snapshot per file out."""
--- /dev/null
+++ b/libraries/settings/src/sardinepier/settings/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the settings library; not part of its interface."""
--- /dev/null
+++ b/libraries/standins/src/sardinepier/standins/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the standins library; not part of its interface."""
--- /dev/null
+++ b/libraries/telemetry/src/sardinepier/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""JSON-lines logs, histogram metrics and the event time line."""
--- /dev/null
+++ b/libraries/telemetry/src/sardinepier/telemetry/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the telemetry library; not part of its interface."""
--- /dev/null
+++ b/libraries/wire/src/sardinepier/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between daemons over pyzmq."""
--- /dev/null
+++ b/libraries/wire/src/sardinepier/wire/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the wire library; not part of its interface."""
--- /dev/null
+++ b/libraries/workbench/src/sardinepier/workbench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments, load, fault cases and benchmarks over the real libraries and daemons."""
--- /dev/null
+++ b/libraries/workbench/src/sardinepier/workbench/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the workbench library; not part of its interface."""
