--- a/Makefile
+++ b/Makefile
@@ -33,5 +33,20 @@
 
 test: lint types imports pytest
 
+demo: setup
+	scripts/demo.sh
+
+bench: setup
+	$(BIN)/sardinepier-workbench bench
+
+experiment: setup
+	$(BIN)/sardinepier-workbench experiment
+
+faults: setup
+	scripts/faults.sh
+
+capacity: setup
+	$(BIN)/sardinepier-workbench capacity
+
 clean:
 	rm -rf $(VENV)
--- /dev/null
+++ b/libraries/core/tests/cover/test_core_rendezvous.py
@@ -0,0 +1,28 @@
+"""Rendezvous hashing chooses alike everywhere and moves as little as it can."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sardinepier.core import rendezvous
+
+_NAMES = st.lists(st.text(min_size=1), unique=True, max_size=12)
+
+
+@given(st.text(), _NAMES, st.integers(min_value=0, max_value=5), st.randoms())
+def test_choice_does_not_depend_on_the_order_of_candidates(
+    key, names, count, random_source
+):
+    shuffled = list(names)
+    random_source.shuffle(shuffled)
+    chosen = rendezvous.first(key, names, count)
+    assert chosen == rendezvous.first(key, shuffled, count)
+    assert len(chosen) == min(count, len(names))
+
+
+@given(st.text(), _NAMES.filter(bool), st.integers(min_value=1, max_value=5))
+def test_a_candidate_that_goes_only_moves_its_own_place(key, names, count):
+    chosen = rendezvous.first(key, names, count)
+    gone = names[0]
+    remaining = [name for name in names if name != gone]
+    chosen_after = rendezvous.first(key, remaining, count)
+    assert set(chosen) - {gone} <= set(chosen_after)
