--- /dev/null
+++ b/libraries/standins/src/sardinepier/standins/internal/target_drain.py
@@ -0,0 +1,34 @@
+"""A target's way out: it warns first, and refuses later."""
+
+from typing import Final
+
+from sardinepier.core import clock
+
+_MS_PER_S: Final = 1000.0
+
+
+class Drain:
+    """Tells whether a target drains and whether it refuses work by now."""
+
+    def __init__(self, time_source: clock.Clock, drain_ms: float) -> None:
+        """Start in service."""
+        self._clock = time_source
+        self._drain_s = drain_ms / _MS_PER_S
+        self._refuse_at_s: float | None = None
+
+    @property
+    def started(self) -> bool:
+        """Whether answers carry the draining header."""
+        return self._refuse_at_s is not None
+
+    @property
+    def refuses(self) -> bool:
+        """Whether new work is refused."""
+        if self._refuse_at_s is None:
+            return False
+        return self._clock.monotonic_s() >= self._refuse_at_s
+
+    def start(self) -> None:
+        """Start to drain; a second start changes nothing."""
+        if self._refuse_at_s is None:
+            self._refuse_at_s = self._clock.monotonic_s() + self._drain_s
