--- /dev/null
+++ b/libraries/wire/src/sardinepier/wire/internal/sockets.py
@@ -0,0 +1,105 @@
+"""Opens sockets with every bound and timeout that the network needs."""
+
+import errno
+from typing import Final
+
+import zmq
+from zmq import asyncio as zmq_asyncio
+
+from sardinepier.wire import errors, limits, messages
+from sardinepier.wire.internal import endpoints
+
+_KEEPALIVE_IDLE_S: Final = 10
+_KEEPALIVE_INTERVAL_S: Final = 5
+_KEEPALIVE_COUNT: Final = 3
+_UNACKNOWLEDGED_MS: Final = 5000
+_CONNECT_MS: Final = 2000
+_HANDSHAKE_MS: Final = 5000
+_RECONNECT_MS: Final = 100
+_RECONNECT_MAX_MS: Final = 2000
+# A socket that refuses a message above the bound also closes the connection,
+# uncounted. This room lets the dispatcher count those a little above it.
+_ROOM_TO_COUNT: Final = 2
+
+
+def open_receiver(
+    context: zmq_asyncio.Context,
+    bind: messages.PeerAddress,
+    bounds: limits.ZmqLimits,
+) -> zmq_asyncio.Socket:
+    """Return a bound ``PULL`` socket.
+
+    Raises ``PortInUseError`` or ``AddressUnavailableError``.
+    """
+    receiver = context.socket(zmq.PULL)
+    _set_common(receiver, bind.ip)
+    receiver.setsockopt(zmq.RCVHWM, bounds.high_water_mark)
+    receiver.setsockopt(
+        zmq.MAXMSGSIZE,
+        _ROOM_TO_COUNT * bounds.max_message_bytes,
+    )
+    try:
+        receiver.bind(endpoints.bind_endpoint(bind))
+    except zmq.ZMQError as error:
+        receiver.close(linger=0)
+        raise _bind_error(bind, error) from error
+    return receiver
+
+
+def bound_address(
+    receiver: zmq_asyncio.Socket,
+    bind: messages.PeerAddress,
+) -> messages.PeerAddress:
+    """Return ``bind`` with the port that the system chose."""
+    endpoint = receiver.getsockopt(zmq.LAST_ENDPOINT)
+    if not isinstance(endpoint, bytes):
+        return bind
+    port = endpoint.rstrip(b'\x00').rpartition(b':')[2]
+    return messages.PeerAddress(bind.ip, int(port))
+
+
+def open_sender(
+    context: zmq_asyncio.Context,
+    peer: messages.PeerAddress,
+    source_ip: str | None,
+    bounds: limits.ZmqLimits,
+) -> zmq_asyncio.Socket:
+    """Return a ``PUSH`` socket that connects to ``peer``.
+
+    Raises ``zmq.ZMQError`` when the library refuses the endpoint.
+    """
+    sender = context.socket(zmq.PUSH)
+    _set_common(sender, peer.ip)
+    sender.setsockopt(zmq.SNDHWM, bounds.high_water_mark)
+    sender.setsockopt(zmq.IMMEDIATE, 1)
+    sender.setsockopt(zmq.CONNECT_TIMEOUT, _CONNECT_MS)
+    sender.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MS)
+    sender.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
+    try:
+        sender.connect(endpoints.connect_endpoint(peer, source_ip))
+    except zmq.ZMQError:
+        sender.close(linger=0)
+        raise
+    return sender
+
+
+def _set_common(opened: zmq_asyncio.Socket, ip: str) -> None:
+    opened.setsockopt(zmq.LINGER, 0)
+    opened.setsockopt(zmq.HANDSHAKE_IVL, _HANDSHAKE_MS)
+    # Without the bound on unacknowledged data a cut link would hold what was
+    # sent for minutes, and deliver it all when the link returns.
+    opened.setsockopt(zmq.TCP_MAXRT, _UNACKNOWLEDGED_MS)
+    opened.setsockopt(zmq.TCP_KEEPALIVE, 1)
+    opened.setsockopt(zmq.TCP_KEEPALIVE_IDLE, _KEEPALIVE_IDLE_S)
+    opened.setsockopt(zmq.TCP_KEEPALIVE_INTVL, _KEEPALIVE_INTERVAL_S)
+    opened.setsockopt(zmq.TCP_KEEPALIVE_CNT, _KEEPALIVE_COUNT)
+    opened.setsockopt(zmq.IPV6, int(endpoints.is_ipv6(ip)))
+
+
+def _bind_error(
+    bind: messages.PeerAddress,
+    error: zmq.ZMQError,
+) -> errors.BindError:
+    if error.errno == errno.EADDRINUSE:
+        return errors.PortInUseError(bind)
+    return errors.AddressUnavailableError(bind, str(error))
--- /dev/null
+++ b/libraries/wire/src/sardinepier/wire/zmq_network.py
@@ -0,0 +1,174 @@
+"""The network between daemons over pyzmq.
+
+Each direction is a one-way ``PUSH`` to ``PULL`` connection of its own. A pair
+of sockets that carried both directions would hide a link that is cut in one
+direction only, and that is a failure which the fleet has to tell apart.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Iterable
+from typing import Final
+
+import zmq
+from zmq import asyncio as zmq_asyncio
+
+from sardinepier.core import clock
+from sardinepier.wire import (
+    codec,
+    counters,
+    hooks,
+    limits,
+    messages,
+    network,
+)
+from sardinepier.wire.internal import dispatch, endpoints, peers, sockets
+
+DEFAULT_QUEUE_LENGTH: Final = 256
+DEFAULT_IDLE_CLOSE_S: Final = 60.0
+_BURST: Final = 64
+
+
+class ZmqNetwork:
+    """A ``PeerNetwork`` over TCP, for one daemon process.
+
+    ``bind`` is where this process listens; port 0 lets the system choose one,
+    and :attr:`sender` then names it once :meth:`open` has returned. The
+    sender's own port may be 0 too: it becomes the bound port. For example::
+
+        network = ZmqNetwork(kinds, sender, bind, SystemClock())
+        network.open()
+        task = asyncio.create_task(network.run())
+    """
+
+    def __init__(
+        self,
+        kinds: Iterable[type[messages.Message]],
+        sender: messages.Sender,
+        bind: messages.PeerAddress,
+        time_source: clock.Clock,
+        *,
+        queue_length: int = DEFAULT_QUEUE_LENGTH,
+        idle_close_s: float = DEFAULT_IDLE_CLOSE_S,
+        source_ip: str | None = None,
+        bounds: limits.ZmqLimits | None = None,
+    ) -> None:
+        """Check the arguments; no socket is opened yet.
+
+        ``queue_length`` bounds the messages that wait for one peer. A peer's
+        socket closes after ``idle_close_s`` seconds without a message.
+        Connections leave from ``source_ip`` if it is given. Raises
+        ``InvalidArgumentError`` and ``MessageKindsError``.
+        """
+        self._bounds = bounds or limits.ZmqLimits()
+        self._sender = sender
+        self._bind = bind
+        self._counts = counters.CounterSet()
+        self._dispatcher = dispatch.Dispatcher(
+            codec.Codec(kinds),
+            self._counts,
+            self._bounds.max_message_bytes,
+        )
+        self._context = zmq_asyncio.Context()
+        self._receiver: zmq_asyncio.Socket | None = None
+        self._peers = peers.PeerTable(
+            peers.PeerOptions(
+                queue_length=limits.positive('queue_length', queue_length),
+                idle_close_s=limits.positive('idle_close_s', idle_close_s),
+                source_ip=endpoints.checked_source_ip(source_ip),
+                bounds=self._bounds,
+            ),
+            self._context,
+            time_source,
+            self._counts,
+        )
+
+    @property
+    def sender(self) -> messages.Sender:
+        """Who this process is to its peers."""
+        return self._sender
+
+    def use_hooks(self, network_hooks: hooks.NetworkHooks) -> None:
+        """Replace the callbacks for stamps and failures."""
+        self._dispatcher.hooks = network_hooks
+
+    def open(self) -> messages.PeerAddress:
+        """Start to listen and return the address that was bound.
+
+        Raises ``PortInUseError`` or ``AddressUnavailableError``. A second
+        call returns the same address.
+        """
+        if self._receiver is None:
+            self._receiver = sockets.open_receiver(
+                self._context,
+                self._bind,
+                self._bounds,
+            )
+            self._bind = sockets.bound_address(self._receiver, self._bind)
+            self._sender = _with_bound_port(self._sender, self._bind)
+        return self._bind
+
+    def send(
+        self,
+        peer: messages.PeerAddress,
+        message: messages.Message,
+    ) -> bool:
+        """Queue ``message`` for ``peer``; False when it was dropped at once.
+
+        Must be called from the event loop that runs :meth:`run`.
+        """
+        if not peer.is_valid():
+            self._counts.drop(counters.DropReason.BAD_PEER)
+            return False
+        frame = self._dispatcher.encode(self._sender, message)
+        return frame is not None and self._peers.queue(peer, frame)
+
+    def subscribe(
+        self,
+        kind: type[network.MessageT],
+        handler: Callable[[messages.Sender, network.MessageT], None],
+    ) -> None:
+        """Make ``handler`` the one handler of ``kind``."""
+        self._dispatcher.subscribe(kind, handler)
+
+    def counters(self) -> counters.NetworkCounters:
+        """Return the counts since the start."""
+        return self._counts.snapshot()
+
+    async def run(self) -> None:
+        """Receive until cancelled, then close every socket."""
+        self.open()
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(self._close)
+            await self._receive()
+
+    async def _receive(self) -> None:
+        receiver = self._receiver
+        while receiver is not None:
+            with contextlib.suppress(zmq.Again):
+                self._dispatcher.dispatch(await receiver.recv())
+                await self._receive_burst(receiver)
+
+    async def _receive_burst(self, receiver: zmq_asyncio.Socket) -> None:
+        # Messages that are already here cost no further wait in the loop, but
+        # a flood must not keep the loop from its other tasks.
+        for _ in range(_BURST):
+            frame = await receiver.recv(zmq.NOBLOCK)
+            self._dispatcher.dispatch(frame)
+        await asyncio.sleep(0)
+
+    async def _close(self) -> None:
+        await self._peers.close()
+        if self._receiver is not None:
+            self._receiver.close(linger=0)
+        self._context.term()
+
+
+def _with_bound_port(
+    sender: messages.Sender,
+    bound: messages.PeerAddress,
+) -> messages.Sender:
+    if sender.address.port:
+        return sender
+    address = messages.PeerAddress(sender.address.ip, bound.port)
+    return messages.Sender(sender.instance_id, address)
