Add the platform client and its stand-in

The fleet reads files and the instance list from a platform that may be down, stale or garbled, and counts each call.

HttpPlatform rotates over addresses, bounds each call by a deadline, a size and a token bucket, and gives every failure one of two types. The stand-in serves the same interface in process, over HTTP and as a command, with nine modes; a contract test runs against the HTTP client and the in-memory one.

Ruled out: taking a body that ends with its connection, since a settings file cut between sections may still be valid; trying all addresses within one call, since a failing platform would then get more calls than a working one. Found by a test: the HTTP library repeats every GET on a lost connection, so that one call to a platform that drops connections was counted as two (2 before, 1 after a middleware that changes the type of the error).

--- /dev/null
+++ b/libraries/platform/tests/conformance/test_platform_contract.py
@@ -0,0 +1,171 @@
+"""Every client of the platform keeps the contract of the interface."""
+
+import asyncio
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from sardinepier.core import clock, ids
+from sardinepier.platform import errors, http_platform, interface
+from sardinepier.standins import platform_memory, platform_standin
+
+_FLEET = ids.FileName('fleet')
+_NAMES = ('fleet', 'service/deposits', 'service/a b%c')
+_FAULTS = {
+    'down': errors.PlatformUnavailableError,
+    'hanging': errors.PlatformUnavailableError,
+    'failing': errors.PlatformUnavailableError,
+    'garbage': errors.PlatformReplyError,
+    'wrong_types': errors.PlatformReplyError,
+    'truncated': errors.PlatformReplyError,
+    'oversized': errors.PlatformReplyError,
+}
+
+
+class _Memory:
+    def __init__(self):
+        self.standin = platform_standin.PlatformStandin()
+        self.client = platform_memory.in_process(self.standin, 0.2)
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *_):
+        """Nothing is open."""
+
+
+class _Http(_Memory):
+    async def __aenter__(self):
+        self.client = http_platform.HttpPlatform(
+            (await self.standin.start(),),
+            clock.SystemClock(),
+            1000,
+            options=http_platform.HttpPlatformOptions(call_timeout_s=0.2),
+        )
+        return self
+
+    async def __aexit__(self, *_):
+        await self.client.close()
+        await self.standin.stop()
+
+
+_ALL = pytest.mark.parametrize('kind', [_Memory, _Http])
+
+
+@_ALL
+@hypothesis.settings(max_examples=20)
+@hypothesis.given(
+    changes=st.lists(
+        st.tuples(st.sampled_from(_NAMES), st.none() | st.text(max_size=9)),
+        max_size=6,
+    ),
+)
+def test_clients_show_each_file_as_last_published(kind, changes):
+    async def check():
+        async with kind() as platform:
+            held = {}
+            for name, text in changes:
+                change = platform.standin
+                revision = (
+                    change.delete(name)
+                    if text is None
+                    else change.publish(name, text)
+                )
+                held[name] = (revision, text)
+            listing = await platform.client.list_files()
+            assert listing.revision == len(changes)
+            assert {
+                (entry.name, entry.revision, entry.deleted)
+                for entry in listing.files
+            } == {
+                (name, revision, text is None)
+                for name, (revision, text) in held.items()
+            }
+            for name, expected in held.items():
+                assert await _read(platform.client, name, expected) == expected
+
+    asyncio.run(check())
+
+
+async def _read(client, name, expected):
+    if expected[1] is None:
+        with pytest.raises(errors.PlatformFileMissingError):
+            await client.read_file(name)
+        return expected
+    read = await client.read_file(name)
+    return (read.revision, read.text)
+
+
+@_ALL
+async def test_watch_returns_on_a_change_and_as_it_is_when_late(kind):
+    async with kind() as platform:
+        quiet = await platform.client.watch_files(0, 0.01)
+        assert quiet.revision == 0
+        waiting = asyncio.create_task(platform.client.watch_files(0, 30))
+        await asyncio.sleep(0.05)
+        assert not waiting.done()
+        platform.standin.publish(_FLEET, 'text')
+        assert (await waiting).revision == 1
+        assert platform.standin.counts.watches == 2
+
+
+@_ALL
+async def test_instance_list_is_the_same_object_until_it_changes(kind):
+    async with kind() as platform:
+        first = await platform.client.list_instances()
+        assert first is await platform.client.list_instances()
+        target = interface.ListedTarget(
+            ids.ServiceName('deposits'),
+            ids.TargetId('w1'),
+            ids.TargetIncarnation('1'),
+            interface.ListedState.LEAVING,
+        )
+        daemon = interface.ListedDaemon(ids.DaemonId('d1'), '10.0.0.1', 7000)
+        platform.standin.set_instances(
+            interface.InstanceList((target,), (daemon,)),
+        )
+        changed = await platform.client.list_instances()
+        assert changed.targets == (target,)
+        assert changed.daemons == (daemon,)
+
+
+@_ALL
+async def test_stale_platform_serves_the_earlier_state(kind):
+    async with kind() as platform:
+        platform.standin.publish(_FLEET, 'old')
+        platform.standin.publish(_FLEET, 'new')
+        platform.standin.set_mode(platform_standin.PlatformMode.STALE)
+        platform.standin.publish(_FLEET, 'newer')
+        assert (await platform.client.read_file(_FLEET)).text == 'old'
+        assert (await platform.client.watch_files(3, 0.01)).revision == 1
+
+
+@_ALL
+@pytest.mark.parametrize('mode', sorted(_FAULTS))
+async def test_each_fault_is_one_typed_error_and_then_over(kind, mode):
+    async with kind() as platform:
+        platform.standin.publish(_FLEET, 'text')
+        platform.standin.set_mode(platform_standin.PlatformMode(mode))
+        calls = (
+            platform.client.list_files,
+            lambda: platform.client.watch_files(0, 0.05),
+            lambda: platform.client.read_file(_FLEET),
+            platform.client.list_instances,
+        )
+        for call in calls:
+            with pytest.raises(_FAULTS[mode]):
+                await call()
+        platform.standin.set_mode(platform_standin.PlatformMode.UP)
+        for call in calls:
+            await call()
+
+
+@_ALL
+async def test_a_fault_ends_a_watch_that_already_waits(kind):
+    async with kind() as platform:
+        waiting = asyncio.create_task(platform.client.watch_files(0, 30))
+        await asyncio.sleep(0.05)
+        platform.standin.set_mode(platform_standin.PlatformMode.DOWN)
+        with pytest.raises(errors.PlatformUnavailableError):
+            await waiting
--- /dev/null
+++ b/libraries/platform/tests/cover/test_platform_http_replies.py
@@ -0,0 +1,175 @@
+"""The HTTP client takes nothing from a reply that breaks its promises."""
+
+import asyncio
+import contextlib
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sardinepier.core import clock, ids
+from sardinepier.core import errors as core_errors
+from sardinepier.platform import errors, http_platform
+from sardinepier.platform.internal import token_bucket
+from sardinepier.standins import platform_standin
+
+_FLEET = ids.FileName('fleet')
+
+
+async def _serve(raw):
+    """Listen and answer every connection with the same raw bytes."""
+
+    async def answer(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(raw)
+        writer.close()
+
+    server = await asyncio.start_server(answer, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    return server, f'http://127.0.0.1:{port}'
+
+
+def _client(*urls, reads_per_s=1000.0, burst=5):
+    return http_platform.HttpPlatform(
+        urls,
+        clock.SystemClock(),
+        reads_per_s,
+        options=http_platform.HttpPlatformOptions(
+            call_timeout_s=0.5,
+            burst=burst,
+        ),
+    )
+
+
+def _reply(headers, body):
+    return b'\r\n'.join((b'HTTP/1.1 200 OK', *headers, b'', body))
+
+
+@pytest.mark.parametrize(
+    ('raw', 'error'),
+    [
+        (b'', errors.PlatformUnavailableError),
+        (b'nonsense\r\n\r\n', errors.PlatformReplyError),
+        (b'HTTP/1.1 500 X\r\n\r\n', errors.PlatformUnavailableError),
+        (
+            b'HTTP/1.1 429 X\r\nContent-Length: 0\r\n\r\n',
+            errors.PlatformUnavailableError,
+        ),
+        (
+            b'HTTP/1.1 302 X\r\nLocation: /\r\n\r\n',
+            errors.PlatformReplyError,
+        ),
+        # Without a length nothing tells a whole body from half of one.
+        (_reply([b'Revision: 1'], b'half'), errors.PlatformReplyError),
+        (
+            _reply([b'Revision: 1', b'Content-Length: 9'], b'half'),
+            errors.PlatformReplyError,
+        ),
+        (_reply([b'Content-Length: 4'], b'full'), errors.PlatformReplyError),
+        (
+            _reply([b'Revision: -1', b'Content-Length: 4'], b'full'),
+            errors.PlatformReplyError,
+        ),
+        (
+            _reply(
+                [
+                    b'Revision: 1',
+                    b'Content-Encoding: gzip',
+                    b'Content-Length: 4',
+                ],
+                b'full',
+            ),
+            errors.PlatformReplyError,
+        ),
+        (
+            _reply([b'Revision: 1', b'Content-Length: 2'], b'\xff\xfe'),
+            errors.PlatformReplyError,
+        ),
+        (
+            _reply([b'Transfer-Encoding: chunked'], b'zz\r\n'),
+            errors.PlatformReplyError,
+        ),
+    ],
+)
+async def test_broken_reply_to_a_read_is_a_typed_error(raw, error):
+    server, url = await _serve(raw)
+    client = _client(url)
+    with pytest.raises(error):
+        await client.read_file(_FLEET)
+    await client.close()
+    server.close()
+
+
+@given(st.binary(max_size=200))
+def test_arbitrary_bytes_are_never_another_exception(raw):
+    async def check():
+        server, url = await _serve(raw)
+        client = _client(url)
+        with pytest.raises(errors.PlatformError):
+            await client.list_files()
+        await client.close()
+        server.close()
+
+    asyncio.run(check())
+
+
+async def test_next_call_goes_to_the_next_address_after_a_failure():
+    down = platform_standin.PlatformStandin()
+    down.set_mode(platform_standin.PlatformMode.DOWN)
+    good = platform_standin.PlatformStandin()
+    client = _client(await down.start(), await good.start())
+    with pytest.raises(errors.PlatformUnavailableError):
+        await client.list_files()
+    # A library that sends again by itself would make this two calls.
+    assert down.counts.total == 1
+    await client.list_files()
+    await client.list_instances()
+    assert (down.counts.total, good.counts.total) == (1, 2)
+    await client.close()
+    await asyncio.gather(down.stop(), good.stop())
+
+
+async def test_calls_beyond_the_budget_are_never_made():
+    standin = platform_standin.PlatformStandin()
+    client = _client(await standin.start(), reads_per_s=0.01, burst=2)
+    await client.watch_files(0, 0)
+    await client.list_instances()
+    with pytest.raises(errors.PlatformBudgetError):
+        await client.list_files()
+    assert standin.counts.total == 2
+    await client.close()
+    await standin.stop()
+
+
+@given(
+    st.lists(st.floats(min_value=0, max_value=2), max_size=60),
+    st.floats(min_value=0.1, max_value=50),
+    st.integers(min_value=1, max_value=5),
+)
+def test_bucket_never_lets_more_through_than_rate_and_burst(
+    pauses, rate_per_s, burst
+):
+    manual = clock.ManualClock()
+    bucket = token_bucket.TokenBucket(manual, rate_per_s, burst)
+    starts_s = []
+    for pause_s in pauses:
+        manual.advance(pause_s)
+        now_s = manual.monotonic_s()
+        with contextlib.suppress(errors.PlatformBudgetError):
+            starts_s.append(now_s + bucket.reserve(now_s + 1))
+    for position, start_s in enumerate(starts_s):
+        allowed = burst + rate_per_s * start_s + 1e-6
+        assert position + 1 <= allowed
+        assert start_s >= starts_s[max(0, position - 1)]
+
+
+@pytest.mark.parametrize('urls', [(), ('10.0.0.1:80',), ('ftp://a',)])
+def test_malformed_addresses_are_refused_at_once(urls):
+    with pytest.raises(core_errors.InvalidArgumentError):
+        _client(*urls)
+
+
+@pytest.mark.parametrize(('rate_per_s', 'burst'), [(0, 5), (-1, 5), (1, 0)])
+def test_senseless_budget_is_refused_at_once(rate_per_s, burst):
+    with pytest.raises(core_errors.InvalidArgumentError):
+        _client('http://a', reads_per_s=rate_per_s, burst=burst)
--- /dev/null
+++ b/libraries/standins/src/sardinepier/standins/internal/platform_handlers.py
@@ -0,0 +1,138 @@
+"""The HTTP interface of a stand-in platform."""
+
+from typing import Final
+
+import msgspec
+from aiohttp import web
+
+from sardinepier.core import ids
+from sardinepier.standins.internal import (
+    platform_counts,
+    platform_faults,
+    platform_served,
+)
+
+_NOT_MODIFIED: Final = 304
+_BAD_REQUEST: Final = 400
+_NOT_FOUND: Final = 404
+
+
+class ModeRequest(msgspec.Struct):
+    """The body of ``POST /control/mode``."""
+
+    mode: platform_faults.PlatformMode
+    changes_back: int = 1
+
+
+class PlatformHandlers:
+    """Answers requests from a served state, and counts them."""
+
+    def __init__(
+        self,
+        state: platform_served.ServedState,
+        counts: platform_counts.CallCounts,
+    ) -> None:
+        """Serve ``state`` and count into ``counts``."""
+        self._state = state
+        self._counts = counts
+
+    def application(self) -> web.Application:
+        """Return a new aiohttp application with all routes."""
+        application = web.Application()
+        application.add_routes(
+            (
+                web.get('/v1/files', self._handle_listing),
+                web.get('/v1/files/{name:.+}', self._handle_file),
+                web.get('/v1/instances', self._handle_instances),
+                web.post('/control/mode', self._handle_mode),
+                web.get('/control/counts', self._handle_counts),
+            ),
+        )
+        return application
+
+    async def _refusal(
+        self,
+        request: web.Request,
+    ) -> web.StreamResponse | None:
+        """Return the bad answer of the mode, or ``None`` when it is sane."""
+        while self._state.mode is platform_faults.PlatformMode.HANGING:
+            await self._state.wait_change()
+        if self._state.mode in platform_faults.SANE_MODES:
+            return None
+        return await platform_faults.answer_badly(request, self._state.mode)
+
+    async def _handle_listing(
+        self,
+        request: web.Request,
+    ) -> web.StreamResponse:
+        if 'after' not in request.query:
+            self._counts.lists += 1
+            return await self._answer_listing(request)
+        self._counts.watches += 1
+        try:
+            after = int(request.query['after'])
+            timeout_ms = int(request.query.get('timeout_ms', '0'))
+        except ValueError:
+            return web.Response(status=_BAD_REQUEST)
+        await self._state.wait_newer(after, timeout_ms)
+        return await self._answer_listing(request)
+
+    async def _answer_listing(
+        self,
+        request: web.Request,
+    ) -> web.StreamResponse:
+        refusal = await self._refusal(request)
+        if refusal is not None:
+            return refusal
+        return _json_response(self._state.served.listing())
+
+    async def _handle_file(self, request: web.Request) -> web.StreamResponse:
+        self._counts.files += 1
+        refusal = await self._refusal(request)
+        if refusal is not None:
+            return refusal
+        name = ids.FileName(request.match_info['name'])
+        held = self._state.served.files.get(name)
+        if held is None or held.text is None:
+            return web.Response(status=_NOT_FOUND)
+        return web.Response(
+            text=held.text,
+            headers={'Revision': str(held.revision)},
+        )
+
+    async def _handle_instances(
+        self,
+        request: web.Request,
+    ) -> web.StreamResponse:
+        self._counts.instances += 1
+        refusal = await self._refusal(request)
+        if refusal is not None:
+            return refusal
+        served = self._state.served
+        tag = f'"{served.instances_version}"'
+        if request.headers.get('If-None-Match') == tag:
+            return web.Response(status=_NOT_MODIFIED, headers={'ETag': tag})
+        response = _json_response(served.instances)
+        response.headers['ETag'] = tag
+        return response
+
+    async def _handle_mode(self, request: web.Request) -> web.Response:
+        try:
+            wanted = msgspec.json.decode(
+                await request.read(),
+                type=ModeRequest,
+            )
+        except msgspec.DecodeError as wrong:
+            return web.Response(status=_BAD_REQUEST, text=str(wrong))
+        self._state.set_mode(wanted.mode, wanted.changes_back)
+        return _json_response(wanted)
+
+    async def _handle_counts(self, request: web.Request) -> web.Response:
+        return _json_response(self._counts)
+
+
+def _json_response(content: msgspec.Struct) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(content),
+        content_type='application/json',
+    )
--- /dev/null
+++ b/libraries/standins/src/sardinepier/standins/platform_memory.py
@@ -0,0 +1,104 @@
+"""The stand-in platform asked in the same process, without HTTP.
+
+It behaves as the HTTP client in front of the stand-in does, mode by mode, so
+that tests of many daemons need no sockets. A contract test holds the two to
+the same behaviour.
+"""
+
+import asyncio
+from typing import Final
+
+from sardinepier.core import ids
+from sardinepier.platform import errors, interface
+from sardinepier.standins import platform_standin
+from sardinepier.standins.internal import platform_faults, platform_served
+
+_MS_PER_S: Final = 1000
+_RETRY: Final = 'Ask again later'
+_ABSENT: Final = frozenset(
+    (
+        platform_faults.PlatformMode.DOWN,
+        platform_faults.PlatformMode.FAILING,
+        platform_faults.PlatformMode.HANGING,
+    ),
+)
+
+
+class MemoryPlatform:
+    """A :class:`interface.Platform` that reads a stand-in's state."""
+
+    def __init__(
+        self,
+        state: platform_served.ServedState,
+        counts: platform_standin.CallCounts,
+        call_timeout_s: float = 3.0,
+    ) -> None:
+        """Read ``state`` and count each call into ``counts``."""
+        self._state = state
+        self._counts = counts
+        self._call_timeout_s = call_timeout_s
+
+    async def list_files(self) -> interface.Listing:
+        """Return the revisions of all files."""
+        self._counts.lists += 1
+        await self._meet_fault()
+        return self._state.served.listing()
+
+    async def watch_files(
+        self,
+        after_revision: int,
+        timeout_s: float,
+    ) -> interface.Listing:
+        """Return the listing once newer, or as it is after ``timeout_s``."""
+        self._counts.watches += 1
+        timeout_ms = int(timeout_s * _MS_PER_S)
+        await self._state.wait_newer(after_revision, timeout_ms)
+        await self._meet_fault()
+        return self._state.served.listing()
+
+    async def read_file(self, name: ids.FileName) -> interface.PublishedFile:
+        """Return the newest text of one file."""
+        self._counts.files += 1
+        await self._meet_fault()
+        held = self._state.served.files.get(name)
+        if held is None or held.text is None:
+            raise errors.PlatformFileMissingError(
+                f'The platform has no file {name}',
+                'Publish the file, or ask for the list of files again',
+            )
+        return interface.PublishedFile(name, held.revision, held.text)
+
+    async def list_instances(self) -> interface.InstanceList:
+        """Return the instance list, the same object while it is unchanged."""
+        self._counts.instances += 1
+        await self._meet_fault()
+        return self._state.served.instances
+
+    async def _meet_fault(self) -> None:
+        """Fail as the HTTP client would in the present mode.
+
+        Yields to the loop first, because a call over HTTP never completes
+        in one step either.
+        """
+        await asyncio.sleep(0)
+        if self._state.mode is platform_faults.PlatformMode.HANGING:
+            await asyncio.sleep(self._call_timeout_s)
+        if self._state.mode in platform_faults.SANE_MODES:
+            return
+        if self._state.mode in _ABSENT:
+            raise errors.PlatformUnavailableError(
+                f'The platform is {self._state.mode.value}',
+                _RETRY,
+            )
+        raise errors.PlatformReplyError(
+            f'The platform answered {self._state.mode.value}',
+            _RETRY,
+        )
+
+
+def in_process(
+    standin: platform_standin.PlatformStandin,
+    call_timeout_s: float = 3.0,
+) -> MemoryPlatform:
+    """Return a client that reads ``standin`` without HTTP."""
+    return MemoryPlatform(standin.state, standin.counts, call_timeout_s)
