--- a/libraries/telemetry/src/sardinepier/telemetry/daemon_events.py
+++ b/libraries/telemetry/src/sardinepier/telemetry/daemon_events.py
@@ -1,6 +1,7 @@
 """Events of one daemon's own life and of the requests it refused."""
 
 import msgspec
+from sardinepier.telemetry import quantities
 
 
 class DaemonEvent(msgspec.Struct, frozen=True, tag=True, tag_field='kind'):
@@ -21,7 +22,7 @@
 
     reason: str
     in_flight: int
-    grace_s: float
+    grace_s: quantities.Quantity
 
 
 class DaemonStopped(DaemonEvent, frozen=True):
@@ -48,7 +49,7 @@
     service: str
     reason: str
     requests: int
-    window_s: float
+    window_s: quantities.Quantity
 
 
 class PeerClockRefused(DaemonEvent, frozen=True):
@@ -64,4 +65,4 @@
     peer: str
     problem: str
     messages: int
-    window_s: float
+    window_s: quantities.Quantity
--- a/libraries/telemetry/src/sardinepier/telemetry/file_events.py
+++ b/libraries/telemetry/src/sardinepier/telemetry/file_events.py
@@ -1,6 +1,7 @@
 """Events about published files and the platform that publishes them."""
 
 import msgspec
+from sardinepier.telemetry import quantities
 
 
 class FileEvent(msgspec.Struct, frozen=True, tag=True, tag_field='kind'):
@@ -51,4 +52,4 @@
     """The platform answers again after ``failed_for_s`` seconds."""
 
     url: str
-    failed_for_s: float
+    failed_for_s: quantities.Quantity
--- a/libraries/telemetry/src/sardinepier/telemetry/internal/histograms.py
+++ b/libraries/telemetry/src/sardinepier/telemetry/internal/histograms.py
@@ -49,11 +49,12 @@
         return float(self._histogram.get_max_value() / _SCALE)
 
     def record(self, value: float) -> None:
-        """Add one value, held within the range."""
-        if value < 0:
-            value = 0
-        elif value > _HIGHEST:
+        """Add one value, held within the range; not-a-number counts as 0."""
+        if value > _HIGHEST:
             value = _HIGHEST
+        # Not `value < 0`, which is false for not-a-number.
+        elif not value >= 0:  # noqa: WPS508 (the comparison is not inverted)
+            value = 0
         self._add(int(value * _SCALE))
 
     def quantile(self, percent: float) -> float:
--- a/libraries/telemetry/src/sardinepier/telemetry/target_events.py
+++ b/libraries/telemetry/src/sardinepier/telemetry/target_events.py
@@ -1,6 +1,7 @@
 """Events about targets and about requests that harm them."""
 
 import msgspec
+from sardinepier.telemetry import quantities
 
 
 class TargetEvent(msgspec.Struct, frozen=True, tag=True, tag_field='kind'):
@@ -14,21 +15,21 @@
     """Evidence rises; the target gets extra probes."""
 
     reason: str
-    evidence: float
+    evidence: quantities.Quantity
 
 
 class TargetCleared(TargetEvent, frozen=True):
     """A suspected target turned out to be good."""
 
-    evidence: float
+    evidence: quantities.Quantity
 
 
 class TargetEjected(TargetEvent, frozen=True):
     """The target gets no requests for ``ejected_for_s`` seconds."""
 
     reason: str
-    evidence: float
-    ejected_for_s: float
+    evidence: quantities.Quantity
+    ejected_for_s: quantities.Quantity
 
 
 class EjectionHeldByFloor(TargetEvent, frozen=True):
@@ -54,7 +55,7 @@
 class TargetReadmitted(TargetEvent, frozen=True):
     """The target proved good; its share of requests is ramped up."""
 
-    ejected_for_s: float
+    ejected_for_s: quantities.Quantity
 
 
 class TargetLeaving(TargetEvent, frozen=True):
@@ -81,4 +82,4 @@
     service: str
     fingerprint: str
     crashed_targets: tuple[str, ...]
-    quarantined_for_s: float
+    quarantined_for_s: quantities.Quantity
