--- /dev/null
+++ b/libraries/routing/src/sardinepier/routing/admission.py
@@ -0,0 +1,155 @@
+"""The queue of one service, in which tasks wait for a slot."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Callable
+from typing import Final
+
+from sardinepier.core import clock, ids
+from sardinepier.routing import errors, waiting_line
+from sardinepier.routing.internal import checks
+
+Work = waiting_line.Work
+
+_RECHECK_INTERVAL_S: Final = 0.05
+
+
+class SlotQueue:
+    """Bounded queue for slots, by priority, then deadline.
+
+    ``choose`` *reserves* the slot which it returns, for example
+    ``lambda: slots.reserve(chooser)``, and ``release`` gives one back. The
+    queue calls ``release`` itself only for a slot that was granted to a
+    task which is cancelled in the same moment; else the caller does so when
+    its attempt has ended, and then calls :meth:`wake`::
+
+        target_id = await queue.acquire(work, choose)
+        try:
+            ...
+        finally:
+            slots.release(target_id)
+            queue.wake()
+
+    While somebody waits, free slots are also looked for every
+    ``recheck_interval_s``, since some come free by time alone: a target's
+    back-off ends, or an old count of a peer fades.
+    """
+
+    def __init__(
+        self,
+        local_clock: clock.Clock,
+        length: int,
+        random_source: random.Random,
+        release: Callable[[ids.TargetId], None],
+        *,
+        recheck_interval_s: float = _RECHECK_INTERVAL_S,
+    ) -> None:
+        """Let at most ``length`` requests wait; 0 means that none waits.
+
+        Raises :class:`errors.RoutingOptionError` when ``length`` is negative
+        or the interval isn't positive.
+        """
+        checks.positive('recheck_interval_s', recheck_interval_s)
+        self._clock = local_clock
+        self._line = waiting_line.WaitingLine(
+            local_clock,
+            length,
+            random_source,
+        )
+        self._release = release
+        self._recheck_interval_s = recheck_interval_s
+        self._recheck: asyncio.TimerHandle | None = None
+
+    def __len__(self) -> int:
+        """Return how many requests wait now."""
+        return len(self._line)
+
+    def observe_service(self, service_s: float) -> None:
+        """Learn how long a target took for one request, in seconds."""
+        self._line.observe_service(service_s)
+
+    async def acquire(
+        self,
+        work: waiting_line.Work,
+        choose: Callable[[], ids.TargetId | None],
+    ) -> ids.TargetId:
+        """Wait for a slot and return the target at which it was reserved.
+
+        Raises :class:`errors.QueueFullError` when there is no place, its
+        subclass :class:`errors.DisplacedError` when the place went to work
+        of higher priority, and :class:`errors.QueueDeadlineError` as soon as
+        the deadline can't be met.
+        """
+        waiter = _TaskWaiter(work, choose)
+        self._line.enter(waiter)
+        if waiter.outcome.done():
+            return waiter.outcome.result()
+        self._keep_rechecking()
+        alarm = self._set_alarm(work)
+        try:
+            return await waiter.outcome
+        except asyncio.CancelledError:
+            self._withdraw(waiter)
+            raise
+        finally:
+            alarm.cancel()
+
+    def wake(self) -> None:
+        """Hand out free slots. Call it when a slot or a target came free."""
+        self._line.serve()
+
+    def _withdraw(self, waiter: '_TaskWaiter') -> None:
+        self._line.leave(waiter)
+        if waiter.granted is not None:
+            self._release(waiter.granted)
+        self.wake()
+
+    def _set_alarm(self, work: waiting_line.Work) -> asyncio.TimerHandle:
+        remaining_s = self._line.give_up_s(work) - self._clock.monotonic_s()
+        loop = asyncio.get_running_loop()
+        return loop.call_later(max(0.0, remaining_s), self.wake)
+
+    def _keep_rechecking(self) -> None:
+        if self._recheck is None:
+            self._recheck = asyncio.get_running_loop().call_later(
+                self._recheck_interval_s,
+                self._recheck_now,
+            )
+
+    def _recheck_now(self) -> None:
+        self._recheck = None
+        self.wake()
+        if len(self._line):
+            self._keep_rechecking()
+
+
+class _TaskWaiter:
+    """A task that waits for its slot."""
+
+    def __init__(
+        self,
+        work: waiting_line.Work,
+        choose: Callable[[], ids.TargetId | None],
+    ) -> None:
+        """Wait in the running event loop."""
+        self.work = work
+        self.choose = choose
+        self.granted: ids.TargetId | None = None
+        loop = asyncio.get_running_loop()
+        self.outcome: asyncio.Future[ids.TargetId] = loop.create_future()
+
+    def grant(self, target_id: ids.TargetId) -> None:
+        """Resume the task with its target.
+
+        The future is cancelled already when the task was cancelled before it
+        could leave the line; :attr:`granted` then has the slot given back.
+        """
+        self.granted = target_id
+        with contextlib.suppress(asyncio.InvalidStateError):
+            self.outcome.set_result(target_id)
+
+    def refuse(self, error: errors.RefusalError) -> None:
+        """Resume the task with the refusal."""
+        with contextlib.suppress(asyncio.InvalidStateError):
+            self.outcome.set_exception(error)
--- /dev/null
+++ b/libraries/routing/src/sardinepier/routing/budget.py
@@ -0,0 +1,82 @@
+"""Bounds how many attempts are made beyond one for each request."""
+
+import dataclasses
+from collections import deque
+from typing import Final
+
+from sardinepier.core import clock
+from sardinepier.routing.internal import checks
+
+_PARTS: Final = 10
+_PERCENT: Final = 100
+_WINDOW_S: Final = 10.0
+_FLOOR: Final = 3
+
+
+@dataclasses.dataclass(slots=True)
+class _Part:
+    """What happened in one tenth of the window."""
+
+    number: int
+    requests: int = 0
+    spent: int = 0
+
+
+class RetryBudget:
+    """Further attempts as a fraction of the requests in a sliding window.
+
+    At any moment the attempts granted within the window are at most
+    ``percent`` of its requests plus ``floor``. So in any stretch of time they
+    are at most that percentage of the requests plus the floor once for each
+    window begun: in a storm the floor vanishes and 10 percent means at most
+    1.1 attempts a request. The floor lets a quiet service retry at all.
+    """
+
+    def __init__(
+        self,
+        local_clock: clock.Clock,
+        percent: float,
+        *,
+        floor: int = _FLOOR,
+        window_s: float = _WINDOW_S,
+    ) -> None:
+        """Grant ``percent`` of the requests plus ``floor`` each window.
+
+        Raises ``RoutingOptionError`` unless 0 <= ``percent`` <= 100,
+        ``floor`` >= 0 and ``window_s`` > 0.
+        """
+        checks.percentage('percent', percent)
+        checks.not_negative('floor', floor)
+        checks.positive('window_s', window_s)
+        self._clock = local_clock
+        self._fraction = percent / _PERCENT
+        self._floor = floor
+        self._part_s = window_s / _PARTS
+        self._parts: deque[_Part] = deque()
+        self._requests = 0
+        self._spent = 0
+
+    def record_request(self) -> None:
+        """Count a new request. Its further attempts don't count again."""
+        self._current().requests += 1
+        self._requests += 1
+
+    def try_spend(self) -> bool:
+        """Take one further attempt from the budget, if there is one."""
+        part = self._current()
+        allowed = self._fraction * self._requests + self._floor
+        if self._spent + 1 > allowed:
+            return False
+        part.spent += 1
+        self._spent += 1
+        return True
+
+    def _current(self) -> _Part:
+        number = int(self._clock.monotonic_s() / self._part_s)
+        while self._parts and self._parts[0].number <= number - _PARTS:
+            gone = self._parts.popleft()
+            self._requests -= gone.requests
+            self._spent -= gone.spent
+        if not self._parts or self._parts[-1].number != number:
+            self._parts.append(_Part(number))
+        return self._parts[-1]
--- /dev/null
+++ b/libraries/routing/src/sardinepier/routing/internal/checks.py
@@ -0,0 +1,30 @@
+"""Named checks of arguments, so that a wrong option fails at the start."""
+
+from sardinepier.routing import errors
+
+
+def positive(name: str, number: float) -> None:
+    """Raise :class:`errors.RoutingOptionError` unless ``number`` is over 0."""
+    if number <= 0:
+        raise errors.RoutingOptionError(
+            f'{name} is {number}',
+            'Pass a number greater than 0',
+        )
+
+
+def not_negative(name: str, number: float) -> None:
+    """Raise :class:`errors.RoutingOptionError` when ``number`` is below 0."""
+    if number < 0:
+        raise errors.RoutingOptionError(
+            f'{name} is {number}',
+            'Pass 0 or a greater number',
+        )
+
+
+def percentage(name: str, number: float) -> None:
+    """Raise :class:`errors.RoutingOptionError` unless it is 0 to 100."""
+    if not 0 <= number <= 100:
+        raise errors.RoutingOptionError(
+            f'{name} is {number}',
+            'Pass a percentage between 0 and 100',
+        )
--- /dev/null
+++ b/libraries/routing/src/sardinepier/routing/waiting_line.py
@@ -0,0 +1,186 @@
+"""Requests that wait for a slot, in the order in which they get one.
+
+The line is bounded and ordered by priority, then deadline. A request which
+it gives up on is refused in that same call, never held back. It does no I/O
+and knows no tasks; :mod:`sardinepier.routing.admission` puts it under
+``asyncio``, and experiments drive it with simulated time.
+"""
+
+import bisect
+import dataclasses
+import random
+from typing import Protocol
+
+from sardinepier.core import clock, ids
+from sardinepier.routing import errors
+from sardinepier.routing.internal import checks, refusals, wait_estimate
+
+_Rank = tuple[int, float, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Work:
+    """What the line must know of a request.
+
+    The lower ``priority``, the sooner its turn. ``deadline_s`` is a reading
+    of the local monotonic clock by which the answer must be there.
+    ``takes_any`` is true when the request would take any free target: when
+    it gets none, nobody behind it gets one, and the search ends. Leave it
+    false for a request which refuses some targets, such as a second attempt.
+    """
+
+    priority: int
+    deadline_s: float
+    takes_any: bool = False
+
+
+class Waiter(Protocol):
+    """A request in the line. It ends by exactly one grant or refusal."""
+
+    @property
+    def work(self) -> Work:
+        """Return its priority and deadline."""
+        ...
+
+    def choose(self) -> ids.TargetId | None:
+        """Reserve a slot and return its target, ``None`` if none is free."""
+        ...
+
+    def grant(self, target_id: ids.TargetId) -> None:
+        """Take the reserved slot of ``target_id``."""
+        ...
+
+    def refuse(self, error: errors.RefusalError) -> None:
+        """Give up with ``error``."""
+        ...
+
+
+@dataclasses.dataclass(slots=True)
+class _Place:
+    """A waiter and its rank."""
+
+    rank: _Rank
+    waiter: Waiter
+
+
+class WaitingLine:
+    """The bounded, ordered line of one service in one daemon."""
+
+    def __init__(
+        self,
+        local_clock: clock.Clock,
+        length: int,
+        random_source: random.Random,
+    ) -> None:
+        """Allow at most ``length`` waiters; 0 means that nobody waits.
+
+        Raises :class:`errors.RoutingOptionError` when ``length`` is negative.
+        """
+        checks.not_negative('length', length)
+        self._clock = local_clock
+        self._length = length
+        self._refusals = refusals.Refusals(random_source)
+        self._places: list[_Place] = []
+        self._arrivals = 0
+        self._estimate = wait_estimate.WaitEstimate()
+
+    def __len__(self) -> int:
+        """Return how many wait now."""
+        return len(self._places)
+
+    def observe_service(self, service_s: float) -> None:
+        """Learn how long a target took for one request, in seconds."""
+        self._estimate.observe_service(service_s)
+
+    def give_up_s(self, work: Work) -> float:
+        """Return the local time from which ``work`` can't be finished."""
+        return work.deadline_s - self._estimate.service_s
+
+    def enter(self, waiter: Waiter) -> None:
+        """Serve, queue or refuse a new waiter, at once.
+
+        A waiter of lower priority may lose its place to it and is then
+        refused in this call.
+        """
+        self.serve()
+        if self._clock.monotonic_s() < waiter.work.deadline_s:
+            # A free slot is used even when the estimate says that it is too
+            # late: were nothing sent, the estimate would never be corrected.
+            target_id = waiter.choose()
+            if target_id is not None:
+                waiter.grant(target_id)
+                return
+        place = _Place(self._rank(waiter.work), waiter)
+        ahead = bisect.bisect(self._places, place.rank, key=_rank_of)
+        if self._is_too_late(waiter.work, ahead):
+            waiter.refuse(self._refusals.late(self._likely_wait_s()))
+        elif self._make_room(waiter):
+            self._places.insert(ahead, place)
+
+    def leave(self, waiter: Waiter) -> None:
+        """Take out a waiter that was cancelled. Unknown ones are ignored."""
+        self._places = [
+            place for place in self._places if place.waiter is not waiter
+        ]
+
+    def serve(self) -> None:
+        """Refuse whom the deadline beats, then hand out the free slots."""
+        self._refuse_hopeless()
+        position = 0
+        while position < len(self._places):
+            waiter = self._places[position].waiter
+            target_id = waiter.choose()
+            if target_id is None:
+                if waiter.work.takes_any:
+                    break
+                position += 1
+            else:
+                self._places.pop(position)
+                self._estimate.granted(self._clock.monotonic_s())
+                waiter.grant(target_id)
+        if not self._places:
+            self._estimate.emptied()
+
+    def _rank(self, work: Work) -> _Rank:
+        self._arrivals += 1
+        return (work.priority, work.deadline_s, self._arrivals)
+
+    def _is_too_late(self, work: Work, ahead: int) -> bool:
+        now_s = self._clock.monotonic_s()
+        start_s = now_s + self._estimate.wait_s(ahead)
+        return start_s >= self.give_up_s(work)
+
+    def _make_room(self, waiter: Waiter) -> bool:
+        if len(self._places) < self._length:
+            return True
+        # An earlier deadline alone displaces nobody: equal callers would
+        # push each other out in turn, and none would be served.
+        last = self._places[-1].rank[0] if self._places else None
+        if last is None or waiter.work.priority >= last:
+            error = self._refusals.full(self._likely_wait_s(), self._length)
+            waiter.refuse(error)
+            return False
+        displaced = self._places.pop()
+        displaced.waiter.refuse(
+            self._refusals.displaced(self._likely_wait_s()),
+        )
+        return True
+
+    def _refuse_hopeless(self) -> None:
+        now_s = self._clock.monotonic_s()
+        hopeful: list[_Place] = []
+        hopeless: list[_Place] = []
+        for place in self._places:
+            is_late = now_s >= self.give_up_s(place.waiter.work)
+            (hopeless if is_late else hopeful).append(place)
+        self._places = hopeful
+        for late in hopeless:
+            late.waiter.refuse(self._refusals.late(self._likely_wait_s()))
+
+    def _likely_wait_s(self) -> float:
+        behind_all_s = self._estimate.wait_s(len(self._places) + 1)
+        return max(behind_all_s, self._estimate.service_s)
+
+
+def _rank_of(place: _Place) -> _Rank:
+    return place.rank
