--- /dev/null
+++ b/libraries/wire/tests/cover/test_wire_codec.py
@@ -0,0 +1,113 @@
+"""Whatever bytes arrive, the codec gives a message or a typed reason."""
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sardinepier.core import ids
+from sardinepier.wire import codec, counters, errors, messages
+
+
+class Numbered(messages.Message, frozen=True):
+    number: int
+    note: str = ''
+
+
+_SENDER = messages.Sender(
+    ids.InstanceId('a~1'),
+    messages.PeerAddress('10.0.0.1', 7000),
+)
+_CODEC = codec.Codec((Numbered,))
+_FIELDS = (('number', int), ('note', str, ''))
+
+
+def _frame(*items):
+    return msgspec.msgpack.encode(items)
+
+
+def _envelope(message, version=1, instance='a~1', address=('10.0.0.1', 7000)):
+    return _frame(version, instance, address, None, message)
+
+
+@given(st.integers(-(2**63), 2**63 - 1), st.text(), st.none() | st.just((1, 2)))
+def test_what_is_encoded_is_decoded(number, note, stamp):
+    message = Numbered(number, note)
+    delivery = _CODEC.decode(_CODEC.encode(_SENDER, message, stamp))
+    assert delivery == codec.Delivery(_SENDER, stamp, message)
+
+
+@given(st.binary())
+def test_random_bytes_raise_only_the_typed_error(frame):
+    with pytest.raises(errors.UndecodableMessageError):
+        _CODEC.decode(frame)
+
+
+@given(st.integers(min_value=0), st.integers(min_value=1, max_value=255))
+def test_a_damaged_byte_raises_only_the_typed_error(position, change):
+    frame = bytearray(_CODEC.encode(_SENDER, Numbered(5, 'note'), (3, 4)))
+    frame[position % len(frame)] ^= change
+    try:
+        _CODEC.decode(bytes(frame))
+    except errors.UndecodableMessageError as error:
+        assert error.reason in counters.DropReason
+
+
+@pytest.mark.parametrize(
+    ('frame', 'reason'),
+    [
+        (b'', counters.DropReason.MALFORMED),
+        (b'\xc1', counters.DropReason.MALFORMED),
+        (b'\x91' * 5000, counters.DropReason.MALFORMED),
+        (_frame(), counters.DropReason.MALFORMED),
+        (_frame(1, 'a~1'), counters.DropReason.MALFORMED),
+        (_frame(2, 'whatever'), counters.DropReason.WRONG_VERSION),
+        (
+            _envelope(('Numbered', 1), version=2),
+            counters.DropReason.WRONG_VERSION,
+        ),
+        (_envelope(('Elsewhere', 1)), counters.DropReason.UNKNOWN_KIND),
+        (_envelope(('Numbered',)), counters.DropReason.MALFORMED),
+        (_envelope(('Numbered', 'one')), counters.DropReason.MALFORMED),
+        (_envelope({'Numbered': 1}), counters.DropReason.MALFORMED),
+        (
+            _envelope(('Numbered', 1), address=('a.example', 1)),
+            counters.DropReason.BAD_SENDER,
+        ),
+        (
+            _envelope(('Numbered', 1), address=('10.0.0.1', 70_000)),
+            counters.DropReason.BAD_SENDER,
+        ),
+        (
+            _envelope(('Numbered', 1), instance=''),
+            counters.DropReason.BAD_SENDER,
+        ),
+    ],
+)
+def test_bad_frames_are_told_apart(frame, reason):
+    with pytest.raises(errors.UndecodableMessageError) as caught:
+        _CODEC.decode(frame)
+    assert caught.value.reason is reason
+
+
+def test_a_field_added_at_the_end_is_no_break():
+    # The next version's kind has the same name and one field more.
+    newer_kind = msgspec.defstruct(
+        'Numbered',
+        (*_FIELDS, ('added', int, 0)),
+        bases=(messages.Message,),
+        frozen=True,
+    )
+    newer = codec.Codec((newer_kind,))
+    newer_frame = newer.encode(_SENDER, newer_kind(1, 'x', 2))
+    assert _CODEC.decode(newer_frame).message.note == 'x'
+    old_frame = _CODEC.encode(_SENDER, _CODEC.decode(newer_frame).message)
+    assert newer.decode(old_frame).message == newer_kind(1, 'x', 0)
+
+
+def test_two_kinds_of_one_name_are_refused_at_the_start():
+    other = type('Numbered', (messages.Message,), {}, frozen=True)
+    with pytest.raises(errors.MessageKindsError, match='Give each kind'):
+        codec.Codec((Numbered, other))
+    with pytest.raises(errors.MessageKindsError):
+        codec.Codec(())
