Add a load generator that acts as callers do and checks what they are told

Cause: at most once, honest refusals and whole answers can only be shown by callers that resend, and by comparing with what the targets have run.

Change: bounded open-loop traffic from several callers; a keyed request whose fate is unsure is resent with the same key, a refused one with a new key; each answer is checked against its own request. The targets' counts, over HTTP or from their files, are the witness.

Ruled out: believing the daemons' own metrics as witness.

--- a/libraries/standins/src/sardinepier/standins/internal/target_work.py
+++ b/libraries/standins/src/sardinepier/standins/internal/target_work.py
@@ -10,12 +10,13 @@
 from aiohttp import web
 
 from sardinepier.core import clock, errors
-from sardinepier.standins import target_answers, target_faults, target_settings
-from sardinepier.standins.internal import (
-    target_drain,
+from sardinepier.standins import (
+    target_answers,
     target_executions,
-    target_replies,
+    target_faults,
+    target_settings,
 )
+from sardinepier.standins.internal import target_drain, target_replies
 
 _HUNDRED: Final = 100.0
 _HUNG_S: Final = 3600.0
--- a/libraries/standins/src/sardinepier/standins/target_standin.py
+++ b/libraries/standins/src/sardinepier/standins/target_standin.py
@@ -22,9 +22,13 @@
 from aiohttp import web
 
 from sardinepier.core import clock
-from sardinepier.standins import target_answers, target_faults, target_settings
-from sardinepier.standins.internal import (
+from sardinepier.standins import (
+    target_answers,
     target_executions,
+    target_faults,
+    target_settings,
+)
+from sardinepier.standins.internal import (
     target_load,
     target_replies,
     target_work,
--- /dev/null
+++ b/libraries/workbench/src/sardinepier/workbench/main.py
@@ -0,0 +1,83 @@
+"""The command ``sardinepier-workbench`` with all of its subcommands."""
+
+import importlib
+import sys
+from collections.abc import Callable, Sequence
+from typing import Final
+
+import fire
+
+from sardinepier.core import errors
+
+_PROGRAM: Final = 'sardinepier-workbench'
+_ERROR_CODE: Final = 2
+_INTERRUPT_CODE: Final = 130
+_HELP: Final = '--help'
+
+_SUBCOMMANDS: Final = {
+    ('traffic',): 'send bounded traffic and check what became of it',
+    ('bench',): 'measure the time that one daemon adds to a request',
+    ('faults',): 'drive the table of faults over real processes',
+    ('experiment', 'detection'): 'detection time against false ejections',
+    ('experiment', 'load'): 'ways to spread load',
+    ('capacity',): 'measure the slopes of the capacity page',
+}
+
+
+class UnknownSubcommandError(errors.SardinepierError):
+    """The first words of the command line name no subcommand."""
+
+
+def main() -> None:
+    """Run the command line; a typed error becomes one line and code 2."""
+    arguments = sys.argv[1:]
+    if not arguments or arguments[0] == _HELP:
+        sys.stdout.write(f'{_usage()}\n')
+        return
+    try:
+        _dispatch(arguments)
+    except errors.SardinepierError as error:
+        sys.stderr.write(f'{error}\n')
+        sys.exit(_ERROR_CODE)
+    except KeyboardInterrupt:
+        sys.exit(_INTERRUPT_CODE)
+
+
+def _dispatch(arguments: Sequence[str]) -> None:
+    for words in _SUBCOMMANDS:
+        if tuple(arguments[: len(words)]) == words:
+            remaining = list(arguments[len(words) :])
+            if _HELP in remaining:
+                # A function that takes any option would take this one too;
+                # after the separator it reaches the library instead.
+                remaining = ['--', _HELP]
+            name = ' '.join((_PROGRAM, *words))
+            fire.Fire(_load(words), command=remaining, name=name)
+            return
+    raise UnknownSubcommandError(
+        f'There is no subcommand {" ".join(arguments[:2])!r}',
+        f'Run {_PROGRAM} {_HELP} to see them',
+    )
+
+
+def _load(words: Sequence[str]) -> Callable[..., None]:
+    """Return the function of a subcommand.
+
+    Only the one that was asked for is imported. Some bring numpy and
+    matplotlib or the whole daemon, which would slow the start of all others,
+    and the demo starts this command several times.
+    """
+    module = importlib.import_module(
+        f'sardinepier.workbench.{words[-1]}.command',
+    )
+    run: Callable[..., None] = module.run
+    return run
+
+
+def _usage() -> str:
+    lines = [f'usage: {_PROGRAM} SUBCOMMAND [--help | options]', '']
+    lines.extend(
+        f'  {" ".join(words):<22}{purpose}'
+        for words, purpose in _SUBCOMMANDS.items()
+    )
+    return '\n'.join(lines)
--- /dev/null
+++ b/libraries/workbench/src/sardinepier/workbench/traffic/caller.py
@@ -0,0 +1,155 @@
+"""A caller: it resends as far as that is safe, and no further."""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Sequence
+from typing import Final
+
+import aiohttp
+
+from sardinepier.core import clock
+from sardinepier.standins import target_answers
+from sardinepier.workbench.traffic import (
+    address_book,
+    exchange,
+    options,
+    records,
+)
+
+_MS_PER_S: Final = 1000.0
+_SHORTEST_WAIT_S: Final = 0.05
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """Where one request stands between its attempts."""
+
+    record: records.RequestRecord
+    address: address_book.Address | None = None
+    key: str = ''
+    tried: list[options.Endpoint] = dataclasses.field(default_factory=list)
+
+
+class Caller:
+    """One customer with its own addresses.
+
+    A keyed request whose fate is unsure is sent again with the *same* key,
+    to another address. Only after a refusal that proves it was not run, or
+    when no connection could be made, does it get a new key and home.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        session: aiohttp.ClientSession,
+        traffic: options.TrafficOptions,
+        time_source: clock.Clock,
+        random_source: random.Random,
+    ) -> None:
+        """Start without any address."""
+        self._name = name
+        self._session = session
+        self._options = traffic
+        self._clock = time_source
+        self._book = address_book.AddressBook(
+            session,
+            traffic,
+            time_source,
+            random_source,
+        )
+
+    async def call(
+        self,
+        request: exchange.Request,
+        keyed: bool,
+    ) -> records.RequestRecord:
+        """Send ``request`` until its fate is known or resends run out."""
+        started_at_s = self._clock.monotonic_s()
+        record = records.RequestRecord(request.tag, keyed, started_at_s)
+        progress = _Progress(record)
+        for _ in range(self._options.resends + 1):
+            attempt = await self._attempt(request, progress)
+            record.attempts.append(attempt)
+            record.total_ms = self._elapsed_ms(started_at_s)
+            if len(record.attempts) == 1:
+                record.first_attempt_ms = record.total_ms
+            if _is_final(attempt):
+                break
+            await self._wait(attempt)
+        _note_key(progress)
+        return record
+
+    async def _attempt(
+        self,
+        request: exchange.Request,
+        progress: _Progress,
+    ) -> records.Attempt:
+        try:
+            address = await self._book.choose(progress.tried)
+        except address_book.NoAddressError:
+            return records.Attempt(records.Kind.NOT_CONNECTED)
+        progress.tried.append(address.endpoint)
+        headers = {self._options.caller_header: self._name}
+        if progress.record.keyed:
+            headers[target_answers.KEY_HEADER] = _key_for(progress, address)
+        attempt = await exchange.send(
+            self._session,
+            address.endpoint,
+            request,
+            headers,
+        )
+        if attempt.kind in {records.Kind.NOT_CONNECTED, records.Kind.CUT}:
+            self._book.avoid(address.endpoint)
+        return attempt
+
+    async def _wait(self, attempt: records.Attempt) -> None:
+        wait_s = max(attempt.retry_after_s, _SHORTEST_WAIT_S)
+        await asyncio.sleep(min(wait_s, self._options.longest_wait_s))
+
+    def _elapsed_ms(self, since_s: float) -> float:
+        return (self._clock.monotonic_s() - since_s) * _MS_PER_S
+
+
+def _key_for(progress: _Progress, address: address_book.Address) -> str:
+    """Keep the key while the request may have run; else make a new one."""
+    if progress.key and _may_have_run(progress.record.attempts):
+        return progress.key
+    _note_key(progress)
+    unique = f'{progress.record.tag}-{len(progress.record.keys)}'
+    progress.key = f'{address.ticket}.{unique}'
+    return progress.key
+
+
+def _may_have_run(attempts: Sequence[records.Attempt]) -> bool:
+    """Tell whether the key in use was ever sent without a proof of not-run.
+
+    A connection that could not be made says nothing about the attempts
+    before it, so those decide.
+    """
+    for attempt in reversed(attempts):
+        if attempt.kind is records.Kind.NOT_RUN:
+            return False
+        if attempt.kind is not records.Kind.NOT_CONNECTED:
+            return True
+    return False
+
+
+def _note_key(progress: _Progress) -> None:
+    if not progress.key:
+        return
+    sent = [
+        attempt.kind
+        for attempt in progress.record.attempts
+        if attempt.kind is not records.Kind.NOT_CONNECTED
+    ]
+    last = sent[-1] if sent else records.Kind.NOT_CONNECTED
+    progress.record.keys.append(records.KeyUse(progress.key, last))
+
+
+def _is_final(attempt: records.Attempt) -> bool:
+    if attempt.kind is records.Kind.NOT_RUN:
+        return not attempt.retry_allowed
+    if attempt.kind is records.Kind.NOT_CONNECTED:
+        return False
+    return attempt.kind not in records.UNSURE
--- /dev/null
+++ b/libraries/workbench/src/sardinepier/workbench/traffic/options.py
@@ -0,0 +1,105 @@
+"""What the load generator is told."""
+
+import dataclasses
+from typing import Final
+
+from sardinepier.core import errors
+
+_MAX_REQUESTS: Final = 500_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Endpoint:
+    """An address of a process: a daemon or a target."""
+
+    ip: str
+    port: int
+
+    @property
+    def url(self) -> str:
+        """The base of all URLs of the process."""
+        return f'http://{self.ip}:{self.port}'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteChoice:
+    """A route of the service to which requests are sent."""
+
+    method: str
+    path: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TrafficOptions:
+    """One bounded run of the load generator.
+
+    ``rate_per_s`` requests start each second for ``duration_s``, whether or
+    not earlier ones were answered; above ``in_flight_limit`` they are counted
+    as not sent. ``keyed_percent`` of them are non-idempotent and bring a key.
+    ``resends`` bounds how often one request is sent again, and
+    ``attempt_timeout_s`` how long one attempt may take. The run fails when
+    fewer than ``least_completed_percent`` of its requests completed.
+    """
+
+    daemons: tuple[Endpoint, ...]
+    service: str
+    idempotent_route: RouteChoice
+    keyed_route: RouteChoice
+    rate_per_s: float = 50.0
+    duration_s: float = 5.0
+    keyed_percent: float = 50.0
+    callers: int = 8
+    resends: int = 4
+    attempt_timeout_s: float = 8.0
+    longest_wait_s: float = 2.0
+    in_flight_limit: int = 400
+    body_bytes: int = 64
+    caller_header: str = 'Caller-Id'
+    zone: str = ''
+    poison: str = ''
+    least_completed_percent: float = 0.0
+    seed: int = 1
+
+    def __post_init__(self) -> None:
+        """Check the figures; raise ``InvalidArgumentError``."""
+        if not self.daemons:
+            raise errors.InvalidArgumentError(
+                'No daemon is named',
+                'Pass --daemons IP:PORT,IP:PORT',
+            )
+        if not 0 < self.rate_per_s * self.duration_s <= _MAX_REQUESTS:
+            raise errors.InvalidArgumentError(
+                'The rate times the duration is out of range',
+                f'Choose them so that at most {_MAX_REQUESTS} requests start',
+            )
+
+
+def parse_endpoints(text: object) -> tuple[Endpoint, ...]:
+    """Return the endpoints in ``text``, for example ``127.0.0.1:80,[::1]:81``.
+
+    A command line may have split the text at its commas already. Raises
+    ``InvalidArgumentError`` for anything that is not an address and a port.
+    """
+    parts = text if isinstance(text, tuple | list) else str(text).split(',')
+    return tuple(_parse_endpoint(str(part)) for part in parts if str(part))
+
+
+def parse_route(text: str) -> RouteChoice:
+    """Return the route in ``text``, for example ``POST:/deposits``."""
+    method, separator, path = text.partition(':')
+    if not separator or not path.startswith('/'):
+        raise errors.InvalidArgumentError(
+            f'The route is {text!r}',
+            'Write METHOD:/path, for example POST:/deposits',
+        )
+    return RouteChoice(method, path)
+
+
+def _parse_endpoint(text: str) -> Endpoint:
+    ip, _, port = text.strip().rpartition(':')
+    if not ip or not port.isdigit():
+        raise errors.InvalidArgumentError(
+            f'The address is {text!r}',
+            'Write IP:PORT, for example 127.0.0.1:8001',
+        )
+    return Endpoint(ip, int(port))
--- /dev/null
+++ b/libraries/workbench/src/sardinepier/workbench/traffic/report.py
@@ -0,0 +1,147 @@
+"""What a run came to, for people and for scripts."""
+
+import collections
+from collections.abc import Iterable, Sequence
+from typing import Final
+
+import msgspec
+from hdrh import histogram
+
+from sardinepier.workbench.traffic import generator, records, witness
+
+_US_PER_MS: Final = 1000
+_LONGEST_US: Final = 600_000_000
+_DIGITS: Final = 3
+_SHOWN_PROBLEMS: Final = 8
+_MEDIAN: Final = 50
+_NINTH_DECILE: Final = 90
+_LAST_PERCENT: Final = 99
+_ALL: Final = 100
+
+
+class Latency(msgspec.Struct, frozen=True):
+    """Percentiles of a latency, in milliseconds."""
+
+    count: int
+    p50_ms: float
+    p90_ms: float
+    p99_ms: float
+    max_ms: float
+
+
+class TrafficReport(msgspec.Struct, frozen=True):
+    """Counts of one run. ``connections_cut`` counts attempts, not requests."""
+
+    requests: int
+    not_sent: int
+    requests_by_kind: dict[str, int]
+    keyed_by_kind: dict[str, int]
+    attempts_by_kind: dict[str, int]
+    resends: int
+    connections_cut: int
+    problems: dict[str, int]
+    first_attempt: Latency
+    completed: Latency
+    verdict: witness.Verdict | None
+
+
+def summarise(
+    run: generator.TrafficRun,
+    verdict: witness.Verdict | None,
+) -> TrafficReport:
+    """Count ``run``; ``verdict`` is None when no target was asked."""
+    attempts = [item for record in run.requests for item in record.attempts]
+    keyed = [record for record in run.requests if record.keyed]
+    completed = [
+        record
+        for record in run.requests
+        if record.kind is records.Kind.COMPLETED
+    ]
+    problems = collections.Counter(
+        attempt.problem for attempt in attempts if attempt.problem
+    )
+    kinds = [attempt.kind for attempt in attempts]
+    return TrafficReport(
+        requests=len(run.requests),
+        not_sent=run.not_sent,
+        requests_by_kind=count_kinds(record.kind for record in run.requests),
+        keyed_by_kind=count_kinds(record.kind for record in keyed),
+        attempts_by_kind=count_kinds(kinds),
+        resends=len(attempts) - len(run.requests),
+        connections_cut=kinds.count(records.Kind.CUT),
+        problems=dict(problems.most_common(_SHOWN_PROBLEMS)),
+        first_attempt=measure(item.first_attempt_ms for item in run.requests),
+        completed=measure(record.total_ms for record in completed),
+        verdict=verdict,
+    )
+
+
+def count_kinds(kinds: Iterable[records.Kind]) -> dict[str, int]:
+    """Return how often each kind occurs, by its name."""
+    return dict(collections.Counter(kind.value for kind in kinds))
+
+
+def measure(latencies_ms: Iterable[float]) -> Latency:
+    """Return the percentiles of ``latencies_ms``; all 0 without any."""
+    recorder = histogram.HdrHistogram(1, _LONGEST_US, _DIGITS)
+    for latency_ms in latencies_ms:
+        recorder.record_value(max(1, round(latency_ms * _US_PER_MS)))
+    return Latency(
+        count=recorder.get_total_count(),
+        p50_ms=_percentile_ms(recorder, _MEDIAN),
+        p90_ms=_percentile_ms(recorder, _NINTH_DECILE),
+        p99_ms=_percentile_ms(recorder, _LAST_PERCENT),
+        max_ms=_percentile_ms(recorder, _ALL),
+    )
+
+
+def render(report: TrafficReport) -> str:
+    """Return the report as lines for a person."""
+    lines = [
+        f'requests              {report.requests}',
+        f'  by kind             {_render_counts(report.requests_by_kind)}',
+        f'  of them with a key  {_render_counts(report.keyed_by_kind)}',
+        f'  not sent            {report.not_sent}',
+        f'attempts by kind      {_render_counts(report.attempts_by_kind)}',
+        f'resends               {report.resends}',
+        f'connections cut       {report.connections_cut}',
+        f'first attempt         {_render_latency(report.first_attempt)}',
+        f'completed             {_render_latency(report.completed)}',
+    ]
+    lines.extend(
+        f'problem               {count} x {problem}'
+        for problem, count in report.problems.items()
+    )
+    return '\n'.join([*lines, *_render_verdict(report.verdict)])
+
+
+def _render_verdict(verdict: witness.Verdict | None) -> Sequence[str]:
+    if verdict is None:
+        return ('targets asked         none',)
+    return (
+        f'keys run by targets   {verdict.keys_run}',
+        f'executions of a key   at most {verdict.executions_by_key_max}',
+        f'doubled               {len(verdict.doubled)}',
+        f'falsely said not-run  {len(verdict.false_not_run)}',
+        f'lost                  {len(verdict.lost)}',
+    )
+
+
+def _render_counts(counts: dict[str, int]) -> str:
+    parts = [f'{name} {counts[name]}' for name in sorted(counts)]
+    return ', '.join(parts) or 'none'
+
+
+def _render_latency(latency: Latency) -> str:
+    return (
+        f'p50 {latency.p50_ms:.1f} ms, p99 {latency.p99_ms:.1f} ms, '
+        f'max {latency.max_ms:.1f} ms'
+    )
+
+
+def _percentile_ms(
+    recorder: histogram.HdrHistogram,
+    percentile: float,
+) -> float:
+    value_us = recorder.get_value_at_percentile(percentile)
+    return float(value_us) / _US_PER_MS
--- /dev/null
+++ b/libraries/workbench/tests/cover/test_traffic.py
@@ -0,0 +1,232 @@
+"""The load generator acts as a caller must, and sees through untruths."""
+
+import contextlib
+import random
+
+
+import pytest
+from aiohttp import client, web
+
+from sardinepier.core import clock, errors
+from sardinepier.standins import (
+    target_answers,
+    target_settings,
+    target_standin,
+)
+from sardinepier.workbench.traffic import (
+    command,
+    generator,
+    options,
+    records,
+    report,
+    witness,
+)
+
+COMPLETED = {'Sardinepier-Outcome': 'completed'}
+NOT_RUN = {'Sardinepier-Outcome': 'not-run', 'Retry-After': '0'}
+UNKNOWN = {'Sardinepier-Outcome': 'unknown'}
+
+
+class FakeDaemon:
+    """Forwards to one target and treats a key's n-th attempt as scripted."""
+
+    def __init__(self, target, script):
+        self.target = target
+        self.script = script
+        self.keys = []
+        self.port = 0
+
+    async def addresses(self, request):
+        address = {'ip': '127.0.0.1', 'port': self.port, 'ticket': 'd~1.0.n'}
+        return web.json_response({'addresses': [address], 'valid_s': 60})
+
+    async def work(self, request):
+        body = await request.read()
+        key = request.headers.get('Idempotency-Key', '')
+        step = self.script[min(len(self.keys), len(self.script) - 1)]
+        self.keys.append(key)
+        return await getattr(self, step)(request, body)
+
+    async def forward(self, request, body):
+        headers = {
+            name: request.headers[name]
+            for name in ('Idempotency-Key', 'Request-Tag')
+            if name in request.headers
+        }
+        path = request.path.removeprefix('/deposit')
+        async with client.ClientSession(self.target) as session:
+            async with session.post(path, data=body, headers=headers) as reply:
+                raw = await reply.read()
+        return web.Response(body=raw, headers=COMPLETED)
+
+    async def forward_twice(self, request, body):
+        await self.forward(request, body)
+        return await self.forward(request, body)
+
+    async def run_but_deny(self, request, body):
+        await self.forward(request, body)
+        return web.Response(
+            status=503, headers={'Sardinepier-Outcome': 'not-run'}
+        )
+
+    async def run_but_unsure(self, request, body):
+        await self.forward(request, body)
+        return web.Response(status=504, headers=UNKNOWN)
+
+    async def refuse(self, request, body):
+        return web.Response(status=503, headers=NOT_RUN)
+
+    async def refuse_for_good(self, request, body):
+        return web.Response(
+            status=404, headers={'Sardinepier-Outcome': 'not-run'}
+        )
+
+    async def answer_another(self, request, body):
+        return await self.forward(request, b'another')
+
+    async def unmarked(self, request, body):
+        return web.Response(body=b'{}')
+
+    async def cut(self, request, body):
+        request.transport.abort()
+        return web.Response()
+
+    async def invent(self, request, body):
+        return web.Response(
+            body=b'{"target_id":"t","request_tag":"%b","method":"POST",'
+            b'"path":"/deposits","body_digest":"%b"}'
+            % (
+                request.headers['Request-Tag'].encode(),
+                target_answers.digest(body).encode(),
+            ),
+            headers=COMPLETED,
+        )
+
+
+@contextlib.asynccontextmanager
+async def fleet(script):
+    standin = target_standin.TargetStandin(
+        target_settings.TargetStandinSettings('t1', service_ms=0, slots=100),
+        clock.SystemClock(),
+        random.Random(1),
+    )
+    target_port = await standin.start('127.0.0.1', 0)
+    daemon = FakeDaemon(f'http://127.0.0.1:{target_port}', script)
+    application = web.Application()
+    application.router.add_get('/v1/addresses', daemon.addresses)
+    application.router.add_post('/{path:.*}', daemon.work)
+    runner = web.AppRunner(application)
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', 0).start()
+    daemon.port = runner.addresses[0][1]
+    yield daemon, options.Endpoint('127.0.0.1', target_port)
+    await runner.cleanup()
+    await standin.stop()
+
+
+async def play(script, count=1):
+    async with fleet(script) as (daemon, target):
+        load = generator.Generator(
+            options.TrafficOptions(
+                (options.Endpoint('127.0.0.1', daemon.port),),
+                'deposit',
+                options.RouteChoice('POST', '/search'),
+                options.RouteChoice('POST', '/deposits'),
+                rate_per_s=100,
+                duration_s=count / 100,
+                keyed_percent=100,
+            ),
+            clock.SystemClock(),
+        )
+        run = await load.play()
+        executions = await witness.ask_targets([target])
+        verdict = witness.compare(run.requests, executions)
+        return report.summarise(run, verdict), daemon.keys
+
+
+async def test_plain_traffic_completes_and_holds():
+    summary, keys = await play(['forward'], count=20)
+    assert summary.requests_by_kind == {'completed': 20}
+    assert summary.verdict.executions_by_key_max == 1
+    assert len(set(keys)) == 20
+    assert command.holds(summary)
+
+
+@pytest.mark.parametrize('unsure', ['run_but_unsure', 'cut'])
+async def test_unsure_request_is_resent_with_the_same_key(unsure):
+    summary, keys = await play([unsure, unsure, 'refuse_for_good'])
+    assert len(keys) == 3
+    assert len(set(keys)) == 1
+    assert summary.resends == 2
+
+
+async def test_refused_request_is_resent_with_a_new_key():
+    summary, keys = await play(['refuse', 'refuse', 'forward'])
+    assert len(set(keys)) == 3
+    assert summary.requests_by_kind == {'completed': 1}
+    assert command.holds(summary)
+
+
+async def test_resends_are_bounded():
+    summary, keys = await play(['cut'])
+    assert len(keys) == 5
+    assert summary.requests_by_kind == {'cut': 1}
+
+
+@pytest.mark.parametrize(
+    ('script', 'found'),
+    [
+        (['forward_twice'], 'doubled'),
+        (['run_but_unsure', 'forward'], 'doubled'),
+        (['run_but_deny'], 'false_not_run'),
+        (['run_but_unsure', 'refuse_for_good'], 'false_not_run'),
+        (['invent'], 'lost'),
+        (['answer_another'], ''),
+        (['unmarked'], ''),
+    ],
+)
+async def test_broken_guarantees_are_found(script, found):
+    summary, _ = await play(script)
+    assert not command.holds(summary)
+    if found:
+        assert len(getattr(summary.verdict, found)) >= 1
+
+
+def test_killed_targets_are_read_from_their_files(tmp_path):
+    path = tmp_path / 'executions'
+    path.write_bytes(b'["k","t"]\n["k","t"]\n["","u"]\n')
+    counts = witness.read_files([path, tmp_path / 'none'])
+    assert (counts.by_key, counts.by_tag) == ({'k': 2}, {'t': 2, 'u': 1})
+    told = records.RequestRecord(
+        'u',
+        False,
+        0.0,
+        [
+            records.Attempt(records.Kind.NOT_RUN),
+        ],
+    )
+    verdict = witness.compare([told], counts)
+    assert verdict.doubled == ('k',)
+    assert verdict.false_not_run == ('u',)
+
+
+@pytest.mark.parametrize(
+    'mistake',
+    [
+        lambda: options.parse_endpoints('127.0.0.1'),
+        lambda: options.parse_route('POST'),
+        lambda: options.TrafficOptions((), 's', None, None),
+        lambda: options.TrafficOptions((1,), 's', None, None, rate_per_s=0),
+    ],
+)
+def test_mistakes_on_the_command_line_are_typed(mistake):
+    with pytest.raises(errors.InvalidArgumentError):
+        mistake()
+
+
+def test_latencies_keep_their_percentiles():
+    latency = report.measure(float(number) for number in range(1, 101))
+    assert latency.count == 100
+    assert latency.p50_ms == pytest.approx(50, rel=0.01)
+    assert latency.p99_ms == pytest.approx(99, rel=0.01)
+    assert report.measure(()).count == 0
