health: judge targets by pooled evidence, eject under the floor

Evidence is scored as log-likelihood ratios against the other targets, summed by a CUSUM per hypothesis, pooled over the group with a cap on each observer, and turned into ejections only where the floor leaves room.

--- /dev/null
+++ b/libraries/health/src/sardinepier/health/internal/relative.py
@@ -0,0 +1,73 @@
+"""What is usual at the *other* targets right now."""
+
+import bisect
+from collections.abc import Sequence
+from typing import Final
+
+_TRIMMED_SHARE: Final = 4
+_PRIOR_ATTEMPTS: Final = 10
+
+
+class OthersMedian:
+    """The median of a list of values without one of them, in O(log n)."""
+
+    def __init__(self, values: Sequence[float]) -> None:
+        """Sort the values once."""
+        self._sorted = sorted(values)
+
+    def without(self, value: float) -> float:
+        """Return the lower median of all values but one equal to ``value``.
+
+        0 when there is no other value.
+        """
+        others = len(self._sorted) - 1
+        if others < 1:
+            return 0.0
+        middle = (others - 1) // 2
+        own_place = bisect.bisect_left(self._sorted, value)
+        if own_place <= middle:
+            middle += 1
+        return self._sorted[middle]
+
+
+class OthersFailureShare:
+    """The share of failures at the other targets, less the worst quarter.
+
+    Leaving out the worst quarter keeps one sick target from excusing the
+    next. A few attempts say little, so they are mixed with the baseline.
+    """
+
+    def __init__(
+        self,
+        counts: Sequence[tuple[float, float]],
+        baseline_share: float,
+    ) -> None:
+        """Take (failures, attempts) of every target."""
+        self._baseline_share = baseline_share
+        shares = sorted(_share(count) for count in counts)
+        trimmed = -(-len(counts) // _TRIMMED_SHARE)
+        kept = len(counts) - trimmed
+        self._highest_kept = shares[kept - 1] if kept else -1.0
+        kept_counts = [
+            count for count in counts if _share(count) <= self._highest_kept
+        ]
+        self._failures = sum(failures for failures, _ in kept_counts)
+        self._attempts = sum(attempts for _, attempts in kept_counts)
+
+    def without(self, failures: float, attempts: float) -> float:
+        """Return the others' share for a target with these counts."""
+        other_failures = self._failures
+        other_attempts = self._attempts
+        if _share((failures, attempts)) <= self._highest_kept:
+            other_failures -= failures
+            other_attempts -= attempts
+        prior = self._baseline_share * _PRIOR_ATTEMPTS
+        share = (max(0.0, other_failures) + prior) / (
+            max(0.0, other_attempts) + _PRIOR_ATTEMPTS
+        )
+        return max(self._baseline_share, share)
+
+
+def _share(count: tuple[float, float]) -> float:
+    failures, attempts = count
+    return failures / attempts if attempts > 0 else 0.0
--- /dev/null
+++ b/libraries/health/src/sardinepier/health/internal/reporting.py
@@ -0,0 +1,134 @@
+"""What goes out to the group, what comes in from it, and the status."""
+
+from collections.abc import Iterable
+from typing import Final
+
+from sardinepier.core import ids
+from sardinepier.health import evidence, pooling, targets
+from sardinepier.health import options as health_options
+from sardinepier.health.internal import judgement, roster, tracked
+
+_States = targets.TargetState
+_SCORE_DIGITS: Final = 3
+
+
+class Reports:
+    """Makes this daemon's reports, numbered from 1 upwards."""
+
+    def __init__(
+        self,
+        listed: roster.Roster,
+        options: health_options.HealthOptions,
+    ) -> None:
+        """Report on the targets of ``listed``."""
+        self.options = options
+        self._listed = listed
+        self._sequence = 0
+        self._due_s = 0.0
+        self._urgent_due_s = 0.0
+
+    def is_due(self, now_s: float) -> bool:
+        """Return whether it is time for the next report."""
+        if now_s >= self._due_s:
+            return True
+        if now_s < self._urgent_due_s:
+            return False
+        return any(one.suspicion.since_s is not None for one in self._listed)
+
+    def make(self, now_s: float, doubts: bool) -> evidence.EvidenceReport:
+        """Return the next report."""
+        self._sequence += 1
+        self._due_s = now_s + self.options.report_interval_s
+        self._urgent_due_s = now_s + self.options.urgent_report_interval_s
+        return evidence.EvidenceReport(
+            sequence=self._sequence,
+            doubts_itself=doubts,
+            evidence=tuple(_row(one) for one in self._listed),
+            ejections=tuple(_ejections(self._listed, now_s)),
+            leaving=self._listed.leaving_notices(),
+        )
+
+
+def _row(one: tracked.Tracked) -> evidence.TargetEvidence:
+    return evidence.TargetEvidence(
+        target_id=one.target_id,
+        incarnation=one.identity.incarnation,
+        scores=tuple(round(score, _SCORE_DIGITS) for score in one.tally.scores),
+        good=one.tally.good,
+        attempts=one.tally.attempts,
+        overdue=round(one.suspicion.overdue, _SCORE_DIGITS),
+        in_flight=len(one.flights),
+    )
+
+
+def _ejections(
+    listed: Iterable[tracked.Tracked],
+    now_s: float,
+) -> Iterable[evidence.EjectionNotice]:
+    for one in listed:
+        if one.reason is targets.Reason.GROUP_EVIDENCE:
+            yield evidence.EjectionNotice(
+                one.identity.target_id,
+                one.identity.incarnation,
+                max(0.0, one.way_back.deadline_s - now_s),
+                round(one.ejected_score, _SCORE_DIGITS),
+            )
+
+
+def absorb(one: tracked.Tracked, increment: pooling.Increment) -> None:
+    """Add what a peer learned to what the next tick will judge."""
+    pending = one.suspicion.pending
+    known = pending.get(increment.observer)
+    if known is None:
+        pending[increment.observer] = list(increment.ratios)
+    else:
+        pending[increment.observer] = [
+            earlier + ratio
+            for earlier, ratio in zip(known, increment.ratios, strict=False)
+        ]
+    vote(one, increment.observer, increment.attempts, increment.good)
+
+
+def vote(
+    one: tracked.Tracked,
+    observer: ids.InstanceId,
+    attempts: int,
+    good: int,
+) -> None:
+    """Count an observer's attempts while there is suspicion."""
+    if one.suspicion.since_s is None or not attempts:
+        return
+    votes = one.suspicion.votes.setdefault(observer, tracked.Votes())
+    votes.attempts += attempts
+    votes.bad += attempts - good
+
+
+def status(
+    one: tracked.Tracked,
+    weight: float,
+    now_s: float,
+) -> targets.TargetStatus:
+    """Return the target's line for operators."""
+    returns_in_s = None
+    if one.state is _States.EJECTED:
+        returns_in_s = max(0.0, one.way_back.deadline_s - now_s)
+    return targets.TargetStatus(
+        target_id=one.target_id,
+        incarnation=one.identity.incarnation,
+        state=one.state,
+        reason=one.reason,
+        weight=weight,
+        score=one.suspicion.score(),
+        in_flight=len(one.flights),
+        returns_in_s=returns_in_s,
+    )
+
+
+def peers_in_flight(one: tracked.Tracked, group: judgement.Group) -> int:
+    """Return the peers' requests at the target, as they last said."""
+    in_flight = 0
+    for peer in group.peers.values():
+        row = peer.rows.get(one.target_id)
+        if row is not None and row.incarnation == one.identity.incarnation:
+            in_flight += row.in_flight
+    return in_flight
--- /dev/null
+++ b/libraries/health/src/sardinepier/health/internal/tracked.py
@@ -0,0 +1,154 @@
+"""All that one daemon remembers about one incarnation of one target."""
+
+import dataclasses
+
+from sardinepier.core import ids
+from sardinepier.health import change_detection, readmission, targets
+
+
+@dataclasses.dataclass(slots=True)
+class Flight:
+    """One attempt in flight; ``median`` is its route's usual log latency."""
+
+    started_s: float
+    median: float | None
+
+
+@dataclasses.dataclass(slots=True)
+class Window:
+    """What ended since the last tick."""
+
+    residuals: list[int] = dataclasses.field(default_factory=list)
+    failures: int = 0
+    wrong: int = 0
+    successes: int = 0
+    good: int = 0
+
+    def attempts(self) -> int:
+        """Return how many attempts said anything."""
+        return self.failures + self.wrong + self.successes
+
+    def clear(self) -> None:
+        """Start a new window."""
+        self.residuals.clear()
+        self.failures = 0
+        self.wrong = 0
+        self.successes = 0
+        self.good = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Recent:
+    """Own counts of the last few seconds, fading away."""
+
+    attempts: float = 0.0
+    failures: float = 0.0
+    residual_sum: float = 0.0
+    residual_count: float = 0.0
+
+    def mean_residual(self) -> float:
+        """Return the mean residual, drawn to zero when there are few."""
+        return self.residual_sum / (self.residual_count + 1)
+
+
+@dataclasses.dataclass(slots=True)
+class Tally:
+    """The cumulative counters which the daemon reports as its author."""
+
+    scores: list[float] = dataclasses.field(
+        default_factory=lambda: [0.0 for _ in change_detection.HYPOTHESES],
+    )
+    good: int = 0
+    attempts: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Votes:
+    """One observer's attempts since suspicion arose."""
+
+    attempts: int = 0
+    bad: int = 0
+
+
+def _cusums() -> list[change_detection.Cusum]:
+    return [change_detection.Cusum() for _ in change_detection.HYPOTHESES]
+
+
+@dataclasses.dataclass(slots=True)
+class Suspicion:
+    """Evidence against a target as it stands after the last tick."""
+
+    own: list[change_detection.Cusum] = dataclasses.field(
+        default_factory=_cusums,
+    )
+    group: list[change_detection.Cusum] = dataclasses.field(
+        default_factory=_cusums,
+    )
+    pending: dict[ids.InstanceId, list[float]] = dataclasses.field(
+        default_factory=dict,
+    )
+    overdue: float = 0.0
+    votes: dict[ids.InstanceId, Votes] = dataclasses.field(
+        default_factory=dict,
+    )
+    since_s: float | None = None
+    own_level: float = 0.0
+    own_score: float = 0.0
+    group_score: float = 0.0
+    cut_link: bool = False
+
+    def score(self) -> float:
+        """Return the larger of both scores, as a share of the threshold."""
+        return max(self.own_score, self.group_score)
+
+    def restart(self, level: float, own: ids.InstanceId) -> None:
+        """Forget all evidence; later evidence starts at ``level``."""
+        for cusum in (*self.own, *self.group):
+            cusum.restart(level)
+            if level > 0:
+                cusum.by_observer[own] = level
+        self.pending.clear()
+        self.votes.clear()
+        self.since_s = None
+        self.own_level = 0.0
+        self.own_score = 0.0
+        self.group_score = 0.0
+        self.overdue = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Probing:
+    """When the target was probed, and how that went."""
+
+    due_s: float = 0.0
+    suspect_due_s: float = 0.0
+    bad_in_row: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Tracked:
+    """One incarnation of one target."""
+
+    identity: targets.TargetIdentity
+    state: targets.TargetState = targets.TargetState.IN_SERVICE
+    reason: targets.Reason = targets.Reason.NONE
+    verdict: targets.Reason = targets.Reason.NONE
+    ejected_score: float = 0.0
+    cold_until_s: float = 0.0
+    warmed: bool = False
+    last_good_s: float | None = None
+    last_traffic_s: float | None = None
+    flights: dict[int, Flight] = dataclasses.field(default_factory=dict)
+    window: Window = dataclasses.field(default_factory=Window)
+    recent: Recent = dataclasses.field(default_factory=Recent)
+    tally: Tally = dataclasses.field(default_factory=Tally)
+    suspicion: Suspicion = dataclasses.field(default_factory=Suspicion)
+    probing: Probing = dataclasses.field(default_factory=Probing)
+    way_back: readmission.Return = dataclasses.field(
+        default_factory=readmission.Return,
+    )
+
+    @property
+    def target_id(self) -> ids.TargetId:
+        """Return the target's id."""
+        return self.identity.target_id
--- /dev/null
+++ b/libraries/health/src/sardinepier/health/internal/weights.py
@@ -0,0 +1,38 @@
+"""How much work a target should get, next to one in full service."""
+
+from typing import Final
+
+from sardinepier.health import options as health_options
+from sardinepier.health import readmission, targets
+from sardinepier.health.internal import tracked
+
+_States = targets.TargetState
+_HELD_WEIGHT: Final = 0.1
+
+
+def weight(
+    one: tracked.Tracked,
+    options: health_options.HealthOptions,
+    now_s: float,
+) -> float:
+    """Return the target's weight: 0 for never, 1 for full service."""
+    if one.state in {_States.EJECTED, _States.LEAVING}:
+        return 0.0
+    if one.state is _States.TRIAL:
+        return 0.0 if one.flights else readmission.TRIAL_WEIGHT
+    if one.reason is targets.Reason.HELD_BY_FLOOR:
+        return _HELD_WEIGHT
+    if one.state is _States.COLD:
+        return _cold_weight(one, options, now_s)
+    return one.way_back.ramp_weight(now_s, options.ramp_s)
+
+
+def _cold_weight(
+    one: tracked.Tracked,
+    options: health_options.HealthOptions,
+    now_s: float,
+) -> float:
+    if not one.warmed:
+        return readmission.LOWEST_RAMP_WEIGHT
+    left = (one.cold_until_s - now_s) / options.cold_start_s
+    return max(readmission.LOWEST_RAMP_WEIGHT, min(1.0, 1 - left))
