--- a/libraries/health/src/sardinepier/health/internal/engine.py
+++ b/libraries/health/src/sardinepier/health/internal/engine.py
@@ -5,22 +5,17 @@
 
 from sardinepier.core import clock as core_clock
 from sardinepier.core import ids
-from sardinepier.health import (
-    change_detection,
-    pooling,
-    targets,
-)
+from sardinepier.health import change_detection, pooling
 from sardinepier.health import options as health_options
 from sardinepier.health.internal import (
+    choices,
     intake,
     judgement,
-    probing,
     reporting,
     roster,
     scoring,
     tracked,
     verdict,
-    weights,
 )
 
 _MS_PER_S: Final = 1000
@@ -50,10 +45,8 @@
             random_source,
             on_change,
         )
-        self.probes = probing.ProbeSchedule(self.listed, options, random_source)
         self.doubts = False
-        self.standings: dict[ids.TargetId, targets.Standing] = {}
-        self.selectable: tuple[ids.TargetId, ...] = ()
+        self.choices = choices.Choices()
         self._observer = observer
         self._clock = clock
         self.scorer = scoring.Scorer(observer, options)
@@ -65,7 +58,6 @@
         self.intake.options = options
         self.peers.options = options
         self.reports.options = options
-        self.probes.options = options
         self.verdicts.options = options
         self.scorer.options = options
 
@@ -88,23 +80,14 @@
         judgement.update(listed, group, now_s, limits)
         self.doubts = judgement.doubts_itself(listed)
         self.verdicts.judge(group, now_s, self.doubts, limits.threshold)
-        self._refresh(group, now_s)
+        self.choices.refresh(self.listed, group, self.options, now_s)
 
     def enforce(self) -> None:
         """Keep to the floor after a change between two ticks."""
         now_s = self._clock.monotonic_s()
         group = self._group()
         self.verdicts.enforce(group, now_s)
-        self._refresh(group, now_s)
-
-    def trial_started(self, one: tracked.Tracked) -> None:
-        """Take a target on trial out of the choice while it has work."""
-        self.standings[one.target_id] = targets.Standing(one.state, 0.0)
-        self.selectable = tuple(
-            target_id
-            for target_id in self.selectable
-            if target_id != one.target_id
-        )
+        self.choices.refresh(self.listed, group, self.options, now_s)
 
     def trial_ended(
         self,
@@ -134,18 +117,3 @@
             pause_s=self.options.tolerated_pause_ms / _MS_PER_S,
             observer_limit=threshold * share,
         )
-
-    def _refresh(self, group: judgement.Group, now_s: float) -> None:
-        self.standings = {
-            one.target_id: targets.Standing(
-                one.state,
-                weights.weight(one, self.options, now_s),
-                reporting.peers_in_flight(one, group),
-            )
-            for one in self.listed
-        }
-        self.selectable = tuple(
-            target_id
-            for target_id, standing in self.standings.items()
-            if standing.weight > 0
-        )
--- a/libraries/health/src/sardinepier/health/internal/reporting.py
+++ b/libraries/health/src/sardinepier/health/internal/reporting.py
@@ -6,7 +6,7 @@
 from sardinepier.core import ids
 from sardinepier.health import evidence, pooling, targets
 from sardinepier.health import options as health_options
-from sardinepier.health.internal import judgement, roster, tracked
+from sardinepier.health.internal import roster, tracked
 
 _States = targets.TargetState
 _SCORE_DIGITS: Final = 3
@@ -122,13 +122,3 @@
         in_flight=len(one.flights),
         returns_in_s=returns_in_s,
     )
-
-
-def peers_in_flight(one: tracked.Tracked, group: judgement.Group) -> int:
-    """Return the peers' requests at the target, as they last said."""
-    in_flight = 0
-    for peer in group.peers.values():
-        row = peer.rows.get(one.target_id)
-        if row is not None and row.incarnation == one.identity.incarnation:
-            in_flight += row.in_flight
-    return in_flight
--- a/libraries/health/src/sardinepier/health/service_health.py
+++ b/libraries/health/src/sardinepier/health/service_health.py
@@ -12,6 +12,7 @@
     announcing,
     engine,
     intake,
+    probing,
     reporting,
     weights,
 )
@@ -56,9 +57,16 @@
             announcing.Announcer(service, on_event).changed,
         )
 
+        self._probes = probing.ProbeSchedule(
+            self._engine.listed,
+            options,
+            random_source,
+        )
+
     def configure(self, options: health_options.HealthOptions) -> None:
         """Put changed settings in force, keeping what was learned."""
         self._engine.configure(options)
+        self._probes.options = options
         self._engine.enforce()
 
     def set_targets(self, listed: Iterable[targets.TargetIdentity]) -> None:
@@ -90,7 +98,7 @@
         now_s = self._clock.monotonic_s()
         self._engine.intake.started(one, route, attempt, now_s)
         if one.state is targets.TargetState.TRIAL:
-            self._engine.trial_started(one)
+            self._engine.choices.drop(target_id)
 
     def finished(
         self,
@@ -161,15 +169,15 @@
 
     def standing(self, target_id: ids.TargetId) -> targets.Standing:
         """Return how a target stands; one that is not listed has left."""
-        return self._engine.standings.get(target_id, _NOT_LISTED)
+        return self._engine.choices.standings.get(target_id, _NOT_LISTED)
 
     def selectable(self) -> tuple[ids.TargetId, ...]:
         """Return the targets with a weight above 0, in the list's order."""
-        return self._engine.selectable
+        return self._engine.choices.selectable
 
     def due_probes(self) -> tuple[ids.TargetId, ...]:
         """Return the targets to probe now; each is handed out once."""
-        return self._engine.probes.due(self._clock.monotonic_s())
+        return self._probes.due(self._clock.monotonic_s())
 
     def report_due(self) -> bool:
         """Return whether a report should go out: soon under suspicion."""
