Add the command-line tool and the summaries of the status document

Cause: operators and scripts need to check files, ask for addresses, watch the fleet and send a careful request.

Ruled out: running a command while its arguments are still being read, since the command-line library calls a command first and complains about a misspelt option afterwards; it would have sent the request. Guessed one-letter options, since -c named the caller header instead of the caller. A pager for help, since it is another process.

A resend keeps its key after an unknown outcome; a "not run" that follows an unknown sending is reported as unknown, because it speaks for that sending alone.

--- /dev/null
+++ b/libraries/cli/src/sardinepier/cli/client.py
@@ -0,0 +1,162 @@
+"""Questions to a daemon over HTTP, with typed answers and typed failures."""
+
+import asyncio
+import contextlib
+import errno
+import os
+from collections.abc import AsyncIterator, Mapping
+from typing import Final, TypeVar
+
+import aiohttp
+import msgspec
+from sardinepier.cli import answers, endpoints, errors
+
+_ADDRESSES_PATH: Final = '/v1/addresses'
+_MAX_ANSWER_BYTES: Final = 67_108_864
+_OK: Final = 200
+
+Answer = TypeVar('Answer')
+Query = Mapping[str, str]
+
+LOST: Final = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
+"""All ways in which an exchange ends without a whole answer."""
+
+
+@contextlib.asynccontextmanager
+async def open_session(
+    timeout_s: float,
+) -> AsyncIterator[aiohttp.ClientSession]:
+    """Open a session whose every exchange ends within ``timeout_s``.
+
+    Each exchange has a connection of its own. On a kept-alive connection
+    aiohttp would send a PUT or DELETE a second time by itself when the first
+    one was lost, whether or not that is safe.
+    """
+    connector = aiohttp.TCPConnector(force_close=True)
+    async with aiohttp.ClientSession(
+        connector=connector,
+        timeout=aiohttp.ClientTimeout(total=timeout_s),
+    ) as session:
+        yield session
+
+
+class DaemonClient:
+    """Asks daemons at their own paths."""
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        """Ask over ``session``, which the caller closes."""
+        self._session = session
+
+    async def addresses(
+        self,
+        daemon: endpoints.Endpoint,
+        service: str,
+        zone: str,
+    ) -> answers.AddressesAnswer:
+        """Ask for the addresses of ``service``, near ``zone`` if not empty.
+
+        Raises the errors of :meth:`get`.
+        """
+        query = {'service': service}
+        if zone:
+            query['zone'] = zone
+        return await self.get(
+            daemon,
+            _ADDRESSES_PATH,
+            query,
+            answers.AddressesAnswer,
+        )
+
+    async def get(
+        self,
+        daemon: endpoints.Endpoint,
+        path: str,
+        query: Query,
+        kind: type[Answer],
+    ) -> Answer:
+        """Return the answer of ``daemon`` at ``path`` as a ``kind``.
+
+        Raises ``UnreachableDaemonError`` when no whole answer came,
+        ``RefusedError`` when the daemon refused, and ``BadAnswerError`` when
+        the answer is not a ``kind``.
+        """
+        try:
+            status, text = await self._fetch(daemon, path, query)
+        except LOST as problem:
+            raise errors.UnreachableDaemonError(
+                f'{daemon} gave no whole answer ({describe(problem)})',
+                'Check the address, and that the daemon runs',
+            ) from problem
+        if status != _OK:
+            raise _refusal(daemon, status, text)
+        return _decode(daemon, text, kind)
+
+    async def _fetch(
+        self,
+        daemon: endpoints.Endpoint,
+        path: str,
+        query: Query,
+    ) -> tuple[int, bytes]:
+        async with self._session.get(
+            f'http://{daemon}{path}',
+            params=query,
+            allow_redirects=False,
+        ) as answer:
+            return answer.status, await read_bounded(answer)
+
+
+async def read_bounded(answer: aiohttp.ClientResponse) -> bytes:
+    """Return the whole body.
+
+    Raises :class:`errors.BadAnswerError` when it is over 64 MiB.
+    """
+    body = bytearray()
+    async for part in answer.content.iter_any():
+        body.extend(part)
+        if len(body) > _MAX_ANSWER_BYTES:
+            raise errors.BadAnswerError(
+                f'The answer is longer than {_MAX_ANSWER_BYTES} bytes',
+                'Check that the address is that of a daemon',
+            )
+    return bytes(body)
+
+
+def describe(problem: BaseException) -> str:
+    """Return a short reason for a lost exchange."""
+    if isinstance(problem, asyncio.TimeoutError):
+        return 'out of time'
+    if isinstance(problem, aiohttp.ClientConnectorError):
+        return os.strerror(problem.os_error.errno or errno.ECONNREFUSED)
+    return str(problem) or type(problem).__name__
+
+
+def _refusal(
+    daemon: endpoints.Endpoint,
+    status: int,
+    text: bytes,
+) -> errors.CommandError:
+    problem = answers.parse_problem(text)
+    reason = problem.detail or problem.title
+    if not reason:
+        return errors.BadAnswerError(
+            f'{daemon} answered with status {status} and no reason',
+            'Check that the address is that of a daemon',
+        )
+    return errors.RefusedError(
+        f'{daemon} refused: {reason.rstrip(".")}',
+        problem.remedy.rstrip('.') or 'Correct the request and try again',
+    )
+
+
+def _decode(
+    daemon: endpoints.Endpoint,
+    text: bytes,
+    kind: type[Answer],
+) -> Answer:
+    try:
+        return msgspec.json.decode(text, type=kind)
+    except msgspec.DecodeError as problem:
+        raise errors.BadAnswerError(
+            f'{daemon} gave an answer that is not understood ({problem})',
+            'Use a tool of the same version as the daemon',
+        ) from problem
--- /dev/null
+++ b/libraries/cli/src/sardinepier/cli/internal/options.py
@@ -0,0 +1,103 @@
+"""Named checks of what stands on the command line."""
+
+import math
+import re
+from typing import Final
+
+from sardinepier.cli import errors
+from sardinepier.telemetry import errors as telemetry_errors
+from sardinepier.telemetry import stamps
+
+MAX_S: Final = 86_400.0
+"""No option of seconds may be longer than a day."""
+
+_METHOD: Final = re.compile('[A-Z]{1,16}')
+_SERVICE: Final = re.compile(r'[A-Za-z0-9_.\-]{1,64}')
+_PATH: Final = re.compile(r'[!-~]+')
+_HEADER_VALUE: Final = re.compile(r'[!-~]([ -~]*[!-~])?')
+_HEADER_NAME: Final = re.compile(r'[A-Za-z0-9\-]{1,64}')
+_SWITCHES: Final = {'true': True, 'false': False}
+
+
+def seconds(text: str) -> float:
+    """Return a number of seconds above 0 and up to a day."""
+    try:
+        number = float(text)
+    except ValueError:
+        number = math.nan
+    if not 0 < number <= MAX_S:
+        raise errors.UsageError(
+            f'{text!r} is not a time',
+            f'Write a number of seconds above 0 and up to {MAX_S:g}',
+        )
+    return number
+
+
+def switch(text: str) -> bool:
+    """Return whether an option without a value of its own is on."""
+    found = _SWITCHES.get(text.lower())
+    if found is None:
+        raise errors.UsageError(
+            f'{text!r} is neither true nor false',
+            'Write the option without a value to switch it on',
+        )
+    return found
+
+
+def method(text: str) -> str:
+    """Return an HTTP method in capitals."""
+    return _matching(_METHOD, text.upper(), 'an HTTP method', 'GET or POST')
+
+
+def service(text: str) -> str:
+    """Return the name of a service."""
+    return _matching(_SERVICE, text, 'the name of a service', 'search')
+
+
+def path(text: str) -> str:
+    """Return a path; characters outside ASCII must be percent-encoded."""
+    return _matching(_PATH, text, 'a path', '/theses/7?lang=es')
+
+
+def header_value(text: str) -> str:
+    """Return the value of a header, printable ASCII on one line."""
+    return _matching(_HEADER_VALUE, text, 'a caller name', 'library-7')
+
+
+def header_name(text: str) -> str:
+    """Return the name of a header."""
+    return _matching(_HEADER_NAME, text, 'a header name', 'Caller-Id')
+
+
+def files(paths: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the paths, of which there must be one."""
+    if not paths:
+        raise errors.UsageError(
+            'No file is named',
+            'Write one or more paths of settings files',
+        )
+    return paths
+
+
+def since(text: str) -> stamps.Stamp | None:
+    """Return the stamp that ``text`` names, or None for an empty text."""
+    if not text:
+        return None
+    try:
+        return stamps.parse_stamp(text)
+    except telemetry_errors.BadStampError as problem:
+        raise errors.UsageError(problem.what, problem.remedy) from problem
+
+
+def _matching(
+    pattern: re.Pattern[str],
+    text: str,
+    kind: str,
+    example: str,
+) -> str:
+    if pattern.fullmatch(text) is None:
+        raise errors.UsageError(
+            f'{text!r} is not {kind}',
+            f'Write for example {example}',
+        )
+    return text
--- /dev/null
+++ b/libraries/cli/src/sardinepier/cli/request.py
@@ -0,0 +1,273 @@
+"""``sardinepier request``: send one request as a careful caller would."""
+
+import dataclasses
+from collections.abc import Sequence
+from typing import Final
+
+import aiohttp
+import msgspec
+import yarl
+from sardinepier.cli import (
+    addresses,
+    answers,
+    client,
+    context,
+    endpoints,
+    errors,
+    exit_codes,
+)
+from sardinepier.cli.internal import tables
+from sardinepier.core import outcomes
+
+MAX_RESENDS: Final = 2
+"""How often a request with a key is sent again after an unknown outcome."""
+
+_KEY_HEADER: Final = 'Idempotency-Key'
+_OUTCOME_HEADER: Final = 'Sardinepier-Outcome'
+_RETRY_HEADER: Final = 'Retry-After'
+_TYPE_HEADER: Final = 'Content-Type'
+_PROBLEM_TYPE: Final = 'application/problem+json'
+_CALLER_PART_BITS: Final = 128
+_FIRST_ERROR_STATUS: Final = 400
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """What to send. ``once`` asks for a key and allows resends."""
+
+    method: str
+    path: str
+    service: str
+    zone: str
+    body: str
+    headers: dict[str, str]
+    once: bool
+
+
+class Attempt(msgspec.Struct, frozen=True, kw_only=True):
+    """One sending and what came of it.
+
+    ``status`` is None when no whole answer came; ``detail`` then says why.
+    """
+
+    daemon: str
+    outcome: outcomes.Outcome
+    status: int | None = None
+    retry_after: str = ''
+    detail: str = ''
+    remedy: str = ''
+    body: str = ''
+
+
+class RequestReport(msgspec.Struct, frozen=True, kw_only=True):
+    """The outcome over all sendings; ``key`` is empty without ``--once``.
+
+    ``status`` and ``body`` are those of the last whole answer.
+    """
+
+    outcome: outcomes.Outcome
+    status: int | None
+    key: str
+    body: str
+    attempts: tuple[Attempt, ...]
+
+    def lines(self) -> tuple[str, ...]:
+        """Return outcome, key, sendings, and the body after an empty line."""
+        written = [f'outcome: {self.outcome.value}']
+        if self.key:
+            written.append(f'key: {self.key}')
+        written.extend(map(_attempt_line, self.attempts))
+        if self.body:
+            written.extend(('', tables.plain(self.body)))
+        return tuple(written)
+
+    def complaints(self) -> tuple[str, ...]:
+        """Return the reason and remedy of the last answer, if any."""
+        last = self.attempts[-1]
+        if self.exit_code() is exit_codes.ExitCode.OK or not last.detail:
+            return ()
+        remedy = last.remedy or 'Try again later'
+        return (tables.plain(f'{last.detail}. {remedy}.'),)
+
+    def exit_code(self) -> exit_codes.ExitCode:
+        """An unknown outcome is no answer; an error answer is negative."""
+        if self.outcome is outcomes.Outcome.UNKNOWN:
+            return exit_codes.ExitCode.NO_ANSWER
+        failed = self.status is None or self.status >= _FIRST_ERROR_STATUS
+        if failed or self.outcome is outcomes.Outcome.NOT_RUN:
+            return exit_codes.ExitCode.NEGATIVE
+        return exit_codes.ExitCode.OK
+
+
+async def report(
+    daemon: endpoints.Endpoint,
+    order: Order,
+    timeout_s: float,
+    around: context.Context,
+) -> RequestReport:
+    """Ask ``daemon`` for addresses and send there.
+
+    Raises the errors of ``client.DaemonClient.get`` when there are no
+    addresses to send to. Nothing has been sent then.
+    """
+    part = f'{around.random_source.getrandbits(_CALLER_PART_BITS):032x}'
+    async with client.open_session(timeout_s) as session:
+        answer = await client.DaemonClient(session).addresses(
+            daemon,
+            order.service,
+            order.zone,
+        )
+        if not answer.addresses:
+            raise errors.RefusedError(
+                f'{daemon} knows no daemon that serves {order.service}',
+                'Ask another daemon',
+            )
+        sender = _Sender(session, order, part)
+        return await sender.send_all(answer.addresses)
+
+
+class _Sender:
+    """Sends an order until its fate is known or the resends are used up."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        order: Order,
+        caller_part: str,
+    ) -> None:
+        self._session = session
+        self._order = order
+        self._caller_part = caller_part
+        self._key = ''
+        self._may_have_run = False
+        self._attempts: list[Attempt] = []
+
+    async def send_all(
+        self,
+        known: Sequence[answers.Address],
+    ) -> RequestReport:
+        for number in range(1 + MAX_RESENDS):
+            address = known[number % len(known)]
+            if self._order.once and not self._may_have_run:
+                # The key is bound to the home that its ticket names. As long
+                # as nothing can have run, another home is as good.
+                self._key = f'{address.ticket}.{self._caller_part}'
+            attempt = await self._send(addresses.endpoint_of(address))
+            self._attempts.append(attempt)
+            if self._is_settled(attempt):
+                break
+        return self._report()
+
+    def _is_settled(self, attempt: Attempt) -> bool:
+        if attempt.outcome is outcomes.Outcome.COMPLETED:
+            return True
+        if attempt.outcome is outcomes.Outcome.UNKNOWN:
+            self._may_have_run = True
+            return not self._order.once
+        # Not run: an answer that says so is final, a failed connection is
+        # not. After an unknown sending it speaks for this sending alone.
+        return attempt.status is not None and not self._may_have_run
+
+    def _report(self) -> RequestReport:
+        last = self._attempts[-1]
+        outcome = last.outcome
+        if outcome is outcomes.Outcome.NOT_RUN and self._may_have_run:
+            outcome = outcomes.Outcome.UNKNOWN
+        return RequestReport(
+            outcome=outcome,
+            status=last.status,
+            key=self._key,
+            body=last.body,
+            attempts=tuple(self._attempts),
+        )
+
+    async def _send(self, daemon: endpoints.Endpoint) -> Attempt:
+        headers = dict(self._order.headers)
+        if self._key:
+            headers[_KEY_HEADER] = self._key
+        try:
+            return await self._exchange(daemon, headers)
+        except aiohttp.ClientConnectorError as problem:
+            # No connection, so nothing was written: it is proved not run.
+            return _lost(daemon, problem, outcomes.Outcome.NOT_RUN)
+        except client.LOST as problem:
+            return _lost(daemon, problem, outcomes.Outcome.UNKNOWN)
+        except errors.BadAnswerError as problem:
+            return _lost(daemon, problem, outcomes.Outcome.UNKNOWN)
+
+    async def _exchange(
+        self,
+        daemon: endpoints.Endpoint,
+        headers: dict[str, str],
+    ) -> Attempt:
+        order = self._order
+        path = order.path.lstrip('/')
+        async with self._session.request(
+            order.method,
+            yarl.URL(f'http://{daemon}/{order.service}/{path}'),
+            data=order.body.encode() or None,
+            headers=headers,
+            allow_redirects=False,
+        ) as answer:
+            return _answered(daemon, answer, await client.read_bounded(answer))
+
+
+def _answered(
+    daemon: endpoints.Endpoint,
+    answer: aiohttp.ClientResponse,
+    body: bytes,
+) -> Attempt:
+    problem = answers.ProblemDocument()
+    if answer.content_type == _PROBLEM_TYPE:
+        problem = answers.parse_problem(body)
+    return Attempt(
+        daemon=str(daemon),
+        outcome=_outcome_of(answer),
+        status=answer.status,
+        retry_after=answer.headers.get(_RETRY_HEADER, ''),
+        detail=(problem.detail or problem.title).rstrip('.'),
+        remedy=problem.remedy.rstrip('.'),
+        body=body.decode(errors='replace'),
+    )
+
+
+def _outcome_of(answer: aiohttp.ClientResponse) -> outcomes.Outcome:
+    try:
+        return outcomes.Outcome(answer.headers.get(_OUTCOME_HEADER))
+    except ValueError:
+        # Whatever answered, it proves nothing about the request.
+        return outcomes.Outcome.UNKNOWN
+
+
+def _lost(
+    daemon: endpoints.Endpoint,
+    problem: BaseException,
+    outcome: outcomes.Outcome,
+) -> Attempt:
+    return Attempt(
+        daemon=str(daemon),
+        outcome=outcome,
+        detail=f'{daemon} gave no whole answer ({client.describe(problem)})',
+        remedy='Check the address, and that the daemon runs',
+    )
+
+
+def _attempt_line(attempt: Attempt) -> str:
+    status = 'no whole answer'
+    if attempt.status is not None:
+        status = f'status {attempt.status}'
+    line = f'sent to {attempt.daemon}: {attempt.outcome.value}, {status}'
+    if attempt.retry_after:
+        line = f'{line}, retry after {attempt.retry_after} s'
+    return tables.plain(line)
+
+
+def body_headers(body: str) -> dict[str, str]:
+    """Return the content type of ``body``: JSON when it is that."""
+    if not body:
+        return {}
+    try:
+        msgspec.json.decode(body)
+    except msgspec.DecodeError:
+        return {_TYPE_HEADER: 'text/plain; charset=utf-8'}
+    return {_TYPE_HEADER: 'application/json'}
--- /dev/null
+++ b/libraries/telemetry/src/sardinepier/telemetry/summaries.py
@@ -0,0 +1,98 @@
+"""Latencies and outcomes of the status document, of one daemon and of many.
+
+A daemon fills its status from its metrics, for example with
+``latencies(metrics.snapshot())``; a reader adds up those of many daemons.
+"""
+
+import collections
+from collections.abc import Iterable
+from typing import Final
+
+from sardinepier.telemetry import metrics, status
+from sardinepier.telemetry.internal import histograms
+
+SERVICE_LABEL: Final = 'service'
+"""The label that names the service of a metric."""
+
+_UNIT: Final = '_ms'
+_P50: Final = 50.0
+_P99: Final = 99.0
+
+
+def latencies(
+    snapshot: metrics.MetricsSnapshot,
+) -> tuple[status.LatencySummary, ...]:
+    """Return a summary of each histogram whose name ends in ``_ms``."""
+    return tuple(
+        status.LatencySummary(
+            name=measured.name,
+            service=_service_of(measured),
+            requests=measured.count,
+            p50_ms=measured.p50,
+            p99_ms=measured.p99,
+            max_ms=measured.highest,
+            histogram=measured.encoded,
+        )
+        for measured in snapshot.histograms
+        if measured.name.endswith(_UNIT)
+    )
+
+
+def merge_latencies(
+    summaries: Iterable[status.LatencySummary],
+) -> tuple[status.LatencySummary, ...]:
+    """Add up the summaries of many daemons by name and service.
+
+    Raises ``telemetry.errors.BadHistogramError`` for an unreadable one.
+    """
+    recorders: dict[tuple[str, str], histograms.Recorder] = {}
+    for summary in summaries:
+        recorders.setdefault(
+            (summary.name, summary.service),
+            histograms.Recorder(),
+        ).add(summary.histogram)
+    return tuple(
+        _summary(name, service, recorders[name, service])
+        for name, service in sorted(recorders)
+    )
+
+
+def merge_outcomes(
+    counts: Iterable[status.OutcomeCount],
+) -> tuple[status.OutcomeCount, ...]:
+    """Add up the outcomes of many daemons by service and outcome."""
+    totals: collections.Counter[tuple[str, str]] = collections.Counter()
+    for count in counts:
+        totals[count.service, count.outcome] += count.requests
+    return tuple(
+        status.OutcomeCount(
+            service=service,
+            outcome=outcome,
+            requests=totals[service, outcome],
+        )
+        for service, outcome in sorted(totals)
+    )
+
+
+def _service_of(measured: metrics.HistogramValue) -> str:
+    for label in measured.labels:
+        if label.name == SERVICE_LABEL:
+            return label.value
+    return ''
+
+
+def _summary(
+    name: str,
+    service: str,
+    recorder: histograms.Recorder,
+) -> status.LatencySummary:
+    p50_ms, p99_ms = recorder.quantiles(_P50, _P99)
+    return status.LatencySummary(
+        name=name,
+        service=service,
+        requests=recorder.count,
+        p50_ms=p50_ms,
+        p99_ms=p99_ms,
+        max_ms=recorder.highest,
+        histogram=recorder.encode(),
+    )
