Add the paired benchmark and the relay that cuts links in one direction

Cause: the time that a daemon adds must be told from the target's own time and from the machine's noise, and one-way cuts must be brought about without rights over the network.

Change: slices straight to the target and through the daemon alternate, with the order swapped in each pair; the knee search doubles the rate and then halves the gap. The relay keeps a connection open while bytes vanish in one direction, picked by source address.

Ruled out: loading both ways at once, which would let the daemon's load fall on the direct figures too.

No figure of a daemon has been measured yet.

--- /dev/null
+++ b/libraries/workbench/src/sardinepier/workbench/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measures what one daemon adds to each request."""
--- /dev/null
+++ b/libraries/workbench/src/sardinepier/workbench/bench/command.py
@@ -0,0 +1,185 @@
+"""The command ``sardinepier-workbench bench``.
+
+``scripts/bench.sh`` starts one target, a platform and one daemon, and calls
+it. All figures are of this machine at this moment; nothing passes or fails.
+"""
+
+import asyncio
+import itertools
+import random
+import sys
+from typing import Final
+
+import aiohttp
+import msgspec
+
+from sardinepier.core import clock
+from sardinepier.standins import target_answers
+from sardinepier.workbench.bench import knee, paired
+from sardinepier.workbench.traffic import address_book, options
+
+_BASE_RATE_PER_S: Final = 100.0
+_TIMEOUT: Final = aiohttp.ClientTimeout(total=5)
+_TAG_BITS: Final = 64
+
+
+class BenchReport(msgspec.Struct, frozen=True):
+    """All measurements of one run."""
+
+    idempotent: paired.PairFigures
+    keyed: paired.PairFigures
+    knee: knee.Knee
+
+
+def run(
+    daemon: str,
+    target: str,
+    service: str,
+    pairs: int = 8,
+    slice_s: float = 1.5,
+    highest_per_s: float = 3200,
+    halvings: int = 3,
+    json: bool = False,
+) -> None:
+    """Measure what one daemon adds to a request, in paired runs.
+
+    ``pairs`` slices of ``slice_s`` seconds run on each way at 100 requests a
+    second, with idempotent and with keyed requests; then the knee is
+    searched up to ``highest_per_s`` in ``halvings`` further steps. ``json``
+    prints the raw figures.
+    """
+    bench = _Bench(
+        options.parse_endpoints(daemon)[0],
+        options.parse_endpoints(target)[0],
+        service,
+        paired.Plan(pairs, slice_s, b'x' * options.BODY_BYTES),
+    )
+    figures = asyncio.run(bench.measure(highest_per_s, halvings))
+    text = msgspec.json.encode(figures).decode() if json else render(figures)
+    sys.stdout.write(f'{text}\n')
+
+
+def render(figures: BenchReport) -> str:
+    """Return the table for a person."""
+    lines = [
+        'Added by one daemon, against going straight to the target (ms)',
+        _HEADING,
+        _row('idempotent', figures.idempotent),
+        _row('with a key', figures.keyed),
+    ]
+    lines.extend(_row('search', step) for step in figures.knee.steps)
+    within, beyond = figures.knee.within, figures.knee.beyond
+    lines.append(
+        f'knee (added p99 passes {knee.ADDED_LIMIT_MS} ms): '
+        f'above {_rate(within)} and below {_rate(beyond)} requests/s',
+    )
+    if within is not None:
+        lines.append(_row('at the knee', within))
+    return '\n'.join(lines)
+
+
+_HEADING: Final = (
+    f'{"":<12}{"req/s":>8}{"added p50":>11}{"added p99":>11}'
+    f'{"direct p50":>12}{"direct p99":>12}{"via p50":>9}{"via p99":>9}'
+    f'{"failed %":>10}{"late p99":>10}'
+)
+
+
+def _row(name: str, pair: paired.PairFigures) -> str:
+    direct, through = pair.direct.latency, pair.through.latency
+    return (
+        f'{name:<12}{pair.rate_per_s:>8.0f}'
+        f'{pair.added_p50_ms:>11.2f}{pair.added_p99_ms:>11.2f}'
+        f'{direct.p50_ms:>12.2f}{direct.p99_ms:>12.2f}'
+        f'{through.p50_ms:>9.2f}{through.p99_ms:>9.2f}'
+        f'{pair.failed_percent:>10.2f}{pair.through.late.p99_ms:>10.2f}'
+    )
+
+
+def _rate(pair: paired.PairFigures | None) -> str:
+    return 'any measured rate' if pair is None else f'{pair.rate_per_s:.0f}'
+
+
+class _Bench:
+    """One run against one daemon and one target."""
+
+    def __init__(
+        self,
+        daemon: options.Endpoint,
+        target: options.Endpoint,
+        service: str,
+        plan: paired.Plan,
+    ) -> None:
+        self._daemon = daemon
+        self._target = target
+        self._service = service
+        self._plan = plan
+        self._numbers = itertools.count()
+        self._run_tag = f'{random.SystemRandom().getrandbits(_TAG_BITS):x}'
+        self._ticket = ''
+
+    async def measure(
+        self,
+        highest_per_s: float,
+        halvings: int,
+    ) -> BenchReport:
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=10)
+        async with aiohttp.ClientSession(
+            connector=connector,
+            timeout=_TIMEOUT,
+        ) as session:
+            idempotent = self._pair(session, '/search', self._plain)
+            keyed = self._pair(session, '/deposits', self._keyed)
+            base = await idempotent.measure(_BASE_RATE_PER_S)
+            await self._renew_ticket(session)
+            base_keyed = await keyed.measure(_BASE_RATE_PER_S)
+            return BenchReport(
+                base,
+                base_keyed,
+                await knee.search(
+                    idempotent.measure,
+                    _BASE_RATE_PER_S,
+                    highest_per_s,
+                    halvings,
+                ),
+            )
+
+    def _pair(
+        self,
+        session: aiohttp.ClientSession,
+        path: str,
+        headers: paired.Headers,
+    ) -> paired.PairedRun:
+        return paired.PairedRun(
+            session,
+            paired.Way('direct', f'{self._target.url}{path}', headers),
+            paired.Way(
+                'through',
+                f'{self._daemon.url}/{self._service}{path}',
+                headers,
+            ),
+            self._plan,
+            clock.SystemClock(),
+        )
+
+    def _plain(self) -> dict[str, str]:
+        return {target_answers.TAG_HEADER: self._tag()}
+
+    def _keyed(self) -> dict[str, str]:
+        tag = self._tag()
+        return {
+            target_answers.TAG_HEADER: tag,
+            target_answers.KEY_HEADER: f'{self._ticket}.{tag}',
+        }
+
+    def _tag(self) -> str:
+        return f'{self._run_tag}-{next(self._numbers)}'
+
+    async def _renew_ticket(self, session: aiohttp.ClientSession) -> None:
+        async with session.get(
+            f'{self._daemon.url}/v1/addresses',
+            params={'service': self._service},
+        ) as reply:
+            raw = await reply.read()
+        answer = msgspec.json.decode(raw, type=address_book.AddressAnswer)
+        self._ticket = answer.addresses[0].ticket
--- /dev/null
+++ b/libraries/workbench/src/sardinepier/workbench/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Breaks a small fleet of real processes in known ways."""
--- /dev/null
+++ b/libraries/workbench/src/sardinepier/workbench/faults/relay_main.py
@@ -0,0 +1,60 @@
+"""The relay as a process: ``python -m sardinepier.workbench.faults.relay_main``.
+
+It reads ``relay.json`` in the fleet's directory (a ``links.RelayPlan``),
+writes the port of each listener to ``port/<name>-relay`` and that of its
+control endpoint, ``POST /control/link``, to ``port/relay``.
+"""
+
+import asyncio
+import http
+import pathlib
+import sys
+from typing import Final
+
+import msgspec
+from aiohttp import web
+
+from sardinepier.workbench.faults import links, relay
+
+_IP: Final = '127.0.0.1'
+
+
+async def serve(fleet: pathlib.Path) -> None:
+    """Relay until the process is ended."""
+    plan = msgspec.json.decode(
+        (fleet / 'relay.json').read_bytes(),
+        type=links.RelayPlan,
+    )
+    running = relay.Relay()
+    for listener in plan.listeners:
+        port = await running.listen(listener)
+        (fleet / 'port' / f'{listener.name}-relay').write_text(f'{port}\n')
+    application = web.Application()
+    application.router.add_post('/control/link', _Control(running).serve)
+    runner = web.AppRunner(application)
+    await runner.setup()
+    await web.TCPSite(runner, _IP, 0).start()
+    control_port = runner.addresses[0][1]
+    (fleet / 'port' / 'relay').write_text(f'{control_port}\n')
+    await asyncio.Event().wait()
+
+
+class _Control:
+    def __init__(self, running: relay.Relay) -> None:
+        self._relay = running
+
+    async def serve(self, request: web.Request) -> web.Response:
+        body = await request.read()
+        try:
+            rule = msgspec.json.decode(body, type=links.LinkRule)
+        except msgspec.DecodeError as error:
+            return web.Response(
+                text=str(error),
+                status=http.HTTPStatus.BAD_REQUEST,
+            )
+        self._relay.apply(rule)
+        return web.Response()
+
+
+if __name__ == '__main__':
+    asyncio.run(serve(pathlib.Path(sys.argv[1])))
--- a/libraries/workbench/src/sardinepier/workbench/traffic/options.py
+++ b/libraries/workbench/src/sardinepier/workbench/traffic/options.py
@@ -5,6 +5,9 @@
 
 from sardinepier.core import errors
 
+BODY_BYTES: Final = 64
+"""The usual size of a request's body."""
+
 _MAX_REQUESTS: Final = 500_000
 
 
@@ -53,8 +56,8 @@
     attempt_timeout_s: float = 8.0
     longest_wait_s: float = 2.0
     in_flight_limit: int = 400
-    body_bytes: int = 64
-    caller_header: str = 'Caller-Id'
+    body_bytes: int = BODY_BYTES
+    caller_header: str = 'Sardinepier-Caller'
     zone: str = ''
     poison: str = ''
     least_completed_percent: float = 0.0
--- /dev/null
+++ b/libraries/workbench/tests/cover/test_bench.py
@@ -0,0 +1,71 @@
+"""The benchmark times both ways and closes in on the knee."""
+
+import random
+
+import aiohttp
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sardinepier.core import clock
+from sardinepier.standins import target_settings, target_standin
+from sardinepier.workbench.bench import command, knee, paired
+from sardinepier.workbench.traffic import report
+
+
+def figures(rate_per_s, added_ms, failed=0):
+    def way(latency_ms, bad):
+        return paired.WayFigures(
+            report.measure(latency_ms for _ in range(100)), report.measure([0.0]), bad, 0
+        )
+
+    return paired.PairFigures(
+        rate_per_s, way(1.0, 0), way(1.0 + added_ms, failed)
+    )
+
+
+@given(st.floats(min_value=50, max_value=4000), st.integers(0, 6))
+async def test_knee_lies_between_the_two_rates(true_knee_per_s, halvings):
+    async def measure(rate_per_s):
+        return figures(rate_per_s, 1.0 if rate_per_s < true_knee_per_s else 9.0)
+
+    found = await knee.search(measure, 100.0, 3200.0, halvings)
+    assert len(found.steps) <= 6 + halvings
+    if found.within is not None:
+        assert found.within.rate_per_s < true_knee_per_s
+    if found.beyond is not None:
+        assert found.beyond.rate_per_s >= true_knee_per_s
+    assert found.within or found.beyond
+
+
+@pytest.mark.parametrize(
+    ('added_ms', 'failed', 'within'),
+    [(1.0, 0, True), (1.0, 5, False), (5.0, 0, False)],
+)
+def test_a_rate_is_within_by_latency_and_by_failures(added_ms, failed, within):
+    assert knee.is_within(figures(100.0, added_ms, failed)) is within
+
+
+async def test_paired_run_counts_both_ways_and_failures():
+    standin = target_standin.TargetStandin(
+        target_settings.TargetStandinSettings('t1', service_ms=1, slots=50),
+        clock.SystemClock(),
+        random.Random(1),
+    )
+    port = await standin.start('127.0.0.1', 0)
+    async with aiohttp.ClientSession() as session:
+        run = paired.PairedRun(
+            session,
+            paired.Way('direct', f'http://127.0.0.1:{port}/x', dict),
+            paired.Way('through', 'http://127.0.0.1:1/x', dict),
+            paired.Plan(pairs=2, slice_s=0.1, body=b'x'),
+            clock.SystemClock(),
+        )
+        pair = await run.measure(100.0)
+    await standin.stop()
+    assert pair.direct.latency.count == 20
+    assert pair.through.failed == 20
+    assert pair.failed_percent == 100
+    assert 'search' in command.render(
+        command.BenchReport(pair, pair, knee.Knee(None, pair, (pair,)))
+    )
