--- a/libraries/standins/src/sardinepier/standins/internal/target_work.py
+++ b/libraries/standins/src/sardinepier/standins/internal/target_work.py
@@ -39,6 +39,7 @@
     ) -> None:
         """Start with all slots free."""
         self.faults = target_faults.FaultSource(time_source, random_source)
+        self.faults.set_fault(target_faults.Fault(poison=options.poison))
         self.drain = target_drain.Drain(time_source, options.drain_ms)
         self.executions = target_executions.ExecutionLog(
             options.target_id,
--- a/libraries/standins/src/sardinepier/standins/target_settings.py
+++ b/libraries/standins/src/sardinepier/standins/target_settings.py
@@ -19,7 +19,8 @@
     ``load_lag_ms``. Answers are padded to about ``answer_bytes``. A body above
     ``body_limit_bytes`` is refused with status 413. When ``executions_path``
     is not empty, each execution is also appended to that file as it starts,
-    so that a killed process leaves its counts behind.
+    so that a killed process leaves its counts behind. A request whose body
+    holds the text ``poison`` crashes the target, after a restart too.
     """
 
     target_id: str
@@ -33,6 +34,7 @@
     body_limit_bytes: int = 4 * 1024 * 1024
     drain_ms: float = 1000.0
     executions_path: str = ''
+    poison: str = ''
 
     def __post_init__(self) -> None:
         """Check each figure; raise ``InvalidArgumentError`` on the first."""
--- /dev/null
+++ b/libraries/workbench/src/sardinepier/workbench/faults/cases.py
@@ -0,0 +1,54 @@
+"""The form of a fault case: when it breaks what, and what may happen."""
+
+import dataclasses
+from collections.abc import Callable, Sequence
+from typing import Final
+
+from sardinepier.workbench.faults import actions, observations, promises
+
+Check = Callable[
+    [observations.Observations],
+    Sequence[promises.BrokenPromise],
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Schedule:
+    """Seconds since the start of the traffic, which ends at ``end_at_s``."""
+
+    inject_at_s: float = 1.5
+    heal_at_s: float = 5.0
+    end_at_s: float = 8.0
+
+
+USUAL: Final = Schedule()
+
+
+def no_check(
+    seen: observations.Observations,
+) -> Sequence[promises.BrokenPromise]:
+    """Check nothing beyond what every case checks."""
+    return ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FaultCase:
+    """One row of the table.
+
+    ``cut_allowed`` says whether callers may lose connections: not when
+    something leaves gracefully. ``completed_percent`` of the requests must
+    complete at least, so that a fleet which serves nobody does not pass.
+    With ``poison``, requests that hold this text are sent as well. ``check``
+    finds promises broken beyond those that every case looks at.
+    """
+
+    name: str
+    inject: actions.Action
+    heal: actions.Action | None = None
+    schedule: Schedule = USUAL
+    rate_per_s: float = 60.0
+    attempt_timeout_s: float = 5.0
+    cut_allowed: bool = True
+    completed_percent: float = 50.0
+    poison: str = ''
+    check: Check = no_check
--- /dev/null
+++ b/libraries/workbench/src/sardinepier/workbench/faults/driver.py
@@ -0,0 +1,106 @@
+"""Runs one fault case: traffic, the fault, the cure, and the verdict."""
+
+import asyncio
+import contextlib
+from typing import Final
+
+from sardinepier.core import clock
+from sardinepier.workbench.faults import cases, fleet, observations, verdicts
+from sardinepier.workbench.traffic import generator, options, witness
+
+_POLL_S: Final = 0.2
+_SETTLE_S: Final = 1.0
+_POISON_PER_S: Final = 1.0
+_POISON_FOR_S: Final = 4.0
+
+
+class CaseDriver:
+    """Runs one case against one running fleet."""
+
+    def __init__(
+        self,
+        case: cases.FaultCase,
+        running: fleet.Fleet,
+        time_source: clock.Clock,
+    ) -> None:
+        """Prepare; nothing is broken yet."""
+        self._case = case
+        self._fleet = running
+        self._clock = time_source
+        self._seen = observations.Observations(time_source.monotonic_s())
+
+    async def play(self) -> verdicts.CaseRow:
+        """Run the case and return its row."""
+        watching = asyncio.create_task(self._watch_revisions())
+        self._seen.started_at_s = self._clock.monotonic_s()
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._send_traffic())
+            tasks.create_task(self._break_and_heal())
+            tasks.create_task(self._send_poison())
+        # Work may still run whose callers have gone away.
+        await asyncio.sleep(_SETTLE_S)
+        watching.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await watching
+        files = self._fleet.processes.execution_files()
+        self._seen.executions = witness.read_files(files)
+        return verdicts.judge(self._case, self._seen)
+
+    async def _send_traffic(self) -> None:
+        load = self._generator(
+            self._case.rate_per_s,
+            self._case.schedule.end_at_s,
+            poison='',
+        )
+        self._seen.run = await load.play()
+
+    async def _send_poison(self) -> None:
+        if not self._case.poison:
+            return
+        await self._wait_until(self._case.schedule.inject_at_s + _SETTLE_S)
+        load = self._generator(
+            _POISON_PER_S,
+            _POISON_FOR_S,
+            self._case.poison,
+        )
+        self._seen.poisoned = await load.play()
+
+    async def _break_and_heal(self) -> None:
+        await self._wait_until(self._case.schedule.inject_at_s)
+        self._seen.injected_at_s = self._clock.monotonic_s()
+        await self._case.inject.act(self._fleet)
+        if self._case.heal is not None:
+            await self._wait_until(self._case.schedule.heal_at_s)
+            await self._case.heal.act(self._fleet)
+
+    async def _watch_revisions(self) -> None:
+        while True:
+            for daemon in self._fleet.processes.daemons:
+                revision = await self._fleet.read_revision(daemon)
+                shown = self._seen.revisions.setdefault(daemon, [])
+                if revision is not None and shown[-1:] != [revision]:
+                    shown.append(revision)
+            await asyncio.sleep(_POLL_S)
+
+    async def _wait_until(self, moment_s: float) -> None:
+        due_s = self._seen.started_at_s + moment_s
+        await asyncio.sleep(max(0, due_s - self._clock.monotonic_s()))
+
+    def _generator(
+        self,
+        rate_per_s: float,
+        duration_s: float,
+        poison: str,
+    ) -> generator.Generator:
+        processes = self._fleet.processes
+        traffic = options.TrafficOptions(
+            tuple(map(processes.endpoint, processes.daemons)),
+            fleet.SERVICE,
+            options.RouteChoice('POST', '/search'),
+            options.RouteChoice('POST', '/deposits'),
+            rate_per_s=rate_per_s,
+            duration_s=duration_s,
+            attempt_timeout_s=self._case.attempt_timeout_s,
+            poison=poison,
+        )
+        return generator.Generator(traffic, self._clock)
--- /dev/null
+++ b/libraries/workbench/src/sardinepier/workbench/faults/fleet.py
@@ -0,0 +1,98 @@
+"""A small fleet of real processes and everything that can be done to it."""
+
+import re
+from typing import Final
+
+import aiohttp
+import msgspec
+
+from sardinepier.core import errors
+from sardinepier.standins import target_faults
+from sardinepier.telemetry import status
+from sardinepier.workbench.faults import links, processes
+
+SERVICE: Final = 'deposits'
+
+_TIMEOUT: Final = aiohttp.ClientTimeout(total=2)
+_QUEUE_LINE: Final = re.compile(r'^queue_length = \d+$', re.MULTILINE)
+
+
+class ControlRefusedError(errors.SardinepierError):
+    """A stand-in or the relay did not do what it was told."""
+
+
+class _PlatformMode(msgspec.Struct, frozen=True):
+    mode: str
+
+
+class Fleet:
+    """The processes of one fleet and their control endpoints."""
+
+    def __init__(
+        self,
+        running: processes.Processes,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        """Use processes that run already."""
+        self.processes = running
+        self._session = session
+
+    async def set_fault(self, name: str, fault: target_faults.Fault) -> None:
+        """Put a fault in force in a target."""
+        await self._post(name, '/control/fault', msgspec.json.encode(fault))
+
+    async def drain(self, name: str) -> None:
+        """Start to drain a target."""
+        await self._post(name, '/control/drain', b'')
+
+    async def set_link(self, rule: links.LinkRule) -> None:
+        """Change what the relay does."""
+        await self._post('relay', '/control/link', msgspec.json.encode(rule))
+
+    async def set_platform(self, mode: str) -> None:
+        """Change how the platform answers: up, down, hang, stale, garbage."""
+        body = msgspec.json.encode(_PlatformMode(mode))
+        await self._post('platform', '/control/mode', body)
+
+    def publish_queue_length(self, queue_length: int) -> None:
+        """Publish the service's file anew with another queue length."""
+        services = self.processes.directory / 'platform' / 'services'
+        path = services / f'{SERVICE}.ini'
+        text = _QUEUE_LINE.sub(
+            f'queue_length = {queue_length}',
+            path.read_text(),
+        )
+        draft = services / f'.{SERVICE}'
+        draft.write_text(text)
+        draft.replace(path)
+
+    async def read_revision(self, daemon: str) -> int | None:
+        """Return the revision of the service's file in force on ``daemon``.
+
+        None when the daemon does not answer, or has no such file.
+        """
+        url = f'{self.processes.endpoint(daemon).url}/v1/status'
+        try:
+            async with self._session.get(url, timeout=_TIMEOUT) as reply:
+                document = status.decode(await reply.read())
+        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
+            return None
+        revisions = [
+            file.revision
+            for file in document.files
+            if file.name == f'service/{SERVICE}'
+        ]
+        return revisions[0] if revisions else None
+
+    async def _post(self, name: str, path: str, body: bytes) -> None:
+        url = f'{self.processes.endpoint(name).url}{path}'
+        async with self._session.post(
+            url,
+            data=body,
+            timeout=_TIMEOUT,
+        ) as reply:
+            if not reply.ok:
+                raise ControlRefusedError(
+                    f'{url} answered {reply.status}: {await reply.text()}',
+                    'Compare the request with the stand-in that got it',
+                )
--- /dev/null
+++ b/libraries/workbench/src/sardinepier/workbench/faults/observations.py
@@ -0,0 +1,28 @@
+"""What was seen while a case ran, for the checks of single cases."""
+
+import dataclasses
+
+from sardinepier.workbench.traffic import generator, witness
+
+
+@dataclasses.dataclass(slots=True)
+class Observations:
+    """Traffic, the targets' counts, and the revisions of each daemon.
+
+    ``revisions`` holds, for each daemon, the revisions it has shown one
+    after another. ``started_at_s``, ``injected_at_s`` are readings of the
+    local monotonic clock.
+    """
+
+    started_at_s: float
+    injected_at_s: float = 0.0
+    run: generator.TrafficRun = dataclasses.field(
+        default_factory=generator.TrafficRun,
+    )
+    poisoned: generator.TrafficRun = dataclasses.field(
+        default_factory=generator.TrafficRun,
+    )
+    executions: witness.Executions = dataclasses.field(
+        default_factory=lambda: witness.Executions({}, {}),
+    )
+    revisions: dict[str, list[int]] = dataclasses.field(default_factory=dict)
--- /dev/null
+++ b/libraries/workbench/src/sardinepier/workbench/faults/table.py
@@ -0,0 +1,156 @@
+"""The table of fault cases: each line breaks one thing, or two together."""
+
+import signal
+from typing import Final
+
+from sardinepier.standins import target_faults
+from sardinepier.workbench.faults import actions, cases, checks, links
+
+_HOME: Final = 'd1'
+_PEER: Final = 'd2'
+_LEAVING: Final = 'd3'
+_TARGET: Final = 't1'
+_TARGETS: Final = ('t1', 't2', 't3', 't4', 't5', 't6')
+_POISON: Final = 'poison-pill'
+_ALL: Final = 100.0
+_HALF: Final = 50.0
+_MUCH_SLOWER: Final = 40.0
+_FLAP_MS: Final = 700.0
+_NEW_QUEUE_LENGTH: Final = 50
+
+_EARLY_S: Final = 4.0
+_LATE_S: Final = 8.0
+_LONG_S: Final = 12.0
+_STOPPED: Final = cases.Schedule(heal_at_s=_LATE_S, end_at_s=_LONG_S)
+_PUBLISHED: Final = cases.Schedule(heal_at_s=_EARLY_S, end_at_s=_LONG_S)
+_GRACEFUL: Final = cases.Schedule(end_at_s=_LONG_S)
+_IMPATIENT_S: Final = 2.0
+
+_SOUND: Final = actions.Break(target_faults.Fault(), (_TARGET,))
+_SLOW: Final = actions.Break(
+    target_faults.Fault(slow_factor=_MUCH_SLOWER),
+    (_TARGET,),
+)
+_ONE_WAY: Final = actions.SetLink(
+    _PEER,
+    links.LinkMode.DROP,
+    links.Direction.FORWARD,
+    source=_HOME,
+)
+_HEALED: Final = actions.SetLink(_PEER, links.LinkMode.PASS, source=_HOME)
+
+
+def _break(name: str, fault: target_faults.Fault) -> cases.FaultCase:
+    broken = actions.Break(fault, (_TARGET,))
+    return cases.FaultCase(name, broken, _SOUND)
+
+
+def _drop(moment: target_faults.DropMoment) -> cases.FaultCase:
+    fault = target_faults.Fault(drop_percent=_HALF, drop_moment=moment)
+    return _break(f'target drops {moment.value}', fault)
+
+
+def _publish_while(mode: str) -> cases.FaultCase:
+    return cases.FaultCase(
+        f'platform {mode} during a change',
+        actions.Together(
+            (
+                actions.SetPlatform(mode),
+                actions.Publish(_NEW_QUEUE_LENGTH),
+            )
+        ),
+        actions.SetPlatform('up'),
+        _PUBLISHED,
+        cut_allowed=False,
+        check=checks.converges,
+    )
+
+
+CASES: Final = (
+    cases.FaultCase('home killed', actions.End(_HOME, signal.SIGKILL)),
+    cases.FaultCase(
+        'home replaced under its address',
+        actions.Signal(_HOME, signal.SIGKILL),
+    ),
+    cases.FaultCase(
+        'home stopped past the deadline',
+        actions.Signal(_HOME, signal.SIGSTOP),
+        actions.Signal(_HOME, signal.SIGCONT),
+        _STOPPED,
+        attempt_timeout_s=_IMPATIENT_S,
+    ),
+    cases.FaultCase('one-way cut between daemons', _ONE_WAY, _HEALED),
+    _drop(target_faults.DropMoment.BEFORE),
+    _drop(target_faults.DropMoment.DURING),
+    _drop(target_faults.DropMoment.AFTER),
+    _drop(target_faults.DropMoment.IDLE),
+    cases.FaultCase(
+        'answers of a target cut off',
+        actions.SetLink(
+            _TARGET,
+            links.LinkMode.DROP,
+            links.Direction.BACKWARD,
+        ),
+        actions.SetLink(_TARGET, links.LinkMode.PASS),
+    ),
+    cases.FaultCase(
+        'target killed',
+        actions.End(_TARGET, signal.SIGKILL),
+        actions.Release(_TARGET),
+    ),
+    cases.FaultCase(
+        'target stopped and continued',
+        actions.Signal(_TARGET, signal.SIGSTOP),
+        actions.Signal(_TARGET, signal.SIGCONT),
+    ),
+    _break('target hung', target_faults.Fault(hang_percent=_ALL)),
+    cases.FaultCase('target slow', _SLOW, _SOUND),
+    _break('target errors', target_faults.Fault(error_percent=_HALF)),
+    _break(
+        'target flaps',
+        target_faults.Fault(error_percent=_ALL, flap_period_ms=_FLAP_MS),
+    ),
+    _break('target truncates', target_faults.Fault(truncated_percent=_HALF)),
+    cases.FaultCase(
+        'target draining',
+        actions.Drain(_TARGET),
+        cut_allowed=False,
+    ),
+    cases.FaultCase(
+        'target ended by signal',
+        actions.End(_TARGET, signal.SIGTERM),
+        cut_allowed=False,
+    ),
+    cases.FaultCase(
+        'daemon ended by signal',
+        actions.End(_HOME, signal.SIGTERM),
+        schedule=_GRACEFUL,
+        cut_allowed=False,
+    ),
+    _publish_while('down'),
+    _publish_while('stale'),
+    _publish_while('garbage'),
+    cases.FaultCase(
+        'poison crashes targets',
+        actions.Break(target_faults.Fault(poison=_POISON), _TARGETS),
+        poison=_POISON,
+        check=checks.poison_stops,
+    ),
+    cases.FaultCase(
+        'home killed, target slow',
+        actions.Together((actions.End(_HOME, signal.SIGKILL), _SLOW)),
+        _SOUND,
+    ),
+    cases.FaultCase(
+        'one-way cut, daemon ended by signal',
+        actions.Together(
+            (
+                _ONE_WAY,
+                actions.End(_LEAVING, signal.SIGTERM),
+            )
+        ),
+        _HEALED,
+        _GRACEFUL,
+        cut_allowed=False,
+    ),
+)
--- /dev/null
+++ b/libraries/workbench/src/sardinepier/workbench/faults/verdicts.py
@@ -0,0 +1,102 @@
+"""Turns what was seen in a case into its row of the table."""
+
+from collections.abc import Iterator
+from typing import Final
+
+import msgspec
+
+from sardinepier.workbench.faults import cases, observations, promises
+from sardinepier.workbench.traffic import records, report, witness
+
+_SLOW_MS: Final = 1000.0
+_HUNDRED: Final = 100.0
+
+
+class CaseRow(msgspec.Struct, frozen=True):
+    """One row of the table.
+
+    ``recover_s`` is the time from the fault to the start of the last request
+    that did not complete within a second. ``broken`` is empty when the case
+    holds.
+    """
+
+    name: str
+    requests: int
+    requests_by_kind: dict[str, int]
+    doubled: int
+    false_not_run: int
+    lost: int
+    cut: int
+    recover_s: float
+    broken: tuple[promises.BrokenPromise, ...]
+
+
+def judge(
+    case: cases.FaultCase,
+    seen: observations.Observations,
+) -> CaseRow:
+    """Return the row of ``case``."""
+    requests = seen.run.requests + seen.poisoned.requests
+    verdict = witness.compare(requests, seen.executions)
+    summary = report.summarise(seen.run, verdict)
+    return CaseRow(
+        name=case.name,
+        requests=summary.requests,
+        requests_by_kind=summary.requests_by_kind,
+        doubled=len(verdict.doubled),
+        false_not_run=len(verdict.false_not_run),
+        lost=len(verdict.lost),
+        cut=summary.connections_cut,
+        recover_s=_recover_s(seen),
+        broken=(
+            *_broken_counts(case, summary, verdict),
+            *_broken_service(case, summary),
+            *case.check(seen),
+        ),
+    )
+
+
+def _recover_s(seen: observations.Observations) -> float:
+    bad = [
+        request.started_at_s
+        for request in seen.run.requests
+        if request.kind is not records.Kind.COMPLETED
+        or request.total_ms > _SLOW_MS
+    ]
+    return max(0, max(bad, default=0) - seen.injected_at_s)
+
+
+def _broken_counts(
+    case: cases.FaultCase,
+    summary: report.TrafficReport,
+    verdict: witness.Verdict,
+) -> Iterator[promises.BrokenPromise]:
+    attempts = summary.attempts_by_kind
+    wrong = attempts.get(records.Kind.WRONG_ANSWER.value, 0)
+    unmarked = attempts.get(records.Kind.UNMARKED.value, 0)
+    cut = 0 if case.cut_allowed else summary.connections_cut
+    counts = {
+        promises.Promise.AT_MOST_ONCE: len(verdict.doubled),
+        promises.Promise.NOT_RUN: len(verdict.false_not_run),
+        promises.Promise.COMPLETED: len(verdict.lost),
+        promises.Promise.OWN_ANSWER: wrong,
+        promises.Promise.MARKED: unmarked,
+        promises.Promise.NO_CUT: cut,
+    }
+    for promise, count in counts.items():
+        if count:
+            yield promises.BrokenPromise(promise, f'broken {count} times')
+
+
+def _broken_service(
+    case: cases.FaultCase,
+    summary: report.TrafficReport,
+) -> Iterator[promises.BrokenPromise]:
+    by_kind = summary.requests_by_kind
+    completed = by_kind.get(records.Kind.COMPLETED.value, 0)
+    share_percent = _HUNDRED * completed / max(1, summary.requests)
+    if share_percent < case.completed_percent:
+        yield promises.BrokenPromise(
+            promises.Promise.SERVES,
+            f'only {share_percent:.0f}% completed',
+        )
--- a/libraries/workbench/tests/cover/test_bench.py
+++ b/libraries/workbench/tests/cover/test_bench.py
@@ -16,7 +16,10 @@
 def figures(rate_per_s, added_ms, failed=0):
     def way(latency_ms, bad):
         return paired.WayFigures(
-            report.measure(latency_ms for _ in range(100)), report.measure([0.0]), bad, 0
+            report.measure(latency_ms for _ in range(100)),
+            report.measure([0.0]),
+            bad,
+            0,
         )
 
     return paired.PairFigures(
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -26,22 +26,40 @@
 fleet_end() {
     trap '' INT TERM
     rm -f "$FLEET/running"
+    local tries
+    # Again and again, as a supervisor may just have started a process whose
+    # id is not recorded yet.
+    for tries in {1..50}; do
+        kill_recorded
+        supervised || break
+        sleep 0.1
+    done
+    if [ -n "${KEEP_LOGS:-}" ]; then
+        mkdir -p "$KEEP_LOGS"
+        cp -r "$FLEET/." "$KEEP_LOGS/"
+    fi
+    rm -rf "$FLEET"
+}
+
+kill_recorded() {
     local file pid
     for file in "$FLEET"/pid/*; do
-        [ -e "$file" ] || continue
-        pid="$(cat "$file")"
+        pid="$(cat "$file" 2>/dev/null)" || continue
         # A stopped process must go on to be able to end.
         kill -CONT "$pid" 2>/dev/null || true
         kill -KILL "$pid" 2>/dev/null || true
     done
+}
+
+# supervised: whether any supervisor is still there.
+supervised() {
+    local pid
     for pid in "${SUPERVISORS[@]}"; do
-        wait "$pid" 2>/dev/null || true
+        if kill -0 "$pid" 2>/dev/null; then
+            return 0
+        fi
     done
-    if [ -n "${KEEP_LOGS:-}" ]; then
-        mkdir -p "$KEEP_LOGS"
-        cp -r "$FLEET/." "$KEEP_LOGS/"
-    fi
-    rm -rf "$FLEET"
+    return 1
 }
 
 # start NAME COMMAND...: runs COMMAND, and again whenever it has ended.
