--- a/libraries/settings/src/sardinepier/settings/errors.py
+++ b/libraries/settings/src/sardinepier/settings/errors.py
@@ -73,3 +73,7 @@
 
 class OversizedFileError(SettingsFileError):
     """The file is larger than a settings file may be."""
+
+
+class DuplicateRouteError(errors.SardinepierError):
+    """A route table was given two routes that no request can tell apart."""
--- a/libraries/settings/src/sardinepier/settings/internal/checking.py
+++ b/libraries/settings/src/sardinepier/settings/internal/checking.py
@@ -19,6 +19,8 @@
 
 SectionT = TypeVar('SectionT', bound=schema.Section)
 
+MAX_PROBLEMS: Final = 200
+_NOT_LISTED: Final = 'not listed'
 _SEPARATOR: Final = ' '
 
 
@@ -102,8 +104,20 @@
         )
 
     def error(self) -> errors.InvalidSettingsError:
-        """Give the error that carries all problems so far."""
-        return errors.InvalidSettingsError(tuple(self.problems))
+        """Give the error that carries the problems, up to a bound."""
+        shown = self.problems[:MAX_PROBLEMS]
+        if len(self.problems) > MAX_PROBLEMS:
+            hidden = len(self.problems) - MAX_PROBLEMS
+            shown.append(
+                errors.Problem(
+                    self.source,
+                    section=None,
+                    key=None,
+                    what=f'{hidden} more problem(s) are not listed',
+                    remedy='Correct the others first',
+                ),
+            )
+        return errors.InvalidSettingsError(tuple(shown))
 
     def _check_title(self, title: str) -> None:
         if title in self._layout.single:
@@ -112,16 +126,21 @@
         if kind in self._layout.named:
             self._check_name(title, name)
             return
-        known = self._layout.titles()
-        near = difflib.get_close_matches(title, known, n=1)
-        allowed = near or known
         self.report(
             display.plain(title),
             None,
             'The section is unknown here',
-            f'Write {display.listed([f"[{word}]" for word in allowed])}',
+            self._unknown_title_remedy(title),
         )
 
+    def _unknown_title_remedy(self, title: str) -> str:
+        if len(self.problems) >= MAX_PROBLEMS:
+            return _NOT_LISTED
+        known = self._layout.titles()
+        near = difflib.get_close_matches(title, known, n=1)
+        allowed = [f'[{word}]' for word in near or known]
+        return f'Write {display.listed(allowed)}'
+
     def _check_name(self, title: str, name: str) -> None:
         if words.is_name(name):
             return
@@ -152,7 +171,10 @@
         fault: Any,
     ) -> None:
         key = str(fault['loc'][0])
-        what, remedy = _explain(key, kind, fault)
+        what, remedy = _NOT_LISTED, _NOT_LISTED
+        # Others are only counted, and finding a remedy takes long.
+        if len(self.problems) < MAX_PROBLEMS:
+            what, remedy = _explain(key, kind, fault)
         self.report(
             display.plain(section.title),
             display.plain(key),
--- a/libraries/settings/src/sardinepier/settings/internal/display.py
+++ b/libraries/settings/src/sardinepier/settings/internal/display.py
@@ -15,6 +15,8 @@
 
 def quoted(text: str) -> str:
     """Give the text as :func:`plain` does, between back quotes."""
+    if not text:
+        return '(empty)'
     return f'`{plain(text)}`'
 
 
--- a/libraries/settings/src/sardinepier/settings/internal/fleet_rules.py
+++ b/libraries/settings/src/sardinepier/settings/internal/fleet_rules.py
@@ -24,8 +24,8 @@
             _TITLE,
             'shutdown_grace_s',
             f'A daemon would end while callers still hold its address: '
-            f'{fleet.shutdown_grace_s} is less than `{_LATEST}`',
-            f'Write at least {valid_s}',
+            f'{fleet.shutdown_grace_s:g} is less than `{_LATEST}`',
+            f'Write at least {valid_s:g}',
         )
     if fleet.ticket_epoch_s * fleet.ticket_valid_epochs < valid_s:
         yield errors.Problem(
--- a/libraries/settings/src/sardinepier/settings/internal/ini.py
+++ b/libraries/settings/src/sardinepier/settings/internal/ini.py
@@ -8,13 +8,17 @@
 
 import configparser
 import dataclasses
+import io
 import re
 from typing import Final
 
 from sardinepier.settings import errors
 from sardinepier.settings.internal import display
 
+# Both bound what a faulty file can cost: the library's own report of bad
+# lines takes quadratic time.
 MAX_CHARACTERS: Final = 1_048_576
+MAX_LINES: Final = 10_000
 _MAX_ROUNDS: Final = 50
 _HEADER: Final = re.compile(r'\[(?P<header>[^\]]+)\]$')
 _KEY_VALUE: Final = re.compile(
@@ -94,9 +98,30 @@
         problems.extend(fault.problem for fault in faults)
         for fault in faults:
             lines[fault.line_number - 1] = _replacement(fault)
+    problems.append(
+        _whole_file(
+            source,
+            f'Reading stopped after {_MAX_ROUNDS} repeated lines',
+            'Correct these first',
+        ),
+    )
     return Document((), tuple(problems), complete=False)
 
 
+def write(sections: list[Section]) -> str:
+    """Write sections as text that :func:`read` takes.
+
+    A repeated title is written as often as it comes, so that reading the
+    text reports it.
+    """
+    text = io.StringIO()
+    for section in sections:
+        parser = _Parser()
+        parser.read_dict({section.title: section.entries})
+        parser.write(text)
+    return f'{text.getvalue().rstrip()}\n'
+
+
 def _parse(
     parser: _Parser,
     lines: list[str],
@@ -147,25 +172,32 @@
 
 def _find_unfit(text: str, source: str) -> errors.Problem | None:
     if len(text) > MAX_CHARACTERS:
-        return errors.Problem(
+        return _whole_file(
             source,
-            section=None,
-            key=None,
-            what=f'The file has {len(text)} characters',
-            remedy=f'Keep it within {MAX_CHARACTERS} characters',
+            f'The file has {len(text)} characters',
+            f'Keep it within {MAX_CHARACTERS} characters',
+        )
+    line_count = text.count('\n') + 1
+    if line_count > MAX_LINES:
+        return _whole_file(
+            source,
+            f'The file has {line_count} lines',
+            f'Keep it within {MAX_LINES} lines',
         )
     if _REPEATED in text:
         line_number = text[: text.index(_REPEATED)].count('\n') + 1
-        return errors.Problem(
+        return _whole_file(
             source,
-            section=None,
-            key=None,
-            what=f'Line {line_number} holds a NUL character',
-            remedy='Save the file as plain text',
+            f'Line {line_number} holds a NUL character',
+            'Save the file as plain text',
         )
     return None
 
 
+def _whole_file(source: str, what: str, remedy: str) -> errors.Problem:
+    return errors.Problem(source, None, None, what, remedy)
+
+
 def _duplicate_section(
     error: configparser.DuplicateSectionError,
     source: str,
--- a/libraries/settings/src/sardinepier/settings/internal/numbers.py
+++ b/libraries/settings/src/sardinepier/settings/internal/numbers.py
@@ -21,6 +21,11 @@
     kinds.Kind('a whole number', '8080'),
     pydantic.Field(ge=1, le=MAX_PORT),
 ]
+SmallCount = Annotated[
+    int,
+    kinds.Kind('a whole number', '3'),
+    pydantic.Field(ge=1, le=100),
+]
 Count = Annotated[
     int,
     kinds.Kind('a whole number', '3'),
--- a/libraries/settings/src/sardinepier/settings/internal/overlaps.py
+++ b/libraries/settings/src/sardinepier/settings/internal/overlaps.py
@@ -7,10 +7,13 @@
 from sardinepier.settings import errors
 from sardinepier.settings.internal import display, paths, schema
 
-_Shape = tuple[str, tuple[str | None, ...]]
+_Segments = tuple[str | None, ...]
+_Shape = tuple[str, _Segments]
+_Clash = tuple[str, list[str]]
 _Positions = frozenset[int]
 _Groups = dict[tuple[str, int], dict[_Positions, list[str]]]
 _PATH: Final = 'path'
+_SHOWN_RIVALS: Final = 3
 
 
 def find_problems(
@@ -36,8 +39,8 @@
                 sorted(first & second),
                 templates,
             )
-            for name, other in pairs:
-                yield _ambiguous(source, name, other, routes)
+            for name, rivals in pairs:
+                yield _ambiguous(source, name, rivals)
 
 
 def _find_repeated(
@@ -76,34 +79,35 @@
     others: list[str],
     common: list[int],
     templates: Mapping[str, paths.Template],
-) -> Iterator[tuple[str, str]]:
+) -> Iterator[_Clash]:
     # Two templates fit a common path when they agree wherever both are
     # literal. A lookup by these segments spares comparing every pair.
-    by_segments = {_chosen(templates[name], common): name for name in names}
+    by_segments: dict[_Segments, list[str]] = {}
+    for name in names:
+        segments = _chosen(templates[name], common)
+        by_segments.setdefault(segments, []).append(name)
     for other in others:
-        name = by_segments.get(_chosen(templates[other], common))
-        if name is not None:
-            yield name, other
+        rivals = by_segments.get(_chosen(templates[other], common))
+        if rivals is not None:
+            yield other, rivals
 
 
 def _chosen(
     template: paths.Template,
     positions: list[int],
-) -> tuple[str | None, ...]:
+) -> _Segments:
     return tuple(template.segments[position] for position in positions)
 
 
-def _ambiguous(
-    source: str,
-    name: str,
-    other: str,
-    routes: Mapping[str, schema.RouteSection],
-) -> errors.Problem:
+def _ambiguous(source: str, name: str, rivals: list[str]) -> errors.Problem:
+    titles = [f'[route {rival}]' for rival in rivals[:_SHOWN_RIVALS]]
+    if len(rivals) > _SHOWN_RIVALS:
+        titles.append(f'{len(rivals) - _SHOWN_RIVALS} more')
     return errors.Problem(
         source,
-        f'route {other}',
+        f'route {name}',
         _PATH,
-        f'A request can fit this and `[route {name}]` with '
-        f'{display.quoted(routes[name].path)}, and neither is narrower',
+        f'One request can fit this and {display.listed(titles, "and")}, and '
+        f'neither is narrower',
         'Change one of the paths, so that no request fits both',
     )
--- a/libraries/settings/src/sardinepier/settings/internal/schema.py
+++ b/libraries/settings/src/sardinepier/settings/internal/schema.py
@@ -4,12 +4,20 @@
 meaning in the reference for operators, see ``sardinepier.settings.reference``.
 """
 
+from typing import Final
+
 import pydantic
 
 from sardinepier.settings import model
 from sardinepier.settings.internal import addresses, numbers, words
 
 
+# Defaults that stand for "the same as the daemon's own". They lie outside
+# what a file may hold, and are not checked.
+OWN_IP: Final = ''
+OWN_PORT: Final = 0
+
+
 class Section(pydantic.BaseModel):
     """A section of any file. Unknown keys are refused."""
 
@@ -29,7 +37,7 @@
     caller_header: words.HeaderName = 'Sardinepier-Caller'
     """The request header that names the caller, for limits a caller."""
 
-    addresses_per_answer: numbers.Count = 3
+    addresses_per_answer: numbers.SmallCount = 3
     """How many addresses a caller gets when it asks for some."""
 
     addresses_valid_s: numbers.Seconds = 30.0
@@ -50,7 +58,7 @@
     heartbeat_interval_ms: numbers.Milliseconds = 500
     """The time between two heartbeats to each monitored peer."""
 
-    monitored_peers: numbers.Count = 4
+    monitored_peers: numbers.SmallCount = 4
     """How many peers each daemon monitors, whatever the size of the fleet."""
 
     suspicion_timeout_ms: numbers.Milliseconds = 2000
@@ -59,7 +67,7 @@
     wake_gap_ms: numbers.Milliseconds = 500
     """A daemon that stood still for longer takes itself for paused."""
 
-    configuration_watchers_per_zone: numbers.Count = 2
+    configuration_watchers_per_zone: numbers.SmallCount = 2
     """How many daemons of a zone keep a watch open at the platform."""
 
     platform_reads_per_s: numbers.Rate = 1.0
@@ -98,7 +106,7 @@
     """How many false ejections a target may suffer a day. Less means slower
     detection."""
 
-    group_daemons_per_zone: numbers.Count = 3
+    group_daemons_per_zone: numbers.SmallCount = 3
     """How many daemons of each zone serve and judge this service."""
 
     queue_length: numbers.Count = 64
@@ -211,10 +219,10 @@
     seeds: addresses.Seeds = ()
     """Where to look for a first peer. The platform names others."""
 
-    advertised_peer_ip: addresses.IpAddress | None = None
+    advertised_peer_ip: addresses.IpAddress = OWN_IP
     """The address that peers are told, when it differs from the own."""
 
-    advertised_peer_port: numbers.PortNumber | None = None
+    advertised_peer_port: numbers.PortNumber = OWN_PORT
     """The port that peers are told, when it differs from the own."""
 
     log_level: words.LogLevel = 'INFO'
