Add membership: heartbeats, suspicion, news and exchange of tables

Cause: daemons need a view of the fleet whose cost does not grow with it, and which mends itself after lost messages, cuts and restarts. Ruled out: heartbeats from all to all (cost grows with the square), a central list (the platform's lags and cannot be written), consistent hashing by zone for monitors (leaves some members without any). Change: records merged by maximum; fixed numbers of monitors on hash rings; indirect probes through other zones; doubts instead of deaths in the exchange of tables; slow retry of lost addresses; groups by rendezvous, kept up to date by what changed.

--- /dev/null
+++ b/libraries/membership/src/sardinepier/membership/internal/news.py
@@ -0,0 +1,70 @@
+"""What goes out on heartbeats: news first told, and what to refute."""
+
+from collections.abc import Iterable
+
+from sardinepier.core import clock, ids
+from sardinepier.membership import kinds, options
+from sardinepier.membership.internal import record, rumors, table
+from sardinepier.wire import messages
+
+
+class News:
+    """Turns records of the table into updates for messages."""
+
+    def __init__(
+        self,
+        records: table.Table,
+        bounds: options.MembershipOptions,
+        time_source: clock.Clock,
+    ) -> None:
+        """Start with this daemon itself as the only news."""
+        self._table = records
+        self._clock = time_source
+        self._per_message = bounds.updates_per_message
+        # Heartbeats go to the monitored peers, acks to those that monitor.
+        self.rumors = rumors.Rumors(2 * bounds.monitored_peers)
+        self.introduce()
+
+    def take(self) -> tuple[kinds.MemberUpdate, ...]:
+        """Return updates for one message, and count them as sent."""
+        taken = self.rumors.take(self._per_message, self._table.live_count)
+        found = (self._table.get(instance_id) for instance_id in taken)
+        return self.updates(held for held in found if held)
+
+    def updates(
+        self,
+        records: Iterable[record.Record],
+    ) -> tuple[kinds.MemberUpdate, ...]:
+        """Return records as they travel now."""
+        now_s = self._clock.monotonic_s()
+        return tuple(record.to_update(held, now_s) for held in records)
+
+    def own_update(self) -> tuple[kinds.MemberUpdate, ...]:
+        """Return what makes this daemon known to one that never met it."""
+        return self.updates((self._table.own,))
+
+    def introduction(
+        self,
+        address: messages.PeerAddress,
+    ) -> tuple[kinds.MemberUpdate, ...]:
+        """Return what a daemon at ``address``, whoever it is, should know."""
+        dead_there = self.updates(
+            held
+            for held in self._table.dead
+            if held.identity.peer_address == address
+        )
+        return (*self.own_update(), *dead_there)
+
+    def claims_about(
+        self,
+        instance_id: ids.InstanceId,
+    ) -> tuple[kinds.MemberUpdate, ...]:
+        """Return what an instance may want to refute, if there is such."""
+        held = self._table.get(instance_id)
+        if held is None or held.liveness is kinds.Liveness.ALIVE:
+            return ()
+        return self.updates((held,))
+
+    def introduce(self) -> None:
+        """Make this daemon news again, before all other."""
+        self.rumors.add_first(self._table.own.instance_id)
--- /dev/null
+++ b/libraries/membership/src/sardinepier/membership/internal/rings.py
@@ -0,0 +1,54 @@
+"""Which peers this daemon monitors.
+
+Each member has a point on each of a few rings, from a hash of its name, and
+is monitored on each ring by the one before it. So every member has a fixed
+number of monitors wherever it runs, without agreement, and one that joins or
+dies moves one edge on each ring only. Rendezvous hashing would give the same
+counts only after scoring all pairs, and consistent hashing by zone leaves
+some members without any monitor.
+"""
+
+import functools
+from collections.abc import Iterable
+from typing import Final
+
+from sardinepier.core import ids
+from sardinepier.membership.internal import table
+
+_RING_BITS: Final = 64
+_RING_SIZE: Final = 2**_RING_BITS
+
+
+def monitored(
+    own: table.Entry,
+    entries: Iterable[table.Entry],
+) -> tuple[ids.InstanceId, ...]:
+    """Return the next member after ``own`` on each ring.
+
+    A member that is next on two rings makes room for the one after it, so
+    that small fleets are monitored as densely as large ones.
+    """
+    chosen: dict[ids.InstanceId, None] = {}
+    candidates = tuple(entry for entry in entries if entry is not own)
+    for ring, start in enumerate(own.ring_points):
+        nearest = min(
+            (
+                entry
+                for entry in candidates
+                if entry.record.instance_id not in chosen
+            ),
+            key=functools.partial(_distance, ring, start),
+            default=None,
+        )
+        if nearest is not None:
+            chosen[nearest.record.instance_id] = None
+    return tuple(chosen)
+
+
+def _distance(
+    ring: int,
+    start: int,
+    entry: table.Entry,
+) -> tuple[int, ids.InstanceId]:
+    steps = (entry.ring_points[ring] - start) % _RING_SIZE
+    return steps, entry.record.instance_id
--- /dev/null
+++ b/libraries/membership/src/sardinepier/membership/internal/rumors.py
@@ -0,0 +1,63 @@
+"""News that rides on heartbeats, each a bounded number of times."""
+
+import itertools
+import math
+from typing import Final
+
+from sardinepier.core import ids
+
+_REPEATS_PER_LOG: Final = 3
+
+
+class Rumors:
+    """Names of members whose record is news, in the order of sending.
+
+    Only names are queued, so that what is sent is always the newest record.
+    """
+
+    def __init__(self, neighbours: int) -> None:
+        """Send each at least once to that many peers."""
+        self._neighbours = neighbours
+        self._sent: dict[ids.InstanceId, int] = {}
+
+    def __len__(self) -> int:
+        """Return how many members are news."""
+        return len(self._sent)
+
+    def add(self, instance_id: ids.InstanceId) -> None:
+        """Make a record news, from the start if it was news already."""
+        self._sent[instance_id] = 0
+
+    def add_first(self, instance_id: ids.InstanceId) -> None:
+        """Make a record news that goes out before all others."""
+        self._sent.pop(instance_id, None)
+        self._sent = {instance_id: 0, **self._sent}
+
+    def heard(self, instance_id: ids.InstanceId) -> None:
+        """Count a peer that sent the same news: it needs ours no more."""
+        sent = self._sent.get(instance_id)
+        if sent is not None:
+            self._sent[instance_id] = sent + 1
+
+    def drop(self, instance_id: ids.InstanceId) -> None:
+        """Stop spreading a record."""
+        self._sent.pop(instance_id, None)
+
+    def take(self, count: int, member_count: int) -> list[ids.InstanceId]:
+        """Return at most ``count`` names for one message.
+
+        They return to the end of the queue until each has gone out often
+        enough to reach ``member_count`` members.
+        """
+        limit = self.limit(member_count)
+        taken = list(itertools.islice(self._sent, count))
+        for instance_id in taken:
+            sent = self._sent.pop(instance_id) + 1
+            if sent < limit:
+                self._sent[instance_id] = sent
+        return taken
+
+    def limit(self, member_count: int) -> int:
+        """Return how often one piece of news is sent."""
+        spread = _REPEATS_PER_LOG * math.log2(member_count + 1)
+        return max(self._neighbours, math.ceil(spread))
--- /dev/null
+++ b/libraries/membership/src/sardinepier/membership/internal/shown.py
@@ -0,0 +1,42 @@
+"""The members as the view shows them, built once for each version."""
+
+from sardinepier.membership import members
+from sardinepier.membership.internal import record, table
+
+_Members = tuple[members.Member, ...]
+
+
+class Shown:
+    """Caches what :class:`View` promises over a table."""
+
+    def __init__(self, records: table.Table) -> None:
+        """Show ``records``."""
+        self._table = records
+        self._version = -1
+        self._living: _Members = ()
+        self._serving: _Members = ()
+
+    def living(self) -> _Members:
+        """Return all members but the dead ones, by name."""
+        self._refresh()
+        return self._living
+
+    def serving(self) -> _Members:
+        """Return the members in state ALIVE, by name."""
+        self._refresh()
+        return self._serving
+
+    def _refresh(self) -> None:
+        if self._table.version == self._version:
+            return
+        living = [
+            record.to_member(entry.record) for entry in self._table.entries()
+        ]
+        living.sort(key=lambda member: member.instance_id)
+        self._living = tuple(living)
+        self._serving = tuple(
+            member
+            for member in living
+            if member.state is members.MemberState.ALIVE
+        )
+        self._version = self._table.version
--- /dev/null
+++ b/libraries/membership/src/sardinepier/membership/internal/table.py
@@ -0,0 +1,176 @@
+"""All records of one daemon, with their deadlines and digests."""
+
+import dataclasses
+from collections.abc import Iterator
+from typing import Final
+
+from sardinepier.core import ids, rendezvous
+from sardinepier.membership import kinds, options
+from sardinepier.membership.internal import dead_records, digests, record
+from sardinepier.wire import messages
+
+# Each repeat of known news tells the start anew, a little better or worse.
+# Taking over every small gain would change the view with each message.
+_START_GAIN_S: Final = 0.05
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """A living record with what is kept beside it.
+
+    ``deadline_s`` is until when a suspect may refute.
+    """
+
+    record: record.Record
+    bucket: int
+    ring_points: tuple[int, ...]
+    deadline_s: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """What a claim made of a record."""
+
+    before: record.Record | None
+    after: record.Record
+
+
+class Table:
+    """The records of one daemon; its own record is among them."""
+
+    def __init__(
+        self,
+        own: record.Record,
+        bounds: options.MembershipOptions,
+    ) -> None:
+        """Start with the daemon's own record alone."""
+        self.version = 0
+        self.digests = digests.Digests()
+        self.dead = dead_records.DeadRecords(
+            bounds.dead_keep_s,
+            bounds.max_dead,
+        )
+        self._bounds = bounds
+        self._own_id = own.instance_id
+        self._entries: dict[ids.InstanceId, Entry] = {}
+        self._by_address: dict[messages.PeerAddress, ids.InstanceId] = {}
+        self.put(own, own.started_at_s)
+
+    @property
+    def own(self) -> record.Record:
+        """The record of this daemon."""
+        return self._entries[self._own_id].record
+
+    @property
+    def live_count(self) -> int:
+        """How many records are not dead, this daemon's included."""
+        return len(self._entries)
+
+    def get(self, instance_id: ids.InstanceId) -> record.Record | None:
+        """Return the record of that name in any state."""
+        entry = self._entries.get(instance_id)
+        return entry.record if entry else self.dead.get(instance_id)
+
+    def entry(self, instance_id: ids.InstanceId) -> Entry:
+        """Return the entry of an instance that is known and not dead."""
+        return self._entries[instance_id]
+
+    def live_at(self, address: messages.PeerAddress) -> record.Record | None:
+        """Return the living record at ``address``, if there is one."""
+        instance_id = self._by_address.get(address)
+        return self.get(instance_id) if instance_id else None
+
+    def entries(self) -> Iterator[Entry]:
+        """Return all living entries."""
+        return iter(self._entries.values())
+
+    def peers(self) -> list[record.Record]:
+        """Return all living records without this daemon's."""
+        return [
+            entry.record
+            for instance_id, entry in self._entries.items()
+            if instance_id != self._own_id
+        ]
+
+    def apply(self, claim: record.Record, now_s: float) -> Change | None:
+        """Merge ``claim`` and return the change, or None without one.
+
+        News of the death of an unknown instance is dropped: storing it would
+        let the dead travel in circles for ever.
+        """
+        before = self.get(claim.instance_id)
+        if before is None:
+            if claim.is_dead or self.live_count >= self._bounds.max_members:
+                return None
+            self.put(claim, now_s)
+            return Change(None, claim)
+        after = record.merge(before, claim)
+        if _is_same(before, after):
+            return None
+        self.put(after, now_s)
+        return Change(before, after)
+
+    def put(self, after: record.Record, now_s: float) -> None:
+        """Store a record in place of the one that is held."""
+        prior = self._entries.pop(after.instance_id, None)
+        if prior is not None:
+            self._remove_indexes(prior)
+        if after.is_dead:
+            self.dead.put(after, now_s)
+        else:
+            self.dead.discard(after.instance_id)
+            self._store(after, prior, now_s)
+        self.version += 1
+
+    def _store(
+        self,
+        after: record.Record,
+        prior: Entry | None,
+        now_s: float,
+    ) -> None:
+        entry = prior or _new_entry(after, self._bounds.monitored_peers)
+        if entry.record.liveness is not after.liveness or prior is None:
+            entry.deadline_s = None
+            if after.liveness is kinds.Liveness.SUSPECT:
+                entry.deadline_s = now_s + self._bounds.suspicion_timeout_s
+        entry.record = after
+        self._entries[after.instance_id] = entry
+        self._by_address[after.identity.peer_address] = after.instance_id
+        self.digests.toggle(entry.bucket, after)
+
+    def _remove_indexes(self, prior: Entry) -> None:
+        self.digests.toggle(prior.bucket, prior.record)
+        address = prior.record.identity.peer_address
+        if self._by_address.get(address) == prior.record.instance_id:
+            self._by_address.pop(address)
+
+
+def overdue(table: Table, now_s: float) -> list[record.Record]:
+    """Return the suspects whose time to refute has run out."""
+    return [
+        entry.record
+        for entry in table.entries()
+        if entry.deadline_s is not None and entry.deadline_s <= now_s
+    ]
+
+
+def extend_suspicions(table: Table, deadline_s: float) -> None:
+    """Give all suspects until ``deadline_s`` to refute."""
+    for entry in table.entries():
+        if entry.deadline_s is not None:
+            entry.deadline_s = deadline_s
+
+
+def _new_entry(after: record.Record, rings: int) -> Entry:
+    points = tuple(
+        rendezvous.score(f'ring-{ring}', after.instance_id)
+        for ring in range(rings)
+    )
+    return Entry(after, digests.bucket_of(after.instance_id), points)
+
+
+def _is_same(before: record.Record, after: record.Record) -> bool:
+    gain_s = abs(before.started_at_s - after.started_at_s)
+    return gain_s < _START_GAIN_S and record.standing(
+        before,
+    ) == record.standing(after)
--- /dev/null
+++ b/libraries/membership/src/sardinepier/membership/membership.py
@@ -0,0 +1,198 @@
+"""The membership of one daemon: a view of the fleet that keeps itself true.
+
+For example::
+
+    membership = Membership(
+        own, network, clock, random.Random(), MembershipOptions(),
+        store.mark, distributor.heard_mark, timeline.record,
+    )
+    membership.seed(addresses)
+    await membership.run()
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+from typing import Final
+
+from sardinepier.core import clock, ids
+from sardinepier.membership import events, kinds, marks, options
+from sardinepier.membership import members as model
+from sardinepier.membership.internal import (
+    contacts,
+    heartbeat,
+    knowledge,
+    record,
+    shown,
+    sync,
+    table,
+)
+from sardinepier.wire import messages, network
+
+_JITTER: Final = 0.1
+_FEW_PEERS: Final = 3
+
+
+class Membership:
+    """A ``View`` fed by heartbeats, news and exchanges of tables.
+
+    All work is done in :meth:`tick` and in the handlers of messages. A test
+    may call :meth:`tick` itself; :meth:`run` calls it once an interval.
+    """
+
+    def __init__(
+        self,
+        own: model.Member,
+        peer_network: network.PeerNetwork,
+        time_source: clock.Clock,
+        random_source: random.Random,
+        bounds: options.MembershipOptions,
+        mark_source: Callable[[], marks.ConfigurationMark],
+        on_mark: Callable[[messages.Sender, marks.ConfigurationMark], None],
+        on_event: Callable[[events.MemberEvent], None],
+    ) -> None:
+        """Know only ``own``, and listen on ``peer_network``.
+
+        ``mark_source`` gives the mark for each heartbeat, ``on_mark`` is told
+        that of each heartbeat heard, and ``on_event`` each change.
+        """
+        self._clock = time_source
+        self._random = random_source
+        self._bounds = bounds
+        self._on_mark = on_mark
+        self._known = knowledge.Knowledge(
+            record.from_member(own),
+            bounds,
+            contacts.Contacts(
+                own.peer_address,
+                random_source,
+                bounds.max_contacts,
+            ),
+            time_source,
+            on_event,
+        )
+        self._heartbeat = heartbeat.Heartbeat(
+            self._known,
+            peer_network,
+            time_source,
+            random_source,
+            bounds,
+            mark_source,
+        )
+        self._sync = sync.Sync(
+            self._known,
+            peer_network,
+            time_source,
+            random_source,
+            bounds,
+            self._heartbeat.check,
+        )
+        self._last_tick_s = time_source.monotonic_s()
+        self._shown = shown.Shown(self._known.table)
+        self._subscribe(peer_network)
+
+    @property
+    def own(self) -> model.Member:
+        """This daemon, as it stands in its own view."""
+        return record.to_member(self._known.table.own)
+
+    @property
+    def version(self) -> int:
+        """A number that grows with every change of the view."""
+        return self._known.table.version
+
+    def members(self) -> tuple[model.Member, ...]:
+        """Return all members but the dead ones, by name."""
+        return self._shown.living()
+
+    def serving(self) -> tuple[model.Member, ...]:
+        """Return the members in state ALIVE, by name."""
+        return self._shown.serving()
+
+    def find(self, instance_id: ids.InstanceId) -> model.Member | None:
+        """Return the member of that name in any state, if it is known."""
+        held = self._known.table.get(instance_id)
+        return record.to_member(held) if held else None
+
+    def seed(self, addresses: Iterable[messages.PeerAddress]) -> None:
+        """Replace the addresses to try where no living member is known.
+
+        They are tried slowly and never overrule what peers say.
+        """
+        self._known.contacts.seed(addresses)
+
+    def announce_leaving(self) -> None:
+        """Tell the peers at once that this instance leaves, for good."""
+        self._known.announce_leaving()
+        self._heartbeat.probe_all()
+
+    def confirm_since(self, moment_s: float) -> bool:
+        """Tell whether peers answered what was sent after ``moment_s``.
+
+        One peer is enough in a small fleet, two in a larger one. True at
+        once when no peer and no address to try is known. The caller bounds
+        its wait: a daemon that is cut off never gets a confirmation.
+        """
+        peer_count = self._known.table.live_count - 1
+        if not peer_count and not self._known.contacts:
+            return True
+        needed = 1 if peer_count <= _FEW_PEERS else 2
+        return self._heartbeat.evidence.answered_since(moment_s) >= needed
+
+    def refresh(self) -> None:
+        """Probe the monitored peers now, without waiting for the tick."""
+        self._heartbeat.probe_all()
+
+    def tick(self) -> None:
+        """Do the work of one heartbeat interval."""
+        now_s = self._clock.monotonic_s()
+        if now_s - self._last_tick_s > self._bounds.pause_gap_s:
+            # Whoever seems overdue may have answered while this slept.
+            deadline_s = now_s + self._bounds.suspicion_timeout_s
+            table.extend_suspicions(self._known.table, deadline_s)
+            self._heartbeat.wake()
+        self._last_tick_s = now_s
+        self._heartbeat.tick()
+        self._sync.tick()
+
+    async def run(self) -> None:
+        """Tick once an interval until cancelled.
+
+        The first wait is random, so that daemons started together don't send
+        together.
+        """
+        interval_s = self._bounds.heartbeat_interval_s
+        await asyncio.sleep(self._random.uniform(0, interval_s))
+        while True:
+            self.tick()
+            share = self._random.uniform(1 - _JITTER, 1 + _JITTER)
+            await asyncio.sleep(interval_s * share)
+
+    def _subscribe(self, peer_network: network.PeerNetwork) -> None:
+        beat = self._heartbeat
+        peer_network.subscribe(kinds.Probe, self._on_probe)
+        peer_network.subscribe(kinds.Ack, self._on_ack)
+        peer_network.subscribe(kinds.IndirectProbe, beat.on_indirect_probe)
+        peer_network.subscribe(kinds.IndirectAck, beat.on_indirect_ack)
+        peer_network.subscribe(kinds.SyncOffer, self._sync.on_offer)
+        peer_network.subscribe(kinds.SyncEntries, self._sync.on_entries)
+        peer_network.subscribe(kinds.SyncPatch, self._sync.on_patch)
+
+    def _on_probe(self, sender: messages.Sender, probe: kinds.Probe) -> None:
+        self._learn(sender, probe.updates)
+        self._heartbeat.on_probe(sender, probe)
+        self._on_mark(sender, probe.mark)
+
+    def _on_ack(self, sender: messages.Sender, ack: kinds.Ack) -> None:
+        self._learn(sender, ack.updates)
+        self._heartbeat.on_ack(sender, ack)
+        self._sync.observe(sender.address, ack.digest)
+        self._on_mark(sender, ack.mark)
+
+    def _learn(
+        self,
+        sender: messages.Sender,
+        updates: tuple[kinds.MemberUpdate, ...],
+    ) -> None:
+        believed = self._known.heard_from(sender)
+        self._known.learn(updates, believed=believed)
--- /dev/null
+++ b/libraries/membership/src/sardinepier/membership/options.py
@@ -0,0 +1,69 @@
+"""Every interval and bound of membership, with its default."""
+
+import dataclasses
+from typing import Final
+
+from sardinepier.core import errors
+
+DEFAULT_HEARTBEAT_INTERVAL_S: Final = 1.0
+DEFAULT_MONITORED_PEERS: Final = 4
+DEFAULT_SUSPICION_TIMEOUT_S: Final = 5.0
+DEFAULT_PAUSE_GAP_S: Final = 3.0
+DEFAULT_INDIRECT_PEERS: Final = 3
+DEFAULT_UPDATES_PER_MESSAGE: Final = 8
+DEFAULT_SYNC_INTERVAL_S: Final = 10.0
+DEFAULT_SYNC_ENTRIES_PER_TICK: Final = 128
+DEFAULT_LOST_RETRY_S: Final = 5.0
+DEFAULT_DEAD_KEEP_S: Final = 600.0
+DEFAULT_MAX_MEMBERS: Final = 4096
+DEFAULT_MAX_DEAD: Final = 1024
+DEFAULT_MAX_CONTACTS: Final = 2048
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MembershipOptions:
+    """How often membership works, and how much at most.
+
+    ``heartbeat_interval_s`` lies between two heartbeats to each of
+    ``monitored_peers`` peers. A suspected member has
+    ``suspicion_timeout_s`` to refute. A gap of ``pause_gap_s`` between two
+    ticks means that this process was paused. ``indirect_peers`` are asked to
+    probe in turn when a peer does not answer. ``updates_per_message`` bounds
+    the news on one heartbeat, ``sync_entries_per_tick`` the table entries
+    given to others between two ticks. One lost or seed address is tried each
+    ``lost_retry_s``. The dead are remembered for ``dead_keep_s``, so that old
+    news does not bring them back.
+    """
+
+    heartbeat_interval_s: float = DEFAULT_HEARTBEAT_INTERVAL_S
+    monitored_peers: int = DEFAULT_MONITORED_PEERS
+    suspicion_timeout_s: float = DEFAULT_SUSPICION_TIMEOUT_S
+    pause_gap_s: float = DEFAULT_PAUSE_GAP_S
+    indirect_peers: int = DEFAULT_INDIRECT_PEERS
+    updates_per_message: int = DEFAULT_UPDATES_PER_MESSAGE
+    sync_interval_s: float = DEFAULT_SYNC_INTERVAL_S
+    sync_entries_per_tick: int = DEFAULT_SYNC_ENTRIES_PER_TICK
+    lost_retry_s: float = DEFAULT_LOST_RETRY_S
+    dead_keep_s: float = DEFAULT_DEAD_KEEP_S
+    max_members: int = DEFAULT_MAX_MEMBERS
+    max_dead: int = DEFAULT_MAX_DEAD
+    max_contacts: int = DEFAULT_MAX_CONTACTS
+
+    def __post_init__(self) -> None:
+        """Raise ``InvalidArgumentError`` for what cannot work."""
+        for field in dataclasses.fields(self):
+            _check_positive(field.name, getattr(self, field.name))
+        if self.pause_gap_s <= self.heartbeat_interval_s:
+            raise errors.InvalidArgumentError(
+                f'pause_gap_s is {self.pause_gap_s}, not above the interval'
+                f' of {self.heartbeat_interval_s} between heartbeats',
+                'Pass a few times heartbeat_interval_s',
+            )
+
+
+def _check_positive(name: str, number: float) -> None:
+    if number <= 0:
+        raise errors.InvalidArgumentError(
+            f'{name} is {number}',
+            'Pass a number above 0',
+        )
