Watch leaving targets, cut answers to callers and send unsafe PUTs in faults

Cause: the table did not look at work that starts late on a leaving target, nor at callers that lose the answer of a living home, nor at methods which HTTP libraries resend unasked.

Change: the driver samples the executions of each target; relays stand before the HTTP ports too; the cases of dropping targets use a PUT that the file marks as not idempotent.

Not yet run against a daemon.

--- a/libraries/workbench/src/sardinepier/workbench/faults/actions.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/actions.py
@@ -67,12 +67,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Drain:
-    """Let a target drain."""
+    """Let a target drain, and keep it down once it has ended."""
 
     name: str
 
     async def act(self, running: fleet.Fleet) -> None:
         """Do it now."""
+        running.processes.hold(self.name)
         await running.drain(self.name)
 
 
--- a/libraries/workbench/src/sardinepier/workbench/faults/cases.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/cases.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from sardinepier.workbench.faults import actions, observations, promises
+from sardinepier.workbench.traffic import options
 
 Check = Callable[
     [observations.Observations],
@@ -22,6 +23,7 @@
 
 
 USUAL: Final = Schedule()
+DEPOSIT: Final = options.RouteChoice('POST', '/deposits')
 
 
 def no_check(
@@ -50,5 +52,6 @@
     attempt_timeout_s: float = 5.0
     cut_allowed: bool = True
     completed_percent: float = 50.0
+    keyed_route: options.RouteChoice = DEPOSIT
     poison: str = ''
     check: Check = no_check
--- a/libraries/workbench/src/sardinepier/workbench/faults/checks.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/checks.py
@@ -6,6 +6,9 @@
 from sardinepier.workbench.faults import observations, promises
 
 _CRASHED_TARGETS_LIMIT: Final = 2
+_LEAVING_LIMIT_S: Final = 3.0
+LEAVING_TARGET: Final = 't1'
+"""The target that leaves in the cases that :func:`leaving_stops` judges."""
 
 
 def converges(
@@ -55,6 +58,30 @@
     return []
 
 
+def leaving_stops(
+    seen: observations.Observations,
+) -> list[promises.BrokenPromise]:
+    """The leaving target starts no work after three seconds."""
+    limit_s = seen.injected_at_s + _LEAVING_LIMIT_S
+    samples = seen.loads.get(LEAVING_TARGET, [])
+    late = [item.executions for item in samples if item.seen_at_s >= limit_s]
+    if not late or not late[0]:
+        return [
+            promises.BrokenPromise(
+                promises.Promise.WITNESS,
+                'the target had no work at all, or was not watched',
+            ),
+        ]
+    if late[-1] == late[0]:
+        return []
+    return [
+        promises.BrokenPromise(
+            promises.Promise.LEAVING,
+            f'it started {late[-1] - late[0]} requests later',
+        ),
+    ]
+
+
 def _find_reverts(
     seen: observations.Observations,
 ) -> Iterator[promises.BrokenPromise]:
--- a/libraries/workbench/src/sardinepier/workbench/faults/driver.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/driver.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from sardinepier.core import clock
+from sardinepier.standins import target_executions
 from sardinepier.workbench.faults import cases, fleet, observations, verdicts
 from sardinepier.workbench.traffic import generator, options, witness
 
@@ -31,7 +32,7 @@
 
     async def play(self) -> verdicts.CaseRow:
         """Run the case and return its row."""
-        watching = asyncio.create_task(self._watch_revisions())
+        watching = asyncio.create_task(self._watch())
         self._seen.started_at_s = self._clock.monotonic_s()
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._send_traffic())
@@ -73,8 +74,9 @@
             await self._wait_until(self._case.schedule.heal_at_s)
             await self._case.heal.act(self._fleet)
 
-    async def _watch_revisions(self) -> None:
+    async def _watch(self) -> None:
         while True:
+            self._watch_loads()
             for daemon in self._fleet.processes.daemons:
                 revision = await self._fleet.read_revision(daemon)
                 shown = self._seen.revisions.setdefault(daemon, [])
@@ -82,6 +84,16 @@
                     shown.append(revision)
             await asyncio.sleep(_POLL_S)
 
+    def _watch_loads(self) -> None:
+        for path in self._fleet.processes.execution_files():
+            executions = target_executions.read_executions(path)
+            self._seen.loads.setdefault(path.name, []).append(
+                observations.LoadSample(
+                    self._clock.monotonic_s(),
+                    len(executions),
+                ),
+            )
+
     async def _wait_until(self, moment_s: float) -> None:
         due_s = self._seen.started_at_s + moment_s
         await asyncio.sleep(max(0, due_s - self._clock.monotonic_s()))
@@ -97,10 +109,11 @@
             tuple(map(processes.endpoint, processes.daemons)),
             fleet.SERVICE,
             options.RouteChoice('POST', '/search'),
-            options.RouteChoice('POST', '/deposits'),
+            self._case.keyed_route,
             rate_per_s=rate_per_s,
             duration_s=duration_s,
             attempt_timeout_s=self._case.attempt_timeout_s,
             poison=poison,
+            detours=processes.detours(),
         )
         return generator.Generator(traffic, self._clock)
--- a/libraries/workbench/src/sardinepier/workbench/faults/observations.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/observations.py
@@ -5,13 +5,21 @@
 from sardinepier.workbench.traffic import generator, witness
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadSample:
+    """How many requests a target had started to run at one moment."""
+
+    seen_at_s: float
+    executions: int
+
+
 @dataclasses.dataclass(slots=True)
 class Observations:
     """Traffic, the targets' counts, and the revisions of each daemon.
 
     ``revisions`` holds, for each daemon, the revisions it has shown one
-    after another. ``started_at_s``, ``injected_at_s`` are readings of the
-    local monotonic clock.
+    after another, and ``loads``, for each target, how much it had run at
+    several moments. Moments are readings of the local monotonic clock.
     """
 
     started_at_s: float
@@ -26,3 +34,6 @@
         default_factory=lambda: witness.Executions({}, {}),
     )
     revisions: dict[str, list[int]] = dataclasses.field(default_factory=dict)
+    loads: dict[str, list[LoadSample]] = dataclasses.field(
+        default_factory=dict,
+    )
--- a/libraries/workbench/src/sardinepier/workbench/faults/processes.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/processes.py
@@ -38,6 +38,16 @@
         port = int((self.directory / 'port' / name).read_text())
         return options.Endpoint(ip, port)
 
+    def detours(self) -> dict[options.Endpoint, options.Endpoint]:
+        """Return where relays stand before the daemons' HTTP ports."""
+        ports = self.directory / 'port'
+        paths = {name: ports / f'{name}-http-relay' for name in self.daemons}
+        return {
+            self.endpoint(name): options.Endpoint(_IP, int(path.read_text()))
+            for name, path in paths.items()
+            if path.exists()
+        }
+
     def daemon_ip(self, name: str) -> str:
         """Return the address from which the daemon ``name`` connects."""
         return f'127.0.1.{self.daemons.index(name) + 1}'
--- a/libraries/workbench/src/sardinepier/workbench/faults/promises.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/promises.py
@@ -18,6 +18,7 @@
     NO_REVERT = 'no daemon returns to an older revision'
     IN_FORCE = 'an accepted change comes into force everywhere'
     QUARANTINE = 'a request crashes two targets at most'
+    LEAVING = 'a leaving target gets no new work after three seconds'
     WITNESS = 'the case has really shown its fault'
 
 
--- a/libraries/workbench/src/sardinepier/workbench/faults/table.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/table.py
@@ -5,11 +5,12 @@
 
 from sardinepier.standins import target_faults
 from sardinepier.workbench.faults import actions, cases, checks, links
+from sardinepier.workbench.traffic import options
 
 _HOME: Final = 'd1'
 _PEER: Final = 'd2'
 _LEAVING: Final = 'd3'
-_TARGET: Final = 't1'
+_TARGET: Final = checks.LEAVING_TARGET
 _TARGETS: Final = ('t1', 't2', 't3', 't4', 't5', 't6')
 _POISON: Final = 'poison-pill'
 _ALL: Final = 100.0
@@ -46,8 +47,15 @@
 
 
 def _drop(moment: target_faults.DropMoment) -> cases.FaultCase:
+    # HTTP calls a PUT idempotent, and libraries resend it unasked; only the
+    # operators' file says that this one is not.
     fault = target_faults.Fault(drop_percent=_HALF, drop_moment=moment)
-    return _break(f'target drops {moment.value}', fault)
+    return cases.FaultCase(
+        f'target drops {moment.value}',
+        actions.Break(fault, (_TARGET,)),
+        _SOUND,
+        keyed_route=options.RouteChoice('PUT', '/records/7'),
+    )
 
 
 def _publish_while(mode: str) -> cases.FaultCase:
@@ -93,6 +101,16 @@
         ),
         actions.SetLink(_TARGET, links.LinkMode.PASS),
     ),
+    cases.FaultCase(
+        'answers to callers cut off',
+        actions.SetLink(
+            f'{_HOME}-http',
+            links.LinkMode.DROP,
+            links.Direction.BACKWARD,
+        ),
+        actions.SetLink(f'{_HOME}-http', links.LinkMode.PASS),
+        attempt_timeout_s=_IMPATIENT_S,
+    ),
     cases.FaultCase(
         'target killed',
         actions.End(_TARGET, signal.SIGKILL),
@@ -114,12 +132,16 @@
     cases.FaultCase(
         'target draining',
         actions.Drain(_TARGET),
+        schedule=_GRACEFUL,
         cut_allowed=False,
+        check=checks.leaving_stops,
     ),
     cases.FaultCase(
         'target ended by signal',
         actions.End(_TARGET, signal.SIGTERM),
+        schedule=_GRACEFUL,
         cut_allowed=False,
+        check=checks.leaving_stops,
     ),
     cases.FaultCase(
         'daemon ended by signal',
--- a/libraries/workbench/src/sardinepier/workbench/traffic/caller.py
+++ b/libraries/workbench/src/sardinepier/workbench/traffic/caller.py
@@ -95,7 +95,7 @@
             headers[target_answers.KEY_HEADER] = _key_for(progress, address)
         attempt = await exchange.send(
             self._session,
-            address.endpoint,
+            self._options.detours.get(address.endpoint, address.endpoint),
             request,
             headers,
         )
--- a/libraries/workbench/src/sardinepier/workbench/traffic/options.py
+++ b/libraries/workbench/src/sardinepier/workbench/traffic/options.py
@@ -1,6 +1,7 @@
 """What the load generator is told."""
 
 import dataclasses
+from collections.abc import Mapping
 from typing import Final
 
 from sardinepier.core import errors
@@ -41,7 +42,9 @@
     as not sent. ``keyed_percent`` of them are non-idempotent and bring a key.
     ``resends`` bounds how often one request is sent again, and
     ``attempt_timeout_s`` how long one attempt may take. The run fails when
-    fewer than ``least_completed_percent`` of its requests completed.
+    fewer than ``least_completed_percent`` of its requests completed. An
+    address that is a key of ``detours`` is reached by way of the endpoint
+    there, which is how a relay comes between callers and daemons.
     """
 
     daemons: tuple[Endpoint, ...]
@@ -61,6 +64,9 @@
     zone: str = ''
     poison: str = ''
     least_completed_percent: float = 0.0
+    detours: Mapping[Endpoint, Endpoint] = dataclasses.field(
+        default_factory=dict,
+    )
     seed: int = 1
 
     def __post_init__(self) -> None:
--- a/libraries/workbench/tests/cover/test_faults_verdicts.py
+++ b/libraries/workbench/tests/cover/test_faults_verdicts.py
@@ -93,6 +93,26 @@
     assert judge(observed, check=checks.poison_stops) == broken
 
 
+@pytest.mark.parametrize(
+    ('late', 'broken'),
+    [
+        ([], {Promise.WITNESS}),
+        ([0, 0], {Promise.WITNESS}),
+        ([5, 5], set()),
+        ([5, 6], {Promise.LEAVING}),
+    ],
+)
+def test_a_leaving_target_gets_no_late_work(late, broken):
+    observed = seen()
+    samples = [observations.LoadSample(0.5, 1)]
+    samples.extend(
+        observations.LoadSample(3.0 + number, executions)
+        for number, executions in enumerate(late)
+    )
+    observed.loads['t1'] = samples
+    assert judge(observed, check=checks.leaving_stops) == broken
+
+
 def test_recovery_ends_with_the_last_bad_request():
     observed = seen(injected_at_s=2.0)
     observed.run.requests.append(request(Kind.UNKNOWN, 5.5, number=1))
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -14,7 +14,7 @@
 DAEMONS=(d1 d2 d3)
 TARGETS=(t1 t2 t3 t4 t5 t6)
 
-# Relays stand before each target and before the peer port of each daemon.
+# Relays stand before each target and before both ports of each daemon.
 start_relay() {
     local name number=0 separator=''
     {
@@ -28,6 +28,8 @@
             number=$((number + 1))
             printf ',{"name":"%s","ip":"127.0.1.%s","port":%s}' \
                 "$name" "$number" "$(cat "$FLEET/port/$name-peer")"
+            printf ',{"name":"%s-http","ip":"127.0.1.%s","port":%s}' \
+                "$name" "$number" "$(cat "$FLEET/port/$name")"
         done
         printf ']}'
     } >"$FLEET/relay.json"
@@ -41,7 +43,7 @@
     local name
     for name in "${TARGETS[@]}"; do
         start_target "$name" --slots=3 --service_ms=15 --jitter_percent=50 \
-            --drain_ms=2000 --poison=poison-pill
+            --drain_ms=5000 --poison=poison-pill
     done
     for name in "${TARGETS[@]}"; do
         await_file "$FLEET/port/$name"
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -166,6 +166,12 @@
 path = /deposits
 idempotent = no
 deadline_ms = 4000
+
+[route replace]
+method = PUT
+path = /records/{number}
+idempotent = no
+deadline_ms = 4000
 SERVICE_FILE
         for name in "$@"; do
             port="$(cat "$FLEET/port/$name-relay" 2>/dev/null ||
