--- /dev/null
+++ b/libraries/gateway/src/sardinepier/gateway/addresses.py
@@ -0,0 +1,130 @@
+"""Telling callers which daemons to use for a service, and for how long."""
+
+from typing import Final
+
+import msgspec
+from aiohttp import web_request, web_response
+
+from sardinepier.core import ids, outcomes
+from sardinepier.gateway import context as contexts
+from sardinepier.gateway import headers, refusals
+from sardinepier.membership import groups, members
+from sardinepier.once import tickets
+from sardinepier.settings import model
+
+PATH: Final = '/v1/addresses'
+
+_RETRY_AFTER_S: Final = 1.0
+
+
+class Address(msgspec.Struct, frozen=True):
+    """Where to send requests, with the ticket for non-idempotent ones."""
+
+    ip: str
+    port: int
+    zone: ids.ZoneName
+    ticket: str
+
+
+class AddressesAnswer(msgspec.Struct, frozen=True):
+    """The content of the answer: use these for ``valid_s`` seconds."""
+
+    addresses: tuple[Address, ...]
+    valid_s: float
+
+
+class Addresses:
+    """Chooses addresses out of this daemon's view of the fleet."""
+
+    def __init__(self, context: contexts.GatewayContext) -> None:
+        """Work with the daemon's collaborators."""
+        self._context = context
+
+    async def handle(
+        self,
+        request: web_request.BaseRequest,
+    ) -> web_response.StreamResponse:
+        """Answer ``GET /v1/addresses?service=S[&zone=Z]``."""
+        configuration = self._context.configuration()
+        if configuration is None:
+            raise refusals.NotConfiguredError(
+                'This daemon has no settings yet',
+                'Ask again, or ask another daemon',
+                _RETRY_AFTER_S,
+            )
+        name = ids.ServiceName(request.query.get('service', ''))
+        settings = configuration.services.get(name)
+        if settings is None:
+            raise refusals.UnknownServiceError(
+                'The parameter service names no service',
+                'Ask for /v1/addresses?service=<name of the service>',
+            )
+        zone = ids.ZoneName(request.query.get('zone', ''))
+        answer = self.choose(configuration.fleet, settings, zone)
+        return web_response.Response(
+            body=msgspec.json.encode(answer),
+            content_type='application/json',
+            headers={headers.OUTCOME: outcomes.Outcome.COMPLETED.value},
+        )
+
+    def choose(
+        self,
+        fleet: model.FleetSettings,
+        settings: model.ServiceSettings,
+        zone: ids.ZoneName,
+    ) -> AddressesAnswer:
+        """Return addresses of the service's group, those of ``zone`` first.
+
+        Raises ``NoTargetError`` when this daemon leaves and knows no other.
+        """
+        chosen = self._serving(settings)
+        # Shuffled first: the sort by zone keeps that order within each part.
+        self._context.random_source.shuffle(chosen)
+        chosen.sort(key=lambda one: one.zone != zone)
+        if not chosen:
+            raise refusals.NoTargetError(
+                'This daemon is leaving and knows of no other one',
+                'Ask another daemon',
+                _RETRY_AFTER_S,
+            )
+        count = fleet.addresses_per_answer
+        return AddressesAnswer(
+            tuple(self._address(one) for one in chosen[:count]),
+            fleet.addresses_valid_s,
+        )
+
+    def _serving(self, settings: model.ServiceSettings) -> list[members.Member]:
+        view = self._context.view
+        serving = {
+            one.instance_id: one
+            for one in view.serving()
+            if not self._is_leaving(one)
+        }
+        group = groups.service_group(
+            view,
+            settings.name,
+            settings.group_daemons_per_zone,
+        )
+        chosen = [one for one in group if one.instance_id in serving]
+        return chosen or list(serving.values())
+
+    def _is_leaving(self, one: members.Member) -> bool:
+        own = self._context.own
+        return self._context.activity.is_draining and one.instance_id == own
+
+    def _address(self, member: members.Member) -> Address:
+        context = self._context
+        is_own = member.instance_id == context.own
+        ticket = tickets.mint(
+            member.instance_id,
+            context.started_at_s if is_own else member.started_at_s,
+            context.ledger.epoch_s,
+            context.clock,
+            context.random_source,
+        )
+        return Address(
+            member.http_ip,
+            member.http_port,
+            member.zone,
+            tickets.format_ticket(ticket),
+        )
--- /dev/null
+++ b/libraries/gateway/src/sardinepier/gateway/context.py
@@ -0,0 +1,44 @@
+"""What the request path works with, put together once by the daemon."""
+
+import dataclasses
+import random
+from collections.abc import Callable
+
+from sardinepier.core import clock as clocks
+from sardinepier.core import ids
+from sardinepier.gateway import (
+    activity,
+    client,
+    service_runtime,
+    wake_guard,
+)
+from sardinepier.membership import view as views
+from sardinepier.once import ledger, quarantine
+from sardinepier.settings import model
+from sardinepier.telemetry import events, metrics
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GatewayContext:
+    """The collaborators of the request path.
+
+    ``configuration`` returns what is in force now, None before the first
+    fleet file. ``started_at_s`` is this process's start on its own clock.
+    ``services`` must be updated whenever the configuration changes.
+    """
+
+    own: ids.InstanceId
+    zone: ids.ZoneName
+    started_at_s: float
+    clock: clocks.Clock
+    random_source: random.Random
+    configuration: Callable[[], model.Configuration | None]
+    view: views.View
+    ledger: ledger.Ledger
+    quarantine: quarantine.Quarantine
+    services: service_runtime.ServiceRuntimes
+    client: client.TargetClient
+    wake_guard: wake_guard.WakeGuard
+    activity: activity.Activity
+    metrics: metrics.Metrics
+    record_event: Callable[[events.Event], object]
--- /dev/null
+++ b/libraries/gateway/src/sardinepier/gateway/exchange.py
@@ -0,0 +1,173 @@
+"""One attempt at one target, from its first byte to the end of the answer.
+
+Whatever happens, it ends in one way that health is told of, and the slot is
+given back once.
+"""
+
+import asyncio
+from typing import Final
+
+import yarl
+
+from sardinepier.core import ids
+from sardinepier.gateway import context as contexts
+from sardinepier.gateway import errors, reading, target_answer, work
+from sardinepier.health import evidence
+
+_MS_PER_S: Final = 1000
+_FIRST_FAILURE_STATUS: Final = 500
+
+_ENDS: Final = (
+    (errors.ShedError, evidence.AttemptEnd.SHED),
+    (errors.ConnectFailedError, evidence.AttemptEnd.CONNECT_FAILED),
+    (errors.ConnectionLostError, evidence.AttemptEnd.CONNECTION_LOST),
+    (errors.BadAnswerError, evidence.AttemptEnd.WRONG),
+    (errors.AnswerOverdueError, evidence.AttemptEnd.TIMED_OUT),
+)
+
+
+class Attempt:
+    """One attempt of ``item`` at the target whose slot is reserved."""
+
+    def __init__(
+        self,
+        context: contexts.GatewayContext,
+        item: work.Work,
+        target_id: ids.TargetId,
+    ) -> None:
+        """Take over the reserved slot."""
+        self._context = context
+        self._item = item
+        self._target_id = target_id
+        self._number = item.runtime.next_attempt()
+        self._started_s = context.clock.monotonic_s()
+        self._is_sent = False
+        self._is_open = True
+
+    async def run(self) -> target_answer.TargetAnswer:
+        """Return the target's answer.
+
+        A subclass of ``ProvedNotRunError`` or ``UnknownFateError`` tells
+        what is known when there is none.
+        """
+        item = self._item
+        item.runtime.health.started(
+            self._target_id,
+            item.route.name,
+            self._number,
+        )
+        try:
+            answer = await self._within_deadline()
+        except BaseException as error:
+            self._end_by(error)
+            raise
+        if answer.rest is None:
+            self._answered(answer.status)
+        return answer
+
+    async def _within_deadline(self) -> target_answer.TargetAnswer:
+        left_s = self._item.deadline_s - self._context.clock.monotonic_s()
+        try:
+            async with asyncio.timeout(max(0.0, left_s)):
+                return await self._exchange()
+        except TimeoutError as error:
+            if not self._is_sent:
+                self._item.require_time(self._context.clock)
+            raise errors.AnswerOverdueError(
+                'The target did not answer before the time ran out',
+                'Find out whether the request ran before sending it anew',
+            ) from error
+
+    async def _exchange(self) -> target_answer.TargetAnswer:
+        item = self._item
+        settings = item.snapshot.settings
+        origin = item.snapshot.origin(self._target_id)
+        response = await self._context.client.open(
+            item.method,
+            yarl.URL(f'{origin}{item.target_path}', encoded=True),
+            item.target_headers(self._context.clock),
+            item.body,
+            fresh=not item.route.idempotent,
+            connect_timeout_s=item.snapshot.connect_timeout_s,
+            permit=self._permit,
+        )
+        if settings.draining_header in response.headers:
+            item.runtime.mark_leaving(self._target_id)
+        reading.refuse_shed(response, settings.shed_reply)
+        return await reading.read(response, item, self._rest_ended)
+
+    def _permit(self) -> None:
+        """Allow the first byte, unless time or a pause came between."""
+        self._context.wake_guard.require()
+        self._item.require_time(self._context.clock)
+        self._is_sent = True
+
+    def _answered(self, status: int) -> None:
+        runtime = self._item.runtime
+        latency_ms = self._latency_ms()
+        runtime.slots.answered(self._target_id)
+        runtime.queue.observe_service(latency_ms / _MS_PER_S)
+        if status >= _FIRST_FAILURE_STATUS:
+            self._context.quarantine.released(self._item.fingerprint)
+            self._end(evidence.AttemptEnd.FAILED, None)
+            return
+        runtime.hedge_delay(self._item.route.name).observe(latency_ms)
+        self._context.quarantine.answered(self._item.fingerprint)
+        self._end(evidence.AttemptEnd.ANSWERED, latency_ms)
+
+    def _rest_ended(self, error: BaseException | None) -> None:
+        """Take in how the rest of a long answer ended."""
+        if error is None:
+            self._context.quarantine.answered(self._item.fingerprint)
+            self._end(evidence.AttemptEnd.ANSWERED, None)
+        else:
+            self._end_by(error)
+
+    def _end_by(self, error: BaseException) -> None:
+        end = _end_of(error)
+        if end is evidence.AttemptEnd.CONNECTION_LOST:
+            end = self._suspect_crash()
+        else:
+            self._context.quarantine.released(self._item.fingerprint)
+        if isinstance(error, errors.ShedError):
+            self._item.runtime.slots.shed(self._target_id)
+        self._end(end, None)
+
+    def _suspect_crash(self) -> evidence.AttemptEnd:
+        held = self._context.quarantine.crashed(
+            self._item.fingerprint,
+            self._target_id,
+            self._item.runtime.is_fine_otherwise(self._target_id),
+        )
+        if held:
+            return evidence.AttemptEnd.CRASH_SUSPECT
+        return evidence.AttemptEnd.CONNECTION_LOST
+
+    def _end(
+        self,
+        end: evidence.AttemptEnd,
+        latency_ms: float | None,
+    ) -> None:
+        if not self._is_open:
+            return
+        self._is_open = False
+        item = self._item
+        item.runtime.health.finished(
+            self._target_id,
+            item.route.name,
+            self._number,
+            end,
+            latency_ms,
+        )
+        item.runtime.release(self._target_id)
+
+    def _latency_ms(self) -> float:
+        taken_s = self._context.clock.monotonic_s() - self._started_s
+        return taken_s * _MS_PER_S
+
+
+def _end_of(error: BaseException) -> evidence.AttemptEnd:
+    for kind, end in _ENDS:
+        if isinstance(error, kind):
+            return end
+    return evidence.AttemptEnd.CANCELLED
--- /dev/null
+++ b/libraries/gateway/src/sardinepier/gateway/forwarding.py
@@ -0,0 +1,203 @@
+"""How often, and where, one request is attempted.
+
+An idempotent request may go to another target after a failure, within the
+retry budget. A non-idempotent one may only when it is proved that nothing
+ran. No target gets the same request twice.
+"""
+
+import dataclasses
+from typing import Final
+
+from sardinepier.core import errors as core_errors
+from sardinepier.core import ids
+from sardinepier.gateway import context as contexts
+from sardinepier.gateway import (
+    errors,
+    exchange,
+    hedged,
+    refusals,
+    target_answer,
+    work,
+)
+from sardinepier.health import targets
+from sardinepier.routing import admission
+
+_MOST_ATTEMPTS: Final = 3
+_MOST_LOST: Final = 2
+_FIRST_FAILURE_STATUS: Final = 500
+_RETRY_AFTER_S: Final = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class _History:
+    """What the attempts of one request came to so far."""
+
+    tried: set[ids.TargetId] = dataclasses.field(default_factory=set)
+    attempts: int = 0
+    lost: int = 0
+    failure: errors.UnknownFateError | None = None
+    answer: target_answer.TargetAnswer | None = None
+
+
+class Forwarding:
+    """Sends the requests of one daemon to targets."""
+
+    def __init__(self, context: contexts.GatewayContext) -> None:
+        """Work with the daemon's collaborators."""
+        self._context = context
+
+    async def forward(self, item: work.Work) -> target_answer.TargetAnswer:
+        """Return a target's answer.
+
+        Raises a subclass of ``UnknownFateError`` when any attempt may have
+        run. All other errors are proof that none did.
+        """
+        history = _History()
+        item.runtime.retry_budget.record_request()
+        item.runtime.hedge_budget.record_request()
+        try:
+            return await self._attempts(item, history)
+        except errors.UnknownFateError:
+            if history.answer is not None:
+                return history.answer
+            raise
+        except core_errors.SardinepierError as error:
+            if history.answer is not None:
+                return history.answer
+            if history.failure is None:
+                raise
+            raise errors.UnansweredError(
+                history.failure.what,
+                history.failure.remedy,
+            ) from error
+
+    async def _attempts(
+        self,
+        item: work.Work,
+        history: _History,
+    ) -> target_answer.TargetAnswer:
+        while True:
+            target_id = await self._admit(item, history)
+            history.attempts += 1
+            history.tried.add(target_id)
+            try:
+                answer = await self._attempt(item, target_id, history)
+            except errors.GatewayError as error:
+                if not self._may_go_on(item, history, error):
+                    raise
+                if isinstance(error, refusals.PausedError):
+                    history.tried.discard(target_id)
+                continue
+            if not self._may_improve(item, history, answer):
+                return answer
+            history.answer = answer
+
+    async def _admit(
+        self,
+        item: work.Work,
+        history: _History,
+    ) -> ids.TargetId:
+        """Wait until an attempt may start, and reserve a slot for it."""
+        await self._context.wake_guard.ready(item.deadline_s)
+        item.require_time(self._context.clock)
+        self._require_target(item, history)
+        self._context.quarantine.admit(item.fingerprint)
+        try:
+            return await item.runtime.queue.acquire(
+                admission.Work(
+                    item.route.priority,
+                    item.deadline_s,
+                    takes_any=not history.tried,
+                ),
+                lambda: self._reserve(item, history),
+            )
+        except BaseException:
+            self._context.quarantine.released(item.fingerprint)
+            raise
+
+    async def _attempt(
+        self,
+        item: work.Work,
+        target_id: ids.TargetId,
+        history: _History,
+    ) -> target_answer.TargetAnswer:
+        first = exchange.Attempt(self._context, item, target_id)
+        if not (item.route.idempotent and item.route.hedged):
+            return await first.run()
+        race = hedged.Race(
+            self._context,
+            item,
+            lambda: self._reserve(item, history),
+            history.tried,
+        )
+        return await race.run(first)
+
+    def _reserve(
+        self,
+        item: work.Work,
+        history: _History,
+    ) -> ids.TargetId | None:
+        runtime = item.runtime
+        while True:
+            target_id = runtime.slots.reserve(runtime.chooser, history.tried)
+            if target_id is None or self._suits(item, target_id):
+                return target_id
+            runtime.slots.release(target_id)
+            history.tried.add(target_id)
+
+    def _suits(self, item: work.Work, target_id: ids.TargetId) -> bool:
+        # A newer file may have targets that the request's own has not.
+        if target_id not in item.snapshot.targets:
+            return False
+        if item.route.idempotent:
+            return True
+        standing = item.runtime.health.standing(target_id)
+        return standing.state is not targets.TargetState.TRIAL
+
+    def _require_target(self, item: work.Work, history: _History) -> None:
+        for target_id in item.runtime.health.selectable():
+            if target_id not in history.tried and self._suits(item, target_id):
+                return
+        raise refusals.NoTargetError(
+            f'Service {item.snapshot.settings.name} has no target left that '
+            'may take this request',
+            'Send it again after the stated time',
+            _RETRY_AFTER_S,
+        )
+
+    def _may_go_on(
+        self,
+        item: work.Work,
+        history: _History,
+        error: errors.GatewayError,
+    ) -> bool:
+        """Decide on a further attempt after one without an answer."""
+        if history.attempts >= _MOST_ATTEMPTS:
+            return False
+        if isinstance(error, refusals.DeadlinePassedError):
+            return False
+        if isinstance(error, errors.ProvedNotRunError):
+            # Nothing was run, and a shed target backs off by itself, so this
+            # needs no budget; the number of attempts bounds it.
+            return True
+        if isinstance(error, errors.UnknownFateError):
+            history.failure = error
+        history.lost += isinstance(error, errors.ConnectionLostError)
+        if not item.route.idempotent or history.lost >= _MOST_LOST:
+            return False
+        if isinstance(error, errors.AnswerOverdueError):
+            return False
+        return item.runtime.retry_budget.try_spend()
+
+    def _may_improve(
+        self,
+        item: work.Work,
+        history: _History,
+        answer: target_answer.TargetAnswer,
+    ) -> bool:
+        """Decide whether another target may give a better answer."""
+        if answer.status < _FIRST_FAILURE_STATUS or answer.rest is not None:
+            return False
+        if not item.route.idempotent or history.attempts >= _MOST_ATTEMPTS:
+            return False
+        return item.runtime.retry_budget.try_spend()
--- /dev/null
+++ b/libraries/gateway/src/sardinepier/gateway/headers.py
@@ -0,0 +1,92 @@
+"""Names of headers, and which of them go through from side to side."""
+
+from collections.abc import Iterable
+from typing import Final
+
+import multidict
+
+OUTCOME: Final = 'Sardinepier-Outcome'
+DEADLINE: Final = 'Sardinepier-Deadline-Ms'
+RELAYED: Final = 'Sardinepier-Relayed'
+IDEMPOTENCY_KEY: Final = 'Idempotency-Key'
+RETRY_AFTER: Final = 'Retry-After'
+CONTENT_LENGTH: Final = 'Content-Length'
+TRANSFER_ENCODING: Final = 'Transfer-Encoding'
+
+_CONNECTION: Final = 'Connection'
+_COMMA: Final = ','
+_HOP_BY_HOP: Final = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+_SET_HERE: Final = frozenset(
+    (
+        'content-length',
+        'expect',
+        DEADLINE.lower(),
+        RELAYED.lower(),
+        OUTCOME.lower(),
+    )
+)
+
+Pairs = tuple[tuple[str, str], ...]
+
+
+def for_target(
+    headers: 'multidict.CIMultiDictProxy[str]',
+) -> list[tuple[str, str]]:
+    """Return the caller's headers that go to the target, in their order.
+
+    A repeated name gets the spelling of its first use: aiohttp's client
+    would drop the earlier lines of a name that is spelled in two ways.
+    """
+    spelling: dict[str, str] = {}
+    return [
+        (spelling.setdefault(name.lower(), name), text)
+        for name, text in _end_to_end(headers)
+    ]
+
+
+def for_caller(headers: 'multidict.CIMultiDictProxy[str]') -> Pairs:
+    """Return the target's headers that go to the caller, in their order."""
+    return tuple(_end_to_end(headers))
+
+
+def is_readable(pairs: Iterable[tuple[str, str]]) -> bool:
+    """Tell whether all values are UTF-8, the only form that can be resent."""
+    return all(
+        text.isascii() or text.encode(errors='replace').decode() == text
+        for _, text in pairs
+    )
+
+
+def _end_to_end(
+    headers: 'multidict.CIMultiDictProxy[str]',
+) -> Iterable[tuple[str, str]]:
+    named = _named_by_connection(headers)
+    for name, text in headers.items():
+        lower = name.lower()
+        if lower in _HOP_BY_HOP or lower in _SET_HERE or lower in named:
+            continue
+        yield name, text
+
+
+def _named_by_connection(
+    headers: 'multidict.CIMultiDictProxy[str]',
+) -> frozenset[str]:
+    if _CONNECTION not in headers:
+        return frozenset()
+    return frozenset(
+        token.strip().lower()
+        for line in headers.getall(_CONNECTION)
+        for token in line.split(_COMMA)
+    )
--- /dev/null
+++ b/libraries/gateway/src/sardinepier/gateway/intake.py
@@ -0,0 +1,131 @@
+"""From what a caller sent to a checked piece of work."""
+
+from typing import Final
+
+from aiohttp import web_request
+
+from sardinepier.core import ids
+from sardinepier.gateway import body as bodies
+from sardinepier.gateway import context as contexts
+from sardinepier.gateway import headers, refusals, work
+from sardinepier.settings import model
+
+_MS_PER_S: Final = 1000
+_SLASH: Final = '/'
+_QUERY: Final = '?'
+_FRAGMENT: Final = '#'
+_LONGEST_CALLER: Final = 256
+_RETRY_AFTER_S: Final = 1.0
+
+
+class Intake:
+    """Reads and checks requests; nothing it refuses has run."""
+
+    def __init__(self, context: contexts.GatewayContext) -> None:
+        """Work with the daemon's collaborators."""
+        self._context = context
+
+    async def read(self, request: web_request.BaseRequest) -> work.Work:
+        """Return the request as work.
+
+        It is bound to the settings in force at this moment and keeps them.
+        """
+        context = self._context
+        arrived_s = context.clock.monotonic_s()
+        configuration = self._configuration()
+        service, target_path = _split(request.raw_path)
+        runtime = context.services.get(service)
+        snapshot = runtime.snapshot
+        path = target_path.partition(_QUERY)[0]
+        route = snapshot.route(request.method, path)
+        deadline_s = arrived_s + _allowed_ms(request, route) / _MS_PER_S
+        await context.wake_guard.ready(deadline_s)
+        caller = _caller(request, configuration.fleet)
+        runtime.caller_limits.admit(caller)
+        body = await bodies.read(
+            request,
+            snapshot.settings.request_body_limit_bytes,
+            context.clock,
+            deadline_s,
+        )
+        return work.Work(
+            snapshot,
+            runtime,
+            route,
+            request.method,
+            target_path,
+            _headers(request),
+            body,
+            caller,
+            deadline_s,
+            work.fingerprint(service, request.method, target_path, body),
+        )
+
+    def _configuration(self) -> model.Configuration:
+        configuration = self._context.configuration()
+        if configuration is None:
+            raise refusals.NotConfiguredError(
+                'This daemon has no settings yet',
+                'Send the request again, or to another address',
+                _RETRY_AFTER_S,
+            )
+        return configuration
+
+
+def _split(raw_path: str) -> tuple[ids.ServiceName, str]:
+    """Return the service's name and the path and query below it."""
+    # A full URL or a fragment has no place here, and what is not ASCII could
+    # not be passed on as it is.
+    is_path = raw_path.startswith(_SLASH) and raw_path.isascii()
+    if not is_path or _FRAGMENT in raw_path:
+        raise refusals.BadRequestError(
+            'The target of the request is not an ASCII path',
+            'Write it as /<service>/<path of the route>, percent-encoded',
+        )
+    service, slash, below = raw_path[1:].partition(_SLASH)
+    if not slash:
+        raise refusals.UnknownRouteError(
+            'The path names no route',
+            'Write it as /<service>/<path of the route>',
+        )
+    return ids.ServiceName(service), f'{_SLASH}{below}'
+
+
+def _caller(
+    request: web_request.BaseRequest,
+    fleet: model.FleetSettings,
+) -> ids.CallerId:
+    name = request.headers.get(fleet.caller_header, '')
+    if len(name) > _LONGEST_CALLER or not name.isascii():
+        raise refusals.BadRequestError(
+            f'The header {fleet.caller_header} is not a name of up to '
+            f'{_LONGEST_CALLER} ASCII characters',
+            'Send the name that the operators gave to the caller',
+        )
+    return ids.CallerId(name)
+
+
+def _headers(request: web_request.BaseRequest) -> list[tuple[str, str]]:
+    pairs = headers.for_target(request.headers)
+    if not headers.is_readable(pairs):
+        raise refusals.BadRequestError(
+            'A header of the request is not UTF-8',
+            'Send headers in ASCII',
+        )
+    return pairs
+
+
+def _allowed_ms(
+    request: web_request.BaseRequest,
+    route: model.RouteSettings,
+) -> int:
+    """Return the time that the route and the caller both allow."""
+    stated = request.headers.get(headers.DEADLINE)
+    if stated is None:
+        return route.deadline_ms
+    if not (stated.isascii() and stated.isdigit()):
+        raise refusals.BadRequestError(
+            f'The header {headers.DEADLINE} is not a number of milliseconds',
+            'Write the remaining time in whole milliseconds, or leave it out',
+        )
+    return min(route.deadline_ms, int(stated))
--- /dev/null
+++ b/libraries/gateway/src/sardinepier/gateway/protocol.py
@@ -0,0 +1,80 @@
+"""aiohttp's server side, with our own form for what it refuses by itself."""
+
+import asyncio
+from typing import Any, Final
+
+from aiohttp import (
+    http_exceptions,
+    web_protocol,
+    web_request,
+    web_response,
+    web_server,
+)
+
+from sardinepier.gateway import errors, problems, refusals
+
+_LINE_LIMIT_BYTES: Final = 8190
+_FIELD_LIMIT_BYTES: Final = 8190
+_MOST_HEADERS: Final = 100
+_KEEPALIVE_S: Final = 75.0
+_LINGERING_S: Final = 2.0
+
+
+class CallerConnection(web_protocol.RequestHandler):
+    """One connection of a caller."""
+
+    def handle_error(
+        self,
+        request: web_request.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web_response.StreamResponse:
+        """Answer what can't be parsed; nothing of it was run."""
+        if request.writer.output_size > 0:
+            raise ConnectionResetError('The answer broke on its way')
+        response = problems.answer(_error_for(exc, message), request.raw_path)
+        response.force_close()
+        return response
+
+
+class CallerConnections(web_server.Server):
+    """All connections of callers, with the limits on what they may send."""
+
+    def __init__(self, handler: Any) -> None:
+        """Answer requests by ``handler``, which is cancelled on a hang-up."""
+        super().__init__(handler, handler_cancellation=True)
+
+    def __call__(self) -> CallerConnection:
+        """Make the protocol of a new connection."""
+        return CallerConnection(
+            self,
+            loop=asyncio.get_running_loop(),
+            access_log=None,  # type: ignore[arg-type]  # aiohttp allows None
+            keepalive_timeout=_KEEPALIVE_S,
+            lingering_time=_LINGERING_S,
+            max_line_size=_LINE_LIMIT_BYTES,
+            max_field_size=_FIELD_LIMIT_BYTES,
+            max_headers=_MOST_HEADERS,
+            auto_decompress=False,
+        )
+
+
+def _error_for(
+    exc: BaseException | None,
+    message: str | None,
+) -> errors.GatewayError:
+    if isinstance(exc, http_exceptions.LineTooLong):
+        return refusals.HeaderTooLargeError(
+            'The request line or a header is too long',
+            f'Keep each below {_LINE_LIMIT_BYTES} bytes',
+        )
+    if isinstance(exc, http_exceptions.HttpProcessingError):
+        return refusals.BadRequestError(
+            f'The request is not valid HTTP: {exc.message or message}',
+            'Send a valid HTTP/1.1 request',
+        )
+    return errors.InternalError(
+        f'The daemon failed: {type(exc).__name__}',
+        'Find out whether the request ran before sending it anew',
+    )
--- /dev/null
+++ b/libraries/gateway/src/sardinepier/gateway/reading.py
@@ -0,0 +1,101 @@
+"""Reading a target's answer, and refusing what can't be passed on."""
+
+from typing import Final
+
+from aiohttp import client_exceptions, client_reqrep
+
+from sardinepier.gateway import errors, headers, target_answer, work
+from sardinepier.settings import model
+
+_NO_CONTENT: Final = frozenset((204, 304))
+_HEAD: Final = 'HEAD'
+_CHUNKED: Final = 'chunked'
+_SHED_RETRY_AFTER_S: Final = 1.0
+
+
+async def read(
+    response: client_reqrep.ClientResponse,
+    item: work.Work,
+    on_end: target_answer.OnEnd,
+) -> target_answer.TargetAnswer:
+    """Return the answer: whole, or its beginning when it is a long one.
+
+    ``on_end`` goes to the rest of a long one. Raises ``BadAnswerError`` when
+    it can't be passed on. Unless it was read to its end, the connection is
+    closed when this raises.
+    """
+    try:
+        return await _read(response, item, on_end)
+    except (client_exceptions.ClientError, OSError) as error:
+        response.close()
+        raise target_answer.truncated(error) from error
+    except BaseException:
+        response.close()
+        raise
+
+
+def refuse_shed(
+    response: client_reqrep.ClientResponse,
+    shed: model.ShedReply,
+) -> None:
+    """Raise ``ShedError`` when this is the reply the service's file names."""
+    if response.status != shed.status:
+        return
+    if shed.header_value in response.headers.getall(shed.header_name, ()):
+        response.close()
+        raise errors.ShedError(
+            'The target has too much work and did not run the request',
+            'Send it again after the stated time',
+            _SHED_RETRY_AFTER_S,
+        )
+
+
+async def _read(
+    response: client_reqrep.ClientResponse,
+    item: work.Work,
+    on_end: target_answer.OnEnd,
+) -> target_answer.TargetAnswer:
+    _require_frame(response, item.method)
+    answer = target_answer.TargetAnswer(
+        response.status,
+        response.reason,
+        headers.for_caller(response.headers),
+        response.content_length,
+    )
+    _require_readable(answer)
+    limit_bytes = item.snapshot.settings.answer_buffer_limit_bytes
+    parts: list[bytes] = []
+    size_bytes = 0
+    async for chunk in response.content.iter_any():
+        parts.append(chunk)
+        size_bytes += len(chunk)
+        if size_bytes > limit_bytes:
+            answer.rest = target_answer.Rest(response, on_end)
+            break
+    answer.body = b''.join(parts)
+    return answer
+
+
+def _require_frame(
+    response: client_reqrep.ClientResponse,
+    method: str,
+) -> None:
+    # An answer that ends with its connection can't be told from one that was
+    # cut somewhere before its end.
+    if method == _HEAD or response.status in _NO_CONTENT:
+        return
+    coding = response.headers.get(headers.TRANSFER_ENCODING, '')
+    is_chunked = coding.lower().endswith(_CHUNKED)
+    if not is_chunked and headers.CONTENT_LENGTH not in response.headers:
+        raise errors.BadAnswerError(
+            'The target stated neither the length of its answer nor chunks',
+            'Have the target send Content-Length or use chunked encoding',
+        )
+
+
+def _require_readable(answer: target_answer.TargetAnswer) -> None:
+    if not headers.is_readable(answer.headers):
+        raise errors.BadAnswerError(
+            'The target sent a header that is not UTF-8',
+            'Have the target send headers in ASCII',
+        )
--- /dev/null
+++ b/libraries/gateway/src/sardinepier/gateway/relaying.py
@@ -0,0 +1,121 @@
+"""Passing a request on to the home of its key, one hop and never two.
+
+Whatever goes wrong on the way, the answer is ``unknown``: even if nothing
+was sent now, an earlier send of the same key may have run.
+"""
+
+import asyncio
+from typing import Final
+
+import yarl
+from aiohttp import client_reqrep, web_request, web_response
+
+from sardinepier.core import ids
+from sardinepier.gateway import context as contexts
+from sardinepier.gateway import (
+    delivery,
+    errors,
+    headers,
+    reading,
+    snapshots,
+    work,
+)
+from sardinepier.membership import members
+
+_CONNECT_TIMEOUT_S: Final = 1.0
+
+
+class Relaying:
+    """Sends requests to the homes of their keys."""
+
+    def __init__(self, context: contexts.GatewayContext) -> None:
+        """Work with the daemon's collaborators."""
+        self._context = context
+
+    async def relay(
+        self,
+        request: web_request.BaseRequest,
+        item: work.Work,
+        home: ids.InstanceId,
+    ) -> web_response.StreamResponse:
+        """Return the home's answer; raise ``HomeUnreachableError``."""
+        member = self._find(home)
+        left_s = item.deadline_s - self._context.clock.monotonic_s()
+        try:
+            async with asyncio.timeout(max(0.0, left_s)):
+                response = await self._open(request, item, member)
+                outcome = _outcome(response)
+                answer = await reading.read(response, item, _ignore)
+        except (errors.GatewayError, TimeoutError) as error:
+            raise _unreachable(home, 'did not answer') from error
+        if answer.rest is None and not answer.body:
+            return delivery.empty(answer, outcome)
+        if answer.rest is None:
+            return delivery.whole(
+                answer.status,
+                answer.reason,
+                answer.headers,
+                answer.body,
+                outcome,
+            )
+        stream = delivery.Stream(
+            self._context,
+            request,
+            answer,
+            item.deadline_s,
+            outcome,
+        )
+        await stream.send(answer.rest)
+        return stream.response
+
+    def _find(self, home: ids.InstanceId) -> members.Member:
+        member = self._context.view.find(home)
+        if member is None or home == self._context.own:
+            raise _unreachable(home, 'is not known here')
+        if member.state is members.MemberState.DEAD:
+            raise _unreachable(home, 'is gone')
+        return member
+
+    async def _open(
+        self,
+        request: web_request.BaseRequest,
+        item: work.Work,
+        member: members.Member,
+    ) -> client_reqrep.ClientResponse:
+        origin = snapshots.origin(member.http_ip, member.http_port)
+        pairs = item.target_headers(self._context.clock)
+        return await self._context.client.open(
+            item.method,
+            yarl.URL(f'{origin}{request.raw_path}', encoded=True),
+            [*pairs, (headers.RELAYED, self._context.own)],
+            item.body,
+            fresh=False,
+            connect_timeout_s=_CONNECT_TIMEOUT_S,
+            permit=self._context.wake_guard.require,
+        )
+
+
+def _outcome(response: client_reqrep.ClientResponse) -> str:
+    outcome = response.headers.get(headers.OUTCOME)
+    if outcome is None:
+        response.close()
+        raise errors.BadAnswerError(
+            'What answered at the address of the home is not a daemon',
+            'Check the addresses of the daemons',
+        )
+    return outcome
+
+
+def _unreachable(
+    home: ids.InstanceId,
+    problem: str,
+) -> errors.HomeUnreachableError:
+    return errors.HomeUnreachableError(
+        f'{home}, the home of the key, {problem}',
+        'Send the same request with the same key to the address that came '
+        'with the ticket, or find out by other means whether it ran',
+    )
+
+
+def _ignore(error: BaseException | None) -> None:
+    """Take no notice: the home itself sees how its target does."""
--- /dev/null
+++ b/libraries/gateway/src/sardinepier/gateway/server.py
@@ -0,0 +1,134 @@
+"""The HTTP server for callers."""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from aiohttp import web_request, web_response
+
+from sardinepier.core import errors as core_errors
+from sardinepier.core import outcomes
+from sardinepier.gateway import (
+    addresses,
+    headers,
+    pipeline,
+    problems,
+    protocol,
+    refusals,
+)
+from sardinepier.gateway import context as contexts
+
+Handler = Callable[
+    [web_request.BaseRequest],
+    Awaitable[web_response.StreamResponse],
+]
+
+_OWN_PREFIX: Final = '/v1/'
+_BACKLOG: Final = 512
+
+
+class CallerServer:
+    """Serves callers: services, and the daemon's own pages under ``/v1/``.
+
+    For example::
+
+        server = CallerServer(context)
+        server.add_page('/v1/status', status_page)
+        port = await server.start('10.0.0.7', 8080)
+    """
+
+    def __init__(self, context: contexts.GatewayContext) -> None:
+        """Prepare to serve; nothing is bound yet."""
+        self._context = context
+        self._pipeline = pipeline.Pipeline(context)
+        self._pages: dict[str, Handler] = {
+            addresses.PATH: addresses.Addresses(context).handle,
+        }
+        self._connections = protocol.CallerConnections(self._dispatch)
+        self._listener: asyncio.Server | None = None
+
+    def add_page(self, path: str, handler: Handler) -> None:
+        """Answer ``GET <path>`` by ``handler``; the path begins with /v1/.
+
+        Errors of this project that it raises become problem documents.
+        """
+        self._pages[path] = handler
+
+    async def start(self, ip: str, port: int) -> int:
+        """Listen, and return the port, which the system chose for 0."""
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            self._connections,
+            ip,
+            port,
+            backlog=_BACKLOG,
+        )
+        bound: int = self._listener.sockets[0].getsockname()[1]
+        return bound
+
+    def begin_draining(self) -> None:
+        """Send callers elsewhere; everything is still served.
+
+        The addresses leave this daemon out, and every answer asks its caller
+        to close the connection.
+        """
+        self._context.activity.begin_draining()
+
+    def stop_listening(self) -> None:
+        """Take no new connections; those that are open are served."""
+        if self._listener is not None:
+            self._listener.close()
+
+    async def close(self, finish_s: float) -> int:
+        """Finish what is in hand, then close all connections.
+
+        Returns how many requests were still unfinished after ``finish_s``
+        seconds and were cut.
+        """
+        self.stop_listening()
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + finish_s
+        # Connections are not told to close before: that would also stop the
+        # bodies that are still arriving.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(until_s):
+                await self._context.activity.idle()
+        unfinished = self._context.activity.in_hand
+        self._connections.pre_shutdown()
+        # Answers that are ready may still be on their way out.
+        await self._connections.shutdown(max(1.0, until_s - loop.time()))
+        return unfinished
+
+    async def _dispatch(
+        self,
+        request: web_request.BaseRequest,
+    ) -> web_response.StreamResponse:
+        if not request.raw_path.startswith(_OWN_PREFIX):
+            return await self._pipeline.handle(request)
+        try:
+            response = await self._page(request)
+        except core_errors.SardinepierError as error:
+            response = problems.answer(error, request.raw_path)
+        completed = outcomes.Outcome.COMPLETED.value
+        response.headers.setdefault(headers.OUTCOME, completed)
+        if self._context.activity.is_draining:
+            response.force_close()
+        return response
+
+    async def _page(
+        self,
+        request: web_request.BaseRequest,
+    ) -> web_response.StreamResponse:
+        handler = self._pages.get(request.path)
+        if handler is None:
+            raise refusals.UnknownRouteError(
+                'The daemon has no such page',
+                f'Use one of {", ".join(sorted(self._pages))}',
+            )
+        if request.method not in {'GET', 'HEAD'}:
+            raise refusals.MethodNotAllowedError(
+                "The daemon's own pages can only be read",
+                'Use GET',
+            )
+        return await handler(request)
--- /dev/null
+++ b/libraries/gateway/src/sardinepier/gateway/service_runtime.py
@@ -0,0 +1,254 @@
+"""What a daemon learns and counts about its services between requests."""
+
+import dataclasses
+import random
+from collections.abc import Callable, Iterator, Mapping
+from typing import Final
+
+from sardinepier.core import clock as clocks
+from sardinepier.core import ids
+from sardinepier.gateway import losses, refusals, snapshots
+from sardinepier.health import service_health, targets
+from sardinepier.routing import (
+    admission,
+    budget,
+    caller_limits,
+    choice,
+    hedging,
+    in_flight,
+)
+from sardinepier.settings import model
+
+_CALLERS_REMEMBERED: Final = 8192
+_NO_INCARNATION: Final = ids.TargetIncarnation('')
+_SICK: Final = frozenset(
+    (
+        targets.TargetState.SUSPECT,
+        targets.TargetState.EJECTED,
+    )
+)
+
+MakeHealth = Callable[[model.ServiceSettings], service_health.ServiceHealth]
+MakeChooser = Callable[[], choice.TargetChooser]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RuntimeParts:
+    """What all services are made from.
+
+    ``make_health`` builds the judge of a new service. ``configure_health``
+    puts changed settings of a known service in force.
+    """
+
+    clock: clocks.Clock
+    random_source: random.Random
+    make_health: MakeHealth
+    configure_health: Callable[
+        [service_health.ServiceHealth, model.ServiceSettings],
+        None,
+    ]
+    make_chooser: MakeChooser
+
+
+class ServiceRuntime:
+    """Targets, slots, queue, budgets and limits of one service."""
+
+    def __init__(
+        self,
+        settings: model.ServiceSettings,
+        parts: RuntimeParts,
+    ) -> None:
+        """Start with the service's first snapshot."""
+        self._parts = parts
+        self._incarnations: dict[ids.TargetId, ids.TargetIncarnation] = {}
+        self._attempts = 0
+        self._hedges: dict[ids.RouteName, hedging.HedgeDelay] = {}
+        self.health = parts.make_health(settings)
+        self.slots = in_flight.TargetSlots(parts.clock, parts.random_source)
+        self.chooser = parts.make_chooser()
+        self.losses = losses.LostConnections(parts.clock)
+        self.snapshot = snapshots.ServiceSnapshot(settings)
+        self._build()
+        self._apply_targets()
+
+    def update(self, settings: model.ServiceSettings) -> None:
+        """Take a new file; targets that stay keep their state."""
+        if settings is self.snapshot.settings:
+            return
+        before = self.snapshot.settings
+        self.snapshot = snapshots.ServiceSnapshot(settings)
+        if _figures(before) != _figures(settings):
+            self._build()
+        self._parts.configure_health(self.health, settings)
+        self._apply_targets()
+
+    def set_incarnations(
+        self,
+        listed: Mapping[ids.TargetId, ids.TargetIncarnation],
+    ) -> None:
+        """Take the targets' starts from the platform's instance list."""
+        if self._incarnations != listed:
+            self._incarnations = dict(listed)
+            self._apply_targets()
+
+    def tick(self) -> None:
+        """Judge the targets anew and hand out what came free."""
+        self.health.tick()
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Let the choice of targets follow their health."""
+        for target_id in self.snapshot.targets:
+            weight = self.health.standing(target_id).weight
+            self.slots.set_weight(target_id, weight)
+        self.queue.wake()
+
+    def mark_leaving(self, target_id: ids.TargetId) -> bool:
+        """Give no more work to this start of a target; True when new."""
+        incarnation = self._incarnations.get(target_id, _NO_INCARNATION)
+        is_new = self.health.mark_leaving(target_id, incarnation)
+        if is_new:
+            self.refresh()
+        return is_new
+
+    def next_attempt(self) -> int:
+        """Return a number for an attempt, never given before."""
+        self._attempts += 1
+        return self._attempts
+
+    def release(self, target_id: ids.TargetId) -> None:
+        """Give back a slot and let the next request have it."""
+        self.slots.release(target_id)
+        self.queue.wake()
+
+    def is_fine_otherwise(self, target_id: ids.TargetId) -> bool:
+        """Note a lost connection; True if the target seemed healthy."""
+        first = self.losses.note(target_id)
+        return first and self.health.standing(target_id).state not in _SICK
+
+    def hedge_policy(self, route: model.RouteSettings) -> hedging.HedgePolicy:
+        """Return when to hedge a request of ``route``."""
+        return hedging.HedgePolicy(
+            self.hedge_delay(route.name),
+            self.hedge_budget,
+            idempotent=route.idempotent and route.hedged,
+        )
+
+    def hedge_delay(self, route: ids.RouteName) -> hedging.HedgeDelay:
+        """Return what was learned of the route's latency."""
+        delay = self._hedges.get(route)
+        if delay is None:
+            delay = hedging.HedgeDelay()
+            self._hedges[route] = delay
+        return delay
+
+    def _build(self) -> None:
+        settings = self.snapshot.settings
+        clock = self._parts.clock
+        # A queue that is replaced still serves those who wait in it: its
+        # own timer looks for free slots while anybody waits.
+        self.queue = admission.SlotQueue(
+            clock,
+            settings.queue_length,
+            self._parts.random_source,
+            self.slots.release,
+        )
+        self.retry_budget = budget.RetryBudget(
+            clock,
+            settings.retry_budget_percent,
+        )
+        self.hedge_budget = budget.RetryBudget(
+            clock,
+            settings.hedge_budget_percent,
+        )
+        self.caller_limits = caller_limits.CallerLimits(
+            clock,
+            settings.caller_requests_per_s,
+            settings.caller_burst_requests,
+            _CALLERS_REMEMBERED,
+            self._parts.random_source,
+        )
+
+    def _apply_targets(self) -> None:
+        settings = self.snapshot.settings
+        most = settings.connections_per_target
+        self.health.set_targets(
+            targets.TargetIdentity(
+                one.target_id,
+                self._incarnations.get(one.target_id, _NO_INCARNATION),
+                one.slots,
+            )
+            for one in settings.targets
+        )
+        self.slots.set_targets(
+            in_flight.TargetCapacity(
+                one.target_id,
+                one.zone,
+                min(one.slots, most),
+            )
+            for one in settings.targets
+        )
+        self.losses.keep(frozenset(self.snapshot.targets))
+        names = {route.name for route in settings.routes}
+        self._hedges = {
+            name: delay for name, delay in self._hedges.items() if name in names
+        }
+        self.refresh()
+
+
+class ServiceRuntimes:
+    """The runtimes of the services that this daemon has to do with.
+
+    One is made when a service is first asked for, so that a daemon pays for
+    its own services and not for all of the fleet's.
+    """
+
+    def __init__(self, parts: RuntimeParts) -> None:
+        """Start without services."""
+        self._parts = parts
+        self._by_name: dict[ids.ServiceName, ServiceRuntime] = {}
+        self._settings: Mapping[ids.ServiceName, model.ServiceSettings] = {}
+
+    def __iter__(self) -> Iterator[ServiceRuntime]:
+        """Go over the services that were asked for."""
+        return iter(tuple(self._by_name.values()))
+
+    def update(self, configuration: model.Configuration) -> None:
+        """Take a new configuration; services that are gone are dropped."""
+        self._settings = configuration.services
+        for name, runtime in tuple(self._by_name.items()):
+            settings = self._settings.get(name)
+            if settings is None:
+                del self._by_name[name]
+            else:
+                runtime.update(settings)
+
+    def get(self, name: ids.ServiceName) -> ServiceRuntime:
+        """Return the runtime of a service; raise ``UnknownServiceError``."""
+        runtime = self._by_name.get(name)
+        if runtime is not None:
+            return runtime
+        settings = self._settings.get(name)
+        if settings is None:
+            raise refusals.UnknownServiceError(
+                'No service has the name with which the path starts',
+                'Write the path as /<service>/<path of the route>',
+            )
+        runtime = ServiceRuntime(settings, self._parts)
+        self._by_name[name] = runtime
+        return runtime
+
+    def tick(self) -> None:
+        """Judge the targets of all services anew."""
+        for runtime in self:
+            runtime.tick()
+
+
+def _figures(settings: model.ServiceSettings) -> tuple[float, ...]:
+    return (
+        settings.queue_length,
+        settings.retry_budget_percent,
+        settings.hedge_budget_percent,
+        settings.caller_requests_per_s,
+        settings.caller_burst_requests,
+    )
--- /dev/null
+++ b/libraries/gateway/src/sardinepier/gateway/snapshots.py
@@ -0,0 +1,63 @@
+"""One service's settings made ready for requests; never changed.
+
+A request keeps the snapshot with which it started to its end: its route, its
+limits and the addresses of its targets are all from one file.
+"""
+
+from typing import Final
+
+from sardinepier.core import ids
+from sardinepier.gateway import refusals
+from sardinepier.settings import model, routes
+
+_MS_PER_S: Final = 1000
+_HEAD: Final = 'HEAD'
+_GET: Final = 'GET'
+
+
+class ServiceSnapshot:
+    """A service's file with its routes compiled and its targets by name."""
+
+    def __init__(self, settings: model.ServiceSettings) -> None:
+        """Compile ``settings``, which were checked before."""
+        self.settings = settings
+        self.connect_timeout_s = settings.connect_timeout_ms / _MS_PER_S
+        self.targets = {one.target_id: one for one in settings.targets}
+        self._table = routes.RouteTable(settings.routes)
+
+    def route(self, method: str, path: str) -> model.RouteSettings:
+        """Return the route of a request; ``path`` has no query.
+
+        ``HEAD`` takes the route of ``GET`` when it has none of its own.
+        Raises ``UnknownRouteError`` or ``MethodNotAllowedError``.
+        """
+        route = self._table.match(method, path)
+        if route is None and method == _HEAD:
+            route = self._table.match(_GET, path)
+        if route is None:
+            raise self._no_route(method, path)
+        return route
+
+    def origin(self, target_id: ids.TargetId) -> str:
+        """Return what goes before the path in the target's URLs."""
+        target = self.targets[target_id]
+        return origin(target.ip, target.port)
+
+    def _no_route(self, method: str, path: str) -> Exception:
+        name = self.settings.name
+        methods = self._table.methods_for(path)
+        if methods:
+            return refusals.MethodNotAllowedError(
+                f'Service {name} has no route for {method} on this path',
+                f'Use one of {", ".join(methods)}',
+            )
+        return refusals.UnknownRouteError(
+            f'Service {name} has no route for this path',
+            'Check the path against the routes of the service',
+        )
+
+
+def origin(ip: str, port: int) -> str:
+    """Return ``http://`` with an IP number, of either version, and a port."""
+    host = f'[{ip}]' if ':' in ip else ip
+    return f'http://{host}:{port}'
--- /dev/null
+++ b/libraries/gateway/tests/conftest.py
@@ -0,0 +1,430 @@
+"""Targets that misbehave on demand, and a gateway in front of them."""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import random
+
+import pytest
+from aiohttp import client, cookiejar
+
+from sardinepier.core import clock as clocks
+from sardinepier.core import ids
+from sardinepier.gateway import (
+    activity,
+    context,
+    server,
+    service_runtime,
+    wake_guard,
+)
+from sardinepier.gateway import client as clients
+from sardinepier.health import options, service_health
+from sardinepier.membership import members
+from sardinepier.once import ledger, quarantine
+from sardinepier.routing import choice
+from sardinepier.settings import model
+from sardinepier.telemetry import metrics
+from sardinepier.wire import messages
+
+LOOPBACK = '127.0.0.1'
+SERVICE = ids.ServiceName('books')
+ZONE = ids.ZoneName('z1')
+
+
+@dataclasses.dataclass
+class Seen:
+    """One request as a target got it."""
+
+    line: str
+    headers: list[tuple[str, str]]
+    body: bytes
+
+    def header(self, name):
+        return dict(self.headers).get(name.lower())
+
+
+class RawTarget:
+    """A target on a raw socket; ``behaviour`` says how it misbehaves.
+
+    It counts each request that it got whole as run, by key or else by path.
+    """
+
+    def __init__(self, name):
+        self.name = ids.TargetId(name)
+        self.behaviour = 'ok'
+        self.content = f'whole answer of {name}'.encode()
+        self.seen = []
+        self.ran = collections.Counter()
+        self.connections = 0
+        self.released = asyncio.Event()
+        self.closed = 0
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self):
+        self.released.set()
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        with contextlib.suppress(
+            ConnectionError,
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+        ):
+            is_kept = True
+            while is_kept:
+                is_kept = await self._exchange(reader, writer)
+        self.closed += 1
+        writer.close()
+
+    async def _exchange(self, reader, writer):
+        if self.behaviour == 'drop before reading':
+            writer.transport.abort()
+            return False
+        head = (await reader.readuntil(b'\r\n\r\n')).decode()
+        if self.behaviour == 'drop while reading':
+            writer.transport.abort()
+            return False
+        line, *lines = head.strip().split('\r\n')
+        pairs = [one.split(': ', 1) for one in lines]
+        seen = Seen(line, [(name.lower(), text) for name, text in pairs], b'')
+        seen.body = await reader.readexactly(
+            int(seen.header('content-length') or 0),
+        )
+        self.seen.append(seen)
+        return await self._respond(seen, reader, writer)
+
+    async def _respond(self, seen, reader, writer):
+        behaviour = self.behaviour
+        if behaviour == 'shed':
+            writer.write(_head(503, 0, 'Not-Run: shed'))
+            return True
+        self.ran[seen.header('idempotency-key') or seen.line] += 1
+        if behaviour == 'hang':
+            await _either(self.released.wait(), reader.read(1))
+            return False
+        if behaviour == 'drop after running':
+            return False
+        parts, keep = ANSWERS[behaviour](self.content)
+        for part in parts:
+            writer.write(part)
+            await writer.drain()
+            if len(parts) > 1:
+                await asyncio.sleep(0.02)
+        return keep
+
+
+def _head(status, length, *more):
+    lines = (f'HTTP/1.1 {status} Text', f'Content-Length: {length}', *more)
+    return '\r\n'.join((*lines, '', '')).encode()
+
+
+def _whole(content, status=200, *, more=()):
+    return _head(status, len(content), *more) + content
+
+
+async def _either(*waits):
+    tasks = [asyncio.ensure_future(one) for one in waits]
+    await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    for task in tasks:
+        task.cancel()
+
+
+CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+
+# Each gives the parts to write and whether the connection stays open.
+ANSWERS = {
+    'ok': lambda content: ([_whole(content)], True),
+    'failing': lambda content: ([_whole(content, 500)], True),
+    'draining': lambda content: (
+        [_whole(content, more=['Draining: yes'])],
+        True,
+    ),
+    'truncated': lambda content: ([_whole(content)[:-1]], False),
+    'chunked': lambda content: (
+        [CHUNKED, b'%x\r\n%s\r\n0\r\n\r\n' % (len(content), content)],
+        True,
+    ),
+    'chunked and cut': lambda content: (
+        [CHUNKED, b'%x\r\n%s\r\n' % (len(content), content)],
+        False,
+    ),
+    'not framed': lambda content: (
+        [b'HTTP/1.1 200 OK\r\n\r\n', content],
+        False,
+    ),
+    'not HTTP': lambda _: ([b'SSH-2.0-OpenSSH\r\n\r\n'], False),
+    'header not UTF-8': lambda content: (
+        [_head(200, len(content), 'A: x').replace(b'x', b'\xe9'), content],
+        True,
+    ),
+    'closed after the answer': lambda content: ([_whole(content)], False),
+    'speaks again unasked': lambda content: (
+        [_whole(content), _whole(b'for nobody')],
+        True,
+    ),
+    'speaks again in part': lambda content: (
+        [_whole(content), b'HTTP/1.1 200 OK\r\nContent-Le'],
+        True,
+    ),
+}
+
+
+class FakeView:
+    """A view of the fleet that a test sets."""
+
+    version = 1
+
+    def __init__(self):
+        self.known = []
+        self.own = None
+
+    def members(self):
+        return tuple(self.known)
+
+    def serving(self):
+        alive = members.MemberState.ALIVE
+        return tuple(one for one in self.known if one.state is alive)
+
+    def find(self, instance_id):
+        found = [one for one in self.known if one.instance_id == instance_id]
+        return found[0] if found else None
+
+
+FLEET = model.FleetSettings(
+    name='fleet',
+    zones=(model.ZoneSettings(ZONE, ids.RegionName('r1')),),
+    caller_header='Caller',
+    addresses_per_answer=3,
+    addresses_valid_s=30.0,
+    ticket_epoch_s=3600.0,
+    ticket_valid_epochs=2,
+    record_capacity=1000,
+    record_capacity_bytes=10**7,
+    heartbeat_interval_ms=500,
+    monitored_peers=3,
+    suspicion_timeout_ms=3000,
+    wake_gap_ms=30_000,
+    configuration_watchers_per_zone=2,
+    platform_reads_per_s=5.0,
+    shutdown_grace_s=30.0,
+)
+
+
+def make_route(method, path, *, idempotent=True, hedged=False, **more):
+    fields = {'deadline_ms': 20_000, 'priority': model.Priority.NORMAL, **more}
+    name = ids.RouteName(f'{method} {path}')
+    return model.RouteSettings(
+        name=name,
+        method=method,
+        path=path,
+        idempotent=idempotent,
+        hedged=hedged,
+        **fields,
+    )
+
+
+ROUTES = (
+    make_route('GET', '/books/{id}'),
+    make_route('GET', '/hedged/{id}', hedged=True),
+    make_route('PUT', '/books/{id}'),
+    make_route('GET', '/'),
+    make_route('POST', '/postings', idempotent=False),
+    make_route('PUT', '/postings/{id}', idempotent=False),
+    make_route('DELETE', '/postings/{id}', idempotent=False),
+    make_route('PATCH', '/postings/{id}', idempotent=False),
+)
+
+
+def make_service(targets, **more):
+    fields = {
+        'name': SERVICE,
+        'targets': tuple(
+            model.TargetSettings(one.name, LOOPBACK, one.port, ZONE, 50)
+            for one in targets
+        ),
+        'routes': ROUTES,
+        'shed_reply': model.ShedReply(503, 'Not-Run', 'shed'),
+        'draining_header': 'Draining',
+        'health_path': '/health',
+        'probe_interval_ms': 1000,
+        'floor_percent': 50.0,
+        'false_ejections_per_target_day': 0.1,
+        'group_daemons_per_zone': 3,
+        'queue_length': 10,
+        'connections_per_target': 50,
+        'connect_timeout_ms': 5000,
+        'retry_budget_percent': 100.0,
+        'hedge_budget_percent': 100.0,
+        'caller_requests_per_s': 10_000.0,
+        'caller_burst_requests': 10_000,
+        'request_body_limit_bytes': 10_000,
+        'answer_buffer_limit_bytes': 10_000,
+        **more,
+    }
+    return model.ServiceSettings(**fields)
+
+
+class Gateway:
+    """One daemon's request path on a port of its own."""
+
+    def __init__(self, number, view, services, clock=None):
+        self.instance = ids.InstanceId(f'd{number}~{number:016x}')
+        self.clock = clock or clocks.SystemClock()
+        self.events = []
+        self.gaps = []
+        self.is_confirmed = True
+        self.configuration = None
+        source = random.Random(number)
+        started_s = self.clock.monotonic_s()
+        self.runtimes = service_runtime.ServiceRuntimes(
+            service_runtime.RuntimeParts(
+                self.clock,
+                source,
+                self._make_health,
+                lambda health, settings: None,
+                lambda: choice.RoundRobin(),
+            ),
+        )
+        self.guard = wake_guard.WakeGuard(
+            self.clock,
+            FLEET.wake_gap_ms,
+            [lambda since_s: self.is_confirmed],
+            lambda *gap: self.gaps.append(gap),
+            wait_limit_s=0.3,
+        )
+        self.context = context.GatewayContext(
+            own=self.instance,
+            zone=ZONE,
+            started_at_s=started_s,
+            clock=self.clock,
+            random_source=source,
+            configuration=lambda: self.configuration,
+            view=view,
+            ledger=ledger.Ledger(
+                self.instance,
+                started_s,
+                self.clock,
+                ledger.LedgerOptions(3600.0, 2, 1000, 10**7, 10_000),
+            ),
+            quarantine=quarantine.Quarantine(self.clock),
+            services=self.runtimes,
+            client=clients.TargetClient(),
+            wake_guard=self.guard,
+            activity=activity.Activity(),
+            metrics=metrics.Metrics(),
+            record_event=self.events.append,
+        )
+        self.server = server.CallerServer(self.context)
+        self.configure(*services)
+
+    def configure(self, *services, fleet=FLEET):
+        named = {one.name: one for one in services}
+        self.configuration = model.Configuration(fleet, named, {})
+        self.runtimes.update(self.configuration)
+
+    def runtime(self):
+        return self.runtimes.get(SERVICE)
+
+    async def start(self):
+        self.port = await self.server.start(LOOPBACK, 0)
+
+    async def stop(self):
+        await self.server.close(0)
+        await self.context.client.close()
+
+    def member(self, state=members.MemberState.ALIVE):
+        return members.Member(
+            instance_id=self.instance,
+            daemon_id=members.daemon_of(self.instance),
+            zone=ZONE,
+            region=ids.RegionName('r1'),
+            peer_address=messages.PeerAddress(LOOPBACK, 1),
+            http_ip=LOOPBACK,
+            http_port=self.port,
+            incarnation=0,
+            state=state,
+            started_at_s=self.context.started_at_s,
+        )
+
+    def _make_health(self, settings):
+        return service_health.ServiceHealth(
+            settings.name,
+            self.instance,
+            options.HealthOptions(cold_start_s=0.001, ramp_s=0.001),
+            self.clock,
+            random.Random(1),
+            lambda event: None,
+        )
+
+
+class World:
+    """Targets, gateways and a caller, all in this process."""
+
+    def __init__(self, stack):
+        self.stack = stack
+        self.view = FakeView()
+        self.targets = []
+        self.gateways = []
+
+    async def add_targets(self, *behaviours):
+        for behaviour in behaviours:
+            target = RawTarget(f't{len(self.targets)}')
+            target.behaviour = behaviour
+            await target.start()
+            self.stack.push_async_callback(target.stop)
+            self.targets.append(target)
+        return self.targets
+
+    async def add_target(self, behaviour='ok'):
+        await self.add_targets(behaviour)
+        return self.targets[-1]
+
+    async def add_gateway(self, *, clock=None, **service_fields):
+        gateway = Gateway(
+            len(self.gateways),
+            self.view,
+            [make_service(self.targets, **service_fields)],
+            clock,
+        )
+        await gateway.start()
+        self.stack.push_async_callback(gateway.stop)
+        self.gateways.append(gateway)
+        self.view.known.append(gateway.member())
+        self.view.own = self.view.known[0]
+        return gateway
+
+    async def send(self, method, path, *, at=0, **more):
+        """Return the answer and its content, read whole."""
+        port = more.pop('port', None) or self.gateways[at].port
+        url = f'http://{LOOPBACK}:{port}{path}'
+        async with self.caller.request(method, url, **more) as answer:
+            return answer, await answer.read()
+
+    async def ticket(self, at=0):
+        answer, _ = await self.send('GET', f'/v1/addresses?service={SERVICE}')
+        own = self.gateways[at].instance
+        found = (await answer.json())['addresses']
+        return next(
+            one['ticket'] for one in found if one['ticket'].startswith(own)
+        )
+
+    def runs(self):
+        return sum((one.ran for one in self.targets), collections.Counter())
+
+
+@pytest.fixture
+async def world():
+    """Give a world without targets and gateways."""
+    async with contextlib.AsyncExitStack() as stack:
+        made = World(stack)
+        made.caller = client.ClientSession(
+            cookie_jar=cookiejar.DummyCookieJar(),
+            auto_decompress=False,
+        )
+        stack.push_async_callback(made.caller.close)
+        yield made
--- a/libraries/once/src/sardinepier/once/ledger.py
+++ b/libraries/once/src/sardinepier/once/ledger.py
@@ -138,6 +138,25 @@
             return records.Granted(self._open(identity, fingerprint))
         return _resend(found, fingerprint)
 
+    def never_granted(
+        self,
+        key: tickets.RequestKey,
+        caller: ids.CallerId,
+    ) -> bool:
+        """Return whether it is proved that the key has not run.
+
+        False when this is not its home, when its ticket has run out, or when
+        there is a record of it.
+        """
+        if key.ticket.home != self._home:
+            return False
+        self.expire()
+        if key.ticket.epoch < self._first_valid_epoch:
+            return False
+        bucket = self._buckets.get(key.ticket.epoch)
+        identity = _Identity(key, caller)
+        return bucket is None or identity not in bucket.by_identity
+
     def expire(self) -> int:
         """Drop the records whose tickets have run out; return how many."""
         self._first_valid_epoch = max(
--- a/libraries/once/tests/cover/test_once_ledger.py
+++ b/libraries/once/tests/cover/test_once_ledger.py
@@ -121,6 +121,12 @@
 
         self._settle(sent, release)
 
+    @stateful.rule(sent=keys)
+    def claim_of_never_granted_is_true(self, sent):
+        for home in (*self.dead, self.home):
+            if home.never_granted(*sent):
+                assert not self.ran.get(sent)
+
     @stateful.rule(elapsed_s=st.sampled_from([1.0, 9.0, 25.0]))
     def wait(self, elapsed_s):
         self.clock.advance(elapsed_s)
