Compose sardinepierd from the libraries: the whole path runs

Cause: the libraries stood side by side, no process joined them. Change: the daemon opens the port for peers, finds its configuration from peers and the platform, builds the request path, and exchanges evidence, in-flight counts, quarantine marks and incarnations with the group of each service that rendezvous hashing gives it. A byte budget bounds what reports may cost. Ruled out: serving callers before the first fleet file is known; not even the header that names the caller is known then. No test of the daemon itself yet.

--- /dev/null
+++ b/libraries/daemon/src/sardinepier/daemon/internal/assembly.py
@@ -0,0 +1,229 @@
+"""Puts one daemon together from the libraries."""
+
+import dataclasses
+import functools
+import random
+from typing import Final, cast
+
+from sardinepier.configuration import distributor as distributors
+from sardinepier.configuration import messages as configuration_messages
+from sardinepier.configuration import options as configuration_options
+from sardinepier.configuration import store as stores
+from sardinepier.core import clock as clocks
+from sardinepier.core import ids
+from sardinepier.daemon import identity
+from sardinepier.daemon.internal import group_messages, translation
+from sardinepier.health import events as health_events
+from sardinepier.membership import events as membership_events
+from sardinepier.membership import kinds, members, membership, options
+from sardinepier.membership import marks as configuration_marks
+from sardinepier.platform import http_platform
+from sardinepier.settings import model
+from sardinepier.telemetry import (
+    events,
+    file_events,
+    logs,
+    metrics,
+    stamps,
+    timeline,
+)
+from sardinepier.wire import hooks, messages, zmq_network
+
+_PLATFORM_READS_PER_S: Final = 2.0
+_SEED_BITS: Final = 64
+_Kinds = tuple[type[messages.Message], ...]
+_KINDS: Final[_Kinds] = (
+    *kinds.KINDS,
+    *configuration_messages.KINDS,
+    *group_messages.KINDS,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Recorder:
+    """Writes each event into the time line and the log."""
+
+    timeline: timeline.Timeline
+
+    def record(self, event: events.Event) -> None:
+        """Record an event of the time line's own kinds."""
+        logs.timeline_entry(self.timeline.record(event))
+
+    def file_changed(self, event: file_events.FileEvent) -> None:
+        """Record what became of a file or of the platform."""
+        # Every kind of file event is one of the time line's kinds; only the
+        # type of the shared base does not say so.
+        self.record(cast(events.Event, event))
+
+    def member_changed(self, event: membership_events.MemberEvent) -> None:
+        """Record a change in membership."""
+        self.record(translation.member_event(event))
+
+    def target_changed(self, event: health_events.TargetChanged) -> None:
+        """Record a change of a target's state."""
+        self.record(translation.target_event(event))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Foundation:
+    """All parts that work before any configuration is known."""
+
+    settings: model.InstanceSettings
+    instance_id: ids.InstanceId
+    started_at_s: float
+    clock: clocks.Clock
+    random_source: random.Random
+    recorder: Recorder
+    metrics: metrics.Metrics
+    network: zmq_network.ZmqNetwork
+    membership: membership.Membership
+    store: stores.Store
+    platform: http_platform.HttpPlatform
+    distributor: distributors.Distributor
+
+
+def build_foundation(settings: model.InstanceSettings) -> Foundation:
+    """Open the port for peers and build what needs no configuration.
+
+    Raises ``wire.errors.PortInUseError`` or ``AddressUnavailableError``.
+    """
+    clock = clocks.SystemClock()
+    random_source = random.Random(random.SystemRandom().getrandbits(_SEED_BITS))
+    instance_id = identity.new_instance_id(
+        settings.daemon_id,
+        random.SystemRandom(),
+    )
+    recorder = Recorder(timeline.Timeline(instance_id, clock))
+    network = _open_network(settings, instance_id, clock, recorder)
+    store = stores.Store()
+    own = _own_member(settings, instance_id, clock, network)
+    # The distributor listens to marks and the membership gives them; either
+    # needs the other, so the marks reach it through the late binding here.
+    marks = _MarkRelay()
+    fleet = membership.Membership(
+        own,
+        network,
+        clock,
+        random_source,
+        options.MembershipOptions(),
+        store.mark,
+        marks.heard,
+        recorder.member_changed,
+    )
+    fleet.seed(_seeds(settings))
+    platform = http_platform.HttpPlatform(
+        settings.platform_urls,
+        clock,
+        _PLATFORM_READS_PER_S,
+    )
+    distributor = distributors.Distributor(
+        store,
+        platform,
+        network,
+        fleet,
+        clock,
+        random_source,
+        configuration_options.DistributorOptions(),
+        recorder.file_changed,
+    )
+    marks.distributor = distributor
+    return Foundation(
+        settings=settings,
+        instance_id=instance_id,
+        started_at_s=own.started_at_s,
+        clock=clock,
+        random_source=random_source,
+        recorder=recorder,
+        metrics=metrics.Metrics(),
+        network=network,
+        membership=fleet,
+        store=store,
+        platform=platform,
+        distributor=distributor,
+    )
+
+
+class _MarkRelay:
+    """Hands marks on to the distributor once there is one."""
+
+    def __init__(self) -> None:
+        self.distributor: distributors.Distributor | None = None
+
+    def heard(
+        self,
+        sender: messages.Sender,
+        mark: configuration_marks.ConfigurationMark,
+    ) -> None:
+        """Hand on a mark; one that comes too early comes again."""
+        if self.distributor is not None:
+            self.distributor.heard_mark(sender, mark)
+
+
+def _open_network(
+    settings: model.InstanceSettings,
+    instance_id: ids.InstanceId,
+    clock: clocks.Clock,
+    recorder: Recorder,
+) -> zmq_network.ZmqNetwork:
+    advertised = messages.PeerAddress(
+        settings.advertised_peer_ip,
+        settings.advertised_peer_port,
+    )
+    network = zmq_network.ZmqNetwork(
+        _KINDS,
+        messages.Sender(instance_id, advertised),
+        messages.PeerAddress(settings.address_ip, settings.peer_port),
+        clock,
+        source_ip=settings.address_ip,
+    )
+    network.use_hooks(
+        hooks.NetworkHooks(
+            stamp_source=functools.partial(_stamp, recorder.timeline),
+            on_stamp=functools.partial(_observe, recorder.timeline),
+            on_handler_failure=_handler_failed,
+        ),
+    )
+    network.open()
+    return network
+
+
+def _stamp(ring: timeline.Timeline) -> hooks.Stamp:
+    stamp = ring.stamp()
+    return stamp.wall_ms, stamp.logical
+
+
+def _observe(ring: timeline.Timeline, stamp: hooks.Stamp) -> None:
+    ring.observe(stamps.Stamp(*stamp))
+
+
+def _handler_failed(message: messages.Message, error: Exception) -> None:
+    logs.failure(
+        'handler-failed',
+        error,
+        level=logs.Level.ERROR,
+        message_kind=type(message).__name__,
+    )
+
+
+def _own_member(
+    settings: model.InstanceSettings,
+    instance_id: ids.InstanceId,
+    clock: clocks.Clock,
+    network: zmq_network.ZmqNetwork,
+) -> members.Member:
+    return members.Member(
+        instance_id=instance_id,
+        daemon_id=settings.daemon_id,
+        zone=settings.zone,
+        region=settings.region,
+        peer_address=network.sender.address,
+        http_ip=settings.address_ip,
+        http_port=settings.http_port,
+        incarnation=0,
+        state=members.MemberState.ALIVE,
+        started_at_s=clock.monotonic_s(),
+    )
+
+
+def _seeds(settings: model.InstanceSettings) -> list[messages.PeerAddress]:
+    return [messages.PeerAddress(seed.ip, seed.port) for seed in settings.seeds]
--- /dev/null
+++ b/libraries/daemon/src/sardinepier/daemon/internal/groups.py
@@ -0,0 +1,256 @@
+"""What the daemons of a service's group tell each other about targets."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+from typing import Final
+
+import msgspec
+
+from sardinepier.core import clock as clocks
+from sardinepier.core import ids
+from sardinepier.daemon.internal import (
+    byte_budget,
+    group_messages,
+    target_directory,
+)
+from sardinepier.gateway import service_runtime
+from sardinepier.membership import groups
+from sardinepier.membership import view as views
+from sardinepier.once import quarantine as quarantines
+from sardinepier.settings import model
+from sardinepier.wire import messages, network
+
+_TICK_S: Final = 0.05
+_REPORT_BYTES_PER_S: Final = 12_000
+_REPORT_BURST_BYTES: Final = 96_000
+_GUEST_S: Final = 10.0
+_MOST_GUESTS: Final = 16
+_QUARANTINE_INTERVAL_S: Final = 1.0
+
+_Peers = dict[ids.InstanceId, messages.PeerAddress]
+
+
+@dataclasses.dataclass(slots=True)
+class _Guest:
+    """A daemon outside the group that has traffic for the service."""
+
+    address: messages.PeerAddress
+    until_s: float
+
+
+class _ServiceExchange:
+    """The peers of one service and what its last report weighed."""
+
+    def __init__(self) -> None:
+        self.guests: dict[ids.InstanceId, _Guest] = {}
+        self.shown_group: frozenset[ids.InstanceId] = frozenset()
+        self.report_bytes = 0
+
+    def note_guest(
+        self,
+        sender: messages.Sender,
+        now_s: float,
+    ) -> None:
+        """Keep a bounded number of guests for some seconds."""
+        if sender.instance_id in self.guests or len(self.guests) < _MOST_GUESTS:
+            self.guests[sender.instance_id] = _Guest(
+                sender.address,
+                now_s + _GUEST_S,
+            )
+
+    def recent_guests(self, now_s: float) -> _Peers:
+        """Return the guests, without those that fell silent."""
+        self.guests = {
+            name: guest
+            for name, guest in self.guests.items()
+            if guest.until_s > now_s
+        }
+        return {name: guest.address for name, guest in self.guests.items()}
+
+
+class GroupExchange:
+    """Sends this daemon's evidence to its groups and takes in theirs.
+
+    A daemon takes part in a service when rendezvous hashing puts it into the
+    service's group, or as a guest when a request for the service came here
+    all the same: then the group hears from it and answers in kind.
+    """
+
+    def __init__(
+        self,
+        view: views.View,
+        peer_network: network.PeerNetwork,
+        services: service_runtime.ServiceRuntimes,
+        directory: target_directory.TargetDirectory,
+        quarantine: quarantines.Quarantine,
+        configuration: Callable[[], model.Configuration | None],
+        clock: clocks.Clock,
+    ) -> None:
+        """Listen to reports; nothing is sent before :meth:`tick`."""
+        self._view = view
+        self._network = peer_network
+        self._services = services
+        self._directory = directory
+        self._quarantine = quarantine
+        self._configuration = configuration
+        self._clock = clock
+        self._budget = byte_budget.ByteBudget(
+            clock,
+            _REPORT_BYTES_PER_S,
+            _REPORT_BURST_BYTES,
+        )
+        self._exchanges: dict[ids.ServiceName, _ServiceExchange] = {}
+        self._joined_for: tuple[int, int] | None = None
+        self._quarantine_due_s = clock.monotonic_s()
+        peer_network.subscribe(group_messages.GroupReport, self._on_report)
+        peer_network.subscribe(
+            group_messages.QuarantineNotice,
+            self._on_quarantine,
+        )
+
+    async def run(self) -> None:
+        """Exchange until cancelled."""
+        while True:
+            self.tick()
+            await asyncio.sleep(_TICK_S)
+
+    def tick(self) -> None:
+        """Send the reports that are due."""
+        self._join_groups()
+        for runtime in self._services:
+            if runtime.health.report_due():
+                self._send_report(runtime)
+        self._send_quarantine()
+
+    def _join_groups(self) -> None:
+        """Take part in the services whose group this daemon is in now."""
+        current = self._configuration()
+        if current is None:
+            return
+        state = (self._view.version, id(current))
+        if state == self._joined_for:
+            return
+        self._joined_for = state
+        self._directory.retain(current.services)
+        own = self._view.own.instance_id
+        for name, settings in current.services.items():
+            if own in self._group(settings):
+                self._services.get(name)
+
+    def _group(self, settings: model.ServiceSettings) -> _Peers:
+        return {
+            member.instance_id: member.peer_address
+            for member in groups.service_group(
+                self._view,
+                settings.name,
+                settings.group_daemons_per_zone,
+            )
+        }
+
+    def _send_report(self, runtime: service_runtime.ServiceRuntime) -> None:
+        exchange = self._exchange(runtime)
+        peers = self._peers(runtime, exchange)
+        expected_bytes = exchange.report_bytes * len(peers)
+        if not self._budget.has(expected_bytes):
+            return
+        report = group_messages.GroupReport(
+            _name(runtime),
+            runtime.health.report(),
+        )
+        exchange.report_bytes = len(msgspec.msgpack.encode(report))
+        self._budget.spend(exchange.report_bytes * len(peers))
+        for address in peers.values():
+            self._network.send(address, report)
+
+    def _exchange(
+        self,
+        runtime: service_runtime.ServiceRuntime,
+    ) -> _ServiceExchange:
+        return self._exchanges.setdefault(_name(runtime), _ServiceExchange())
+
+    def _peers(
+        self,
+        runtime: service_runtime.ServiceRuntime,
+        exchange: _ServiceExchange,
+    ) -> _Peers:
+        group = self._group(runtime.snapshot.settings)
+        peers = group | exchange.recent_guests(self._clock.monotonic_s())
+        peers.pop(self._view.own.instance_id, None)
+        shown = frozenset(peers)
+        if shown != exchange.shown_group:
+            exchange.shown_group = shown
+            runtime.slots.set_group(shown)
+        return peers
+
+    def _on_report(
+        self,
+        sender: messages.Sender,
+        received: group_messages.GroupReport,
+    ) -> None:
+        for runtime in self._services:
+            if _name(runtime) == received.service:
+                self._take_report(sender, received, runtime)
+
+    def _take_report(
+        self,
+        sender: messages.Sender,
+        received: group_messages.GroupReport,
+        runtime: service_runtime.ServiceRuntime,
+    ) -> None:
+        self._learn_incarnations(runtime, received)
+        exchange = self._exchange(runtime)
+        if sender.instance_id not in self._group(runtime.snapshot.settings):
+            exchange.note_guest(sender, self._clock.monotonic_s())
+        runtime.health.heard(sender.instance_id, received.evidence)
+        runtime.slots.heard(
+            sender.instance_id,
+            {
+                row.target_id: row.in_flight
+                for row in received.evidence.evidence
+            },
+        )
+
+    def _learn_incarnations(
+        self,
+        runtime: service_runtime.ServiceRuntime,
+        received: group_messages.GroupReport,
+    ) -> None:
+        news = [
+            self._directory.fill(
+                received.service,
+                row.target_id,
+                row.incarnation,
+            )
+            for row in received.evidence.evidence
+        ]
+        if any(news):
+            runtime.set_incarnations(
+                self._directory.of_service(received.service),
+            )
+
+    def _send_quarantine(self) -> None:
+        now_s = self._clock.monotonic_s()
+        if now_s < self._quarantine_due_s:
+            return
+        self._quarantine_due_s = now_s + _QUARANTINE_INTERVAL_S
+        report = self._quarantine.report()
+        if not report.marks:
+            return
+        peers: _Peers = {}
+        for runtime in self._services:
+            peers |= self._group(runtime.snapshot.settings)
+        peers.pop(self._view.own.instance_id, None)
+        for address in peers.values():
+            self._network.send(address, group_messages.QuarantineNotice(report))
+
+    def _on_quarantine(
+        self,
+        sender: messages.Sender,
+        received: group_messages.QuarantineNotice,
+    ) -> None:
+        self._quarantine.heard(sender.instance_id, received.report)
+
+
+def _name(runtime: service_runtime.ServiceRuntime) -> ids.ServiceName:
+    return runtime.snapshot.settings.name
--- /dev/null
+++ b/libraries/daemon/src/sardinepier/daemon/internal/pages.py
@@ -0,0 +1,60 @@
+"""The daemon's own pages for operators: status, metrics and time line."""
+
+import dataclasses
+from collections.abc import Callable
+
+import msgspec
+from aiohttp import web_request, web_response
+
+from sardinepier.daemon.internal import status_document
+from sardinepier.gateway import server
+from sardinepier.telemetry import metrics, stamps, status, timeline
+
+_JSON = 'application/json'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pages:
+    """Handlers that show what the daemon knows and change nothing."""
+
+    source: status_document.StatusSource
+    state: Callable[[], status_document.DaemonState]
+    metrics: metrics.Metrics
+    timeline: timeline.Timeline
+
+    def add_to(self, caller_server: server.CallerServer) -> None:
+        """Register all pages."""
+        caller_server.add_page('/v1/status', self.show_status)
+        caller_server.add_page('/v1/metrics', self.show_metrics)
+        caller_server.add_page('/v1/timeline', self.show_timeline)
+
+    async def show_status(
+        self,
+        request: web_request.BaseRequest,
+    ) -> web_response.StreamResponse:
+        """Answer the status document."""
+        document = self.source.document(self.state())
+        return _json(status.encode(document))
+
+    async def show_metrics(
+        self,
+        request: web_request.BaseRequest,
+    ) -> web_response.StreamResponse:
+        """Answer a snapshot of all metrics."""
+        return _json(msgspec.json.encode(self.metrics.snapshot()))
+
+    async def show_timeline(
+        self,
+        request: web_request.BaseRequest,
+    ) -> web_response.StreamResponse:
+        """Answer the events, those after ``since`` if that is given.
+
+        Raises ``BadStampError``, which becomes a problem document.
+        """
+        since = request.query.get('since')
+        stamp = stamps.parse_stamp(since) if since else None
+        return _json(timeline.encode(self.timeline.document(stamp)))
+
+
+def _json(body: bytes) -> web_response.Response:
+    return web_response.Response(body=body, content_type=_JSON)
--- /dev/null
+++ b/libraries/daemon/src/sardinepier/daemon/internal/target_notices.py
@@ -0,0 +1,155 @@
+"""From the platform's instance list to the daemons that need it."""
+
+import collections
+from collections.abc import Callable, Iterable
+from sardinepier.core import ids, rendezvous
+from sardinepier.daemon.internal import group_messages, target_directory
+from sardinepier.gateway import service_runtime
+from sardinepier.membership import groups, members
+from sardinepier.membership import view as views
+from sardinepier.platform import interface
+from sardinepier.settings import model
+from sardinepier.wire import messages, network
+
+_Notices = tuple[group_messages.TargetNotice, ...]
+
+
+class TargetNoticer:
+    """Spreads what a watcher reads, and takes in what others spread.
+
+    Every watcher passes on each change. The whole of its first list it
+    passes on only for the services that fall to it, because each of the
+    others does the same with its share.
+    """
+
+    def __init__(
+        self,
+        view: views.View,
+        peer_network: network.PeerNetwork,
+        services: service_runtime.ServiceRuntimes,
+        directory: target_directory.TargetDirectory,
+        configuration: Callable[[], model.Configuration | None],
+    ) -> None:
+        """Listen to notices; nothing is sent before a list comes."""
+        self._view = view
+        self._network = peer_network
+        self._services = services
+        self._directory = directory
+        self._configuration = configuration
+        self._listed: _Notices | None = None
+        peer_network.subscribe(group_messages.TargetNotices, self._on_notices)
+
+    def on_instances(self, listed: interface.InstanceList) -> None:
+        """Take a new instance list of the platform and pass it on."""
+        notices = tuple(_notice(target) for target in listed.targets)
+        if self._listed is None:
+            told = tuple(self._own_share(notices))
+        else:
+            told = target_directory.changes(self._listed, notices)
+        self._listed = notices
+        self.take(notices)
+        self._tell_groups(told)
+
+    def take(self, notices: _Notices) -> None:
+        """Apply notices to the directory and to the services here."""
+        touched: set[ids.ServiceName] = set()
+        for notice in notices:
+            learned = self._directory.learn(
+                notice.service,
+                notice.target_id,
+                notice.incarnation,
+            )
+            if learned:
+                touched.add(notice.service)
+        for runtime in self._services:
+            self._apply(runtime, notices, touched)
+
+    def _apply(
+        self,
+        runtime: service_runtime.ServiceRuntime,
+        notices: _Notices,
+        touched: set[ids.ServiceName],
+    ) -> None:
+        service = runtime.snapshot.settings.name
+        if service in touched:
+            runtime.set_incarnations(self._directory.of_service(service))
+        news = [
+            runtime.health.mark_leaving(notice.target_id, notice.incarnation)
+            for notice in notices
+            if notice.is_leaving and notice.service == service
+        ]
+        if any(news):
+            runtime.refresh()
+
+    def _own_share(
+        self, notices: _Notices
+    ) -> Iterable[group_messages.TargetNotice]:
+        watchers = self._watchers()
+        own = self._view.own.instance_id
+        by_service = {notice.service for notice in notices}
+        mine = {
+            service
+            for service in by_service
+            if own in rendezvous.first(service, watchers, 1)
+        }
+        return (notice for notice in notices if notice.service in mine)
+
+    def _watchers(self) -> tuple[ids.InstanceId, ...]:
+        current = self._configuration()
+        if current is None:
+            return (self._view.own.instance_id,)
+        count = current.fleet.configuration_watchers_per_zone
+        zones = {member.zone for member in self._view.serving()}
+        found = [
+            member.instance_id
+            for zone in sorted(zones)
+            for member in groups.watchers(self._view, zone, count)
+        ]
+        return tuple(found) or (self._view.own.instance_id,)
+
+    def _tell_groups(self, notices: _Notices) -> None:
+        by_member: dict[members.Member, list[group_messages.TargetNotice]] = (
+            collections.defaultdict(list)
+        )
+        for notice in notices:
+            for member in self._group(notice.service):
+                by_member[member].append(notice)
+        for member, told in by_member.items():
+            for begin in range(0, len(told), group_messages.MAX_NOTICES):
+                part = told[begin : begin + group_messages.MAX_NOTICES]
+                self._network.send(
+                    member.peer_address,
+                    group_messages.TargetNotices(tuple(part)),
+                )
+
+    def _group(self, service: ids.ServiceName) -> list[members.Member]:
+        current = self._configuration()
+        settings = current.services.get(service) if current else None
+        if settings is None:
+            return []
+        own = self._view.own.instance_id
+        return [
+            member
+            for member in groups.service_group(
+                self._view,
+                service,
+                settings.group_daemons_per_zone,
+            )
+            if member.instance_id != own
+        ]
+
+    def _on_notices(
+        self,
+        sender: messages.Sender,
+        received: group_messages.TargetNotices,
+    ) -> None:
+        self.take(received.notices)
+
+
+def _notice(target: interface.ListedTarget) -> group_messages.TargetNotice:
+    return group_messages.TargetNotice(
+        target.service,
+        target.target_id,
+        target.incarnation,
+        target.state is interface.ListedState.LEAVING,
+    )
--- /dev/null
+++ b/libraries/daemon/src/sardinepier/daemon/internal/upkeep.py
@@ -0,0 +1,23 @@
+"""Regular work of the request path: judging targets, dropping records."""
+
+import asyncio
+from typing import Final
+
+from sardinepier.gateway import context as contexts
+
+_TICK_S: Final = 0.1
+_EXPIRY_INTERVAL_S: Final = 5.0
+
+
+async def judge_targets(context: contexts.GatewayContext) -> None:
+    """Judge the targets of all services here until cancelled."""
+    while True:
+        context.services.tick()
+        await asyncio.sleep(_TICK_S)
+
+
+async def expire_records(context: contexts.GatewayContext) -> None:
+    """Drop the records whose tickets have run out, until cancelled."""
+    while True:
+        context.ledger.expire()
+        await asyncio.sleep(_EXPIRY_INTERVAL_S)
