--- a/libraries/cli/tests/cover/test_cli_forms.py
+++ b/libraries/cli/tests/cover/test_cli_forms.py
@@ -44,69 +44,34 @@
 """
 
 
+STATUS = r"""{"instance_id":"d%(index)d~0a","daemon_id":"d%(index)d",
+"zone":"a%(index)d","region":"r1","state":"serving","uptime_s":12.34,
+"members":[
+{"instance_id":"d0~0a","daemon_id":"d0","zone":"a","region":"r1",
+"state":"alive","incarnation":0},
+{"instance_id":"d2~0a","daemon_id":"d2","zone":"a","region":"r1",
+"state":"suspect","incarnation":4}],
+"files":[{"name":"fleet","revision":3},{"name":"service/search",
+"revision":7,"problems":["port: wrong\u001b[31m"]}],
+"services":[{"name":"search","floor_percent":60,"targets":[
+{"target_id":"t1","zone":"a","state":"ejected","weight":0,"evidence":null,
+"reason":"own-evidence","returns_in_s":4.5},
+{"target_id":"target-2","zone":"b","state":"in-service","weight":1,
+"in_flight":2}]}],
+"outcomes":[{"service":"search","outcome":"completed","requests":%(count)d}]
+}"""
+
+
 def status_document(index):
     measured = metrics.Metrics()
     histogram = measured.histogram('request_added_ms', service='search')
     for latency_ms in range(1, 101):
         histogram.record(latency_ms * (index + 1))
+    text = STATUS % {'index': index, 'count': 99 + index}
+    document = status.decode(text.encode())
+    latencies = summaries.latencies(measured.snapshot())
     return status.encode(
-        status.DaemonStatus(
-            instance_id=f'd{index}~0a',
-            daemon_id=f'd{index}',
-            zone=f'a{index}',
-            region='r1',
-            state='serving',
-            uptime_s=12.34,
-            members=tuple(
-                status.MemberStatus(
-                    instance_id=f'd{number}~0a',
-                    daemon_id=f'd{number}',
-                    zone='a',
-                    region='r1',
-                    state=state,
-                    incarnation=0,
-                )
-                for number, state in enumerate(('alive', 'alive', 'suspect'))
-            ),
-            files=(
-                status.FileStatus(name='fleet', revision=3),
-                status.FileStatus(
-                    name='service/search',
-                    revision=7,
-                    problems=('port: wrong\x1b[31m',),
-                ),
-            ),
-            services=(
-                status.ServiceStatus(
-                    name='search',
-                    floor_percent=60,
-                    targets=(
-                        status.TargetStatus(
-                            target_id='t1',
-                            zone='a',
-                            state='ejected',
-                            weight=0,
-                            reason='slow',
-                        ),
-                        status.TargetStatus(
-                            target_id='target-2',
-                            zone='b',
-                            state='in-service',
-                            weight=1,
-                            in_flight=2,
-                        ),
-                    ),
-                ),
-            ),
-            outcomes=(
-                status.OutcomeCount(
-                    service='search',
-                    outcome='completed',
-                    requests=99 + index,
-                ),
-            ),
-            latencies=summaries.latencies(measured.snapshot()),
-        ),
+        msgspec.structs.replace(document, latencies=latencies),
     )
 
 
@@ -199,15 +164,8 @@
 
 
 @pytest.mark.parametrize('command', ['status', 'timeline'])
-async def test_a_missing_daemon_leaves_a_partial_answer(
-    filled,
-    tool,
-    reply,
-    command,
-):
-    filled[1].documents = {
-        f'/v1/{command}': reply(body='{"entries":7}'),
-    }
+async def test_a_missing_daemon_leaves_it_partial(filled, tool, reply, command):
+    filled[1].documents = {f'/v1/{command}': reply(body='{"entries":7}')}
     line = (command, '--daemons', named(filled))
 
     assert await tool(*line) == 3
@@ -229,17 +187,10 @@
     assert 'unreadable' in tool.err[-1]
 
 
-async def test_following_asks_for_what_is_new_until_its_time(
-    filled,
-    tool,
-):
+async def test_following_asks_for_what_is_new_until_its_time(filled, tool):
     later = timeline_document(0, 1_700_000_009.0, recorded=1)
-    filled[0].documents['/v1/timeline'] = [
-        timeline_document(0),
-        later,
-        later,
-        later,
-    ]
+    answers = [timeline_document(0), later, later, later]
+    filled[0].documents['/v1/timeline'] = answers
     line = ('timeline', '--daemons', filled[0].address, '--follow')
 
     assert await tool(*line, '--for_s', '2.5') == 0
@@ -257,12 +208,7 @@
 async def test_a_number_that_json_lacks_stays_readable(daemons, tool):
     ring = timeline.Timeline(ids.InstanceId('d~0a'), clocks.ManualClock())
     ring.record(
-        target_events.TargetSuspected(
-            service='s',
-            target_id='t',
-            reason='bad\nline',
-            evidence=float('inf'),
-        ),
+        target_events.TargetSuspected('s', 't', 'bad\nline', float('inf')),
     )
     daemons[0].documents['/v1/timeline'] = timeline.encode(ring.document())
 
--- /dev/null
+++ b/libraries/cli/tests/cover/test_cli_reference.py
@@ -0,0 +1,44 @@
+"""The page for operators names all codes, kinds and keys there are."""
+
+import pathlib
+import typing
+
+import msgspec
+import pytest
+from sardinepier.cli import addresses, check, exit_codes, request, timeline
+from sardinepier.cli import status as status_command
+from sardinepier.telemetry import events, status
+
+PAGE = pathlib.Path(__file__).parents[4] / 'docs' / 'command-line.md'
+DOCUMENTS = (
+    addresses.AddressesReport,
+    check.CheckReport,
+    check.Mistake,
+    request.Attempt,
+    request.RequestReport,
+    status_command.StatusReport,
+    timeline.TimelineReport,
+    status.DaemonStatus,
+    status.LatencySummary,
+    status.MemberStatus,
+    status.PeerCounters,
+    status.ServiceStatus,
+    status.TargetStatus,
+)
+
+
+@pytest.mark.parametrize(
+    'name',
+    [
+        *(code.name for code in exit_codes.ExitCode),
+        *(kind.__name__ for kind in typing.get_args(events.Event)),
+        *(
+            field.encode_name
+            for document in DOCUMENTS
+            for field in msgspec.structs.fields(document)
+        ),
+    ],
+)
+def test_the_reference_names(name):
+    text = PAGE.read_text(encoding='utf-8')
+    assert f'`{name}`' in text or f'`{name}[]`' in text
--- a/libraries/cli/tests/cover/test_cli_request.py
+++ b/libraries/cli/tests/cover/test_cli_request.py
@@ -24,19 +24,9 @@
     async def run(script, *options, method='post'):
         for number, each in enumerate(script):
             daemons[number % 2].replies.append(reply(**each))
-        line = (
-            'request',
-            method,
-            '/a/../deposits?a=%20b',
-            '--service',
-            'theses',
-        )
-        return await tool(
-            *line,
-            '--daemon',
-            daemons[0].address,
-            *options,
-        )
+        line = f'request {method} /a/../deposits?a=%20b --service theses'
+        asked = ('--daemon', daemons[0].address)
+        return await tool(*line.split(), *asked, *options)
 
     return run
 
@@ -116,11 +106,7 @@
     assert sent(daemons) == 1
 
 
-async def test_a_failed_connection_moves_to_another_home(
-    daemons,
-    tool,
-    reply,
-):
+async def test_a_failed_connection_moves_to_another_home(daemons, tool, reply):
     addresses = daemons[0].documents['/v1/addresses']
     daemons[0].documents['/v1/addresses'] = addresses.replace(
         f'"port":{daemons[0].port}'.encode(),
@@ -140,6 +126,18 @@
     assert key.startswith('d1~0a')
 
 
+async def test_without_any_connection_it_is_proved_not_run(daemons, tool):
+    daemons[0].documents['/v1/addresses'] = (
+        b'{"valid_s":1,"addresses":'
+        b'[{"ip":"127.0.0.1","port":1,"zone":"a","ticket":"t"}]}'
+    )
+    line = ('request', 'PUT', 'x', '--service', 's', '--daemon')
+
+    assert await tool(*line, daemons[0].address) == 1
+    assert tool.out[0] == 'outcome: not-run'
+    assert 'Connection refused' in tool.err[0]
+
+
 @pytest.mark.parametrize(
     ('body', 'content_type'),
     [
@@ -148,12 +146,7 @@
         ('a=1', 'text/plain; charset=utf-8'),
     ],
 )
-async def test_the_request_goes_out_as_it_was_written(
-    daemons,
-    send,
-    body,
-    content_type,
-):
+async def test_it_goes_out_as_it_was_written(daemons, send, body, content_type):
     options = ('--body', body, '--caller', '007', '--caller_header', 'By')
 
     assert await send([DONE], *options) == 0
--- a/libraries/telemetry/src/sardinepier/telemetry/summaries.py
+++ b/libraries/telemetry/src/sardinepier/telemetry/summaries.py
@@ -14,6 +14,9 @@
 SERVICE_LABEL: Final = 'service'
 """The label that names the service of a metric."""
 
+OUTCOME_LABEL: Final = 'outcome'
+"""The label that names the outcome of the answers counted."""
+
 _UNIT: Final = '_ms'
 _P50: Final = 50.0
 _P99: Final = 99.0
@@ -26,7 +29,7 @@
     return tuple(
         status.LatencySummary(
             name=measured.name,
-            service=_service_of(measured),
+            service=_label_of(measured, SERVICE_LABEL),
             requests=measured.count,
             p50_ms=measured.p50,
             p99_ms=measured.p99,
@@ -38,6 +41,22 @@
     )
 
 
+def outcomes(
+    snapshot: metrics.MetricsSnapshot,
+    counter_name: str,
+) -> tuple[status.OutcomeCount, ...]:
+    """Return the counters of that name, by labels service and outcome."""
+    return tuple(
+        status.OutcomeCount(
+            service=_label_of(counted, SERVICE_LABEL),
+            outcome=_label_of(counted, OUTCOME_LABEL),
+            requests=counted.count,
+        )
+        for counted in snapshot.counters
+        if counted.name == counter_name
+    )
+
+
 def merge_latencies(
     summaries: Iterable[status.LatencySummary],
 ) -> tuple[status.LatencySummary, ...]:
@@ -74,9 +93,12 @@
     )
 
 
-def _service_of(measured: metrics.HistogramValue) -> str:
+def _label_of(
+    measured: metrics.HistogramValue | metrics.CounterValue,
+    name: str,
+) -> str:
     for label in measured.labels:
-        if label.name == SERVICE_LABEL:
+        if label.name == name:
             return label.value
     return ''
 
--- a/libraries/telemetry/tests/cover/test_telemetry_metrics.py
+++ b/libraries/telemetry/tests/cover/test_telemetry_metrics.py
@@ -4,10 +4,11 @@
 import math
 
 import hypothesis
+import msgspec
 import pytest
 from hypothesis import strategies as st
 from sardinepier.core import errors as core_errors
-from sardinepier.telemetry import errors, metrics
+from sardinepier.telemetry import errors, metrics, status, summaries
 
 latencies_ms = st.lists(
     st.floats(0.1, 100_000, allow_nan=False),
@@ -33,12 +34,8 @@
     exact = sorted(values)[rank - 1]
 
     assert histogram.count == len(values)
-    assert math.isclose(
-        histogram.quantile(percent),
-        exact,
-        rel_tol=0.01,
-        abs_tol=0.002,
-    )
+    found = histogram.quantile(percent)
+    assert math.isclose(found, exact, rel_tol=0.01, abs_tol=0.002)
 
 
 @hypothesis.given(latencies_ms, latencies_ms)
@@ -116,22 +113,27 @@
     assert len(turns) >= 20
 
 
+def test_outcomes_are_read_from_their_counter_and_added_up():
+    measured = metrics.Metrics()
+    measured.counter('answers', service='s', outcome='unknown').add(2)
+    measured.counter('answers', outcome='not-run').add()
+    measured.counter('other', service='s', outcome='unknown').add()
+    found = summaries.outcomes(measured.snapshot(), 'answers')
+
+    assert summaries.merge_outcomes((*found, *found)) == (
+        status.OutcomeCount(service='', outcome='not-run', requests=2),
+        status.OutcomeCount(service='s', outcome='unknown', requests=4),
+    )
+
+
 def test_an_empty_histogram_has_quantiles_of_zero():
     assert one_histogram([]).histograms[0].p99 == pytest.approx(0)
 
 
 @pytest.mark.parametrize('blob', ['', 'x', 'HISTFAAAAAA', 'HIST' * 30, 'é'])
 def test_an_unreadable_histogram_is_a_typed_error(blob):
-    bad = metrics.HistogramValue(
-        name='a_ms',
-        labels=(),
-        count=1,
-        p50=1,
-        p99=1,
-        p999=1,
-        highest=1,
-        encoded=blob,
-    )
+    good = one_histogram([1]).histograms[0]
+    bad = msgspec.structs.replace(good, encoded=blob)
     with pytest.raises(errors.BadHistogramError, match='same version'):
         metrics.merge(metrics.MetricsSnapshot(histograms=(bad,)))
 
--- a/libraries/telemetry/tests/cover/test_telemetry_timeline.py
+++ b/libraries/telemetry/tests/cover/test_telemetry_timeline.py
@@ -130,12 +130,10 @@
 
 def event_of(kind):
     hints = typing.get_type_hints(kind)
-    return st.builds(
-        lambda fields: kind(**fields),
-        st.fixed_dictionaries(
-            {name: st.from_type(hints[name]) for name in kind.__struct_fields__}
-        ),
-    )
+    fields = {
+        name: st.from_type(hints[name]) for name in kind.__struct_fields__
+    }
+    return st.fixed_dictionaries(fields).map(lambda drawn: kind(**drawn))
 
 
 @pytest.mark.parametrize('kind', typing.get_args(events.Event))
@@ -144,8 +142,7 @@
 def test_every_kind_of_event_survives_its_json_form(kind, data):
     ring = new_timeline(clocks.ManualClock(START_S))
     ring.record(data.draw(event_of(kind)))
-    document = ring.document()
-    text = timeline.encode(document)
+    text = timeline.encode(ring.document())
 
     assert timeline.decode(text).entries[0].event.__class__ is kind
     assert f'"kind":"{kind.__name__}"'.encode() in text
