Add configuration: the store of files and its distributor

Every daemon keeps the newest accepted version of each file. Few daemons may ask the platform, which counts calls, may be away for hours or serve an older state, and nothing of ours may hold state in common.

The store merges versions by maximum, per file: the newest valid one is in force, a newer one with mistakes is kept beside it. Both travel, so that a daemon that starts while the newest version is invalid still gets the last valid one. The mark covers both revisions.

The distributor: two watchers a zone by rendezvous hashing, one reader a file among them, news of a change to four random peers, marks on heartbeats for what was missed, and audits at a rate that is the same for the whole fleet at every size. A starting daemon hears its peers before it takes anything from the platform. A confirmation after a pause needs an answer to a question that was sent after it, because queued messages prove nothing.

Ruled out: every daemon watching (calls grow with the fleet); not reading a rejected revision ever again (one garbled read would block the true text of the same revision until the next change).

The stand-in gains a mode that garbles the texts of files alone.

--- /dev/null
+++ b/libraries/configuration/src/sardinepier/configuration/internal/peer_side.py
@@ -0,0 +1,51 @@
+"""All that a daemon does with its peers about files, put together."""
+
+import random
+
+from sardinepier.configuration import options, store
+from sardinepier.configuration.internal import (
+    confirmations,
+    intake,
+    news_push,
+    peer_answers,
+    peer_choice,
+    peer_exchange,
+)
+from sardinepier.core import clock as clocks
+from sardinepier.membership import view
+from sardinepier.wire import network
+
+
+class PeerSide:
+    """The parts that answer peers, tell them, and learn from them."""
+
+    def __init__(
+        self,
+        file_store: store.Store,
+        peers: network.PeerNetwork,
+        current_view: view.View,
+        clock: clocks.Clock,
+        random_source: random.Random,
+        limits: options.DistributorOptions,
+        file_intake: intake.Intake,
+        confirmed: confirmations.Confirmations,
+    ) -> None:
+        """Subscribe to all kinds of messages; nothing is sent yet."""
+        self.choice = peer_choice.PeerChoice(current_view, random_source)
+        self.answers = peer_answers.PeerAnswers(file_store, peers)
+        self.news = news_push.NewsPush(
+            file_store,
+            peers,
+            self.choice,
+            limits,
+        )
+        self.exchange = peer_exchange.PeerExchange(
+            file_store,
+            peers,
+            self.choice,
+            clock,
+            random_source,
+            limits,
+            file_intake,
+            confirmed,
+        )
--- a/libraries/platform/tests/conformance/test_platform_contract.py
+++ b/libraries/platform/tests/conformance/test_platform_contract.py
@@ -141,6 +141,15 @@
         assert (await platform.client.watch_files(3, 0.01)).revision == 1
 
 
+@_ALL
+async def test_garbled_platform_keeps_revisions_but_not_texts(kind):
+    async with kind() as platform:
+        platform.standin.publish(_FLEET, 'text')
+        platform.standin.set_mode(platform_standin.PlatformMode.GARBLED)
+        read = await platform.client.read_file(_FLEET)
+        assert (read.revision, read.text) == (1, '<rubbish>')
+
+
 @_ALL
 @pytest.mark.parametrize('mode', sorted(_FAULTS))
 async def test_each_fault_is_one_typed_error_and_then_over(kind, mode):
--- a/libraries/standins/src/sardinepier/standins/internal/platform_faults.py
+++ b/libraries/standins/src/sardinepier/standins/internal/platform_faults.py
@@ -30,6 +30,9 @@
     STALE = 'stale'
     """An earlier state, as if it were the newest."""
 
+    GARBLED = 'garbled'
+    """Well-formed answers, in which every file's text is rubbish."""
+
     GARBAGE = 'garbage'
     """Bytes that are no JSON, no UTF-8 and bear no revision."""
 
@@ -43,7 +46,10 @@
     """An answer far larger than the platform's largest value."""
 
 
-SANE_MODES: Final = frozenset((PlatformMode.UP, PlatformMode.STALE))
+SANE_MODES: Final = frozenset(
+    (PlatformMode.UP, PlatformMode.STALE, PlatformMode.GARBLED),
+)
+GARBLED_TEXT: Final = '<rubbish>'
 
 _WRONG_TYPES_BODY: Final = (
     b'{"revision": "seven", "files": {"name": 1}, "targets": 3, "daemons": [7]}'
--- a/libraries/standins/src/sardinepier/standins/internal/platform_handlers.py
+++ b/libraries/standins/src/sardinepier/standins/internal/platform_handlers.py
@@ -92,12 +92,12 @@
         if refusal is not None:
             return refusal
         name = ids.FileName(request.match_info['name'])
-        held = self._state.served.files.get(name)
-        if held is None or held.text is None:
+        published = self._state.read(name)
+        if published is None:
             return web.Response(status=_NOT_FOUND)
         return web.Response(
-            text=held.text,
-            headers={'Revision': str(held.revision)},
+            text=published.text,
+            headers={'Revision': str(published.revision)},
         )
 
     async def _handle_instances(
--- a/libraries/standins/src/sardinepier/standins/internal/platform_served.py
+++ b/libraries/standins/src/sardinepier/standins/internal/platform_served.py
@@ -3,6 +3,8 @@
 import asyncio
 from typing import Final
 
+from sardinepier.core import ids
+from sardinepier.platform import interface
 from sardinepier.standins.internal import platform_faults, platform_state
 
 _MS_PER_S: Final = 1000
@@ -31,6 +33,15 @@
             return self._stale
         return self._history.newest
 
+    def read(self, name: ids.FileName) -> interface.PublishedFile | None:
+        """Return the file as readers get it, ``None`` if there is none."""
+        held = self.served.files.get(name)
+        if held is None or held.text is None:
+            return None
+        is_garbled = self.mode is platform_faults.PlatformMode.GARBLED
+        text = platform_faults.GARBLED_TEXT if is_garbled else held.text
+        return interface.PublishedFile(name, held.revision, text)
+
     def push(self, state: platform_state.PlatformState) -> None:
         """Make ``state`` the newest and wake all who wait."""
         self._history.push(state)
--- a/libraries/standins/src/sardinepier/standins/platform_memory.py
+++ b/libraries/standins/src/sardinepier/standins/platform_memory.py
@@ -60,13 +60,13 @@
         """Return the newest text of one file."""
         self._counts.files += 1
         await self._meet_fault()
-        held = self._state.served.files.get(name)
-        if held is None or held.text is None:
+        published = self._state.read(name)
+        if published is None:
             raise errors.PlatformFileMissingError(
                 f'The platform has no file {name}',
                 'Publish the file, or ask for the list of files again',
             )
-        return interface.PublishedFile(name, held.revision, held.text)
+        return published
 
     async def list_instances(self) -> interface.InstanceList:
         """Return the instance list, the same object while it is unchanged."""
