--- a/libraries/daemon/src/sardinepier/daemon/internal/status_document.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/status_document.py
@@ -11,7 +11,6 @@
 from sardinepier.gateway import service_runtime
 from sardinepier.health import targets
 from sardinepier.membership import members
-from sardinepier.settings import errors as settings_errors
 from sardinepier.telemetry import metrics, status, summaries
 from sardinepier.wire import counters, zmq_network
 
@@ -81,12 +80,7 @@
 def _problems(known: configured.KnownFile) -> tuple[str, ...]:
     if known.rejected is None:
         return ()
-    return tuple(_problem_line(one) for one in known.rejected.problems)
-
-
-def _problem_line(problem: settings_errors.Problem) -> str:
-    place = f'[{problem.section}] {problem.key}'
-    return f'{place}: {problem.what}. {problem.remedy}.'
+    return tuple(str(one) for one in known.rejected.problems)
 
 
 def _member(member: members.Member) -> status.MemberStatus:
