Read newer daemons' events, halve histograms, name commands in the help

Cause: while daemons are being replaced, one event of a kind unknown to the tool hid a daemon's whole time line. A histogram took 28 KB, and a daemon may hold one for each of 340 services and more. The tool's help listed no commands.

Ruled out: four-byte counts also for sums over the fleet.

Change: unknown events become UnknownEvent with their JSON; histograms of one process count in four bytes; the help names the commands.

--- a/libraries/cli/src/sardinepier/cli/answers.py
+++ b/libraries/cli/src/sardinepier/cli/answers.py
@@ -27,6 +27,11 @@
     remedy: str = ''
 
 
+def parse_addresses(text: bytes) -> AddressesAnswer:
+    """Read an answer; raises ``msgspec.DecodeError``."""
+    return msgspec.json.decode(text, type=AddressesAnswer)
+
+
 def parse_problem(text: bytes) -> ProblemDocument:
     """Read a problem document; anything else is an empty one."""
     try:
--- a/libraries/cli/src/sardinepier/cli/client.py
+++ b/libraries/cli/src/sardinepier/cli/client.py
@@ -4,7 +4,7 @@
 import contextlib
 import errno
 import os
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 from typing import Final, TypeVar
 
 import aiohttp
@@ -62,7 +62,7 @@
             daemon,
             _ADDRESSES_PATH,
             query,
-            answers.AddressesAnswer,
+            answers.parse_addresses,
         )
 
     async def get(
@@ -70,13 +70,13 @@
         daemon: endpoints.Endpoint,
         path: str,
         query: Query,
-        kind: type[Answer],
+        decode: Callable[[bytes], Answer],
     ) -> Answer:
-        """Return the answer of ``daemon`` at ``path`` as a ``kind``.
+        """Return what ``decode`` makes of the answer of ``daemon``.
 
         Raises ``UnreachableDaemonError`` when no whole answer came,
         ``RefusedError`` when the daemon refused, and ``BadAnswerError`` when
-        the answer is not a ``kind``.
+        ``decode`` raises ``msgspec.DecodeError``.
         """
         try:
             status, text = await self._fetch(daemon, path, query)
@@ -87,7 +87,7 @@
             ) from problem
         if status != _OK:
             raise _refusal(daemon, status, text)
-        return _decode(daemon, text, kind)
+        return _decoded(daemon, text, decode)
 
     async def _fetch(
         self,
@@ -146,13 +146,13 @@
     )
 
 
-def _decode(
+def _decoded(
     daemon: endpoints.Endpoint,
     text: bytes,
-    kind: type[Answer],
+    decode: Callable[[bytes], Answer],
 ) -> Answer:
     try:
-        return msgspec.json.decode(text, type=kind)
+        return decode(text)
     except msgspec.DecodeError as problem:
         raise errors.BadAnswerError(
             f'{daemon} gave an answer that is not understood ({problem})',
--- a/libraries/cli/src/sardinepier/cli/commands.py
+++ b/libraries/cli/src/sardinepier/cli/commands.py
@@ -26,6 +26,9 @@
 class Commands:
     """Check settings files and watch a fleet of sardinepier daemons.
 
+    Commands: check, addresses, status, timeline, request. Each has a help of
+    its own, for example sardinepier check --help.
+
     No command changes any state of the fleet. Daemons are named by IP:PORT.
     Exit codes: 0 good, 1 a clear negative result, 2 wrong usage, 3 a daemon
     did not answer or an outcome is unknown, 4 the tool failed.
--- a/libraries/cli/src/sardinepier/cli/status.py
+++ b/libraries/cli/src/sardinepier/cli/status.py
@@ -74,7 +74,7 @@
             client.DaemonClient(session).get,
             path='/v1/status',
             query={},
-            kind=documents.DaemonStatus,
+            decode=documents.decode,
         )
         gathered = await fan_out.ask_all(daemons, ask)
     answered = tuple(gathered.answers.values())
--- a/libraries/cli/src/sardinepier/cli/timeline.py
+++ b/libraries/cli/src/sardinepier/cli/timeline.py
@@ -154,7 +154,7 @@
             daemon,
             '/v1/timeline',
             {} if since is None else {'since': stamps.format_stamp(since)},
-            rings.TimelineDocument,
+            rings.decode,
         )
 
 
--- a/libraries/telemetry/src/sardinepier/telemetry/daemon_events.py
+++ b/libraries/telemetry/src/sardinepier/telemetry/daemon_events.py
@@ -59,6 +59,17 @@
     ahead_ms: int
 
 
+class UnknownEvent(DaemonEvent, frozen=True):
+    """An event of a kind that this version does not know.
+
+    Only a reader makes it: while daemons are being replaced by a newer
+    version, one new kind must not hide all other entries. ``text`` is the
+    event in JSON.
+    """
+
+    text: str
+
+
 class MessageRejected(DaemonEvent, frozen=True):
     """Malformed messages of one peer, added up over ``window_s`` seconds."""
 
--- a/libraries/telemetry/src/sardinepier/telemetry/events.py
+++ b/libraries/telemetry/src/sardinepier/telemetry/events.py
@@ -21,6 +21,7 @@
     | daemon_events.RequestRefused
     | daemon_events.PeerClockRefused
     | daemon_events.MessageRejected
+    | daemon_events.UnknownEvent
     | member_events.MemberJoined
     | member_events.MemberSuspected
     | member_events.MemberRefuted
--- a/libraries/telemetry/src/sardinepier/telemetry/internal/histograms.py
+++ b/libraries/telemetry/src/sardinepier/telemetry/internal/histograms.py
@@ -14,7 +14,9 @@
 _SCALE: Final = 1000
 _HIGHEST: Final = 3_600_000
 _SIGNIFICANT_DIGITS: Final = 2
-# Three digits would cost seven times the memory (188 KB a histogram).
+# Three digits would cost seven times the memory.
+_NARROW_BYTES: Final = 4
+_WIDE_BYTES: Final = 8
 _UNREADABLE: Final = (
     ValueError,
     TypeError,
@@ -28,16 +30,21 @@
 
 
 class Recorder:
-    """A histogram of values in thousandths of their unit."""
+    """A histogram of values in thousandths of their unit.
+
+    The counts of one process fit into four bytes for a year and more. The
+    sum over a large fleet does not, so a ``wide`` one has eight.
+    """
 
     __slots__ = ('_add', '_histogram')
 
-    def __init__(self) -> None:
+    def __init__(self, *, wide: bool = False) -> None:
         """Start empty."""
         self._histogram = hdr_histogram.HdrHistogram(
             1,
             _HIGHEST * _SCALE,
             _SIGNIFICANT_DIGITS,
+            word_size=_WIDE_BYTES if wide else _NARROW_BYTES,
         )
         self._add = self._histogram.record_value
 
--- a/libraries/telemetry/src/sardinepier/telemetry/metrics.py
+++ b/libraries/telemetry/src/sardinepier/telemetry/metrics.py
@@ -209,7 +209,7 @@
         for histogram in snapshot.histograms:
             recorder = recorders.setdefault(
                 _key_of(histogram),
-                histograms.Recorder(),
+                histograms.Recorder(wide=True),
             )
             recorder.add(histogram.encoded)
     return MetricsSnapshot(
--- a/libraries/telemetry/src/sardinepier/telemetry/summaries.py
+++ b/libraries/telemetry/src/sardinepier/telemetry/summaries.py
@@ -68,7 +68,7 @@
     for summary in summaries:
         recorders.setdefault(
             (summary.name, summary.service),
-            histograms.Recorder(),
+            histograms.Recorder(wide=True),
         ).add(summary.histogram)
     return tuple(
         _summary(name, service, recorders[name, service])
--- a/libraries/telemetry/src/sardinepier/telemetry/timeline.py
+++ b/libraries/telemetry/src/sardinepier/telemetry/timeline.py
@@ -18,7 +18,7 @@
 import msgspec
 from sardinepier.core import clock as clocks
 from sardinepier.core import errors, ids
-from sardinepier.telemetry import events, stamps
+from sardinepier.telemetry import daemon_events, events, stamps
 
 DEFAULT_CAPACITY: Final = 4096
 """Entries kept by default."""
@@ -44,6 +44,18 @@
     instance_id: ids.InstanceId
 
 
+class _ForeignEntry(msgspec.Struct, frozen=True):
+    stamp: stamps.Stamp
+    instance_id: ids.InstanceId
+    event: msgspec.Raw
+
+
+class _ForeignDocument(msgspec.Struct, frozen=True):
+    entries: tuple[_ForeignEntry, ...]
+    dropped: int
+    instance_id: ids.InstanceId
+
+
 class Timeline:
     """The ring of one daemon."""
 
@@ -130,11 +142,29 @@
 
 
 def decode(text: bytes) -> TimelineDocument:
-    """Read the JSON form back.
+    """Read the JSON form back, also that of a newer or older daemon.
 
-    Raises ``msgspec.DecodeError`` on anything malformed.
+    An event that this version does not know becomes an ``UnknownEvent``.
+    Raises ``msgspec.DecodeError`` on anything else that is malformed.
     """
-    return msgspec.json.decode(text, type=TimelineDocument)
+    try:
+        return msgspec.json.decode(text, type=TimelineDocument)
+    except msgspec.ValidationError:
+        foreign = msgspec.json.decode(text, type=_ForeignDocument)
+    return TimelineDocument(
+        tuple(map(_known, foreign.entries)),
+        foreign.dropped,
+        foreign.instance_id,
+    )
+
+
+def _known(entry: _ForeignEntry) -> TimelineEntry:
+    event: events.Event
+    try:
+        event = msgspec.json.decode(entry.event, type=events.Event)
+    except msgspec.ValidationError:
+        event = daemon_events.UnknownEvent(bytes(entry.event).decode())
+    return TimelineEntry(entry.stamp, entry.instance_id, event)
 
 
 def _check_capacity(capacity: int) -> None:
--- a/libraries/telemetry/tests/cover/test_telemetry_logs.py
+++ b/libraries/telemetry/tests/cover/test_telemetry_logs.py
@@ -114,9 +114,7 @@
 def test_a_time_line_entry_is_logged_with_its_stamp(only_line):
     logs.configure('info', INSTANCE)
     ring = timeline.Timeline(INSTANCE, clocks.ManualClock(5.0))
-    logs.timeline_entry(
-        ring.record(daemon_events.WakeGapSeen(gap_ms=9, bound_ms=5)),
-    )
+    logs.timeline_entry(ring.record(daemon_events.WakeGapSeen(9, 5)))
     line = only_line()
 
     assert line['event'] == 'WakeGapSeen'
--- a/libraries/telemetry/tests/cover/test_telemetry_metrics.py
+++ b/libraries/telemetry/tests/cover/test_telemetry_metrics.py
@@ -52,6 +52,15 @@
     assert metrics.merge(merged) == merged
 
 
+def test_sums_over_a_large_fleet_do_not_overflow():
+    merged = one_histogram([1, 1, 5])
+    for _ in range(34):
+        merged = metrics.merge(merged, merged)
+
+    assert merged.histograms[0].count == 3 * 2**34
+    assert merged.histograms[0].p50 == one_histogram([1]).histograms[0].p50
+
+
 @hypothesis.given(st.lists(st.integers(0, 30), max_size=80))
 def test_label_sets_over_the_bound_fall_into_other(callers):
     measured = metrics.Metrics(max_label_sets=5)
--- a/libraries/telemetry/tests/cover/test_telemetry_timeline.py
+++ b/libraries/telemetry/tests/cover/test_telemetry_timeline.py
@@ -4,6 +4,7 @@
 import typing
 
 import hypothesis
+import msgspec
 import pytest
 from hypothesis import strategies as st
 from sardinepier.core import clock as clocks
@@ -40,9 +41,7 @@
 
 @hypothesis.given(steps, st.lists(st.integers(-20_000, 20_000), min_size=3))
 def test_a_send_precedes_its_receipt_whatever_the_wall_clocks(steps, skews_ms):
-    manual = [
-        clocks.ManualClock(START_S + skew_ms / 1000) for skew_ms in skews_ms
-    ]
+    manual = [clocks.ManualClock(START_S + skew / 1000) for skew in skews_ms]
     rings = [new_timeline(manual[index], index) for index in range(DAEMONS)]
     under_way = {index: [] for index in range(DAEMONS)}
     for kind, index, detail in steps:
@@ -70,10 +69,8 @@
     st.integers(0, 1000),
 )
 def test_a_merge_depends_only_on_what_is_merged(recorded, seed):
-    rings = [
-        new_timeline(clocks.ManualClock(START_S), index)
-        for index in range(DAEMONS)
-    ]
+    clock = clocks.ManualClock(START_S)
+    rings = [new_timeline(clock, index) for index in range(DAEMONS)]
     for index, ahead_ms in recorded:
         rings[index].observe(stamps.Stamp(int(START_S * 1000) + ahead_ms, 0))
         rings[index].record(EVENT)
@@ -149,6 +146,20 @@
     assert timeline.encode(timeline.decode(text)) == text
 
 
+def test_a_kind_of_a_newer_daemon_hides_no_other_entry():
+    ring = new_timeline(clocks.ManualClock(START_S))
+    ring.record(EVENT)
+    ring.record(EVENT)
+    text = timeline.encode(ring.document())
+    newer = text.replace(b'"WakeGapSeen"', b'"Newer","what":{}', 1)
+    found = [entry.event for entry in timeline.decode(newer).entries]
+
+    assert found[1] == EVENT
+    assert '"Newer"' in found[0].text
+    with pytest.raises(msgspec.DecodeError):
+        timeline.decode(text.replace(b'"stamp"', b'"moment"'))
+
+
 @hypothesis.given(st.integers(0, 10**15), st.integers(0, 10**15))
 def test_a_stamp_survives_its_text_form(wall_ms, logical):
     stamp = stamps.Stamp(wall_ms, logical)
