health: a pause is one misfortune; set accusing observers against the rest

Change: evidence grows by at most a third of the threshold in a tolerated pause; scores are relative to the median of the other targets' scores; the group votes whether a few links or the target is bad.

--- a/libraries/health/src/sardinepier/health/baseline.py
+++ b/libraries/health/src/sardinepier/health/baseline.py
@@ -40,6 +40,11 @@
     return max(LOWEST, min(HIGHEST, round(log_value - median)))
 
 
+def slow_ms(median: float) -> float:
+    """Return the latency from which on an answer of a route is slow."""
+    return float(2 ** ((median + SLOW_RESIDUAL) / STEPS_PER_OCTAVE))
+
+
 class _Median:
     """A streaming median: one step towards each value, ever smaller."""
 
--- a/libraries/health/src/sardinepier/health/change_detection.py
+++ b/libraries/health/src/sardinepier/health/change_detection.py
@@ -42,6 +42,10 @@
 _HIGHEST_RATIO: Final = 5.0
 _OVERDUE_LIMIT: Final = 12.0
 _FAILING_SHARE: Final = (0.1, 0.6)
+_HIGHEST_LEVEL: Final = 2
+"""Thresholds beyond which evidence is not kept, so that it can pass."""
+
+_PAUSES_TO_EJECT: Final = 3
 _TINY: Final = 1e-9
 _HIGHEST_SICK_SHARE: Final = 0.9
 _SHARE_FACTOR: Final = 4.0
@@ -130,7 +134,7 @@
 
     All requests at a target that stands still for a moment are late
     together: that is one misfortune, not many. Within one tolerated pause
-    the evidence grows by at most half the threshold.
+    the evidence grows by at most a third of the threshold.
     """
 
     __slots__ = ('_left', '_refilled_s')
@@ -140,11 +144,15 @@
         self._left = 0.0
         self._refilled_s = -math.inf
 
+    def left(self, now_s: float, limits: 'Limits') -> float:
+        """Return how much evidence may be added now."""
+        most = limits.threshold / _PAUSES_TO_EJECT
+        refill = most * (now_s - self._refilled_s) / limits.pause_s
+        return min(most, self._left + refill)
+
     def take(self, amount: float, now_s: float, limits: 'Limits') -> float:
         """Return how much of ``amount`` may count now, and use it up."""
-        half = limits.threshold / 2
-        refill = half * (now_s - self._refilled_s) / limits.pause_s
-        left = min(half, self._left + refill)
+        left = self.left(now_s, limits)
         granted = min(amount, left)
         self._left = left - granted
         self._refilled_s = now_s
@@ -164,11 +172,11 @@
 class Cusum:
     """Evidence for one hypothesis, with each observer's part in it."""
 
-    __slots__ = ('_allowance', 'by_observer', 'level')
+    __slots__ = ('allowance', 'by_observer', 'level')
 
     def __init__(self) -> None:
         """Start at zero."""
-        self._allowance = PauseAllowance()
+        self.allowance = PauseAllowance()
         self.by_observer: dict[ids.InstanceId, float] = {}
         self.level = 0.0
 
@@ -184,8 +192,9 @@
             return
         factor = 1.0
         if total > 0:
-            factor = self._allowance.take(total, now_s, limits) / total
-        self.level += total * factor
+            factor = self.allowance.take(total, now_s, limits) / total
+        most = _HIGHEST_LEVEL * limits.threshold
+        self.level = min(most, self.level + total * factor)
         if self.level <= 0:
             self.restart(0.0)
             return
--- a/libraries/health/src/sardinepier/health/evidence.py
+++ b/libraries/health/src/sardinepier/health/evidence.py
@@ -72,7 +72,8 @@
     ``scores`` holds the cumulative log-likelihood ratio for each hypothesis
     in ``change_detection.HYPOTHESES``, in that order. ``good`` counts good
     answers, ``attempts`` all attempts that said anything. ``overdue`` is the
-    evidence of requests still in flight at the moment of the report.
+    evidence of requests still in flight at the moment of the report, and
+    ``overdue_ms`` for how long the oldest of these has been overdue.
     """
 
     target_id: ids.TargetId
@@ -81,6 +82,7 @@
     good: int
     attempts: int
     overdue: float
+    overdue_ms: float
     in_flight: int
 
 
--- a/libraries/health/src/sardinepier/health/internal/choices.py
+++ b/libraries/health/src/sardinepier/health/internal/choices.py
@@ -5,7 +5,7 @@
 from sardinepier.core import ids
 from sardinepier.health import options as health_options
 from sardinepier.health import targets
-from sardinepier.health.internal import judgement, roster, tracked, weights
+from sardinepier.health.internal import roster, weights
 
 
 class Choices:
@@ -19,16 +19,16 @@
     def refresh(
         self,
         listed: roster.Roster,
-        group: judgement.Group,
+        in_flight: Mapping[ids.TargetId, int],
         options: health_options.HealthOptions,
         now_s: float,
     ) -> None:
         """Work all standings out anew."""
         self.standings = {
-            one.target_id: targets.Standing(
+            one.identity.target_id: targets.Standing(
                 one.state,
                 weights.weight(one, options, now_s),
-                _peers_in_flight(one, group),
+                in_flight.get(one.identity.target_id, 0),
             )
             for one in listed
         }
@@ -45,12 +45,3 @@
             for selectable in self.selectable
             if selectable != target_id
         )
-
-
-def _peers_in_flight(one: tracked.Tracked, group: judgement.Group) -> int:
-    in_flight = 0
-    for peer in group.peers.values():
-        row = peer.rows.get(one.target_id)
-        if row is not None and row.incarnation == one.identity.incarnation:
-            in_flight += row.in_flight
-    return in_flight
--- a/libraries/health/src/sardinepier/health/internal/engine.py
+++ b/libraries/health/src/sardinepier/health/internal/engine.py
@@ -5,7 +5,7 @@
 
 from sardinepier.core import clock as core_clock
 from sardinepier.core import ids
-from sardinepier.health import change_detection, pooling
+from sardinepier.health import change_detection, evidence, pooling
 from sardinepier.health import options as health_options
 from sardinepier.health.internal import (
     choices,
@@ -75,19 +75,47 @@
                 window.attempts(),
                 window.good,
             )
-        half = limits.threshold / 2
-        self.scorer.score(listed, now_s, self.doubts, half)
+        self.scorer.score(listed, now_s, self.doubts)
         judgement.update(listed, group, now_s, limits)
         self.doubts = judgement.doubts_itself(listed)
         self.verdicts.judge(group, now_s, self.doubts, limits.threshold)
-        self.choices.refresh(self.listed, group, self.options, now_s)
+        self.choices.refresh(
+            self.listed,
+            self.peers.in_flight,
+            self.options,
+            now_s,
+        )
 
     def enforce(self) -> None:
         """Keep to the floor after a change between two ticks."""
         now_s = self._clock.monotonic_s()
         group = self._group()
         self.verdicts.enforce(group, now_s)
-        self.choices.refresh(self.listed, group, self.options, now_s)
+        self.choices.refresh(
+            self.listed,
+            self.peers.in_flight,
+            self.options,
+            now_s,
+        )
+
+    def heard(
+        self,
+        observer: ids.InstanceId,
+        report: evidence.EvidenceReport,
+    ) -> None:
+        """Merge a peer's report, and act on its ejections at once."""
+        increments = self.peers.take(observer, report)
+        if increments is None:
+            return
+        for one in self.listed:
+            increment = increments.get(one.target_id)
+            if increment is None:
+                reporting.vote(one, observer, 0, 0)
+            elif increment.incarnation == one.identity.incarnation:
+                reporting.absorb(one, increment)
+                self.scorer.rate.add(increment.attempts)
+        if report.ejections:
+            self.enforce()
 
     def trial_ended(
         self,
@@ -104,7 +132,11 @@
         self.enforce()
 
     def _group(self) -> judgement.Group:
-        return judgement.Group(self._observer, self.peers.live())
+        return judgement.group_of(
+            self._observer,
+            self.peers.live(),
+            self._clock.monotonic_s(),
+        )
 
     def _limits(self, group: judgement.Group) -> change_detection.Limits:
         threshold = change_detection.threshold(
--- a/libraries/health/src/sardinepier/health/internal/floor.py
+++ b/libraries/health/src/sardinepier/health/internal/floor.py
@@ -27,9 +27,9 @@
     options: health_options.HealthOptions,
 ) -> frozenset[ids.TargetId]:
     """Return the targets that this daemon may have out of service now."""
-    wanted = _wanted(listed, group, now_s)
-    if not any(one.own for one in wanted):
+    if not any(one.verdict in SICK for one in listed):
         return frozenset()
+    wanted = _wanted(listed, group, now_s)
     capacity = ejection.Capacity(
         slots={
             one.target_id: one.identity.slots
--- a/libraries/health/src/sardinepier/health/internal/judgement.py
+++ b/libraries/health/src/sardinepier/health/internal/judgement.py
@@ -7,13 +7,13 @@
 
 from sardinepier.core import ids
 from sardinepier.health import change_detection, pooling
-from sardinepier.health.internal import relative, tracked
+from sardinepier.health.internal import relative, tracked, voting
 
 SUSPICION: Final = 0.125
-_CUT_PROBABILITY: Final = 0.01
-_LINK_SHARE: Final = 3
 _DOUBT_SCORE: Final = 0.25
 _FEWEST_TO_DOUBT: Final = 3
+_MS_PER_S: Final = 1000
+_STALE_S: Final = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -22,31 +22,76 @@
 
     own: ids.InstanceId
     peers: Mapping[ids.InstanceId, pooling.Peer]
+    accusing: Mapping[ids.InstanceId, pooling.Peer]
+    """Peers that said a moment ago that requests of theirs are overdue."""
+
+    ejecting: Sequence[pooling.Peer]
+    """Peers that have ejected some target."""
 
     def size(self) -> int:
         """Return how many observers there are, this daemon among them."""
         return len(self.peers) + 1
 
 
+def group_of(
+    own: ids.InstanceId,
+    peers: Mapping[ids.InstanceId, pooling.Peer],
+    now_s: float,
+) -> Group:
+    """Return the group of this daemon and the peers heard lately."""
+    return Group(
+        own=own,
+        peers=peers,
+        accusing={
+            observer: peer
+            for observer, peer in peers.items()
+            if peer.overdue and now_s - peer.heard_s < _STALE_S
+        },
+        ejecting=[peer for peer in peers.values() if peer.ejections],
+    )
+
+
 def update(
     tracked_targets: Sequence[tracked.Tracked],
     group: Group,
     now_s: float,
     limits: change_detection.Limits,
 ) -> None:
-    """Bring every target's scores up to date, relative to the others."""
+    """Bring every target's scores up to date, relative to the others.
+
+    When all targets look bad at once, each must stand out the more: their
+    scores then differ by chance the more, the higher they all are.
+    """
     levels = [_levels(one, group, now_s, limits) for one in tracked_targets]
     own_median = relative.OthersMedian([own for own, _ in levels])
     group_median = relative.OthersMedian([pooled for _, pooled in levels])
     for one, (own, pooled) in zip(tracked_targets, levels, strict=True):
         suspicion = one.suspicion
-        above_own = own - own_median.without(own)
-        above_group = pooled - group_median.without(pooled)
         suspicion.own_level = own / limits.threshold
-        suspicion.own_score = above_own / limits.threshold
-        suspicion.group_score = above_group / limits.threshold
-        _update_votes(suspicion, now_s)
-        suspicion.cut_link = _is_cut_link(one, group)
+        suspicion.own_score = _standing_out(
+            own,
+            own_median.without(own),
+            limits.threshold,
+        )
+        suspicion.group_score = _standing_out(
+            pooled,
+            group_median.without(pooled),
+            limits.threshold,
+        )
+        _update_since(suspicion, now_s)
+        suspicion.vote = tracked.Vote.OPEN
+        if suspicion.group_score >= 1:
+            accusers = overdue_by_observer(one, group).keys()
+            suspicion.vote = voting.vote(
+                one,
+                group.peers,
+                accusers,
+                now_s,
+            )
+
+
+def _standing_out(level: float, usual: float, threshold: float) -> float:
+    return (level - usual) / (threshold + usual)
 
 
 def doubts_itself(tracked_targets: Sequence[tracked.Tracked]) -> bool:
@@ -60,19 +105,10 @@
     return len(active) >= _FEWEST_TO_DOUBT and 2 * len(bad) > len(active)
 
 
-def is_confirmed(suspicion: tracked.Suspicion, group: Group) -> bool:
-    """Return whether half the peers reported since suspicion arose."""
-    since_s = suspicion.since_s
-    if since_s is None:
-        return False
-    heard = sum(peer.heard_s > since_s for peer in group.peers.values())
-    return 2 * heard >= len(group.peers)
-
-
 def peers_ejecting(one: tracked.Tracked, group: Group, now_s: float) -> int:
     """Return how many peers have this incarnation ejected."""
     count = 0
-    for peer in group.peers.values():
+    for peer in group.ejecting:
         notice = peer.ejections.get(one.target_id)
         if notice is None or notice.incarnation != one.identity.incarnation:
             continue
@@ -80,59 +116,18 @@
     return count
 
 
-def _levels(
-    one: tracked.Tracked,
-    group: Group,
-    now_s: float,
-    limits: change_detection.Limits,
-) -> tuple[float, float]:
-    suspicion = one.suspicion
-    pending = suspicion.pending
-    if pending:
-        for hypothesis in change_detection.HYPOTHESES:
-            ratios = {
-                observer: values[hypothesis]
-                for observer, values in pending.items()
-            }
-            suspicion.group[hypothesis].add(ratios, now_s, limits)
-            own_ratio = ratios.get(group.own)
-            if own_ratio is not None:
-                suspicion.own[hypothesis].add(
-                    {group.own: own_ratio},
-                    now_s,
-                    limits,
-                )
-        pending.clear()
-    own = max(cusum.level for cusum in suspicion.own)
-    slowest = suspicion.own[change_detection.Hypothesis.MUCH_SLOWER].level
-    return (
-        max(own, slowest + suspicion.overdue),
-        _pooled_level(one, group, limits),
-    )
-
+def rank(one: tracked.Tracked, group: Group) -> float:
+    """Return the score by which daemons order ejections.
 
-def _pooled_level(
-    one: tracked.Tracked,
-    group: Group,
-    limits: change_detection.Limits,
-) -> float:
-    suspicion = one.suspicion
-    pooled = max(
-        cusum.capped(limits.observer_limit) for cusum in suspicion.group
-    )
-    overdue = overdue_by_observer(one, group)
-    if not overdue:
-        return pooled
-    slowest = suspicion.group[change_detection.Hypothesis.MUCH_SLOWER]
-    observers = overdue.keys() | slowest.by_observer.keys()
-    with_overdue = sum(
-        min(
-            limits.observer_limit,
-            slowest.by_observer.get(observer, 0.0) + overdue.get(observer, 0.0),
-        )
-        for observer in observers
-    )
-    return max(pooled, with_overdue)
+    An ejection in force keeps the score it was made with, so that the order
+    is the same at all who heard of it.
+    """
+    scores = [max(one.ejected_score, one.suspicion.score())]
+    for peer in group.ejecting:
+        notice = peer.ejections.get(one.target_id)
+        if notice and notice.incarnation == one.identity.incarnation:
+            scores.append(notice.score)
+    return max(scores)
 
 
 def overdue_by_observer(
@@ -143,75 +138,112 @@
     overdue = {}
     if one.suspicion.overdue:
         overdue[group.own] = one.suspicion.overdue
-    for observer, peer in group.peers.items():
-        row = peer.rows.get(one.target_id)
-        if row is None or not row.overdue or peer.doubts_itself:
+    for observer, peer in group.accusing.items():
+        if one.target_id not in peer.overdue:
             continue
+        row = peer.rows[one.target_id]
         if row.incarnation == one.identity.incarnation:
             overdue[observer] = row.overdue
     return overdue
 
 
-def _update_votes(suspicion: tracked.Suspicion, now_s: float) -> None:
-    if suspicion.score() < SUSPICION:
-        suspicion.since_s = None
-        suspicion.votes.clear()
-    elif suspicion.since_s is None:
-        suspicion.since_s = now_s
+def _levels(
+    one: tracked.Tracked,
+    group: Group,
+    now_s: float,
+    limits: change_detection.Limits,
+) -> tuple[float, float]:
+    """Return the levels of the own and of the group's evidence."""
+    suspicion = one.suspicion
+    if suspicion.pending:
+        _add_pending(suspicion, group.own, now_s, limits)
+    own = max(cusum.level for cusum in suspicion.own)
+    pooled = max(
+        cusum.capped(limits.observer_limit) for cusum in suspicion.group
+    )
+    if not suspicion.overdue and not group.accusing:
+        return own, pooled
+    overdue = overdue_by_observer(one, group)
+    if not overdue:
+        return own, pooled
+    place = change_detection.Hypothesis.MUCH_SLOWER
+    age_ms = _overdue_ms(one, group)
+    own_slow = _with_overdue(
+        suspicion.own[place],
+        {group.own: suspicion.overdue},
+        _Moment(now_s, suspicion.overdue_ms, math.inf),
+        limits,
+    )
+    pooled_slow = _with_overdue(
+        suspicion.group[place],
+        overdue,
+        _Moment(now_s, age_ms, limits.observer_limit),
+        limits,
+    )
+    return max(own, own_slow), max(pooled, pooled_slow)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Moment:
+    now_s: float
+    age_ms: float
+    observer_limit: float
 
 
-def _is_cut_link(one: tracked.Tracked, group: Group) -> bool:
-    """Return whether the bad news come from a third of the observers only.
+def _with_overdue(
+    cusum: change_detection.Cusum,
+    overdue: Mapping[ids.InstanceId, float],
+    moment: _Moment,
+    limits: change_detection.Limits,
+) -> float:
+    """Return the level if the overdue requests ended now.
 
-    Were the target itself sick, the other observers would see it too. They
-    are asked how probable it is that they saw so little of it by chance.
+    Until the oldest has waited for longer than a tolerated pause, they may
+    add no more than what a pause explains.
     """
-    votes = one.suspicion.votes
-    if group.size() < 2 or one.suspicion.since_s is None:
-        return False
-    overdue = overdue_by_observer(one, group)
-    counts = sorted(
-        (
-            _vote(votes.get(observer), observer in overdue)
-            for observer in votes.keys() | overdue.keys()
-        ),
-        reverse=True,
+    parts = cusum.by_observer
+    total = sum(
+        min(
+            moment.observer_limit,
+            parts.get(observer, 0.0) + overdue.get(observer, 0.0),
+        )
+        for observer in parts.keys() | overdue.keys()
     )
-    accusers = math.ceil(group.size() / _LINK_SHARE)
-    all_bad = sum(bad for bad, _ in counts)
-    all_attempts = sum(attempts for _, attempts in counts)
-    others_bad = sum(bad for bad, _ in counts[accusers:])
-    others_attempts = sum(attempts for _, attempts in counts[accusers:])
-    if not all_attempts:
-        return False
-    expected = others_attempts * all_bad / all_attempts
-    return _poisson_at_most(others_bad, expected) < _CUT_PROBABILITY
-
-
-def _vote(votes: tracked.Votes | None, overdue: bool) -> tuple[int, int]:
-    bad = votes.bad if votes else 0
-    attempts = votes.attempts if votes else 0
-    return (bad + overdue, attempts + overdue)
-
-
-def _poisson_at_most(count: int, mean: float) -> float:
-    term = math.exp(-mean)
-    total = term
-    for number in range(1, count + 1):
-        term *= mean / number
-        total += term
+    if moment.age_ms < limits.pause_s * _MS_PER_S:
+        room = cusum.allowance.left(moment.now_s, limits)
+        total = min(total, cusum.level + room)
     return total
 
 
-def rank(one: tracked.Tracked, group: Group) -> float:
-    """Return the score by which daemons order ejections.
+def _overdue_ms(one: tracked.Tracked, group: Group) -> float:
+    ages_ms = [one.suspicion.overdue_ms]
+    for peer in group.accusing.values():
+        if one.target_id in peer.overdue:
+            ages_ms.append(peer.rows[one.target_id].overdue_ms)
+    return max(ages_ms)
 
-    An ejection in force keeps the score it was made with, so that the order
-    is the same at all who heard of it.
-    """
-    scores = [max(one.ejected_score, one.suspicion.score())]
-    for peer in group.peers.values():
-        notice = peer.ejections.get(one.target_id)
-        if notice and notice.incarnation == one.identity.incarnation:
-            scores.append(notice.score)
-    return max(scores)
+
+def _add_pending(
+    suspicion: tracked.Suspicion,
+    own: ids.InstanceId,
+    now_s: float,
+    limits: change_detection.Limits,
+) -> None:
+    pending = suspicion.pending
+    own_ratios = pending.get(own)
+    for place, cusum in enumerate(suspicion.group):
+        ratios = {
+            observer: values[place] for observer, values in pending.items()
+        }
+        cusum.add(ratios, now_s, limits)
+        if own_ratios is not None:
+            suspicion.own[place].add({own: own_ratios[place]}, now_s, limits)
+    pending.clear()
+
+
+def _update_since(suspicion: tracked.Suspicion, now_s: float) -> None:
+    if suspicion.score() < SUSPICION:
+        suspicion.since_s = None
+        suspicion.votes.clear()
+    elif suspicion.since_s is None:
+        suspicion.since_s = now_s
--- a/libraries/health/src/sardinepier/health/internal/reporting.py
+++ b/libraries/health/src/sardinepier/health/internal/reporting.py
@@ -57,6 +57,7 @@
         good=one.tally.good,
         attempts=one.tally.attempts,
         overdue=round(one.suspicion.overdue, _SCORE_DIGITS),
+        overdue_ms=round(one.suspicion.overdue_ms),
         in_flight=len(one.flights),
     )
 
@@ -95,12 +96,18 @@
     attempts: int,
     good: int,
 ) -> None:
-    """Count an observer's attempts while there is suspicion."""
-    if one.suspicion.since_s is None or not attempts:
+    """Count an observer's attempts while there is suspicion.
+
+    What its first report says was partly seen before suspicion arose, so
+    counting starts with the second.
+    """
+    if one.suspicion.since_s is None:
         return
     votes = one.suspicion.votes.setdefault(observer, tracked.Votes())
-    votes.attempts += attempts
-    votes.bad += attempts - good
+    votes.reports += 1
+    if votes.reports > 1:
+        votes.attempts += attempts
+        votes.bad += attempts - good
 
 
 def status(
--- a/libraries/health/src/sardinepier/health/internal/scoring.py
+++ b/libraries/health/src/sardinepier/health/internal/scoring.py
@@ -15,6 +15,9 @@
 _FLIGHTS_LOOKED_AT: Final = 8
 _MS_PER_S: Final = 1000
 _WRONG_FACTOR: Final = 2
+_COMMON_SLOWNESS_FACTOR: Final = 1.3
+"""When all are slow, differences between them are larger too."""
+
 ABOVE_SUSPICION: Final = 0.25
 
 
@@ -40,7 +43,6 @@
         tracked_targets: Sequence[tracked.Tracked],
         now_s: float,
         doubts_itself: bool,
-        pause_limit: float,
     ) -> None:
         """Score all windows and empty them."""
         self._refresh_tables()
@@ -58,7 +60,7 @@
         self.rate.advance(len(tracked_targets), now_s)
         for one in tracked_targets:
             others_mean = shifts.without(one.recent.mean_residual())
-            shift = max(0, round(others_mean))
+            shift = max(0, round(others_mean * _COMMON_SLOWNESS_FACTOR))
             if one.window.attempts():
                 self.rate.add(one.window.attempts())
                 usual_share = shares.without(
@@ -66,7 +68,8 @@
                     one.recent.attempts,
                 )
                 self._score_window(one, shift, usual_share, doubts_itself)
-            self._score_flights(one, shift, now_s, pause_limit)
+            if one.flights or one.suspicion.overdue:
+                self._score_flights(one, shift, now_s)
             one.window.clear()
 
     def _refresh_tables(self) -> None:
@@ -138,24 +141,20 @@
         one: tracked.Tracked,
         shift: int,
         now_s: float,
-        pause_limit: float,
     ) -> None:
-        total = 0.0
-        oldest_ms = 0.0
+        suspicion = one.suspicion
+        suspicion.overdue = 0.0
+        suspicion.overdue_ms = 0.0
         for number, flight in enumerate(one.flights.values()):
             if number >= _FLIGHTS_LOOKED_AT:
                 break
             if flight.median is None:
                 continue
             age_ms = (now_s - flight.started_s) * _MS_PER_S
-            position = (
-                baseline.residual(baseline.log_latency(age_ms), flight.median)
-                - shift
-            )
+            log_age = baseline.log_latency(age_ms)
+            position = baseline.residual(log_age, flight.median) - shift
             if position < baseline.SLOW_RESIDUAL:
                 continue
-            oldest_ms = max(oldest_ms, age_ms)
-            total += self._ratios.overdue(position)
-        if oldest_ms < self.options.tolerated_pause_ms:
-            total = min(total, pause_limit)
-        one.suspicion.overdue = total
+            suspicion.overdue += self._ratios.overdue(position)
+            late_ms = age_ms - baseline.slow_ms(flight.median)
+            suspicion.overdue_ms = max(suspicion.overdue_ms, late_ms)
--- a/libraries/health/src/sardinepier/health/internal/tracked.py
+++ b/libraries/health/src/sardinepier/health/internal/tracked.py
@@ -1,10 +1,14 @@
 """All that one daemon remembers about one incarnation of one target."""
 
 import dataclasses
+import enum
+from typing import Final
 
 from sardinepier.core import ids
 from sardinepier.health import change_detection, readmission, targets
 
+_PRIOR_COUNT: Final = 0.5
+
 
 @dataclasses.dataclass(slots=True)
 class Flight:
@@ -48,7 +52,7 @@
 
     def mean_residual(self) -> float:
         """Return the mean residual, drawn to zero when there are few."""
-        return self.residual_sum / (self.residual_count + 1)
+        return self.residual_sum / (self.residual_count + _PRIOR_COUNT)
 
 
 @dataclasses.dataclass(slots=True)
@@ -62,10 +66,19 @@
     attempts: int = 0
 
 
+class Vote(enum.Enum):
+    """What the group's observers make of a target together."""
+
+    OPEN = 'open'
+    CUT_LINK = 'cut-link'
+    SICK = 'sick'
+
+
 @dataclasses.dataclass(slots=True)
 class Votes:
     """One observer's attempts since suspicion arose."""
 
+    reports: int = 0
     attempts: int = 0
     bad: int = 0
 
@@ -88,6 +101,7 @@
         default_factory=dict,
     )
     overdue: float = 0.0
+    overdue_ms: float = 0.0
     votes: dict[ids.InstanceId, Votes] = dataclasses.field(
         default_factory=dict,
     )
@@ -95,7 +109,7 @@
     own_level: float = 0.0
     own_score: float = 0.0
     group_score: float = 0.0
-    cut_link: bool = False
+    vote: Vote = Vote.OPEN
 
     def score(self) -> float:
         """Return the larger of both scores, as a share of the threshold."""
@@ -114,6 +128,7 @@
         self.own_score = 0.0
         self.group_score = 0.0
         self.overdue = 0.0
+        self.overdue_ms = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/libraries/health/src/sardinepier/health/internal/verdict.py
+++ b/libraries/health/src/sardinepier/health/internal/verdict.py
@@ -152,9 +152,9 @@
         group: judgement.Group,
     ) -> bool:
         suspicion = one.suspicion
-        if suspicion.group_score < 1 or suspicion.cut_link:
+        if suspicion.group_score < 1:
             return False
-        return judgement.is_confirmed(suspicion, group)
+        return suspicion.vote is tracked.Vote.SICK
 
     def _peers_say(
         self,
@@ -162,12 +162,18 @@
         group: judgement.Group,
         now_s: float,
     ) -> bool:
+        if not group.ejecting:
+            one.way_back.may_follow = True
+            return False
         ejecting = judgement.peers_ejecting(one, group, now_s)
         majority = max(2, -(-len(group.peers) // 2))
         if ejecting < majority:
             one.way_back.may_follow = True
             return False
-        return one.way_back.may_follow and not one.suspicion.cut_link
+        return (
+            one.way_back.may_follow
+            and one.suspicion.vote is not tracked.Vote.CUT_LINK
+        )
 
     def _eject(self, one: tracked.Tracked, now_s: float) -> None:
         if one.state is not _States.EJECTED:
--- /dev/null
+++ b/libraries/health/src/sardinepier/health/internal/voting.py
@@ -0,0 +1,127 @@
+"""Is the target bad, or only the links from some observers to it?
+
+The observers that see the worst are set against the rest. Were the target
+itself sick, the rest would see as much of it as they. Until enough of the
+rest have spoken, the vote stays open.
+"""
+
+import math
+from collections.abc import Mapping, Set
+from typing import Final
+
+from sardinepier.core import ids
+from sardinepier.health import pooling
+from sardinepier.health.internal import tracked
+
+_LINK_SHARE: Final = 3
+_LINK_RATIO: Final = 7.0
+_HANG_OPEN_S: Final = 0.5
+_REPORTS_TO_SPEAK: Final = 2
+_GOOD_AGAINST_HANG: Final = 3
+
+
+def vote(
+    one: tracked.Tracked,
+    peers: Mapping[ids.InstanceId, pooling.Peer],
+    overdue: Set[ids.InstanceId],
+    now_s: float,
+) -> tracked.Vote:
+    """Return the vote on a target that the pooled evidence condemns."""
+    if not peers:
+        return tracked.Vote.SICK
+    votes = one.suspicion.votes
+    counts = sorted(
+        (
+            _bad_and_good(votes.get(observer), observer in overdue)
+            for observer in votes.keys() | overdue
+        ),
+        key=lambda count: (-count[0], count[1]),
+    )
+    most_accusers = math.ceil((len(peers) + 1) / _LINK_SHARE)
+    accusing = counts[:most_accusers]
+    resting = counts[most_accusers:]
+    if _link_ratio(accusing, resting) >= _LINK_RATIO:
+        return tracked.Vote.CUT_LINK
+    if len(overdue) > sum(_has_bad(one) for one in votes.values()):
+        return _vote_on_hang(one, counts, overdue, now_s)
+    spoken = _have_spoken(one, peers, overdue)
+    return tracked.Vote.SICK if spoken else tracked.Vote.OPEN
+
+
+def _vote_on_hang(
+    one: tracked.Tracked,
+    counts: list[tuple[int, int]],
+    overdue: Set[ids.InstanceId],
+    now_s: float,
+) -> tracked.Vote:
+    """Return the vote when the evidence is mostly of requests in flight.
+
+    A hung target has no good answer for anybody. Others' good answers show
+    a cut link; they get a moment to come in, unless more observers wait
+    than one cut link explains.
+    """
+    good_elsewhere = sum(good for bad, good in counts if not bad)
+    if good_elsewhere >= _GOOD_AGAINST_HANG:
+        return tracked.Vote.CUT_LINK
+    since_s = one.suspicion.since_s
+    waited = since_s is not None and now_s - since_s >= _HANG_OPEN_S
+    many = _LINK_SHARE * len(overdue) > len(one.suspicion.votes)
+    return tracked.Vote.SICK if waited or many else tracked.Vote.OPEN
+
+
+def _bad_and_good(
+    votes: tracked.Votes | None,
+    overdue: bool,
+) -> tuple[int, int]:
+    if votes is None:
+        return (int(overdue), 0)
+    return (votes.bad + overdue, votes.attempts - votes.bad)
+
+
+def _link_ratio(
+    accusing: list[tuple[int, int]],
+    resting: list[tuple[int, int]],
+) -> float:
+    """Return the log-likelihood ratio of two shares of bad against one."""
+    first = _total(accusing)
+    second = _total(resting)
+    both = (first[0] + second[0], first[1] + second[1])
+    return (
+        _log_likelihood(first) + _log_likelihood(second) - _log_likelihood(both)
+    )
+
+
+def _total(counts: list[tuple[int, int]]) -> tuple[int, int]:
+    bad = sum(count[0] for count in counts)
+    good = sum(count[1] for count in counts)
+    return bad, good
+
+
+def _log_likelihood(count: tuple[int, int]) -> float:
+    attempts = sum(count)
+    return sum(
+        number * math.log(number / attempts) for number in count if number
+    )
+
+
+def _have_spoken(
+    one: tracked.Tracked,
+    peers: Mapping[ids.InstanceId, pooling.Peer],
+    overdue: Set[ids.InstanceId],
+) -> bool:
+    """Return whether most of those that do not accuse have reported."""
+    votes = one.suspicion.votes
+    resting = [
+        observer
+        for observer in peers
+        if observer not in overdue and not _has_bad(votes.get(observer))
+    ]
+    spoken = sum(
+        observer in votes and votes[observer].reports >= _REPORTS_TO_SPEAK
+        for observer in resting
+    )
+    return 2 * spoken >= len(resting)
+
+
+def _has_bad(votes: tracked.Votes | None) -> bool:
+    return votes is not None and votes.bad > 0
--- a/libraries/health/src/sardinepier/health/internal/weights.py
+++ b/libraries/health/src/sardinepier/health/internal/weights.py
@@ -16,14 +16,17 @@
     now_s: float,
 ) -> float:
     """Return the target's weight: 0 for never, 1 for full service."""
-    if one.state in {_States.EJECTED, _States.LEAVING}:
+    state = one.state
+    if state is _States.EJECTED or state is _States.LEAVING:
         return 0.0
-    if one.state is _States.TRIAL:
+    if state is _States.TRIAL:
         return 0.0 if one.flights else readmission.TRIAL_WEIGHT
     if one.reason is targets.Reason.HELD_BY_FLOOR:
         return _HELD_WEIGHT
-    if one.state is _States.COLD:
+    if state is _States.COLD:
         return _cold_weight(one, options, now_s)
+    if now_s >= one.way_back.ramp_until_s:
+        return 1.0
     return one.way_back.ramp_weight(now_s, options.ramp_s)
 
 
--- a/libraries/health/src/sardinepier/health/pooling.py
+++ b/libraries/health/src/sardinepier/health/pooling.py
@@ -48,6 +48,8 @@
     doubts_itself: bool
     rows: dict[ids.TargetId, evidence.TargetEvidence]
     ejections: dict[ids.TargetId, HeardEjection]
+    overdue: frozenset[ids.TargetId]
+    """Targets with requests overdue, none while it doubts itself."""
 
 
 class PeerEvidence:
@@ -63,48 +65,66 @@
         self._own = own
         self.options = options
         self._clock = clock
+        self.in_flight: dict[ids.TargetId, int] = {}
+        """Requests in flight of all observers heard, for each target."""
         self._peers: dict[ids.InstanceId, Peer] = {}
 
     def take(
         self,
         observer: ids.InstanceId,
         report: evidence.EvidenceReport,
-    ) -> list[Increment]:
-        """Merge a report; return what is new in it, nothing for an old one.
+    ) -> dict[ids.TargetId, Increment] | None:
+        """Merge a report; return what is new in it, None for an old one.
 
         The first report of an observer only sets the mark from which its
         later ones count: what it saw before this daemon listened is past.
         """
         known = self._peers.get(observer)
         if known is not None and report.sequence <= known.sequence:
-            return []
+            return None
         if observer == self._own or not self._has_room(known):
-            return []
-        self._peers[observer] = self._peer_of(report)
+            return None
+        peer = self._peer_of(report)
+        self._peers[observer] = peer
+        self._count_in_flight(peer, 1)
         if known is None:
-            return []
-        return list(_increments(observer, known.rows, report))
+            return {}
+        self._count_in_flight(known, -1)
+        return {
+            increment.target_id: increment
+            for increment in _increments(observer, known.rows, report)
+        }
 
     def forget(self, observer: ids.InstanceId) -> None:
         """Drop an observer that left the group or died."""
-        self._peers.pop(observer, None)
+        peer = self._peers.pop(observer, None)
+        if peer is not None:
+            self._count_in_flight(peer, -1)
 
     def live(self) -> dict[ids.InstanceId, Peer]:
         """Return the observers heard lately; forget the long silent ones."""
         now_s = self._clock.monotonic_s()
         expiry_s = self.options.peer_expiry_s
-        live = {
-            observer: peer
-            for observer, peer in self._peers.items()
-            if now_s - peer.heard_s <= expiry_s
-        }
-        self._peers = {
-            observer: peer
-            for observer, peer in self._peers.items()
-            if now_s - peer.heard_s <= expiry_s * _MEMORY_FACTOR
-        }
+        live = {}
+        for observer, peer in tuple(self._peers.items()):
+            silent_s = now_s - peer.heard_s
+            if silent_s <= expiry_s:
+                live[observer] = peer
+            elif silent_s > expiry_s * _MEMORY_FACTOR:
+                self.forget(observer)
         return live
 
+    def _count_in_flight(self, peer: Peer, sign: int) -> None:
+        counts = self.in_flight
+        for row in peer.rows.values():
+            if not row.in_flight:
+                continue
+            count = counts.get(row.target_id, 0) + sign * row.in_flight
+            if count:
+                counts[row.target_id] = count
+            else:
+                counts.pop(row.target_id, None)
+
     def _has_room(self, known: Peer | None) -> bool:
         if known is not None:
             return True
@@ -118,6 +138,11 @@
             heard_s=now_s,
             doubts_itself=report.doubts_itself,
             rows={row.target_id: row for row in report.evidence},
+            overdue=frozenset(
+                row.target_id
+                for row in report.evidence
+                if row.overdue and not report.doubts_itself
+            ),
             ejections={
                 notice.target_id: HeardEjection(
                     notice.incarnation,
--- a/libraries/health/src/sardinepier/health/service_health.py
+++ b/libraries/health/src/sardinepier/health/service_health.py
@@ -194,18 +194,9 @@
         report: evidence.EvidenceReport,
     ) -> None:
         """Merge a peer's report; an old or repeated one changes nothing."""
-        parts = self._engine
         for notice in report.leaving:
             self.mark_leaving(notice.target_id, notice.incarnation)
-        for increment in parts.peers.take(observer, report):
-            one = parts.listed.get(increment.target_id)
-            if one is None:
-                continue
-            if one.identity.incarnation == increment.incarnation:
-                reporting.absorb(one, increment)
-                parts.scorer.rate.add(increment.attempts)
-        if report.ejections:
-            parts.enforce()
+        self._engine.heard(observer, report)
 
     def forget(self, observer: ids.InstanceId) -> None:
         """Drop what an observer said; it died or left the group."""
--- /dev/null
+++ b/libraries/workbench/src/sardinepier/workbench/detection/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the detection experiment."""
--- /dev/null
+++ b/libraries/workbench/src/sardinepier/workbench/detection/internal/faults.py
@@ -0,0 +1,122 @@
+"""Applies the fault of a scenario to requests, probes and load counts."""
+
+import random
+from typing import Final
+
+from sardinepier.health import evidence
+from sardinepier.workbench.detection import scenario
+from sardinepier.workbench.detection.internal import target_model
+
+_Effect = scenario.Effect
+_GRAY_FACTOR: Final = 4.0
+_GRAY_FAILURES: Final = 0.3
+_CRASH_SHARE: Final = 0.02
+
+
+class Strike:
+    """Says what the fault does at one moment."""
+
+    def __init__(
+        self,
+        service: scenario.Service,
+        fault: scenario.Fault,
+        fault_at_s: float,
+        random_source: random.Random,
+    ) -> None:
+        """Strike the first target or daemon from ``fault_at_s`` on."""
+        self._service = service
+        self._fault = fault
+        self._at_s = fault_at_s
+        self._random = random_source
+
+    def is_on(self, now_s: float) -> bool:
+        """Return whether the fault acts now; a flapping one takes turns."""
+        if now_s < self._at_s:
+            return False
+        period_s = self._fault.period_s
+        if not period_s:
+            return True
+        return (now_s - self._at_s) % period_s < period_s / 2
+
+    def load_factor(self, now_s: float) -> float:
+        """Return by how much the load is multiplied."""
+        if self._fault.effect is _Effect.OVERLOAD and self.is_on(now_s):
+            return self._fault.amount
+        return 1.0
+
+    def load_lag_s(self) -> float:
+        """Return how much later in-flight counts reach the peers."""
+        return self._fault.load_lag_s
+
+    def replaced_at_s(self) -> float | None:
+        """Return when the first target is replaced, if it is."""
+        if self._fault.effect is _Effect.REPLACED:
+            return self._at_s
+        return None
+
+    def loses(self, work: target_model.Work, now_s: float) -> bool:
+        """Return whether the request never reaches its target."""
+        if self._fault.effect is not _Effect.CUT or work.target:
+            return False
+        return work.daemon < self._fault.cut_daemons and self.is_on(now_s)
+
+    def crashes(self, work: target_model.Work, now_s: float) -> bool:
+        """Return whether this is the request that crashes its target."""
+        if self._fault.effect is not _Effect.CRASHING_REQUEST:
+            return False
+        return self.is_on(now_s) and self._random.random() < _CRASH_SHARE
+
+    def slow_factor(self, work: target_model.Work, now_s: float) -> float:
+        """Return by how much the request is slowed."""
+        effect = self._fault.effect
+        if not self.is_on(now_s):
+            return 1.0
+        if effect is _Effect.ALL_SLOW:
+            return self._fault.amount
+        if effect is _Effect.SLOW and not work.target:
+            return self._fault.amount
+        return 1.0
+
+    def end(
+        self,
+        work: target_model.Work,
+        now_s: float,
+    ) -> evidence.AttemptEnd:
+        """Return how the request will end at its target."""
+        effect = self._fault.effect
+        if not work.target and self.is_on(now_s):
+            if effect is _Effect.HANG:
+                return evidence.AttemptEnd.TIMED_OUT
+            if self._random.random() < self._fault.amount:
+                if effect is _Effect.FAIL:
+                    return evidence.AttemptEnd.FAILED
+                if effect is _Effect.WRONG:
+                    return evidence.AttemptEnd.WRONG
+        if self._random.random() < self._service.failure_share:
+            return evidence.AttemptEnd.FAILED
+        return evidence.AttemptEnd.ANSWERED
+
+    def as_seen(
+        self,
+        work: target_model.Work,
+        end: evidence.AttemptEnd,
+        latency_ms: float,
+        now_s: float,
+    ) -> tuple[evidence.AttemptEnd, float]:
+        """Return the end as the daemon sees it; a gray one sees badly."""
+        gray = self._fault.effect is _Effect.GRAY_DAEMON and not work.daemon
+        if not gray or not self.is_on(now_s):
+            return end, latency_ms
+        if self._random.random() < _GRAY_FAILURES:
+            return evidence.AttemptEnd.FAILED, latency_ms
+        return end, latency_ms * _GRAY_FACTOR
+
+    def probe_is_good(self, daemon: int, target: int, now_s: float) -> bool:
+        """Return what the target's health endpoint says."""
+        if target or not self.is_on(now_s):
+            return True
+        if self._fault.effect is _Effect.CUT:
+            return daemon >= self._fault.cut_daemons
+        if self._fault.probes is scenario.Probes.TRUE:
+            return False
+        return self._fault.probes is not scenario.Probes.ALWAYS_BAD
--- /dev/null
+++ b/libraries/workbench/src/sardinepier/workbench/detection/rules.py
@@ -0,0 +1,250 @@
+"""The rules that users would otherwise pick, each daemon judging alone.
+
+Each rule ejects a target for thirty seconds, never more than half of the
+targets at once. Latency and errors are judged as proxies commonly do.
+"""
+
+import collections
+import dataclasses
+import statistics
+from collections.abc import Sequence
+from typing import Final, Protocol
+
+from sardinepier.health import evidence
+
+_EJECTION_S: Final = 30.0
+_FAILED: Final = frozenset(
+    (
+        evidence.AttemptEnd.FAILED,
+        evidence.AttemptEnd.WRONG,
+        evidence.AttemptEnd.TIMED_OUT,
+        evidence.AttemptEnd.CONNECT_FAILED,
+        evidence.AttemptEnd.CONNECTION_LOST,
+    ),
+)
+_SILENT: Final = frozenset(
+    (evidence.AttemptEnd.SHED, evidence.AttemptEnd.CANCELLED),
+)
+
+
+class Rule(Protocol):
+    """One daemon's rule over the targets of one service."""
+
+    def count(self, target: int, failed: bool, latency_ms: float) -> None:
+        """Take the end of one attempt."""
+        ...
+
+    def sick(self, now_s: float) -> Sequence[int]:
+        """Return the targets which the rule condemns now."""
+        ...
+
+    def forget(self, target: int) -> None:
+        """Start afresh for an ejected target."""
+        ...
+
+
+class ConsecutiveErrors:
+    """So many errors one after the other condemn a target."""
+
+    def __init__(self, limit: int) -> None:
+        """Condemn after ``limit`` errors."""
+        self._limit = limit
+        self._runs: dict[int, int] = collections.defaultdict(int)
+
+    def count(self, target: int, failed: bool, latency_ms: float) -> None:
+        """Lengthen the run or end it."""
+        self._runs[target] = self._runs[target] + 1 if failed else 0
+
+    def sick(self, now_s: float) -> Sequence[int]:
+        """Return the targets with a long run."""
+        return [at for at, run in self._runs.items() if run >= self._limit]
+
+    def forget(self, target: int) -> None:
+        """End the run."""
+        self._runs[target] = 0
+
+
+class _Windows:
+    """Two half windows a target; the older one is dropped in turn."""
+
+    def __init__(self, window_s: float) -> None:
+        self._half_s = window_s / 2
+        self._turned_s = 0.0
+        self.older: dict[int, list[float]] = {}
+        self.newer: dict[int, list[float]] = {}
+
+    def add(self, target: int, value: float) -> None:
+        self.newer.setdefault(target, []).append(value)
+
+    def turn(self, now_s: float) -> None:
+        if now_s - self._turned_s >= self._half_s:
+            self._turned_s = now_s
+            self.older = self.newer
+            self.newer = {}
+
+    def values(self, target: int) -> list[float]:
+        return self.older.get(target, []) + self.newer.get(target, [])
+
+    def forget(self, target: int) -> None:
+        self.older.pop(target, None)
+        self.newer.pop(target, None)
+
+
+class ErrorRate:
+    """A share of errors in a window, given a minimum of requests."""
+
+    def __init__(self, share: float, minimum: int, window_s: float) -> None:
+        """Condemn at ``share`` of at least ``minimum`` requests."""
+        self._share = share
+        self._minimum = minimum
+        self._windows = _Windows(window_s)
+
+    def count(self, target: int, failed: bool, latency_ms: float) -> None:
+        """Add the attempt to the window."""
+        self._windows.add(target, float(failed))
+
+    def sick(self, now_s: float) -> Sequence[int]:
+        """Return the targets with too large a share."""
+        self._windows.turn(now_s)
+        condemned = []
+        for target in self._windows.newer:
+            errors = self._windows.values(target)
+            if len(errors) < self._minimum:
+                continue
+            if sum(errors) / len(errors) >= self._share:
+                condemned.append(target)
+        return condemned
+
+    def forget(self, target: int) -> None:
+        """Empty the window."""
+        self._windows.forget(target)
+
+
+class LatencyQuantile:
+    """A target's latency quantile against the mean of all targets' ones."""
+
+    def __init__(
+        self,
+        quantile: float,
+        factor: float,
+        minimum: int,
+        window_s: float,
+    ) -> None:
+        """Condemn at ``factor`` times the mean of the targets' quantiles."""
+        self._quantile = quantile
+        self._factor = factor
+        self._minimum = minimum
+        self._windows = _Windows(window_s)
+        self._looked_s = 0.0
+
+    def count(self, target: int, failed: bool, latency_ms: float) -> None:
+        """Add the latency to the window."""
+        self._windows.add(target, latency_ms)
+
+    def sick(self, now_s: float) -> Sequence[int]:
+        """Return the targets whose quantile is far above the mean."""
+        self._windows.turn(now_s)
+        if now_s - self._looked_s < 0.5:
+            return []
+        self._looked_s = now_s
+        quantiles = {}
+        for target in self._windows.newer.keys() | self._windows.older.keys():
+            latencies = sorted(self._windows.values(target))
+            if len(latencies) >= self._minimum:
+                place = int(len(latencies) * self._quantile)
+                quantiles[target] = latencies[min(place, len(latencies) - 1)]
+        if len(quantiles) < 3:
+            return []
+        mean = statistics.fmean(quantiles.values())
+        return [
+            target
+            for target, quantile in sorted(quantiles.items())
+            if quantile >= self._factor * mean
+        ]
+
+    def forget(self, target: int) -> None:
+        """Empty the window."""
+        self._windows.forget(target)
+
+
+class AnyOf:
+    """Several rules together; each may condemn."""
+
+    def __init__(self, rules: Sequence[Rule]) -> None:
+        """Combine ``rules``."""
+        self._rules = rules
+
+    def count(self, target: int, failed: bool, latency_ms: float) -> None:
+        """Tell each rule."""
+        for rule in self._rules:
+            rule.count(target, failed, latency_ms)
+
+    def sick(self, now_s: float) -> Sequence[int]:
+        """Return what any rule condemns."""
+        return [target for rule in self._rules for target in rule.sick(now_s)]
+
+    def forget(self, target: int) -> None:
+        """Tell each rule."""
+        for rule in self._rules:
+            rule.forget(target)
+
+
+class RuleJudge:
+    """A rule at every daemon, each for itself."""
+
+    def __init__(self, rules: Sequence[Rule], targets: int) -> None:
+        """Judge ``targets`` targets, with one rule a daemon."""
+        self._rules = rules
+        self._targets = targets
+        self._out_until_s = [[0.0] * targets for _ in rules]
+        self._now_s = 0.0
+
+    def started(self, daemon: int, target: int, route: int, number: int) -> None:
+        """Nothing to note: such rules look at ends only."""
+
+    def finished(
+        self,
+        daemon: int,
+        target: int,
+        route: int,
+        number: int,
+        end: evidence.AttemptEnd,
+        latency_ms: float,
+    ) -> None:
+        """Count the end."""
+        if end not in _SILENT:
+            self._rules[daemon].count(target, end in _FAILED, latency_ms)
+
+    def tick(self, daemon: int, now_s: float) -> None:
+        """Eject what the rule condemns."""
+        self._now_s = now_s
+        out_until_s = self._out_until_s[daemon]
+        for target in self._rules[daemon].sick(now_s):
+            out = sum(until_s > now_s for until_s in out_until_s)
+            if out_until_s[target] <= now_s and 2 * (out + 1) <= self._targets:
+                out_until_s[target] = now_s + _EJECTION_S
+                self._rules[daemon].forget(target)
+
+    def weights(self, daemon: int) -> Sequence[float]:
+        """Return 0 for an ejected target and 1 for others."""
+        return [
+            float(until_s <= self._now_s)
+            for until_s in self._out_until_s[daemon]
+        ]
+
+    def is_trial(self, daemon: int, target: int) -> bool:
+        """Return False: these rules know no trials."""
+        return False
+
+    def replaced(self, target: int, incarnation: int) -> None:
+        """Start afresh for the new incarnation."""
+        for daemon, rule in enumerate(self._rules):
+            rule.forget(target)
+            self._out_until_s[daemon][target] = 0
+
+    def probed(self, daemon: int, target: int, good: bool) -> None:
+        """Nothing to note."""
+
+    def due_probes(self, daemon: int, now_s: float) -> Sequence[int]:
+        """Return nothing: passive rules only."""
+        return ()
