Make the route property test meet overlapping routes, pin the separator

Cause: on a scratch copy, a lookup without the second try after a literal that leads nowhere passed all tests. In 100 examples, 76 had no fitting route and 3 had more than one. A parser that also took `:` as a separator passed too. Ruled out: more examples alone; most pairs of shapes differed in length. Change: all shapes of an example and its request have one length, and a table row for `port: 9000`.

--- a/libraries/settings/tests/cover/test_settings_faulty_files.py
+++ b/libraries/settings/tests/cover/test_settings_faulty_files.py
@@ -54,6 +54,7 @@
         'Port = 1',
         'target worker-1/port target worker-1/Port',
     ),
+    (SERVICE, 'port = 9000', 'port: 9000', '- target worker-1/port'),
     (SERVICE, 'slots = 3', 'slots = 0', 'target worker-1/slots'),
     (SERVICE, 'slots = 3', 'slots = 3 # cores', 'target worker-1/slots'),
     (SERVICE, 'slots = 3', 'slots = 3\n  4', 'target worker-1/slots'),
@@ -191,7 +192,7 @@
 @pytest.mark.parametrize(
     ('source', 'old', 'new', 'places'),
     CASES,
-    ids=[f'{case[0]} {case[3]} {number}' for number, case in enumerate(CASES)],
+    ids=[repr(case[:3])[:80] for case in CASES],
 )
 def test_a_mistake_is_reported_at_its_place(
     source,
--- a/libraries/settings/tests/cover/test_settings_routes.py
+++ b/libraries/settings/tests/cover/test_settings_routes.py
@@ -12,13 +12,15 @@
 strategies = hypothesis.strategies
 
 SEGMENTS = ('a', 'b', '*')
-SHAPES = strategies.lists(
-    strategies.lists(
-        strategies.sampled_from(SEGMENTS),
+WANTED = strategies.sampled_from(SEGMENTS)
+SENT = strategies.sampled_from(('a', 'b', 'c'))
+# Few words and one length at a time, so that most routes meet each other.
+SHAPES = strategies.integers(1, 4).flatmap(
+    lambda length: strategies.lists(
+        strategies.tuples(*itertools.repeat(WANTED, length)),
         min_size=1,
-        max_size=4,
-    ).map(tuple),
-    max_size=12,
+        max_size=12,
+    ),
 )
 
 
@@ -48,18 +50,12 @@
     )
 
 
-@hypothesis.given(
-    shapes=SHAPES.map(set),
-    segments=strategies.lists(
-        strategies.sampled_from(('a', 'b', 'c')),
-        min_size=1,
-        max_size=5,
-    ).map(tuple),
-)
-def test_match_gives_the_route_with_the_first_literals(
-    shapes,
-    segments,
-) -> None:
+@hypothesis.given(shapes=SHAPES, chosen=strategies.data())
+@hypothesis.settings(max_examples=300)
+def test_match_gives_the_route_with_the_first_literals(shapes, chosen) -> None:
+    words = itertools.repeat(SENT, len(shapes[0]))
+    segments = chosen.draw(strategies.tuples(*words))
+    shapes = set(shapes)
     table = routes.RouteTable(make_route(template(shape)) for shape in shapes)
     fitting = [shape for shape in shapes if fits(shape, segments)]
     path = f'/{"/".join(segments)}'
