Bound what an interval may send, and test membership under faults

Cause: a daemon paused for 30 s answered every heartbeat that had waited in its buffers when it woke: 343 messages in one interval, 6,048 after 700 s. Ruled out: answering only the newest probe of each peer, which bounds a pause but not a seed that the whole fleet asks at once. The memory network can hold back what arrives at a paused daemon. confirm_since now asks for answers to what was sent after the moment, not at it: a test that cut the link at the moment of a heartbeat found that.

--- a/libraries/membership/src/sardinepier/membership/internal/digests.py
+++ b/libraries/membership/src/sardinepier/membership/internal/digests.py
@@ -1,7 +1,5 @@
 """Digests of the living records, one for each bucket of names."""
 
-import functools
-import operator
 import struct
 from typing import Final
 
@@ -30,12 +28,14 @@
     def __init__(self) -> None:
         """Start with no record."""
         self._digests = [0 for _ in range(BUCKETS)]
+        self._total = 0
 
     def toggle(self, bucket: int, held: record.Record) -> None:
         """Add a living record, or take away the same one."""
         key = f'{held.incarnation}/{held.leaving:d}'
         token = rendezvous.score(key, held.instance_id) & _DIGEST_MASK
         self._digests[bucket] ^= token
+        self._total ^= token
 
     def encode(self) -> bytes:
         """Return all digests as they travel."""
@@ -43,7 +43,7 @@
 
     def total(self) -> int:
         """Return one digest of all records."""
-        return functools.reduce(operator.xor, self._digests)
+        return self._total
 
     def differing(self, encoded: bytes) -> list[int]:
         """Return the buckets whose digest is not the one in ``encoded``."""
--- a/libraries/membership/src/sardinepier/membership/internal/evidence.py
+++ b/libraries/membership/src/sardinepier/membership/internal/evidence.py
@@ -26,10 +26,10 @@
         self._answers.append((instance_id, asked_at_s))
 
     def answered_since(self, moment_s: float) -> int:
-        """Return how many peers answered what was asked since then."""
+        """Return how many peers answered what was asked after that."""
         peers = {
             instance_id
             for instance_id, asked_at_s in self._answers
-            if asked_at_s >= moment_s
+            if asked_at_s > moment_s
         }
         return len(peers)
--- a/libraries/membership/src/sardinepier/membership/internal/heartbeat.py
+++ b/libraries/membership/src/sardinepier/membership/internal/heartbeat.py
@@ -19,7 +19,6 @@
 from sardinepier.wire import messages, network
 
 _CHECKS_PER_TICK: Final = 4
-_RELAYS_PER_TICK: Final = 16
 _MAX_PENDING: Final = 512
 _PENDING_INTERVALS: Final = 8
 _SPREAD: Final = (0.5, 1.5)
@@ -54,7 +53,6 @@
         )
         self._doubted: dict[ids.InstanceId, kinds.MemberUpdate] = {}
         self.evidence = evidence.Evidence()
-        self._relays_left = _RELAYS_PER_TICK
         self._ring_version = -1
         self._next_contact_s = time_source.monotonic_s()
 
@@ -66,7 +64,7 @@
 
     def tick(self) -> None:
         """Weigh the last interval's answers and send the next probes."""
-        self._relays_left = _RELAYS_PER_TICK
+        self._known.news.budget.renew()
         self._pending.expire(self._clock.monotonic_s())
         self._weigh()
         self._known.expire()
@@ -100,6 +98,8 @@
 
     def on_probe(self, sender: messages.Sender, probe: kinds.Probe) -> None:
         """Answer, with what the prober should know first."""
+        if not self._known.news.budget.take_ack():
+            return
         first = self._known.news.claims_about(sender.instance_id)
         if probe.target != self._known.table.own.instance_id:
             first = (*self._known.news.own_update(), *first)
@@ -139,9 +139,8 @@
         request: kinds.IndirectProbe,
     ) -> None:
         """Probe a member for a peer, within the bound of one interval."""
-        if self._relays_left <= 0:
+        if not self._known.news.budget.take_relay():
             return
-        self._relays_left -= 1
         requester = pending.Requester(sender.address, request.sequence)
         self._send_probe(
             request.target,
--- a/libraries/membership/src/sardinepier/membership/internal/news.py
+++ b/libraries/membership/src/sardinepier/membership/internal/news.py
@@ -4,7 +4,7 @@
 
 from sardinepier.core import clock, ids
 from sardinepier.membership import kinds, options
-from sardinepier.membership.internal import record, rumors, table
+from sardinepier.membership.internal import budget, record, rumors, table
 from sardinepier.wire import messages
 
 
@@ -21,13 +21,18 @@
         self._table = records
         self._clock = time_source
         self._per_message = bounds.updates_per_message
+        self.budget = budget.TickBudget(bounds.updates_per_tick)
         # Heartbeats go to the monitored peers, acks to those that monitor.
         self.rumors = rumors.Rumors(2 * bounds.monitored_peers)
         self.introduce()
 
     def take(self) -> tuple[kinds.MemberUpdate, ...]:
         """Return updates for one message, and count them as sent."""
-        taken = self.rumors.take(self._per_message, self._table.live_count)
+        wanted = min(self._per_message, len(self.rumors))
+        if not wanted:
+            return ()
+        allowed = self.budget.take_updates(wanted)
+        taken = self.rumors.take(allowed, self._table.live_count)
         found = (self._table.get(instance_id) for instance_id in taken)
         return self.updates(held for held in found if held)
 
--- a/libraries/membership/src/sardinepier/membership/internal/rumors.py
+++ b/libraries/membership/src/sardinepier/membership/internal/rumors.py
@@ -49,6 +49,8 @@
         They return to the end of the queue until each has gone out often
         enough to reach ``member_count`` members.
         """
+        if not self._sent:
+            return []
         limit = self.limit(member_count)
         taken = list(itertools.islice(self._sent, count))
         for instance_id in taken:
--- /dev/null
+++ b/libraries/membership/tests/conftest.py
@@ -0,0 +1,162 @@
+"""A small fleet over the memory network, driven without wall time."""
+
+import collections
+import random
+
+import pytest
+
+from sardinepier.core import clock, ids
+from sardinepier.membership import (
+    events,
+    kinds,
+    marks,
+    members,
+    membership,
+    options,
+)
+from sardinepier.wire import memory_network, messages
+
+
+class Fleet:
+    """Daemons that tick one after the other, each once a second."""
+
+    def __init__(self, size, zones=3, seed=1, **bounds):
+        self.clock = clock.ManualClock(start_s=1000)
+        self.random = random.Random(seed)
+        self.hub = memory_network.MemoryHub(
+            kinds.KINDS, self.clock, self.random
+        )
+        self.zones = zones
+        self.options = options.MembershipOptions(**bounds)
+        self.running = {}
+        self.networks = {}
+        self.paused = set()
+        self.events = collections.defaultdict(list)
+        self.heard_marks = collections.Counter()
+        for index in range(size):
+            self.start(index)
+
+    def address(self, index):
+        return messages.PeerAddress(f'10.0.{index // 200}.{index % 200}', 7000)
+
+    def start(self, index, seeds=(0, 1, 2)):
+        address = self.address(index)
+        instance_id = ids.InstanceId(
+            f'entry-{index}~{self.random.getrandbits(64):016x}'
+        )
+        network = self.hub.network(messages.Sender(instance_id, address))
+        own = members.Member(
+            instance_id=instance_id,
+            daemon_id=members.daemon_of(instance_id),
+            zone=ids.ZoneName(f'zone-{index % self.zones}'),
+            region=ids.RegionName('region-1'),
+            peer_address=address,
+            http_ip=address.ip,
+            http_port=8080,
+            incarnation=0,
+            state=members.MemberState.ALIVE,
+            started_at_s=self.clock.monotonic_s(),
+        )
+        started = membership.Membership(
+            own,
+            network,
+            self.clock,
+            random.Random(self.random.getrandbits(64)),
+            self.options,
+            lambda: marks.ConfigurationMark(index, 2**64 - 1),
+            lambda who, mark: self.heard_marks.update([mark.newest_revision]),
+            self.events[instance_id].append,
+        )
+        started.seed(self.address(seed) for seed in seeds)
+        self.running[index] = started
+        self.networks[index] = network
+        return started
+
+    def crash(self, index):
+        self.resume(index)
+        self.hub.detach(self.address(index))
+        self.networks.pop(index)
+        return self.running.pop(index)
+
+    def pause(self, index):
+        self.paused.add(index)
+        self.hub.pause(self.address(index))
+
+    def resume(self, index):
+        self.paused.discard(index)
+        self.hub.resume(self.address(index))
+
+    def cut(self, sources, destinations):
+        for source in sources:
+            for destination in destinations:
+                if source != destination:
+                    self.hub.cut(
+                        self.address(source), self.address(destination)
+                    )
+
+    def part(self, left, right):
+        self.cut(left, right)
+        self.cut(right, left)
+
+    def tick(self, count=1, watch=None):
+        for _ in range(count):
+            for index in tuple(self.running):
+                self.clock.advance(1 / len(self.running))
+                if index not in self.paused:
+                    self.running[index].tick()
+                self.hub.deliver()
+            if watch:
+                watch()
+
+    def ticks_until(self, condition, limit):
+        for ticks in range(limit):
+            if condition():
+                return ticks
+            self.tick()
+        raise AssertionError(f'not within {limit} ticks')
+
+    def names(self, indexes=None):
+        chosen = self.running if indexes is None else indexes
+        return {self.running[index].own.instance_id for index in chosen}
+
+    def sees(self, index):
+        return {member.instance_id for member in self.running[index].serving()}
+
+    def agree(self, indexes=None):
+        """Whether each of ``indexes`` sees exactly those as serving."""
+        chosen = self.running if indexes is None else indexes
+        names = self.names(chosen)
+        return all(self.sees(index) == names for index in chosen)
+
+    def ended(self, *kinds_of_end, since=0):
+        """Names that any running daemon reported in such events."""
+        return {
+            event.instance_id
+            for daemon in self.running.values()
+            for event in self.events[daemon.own.instance_id][since:]
+            if isinstance(event, kinds_of_end)
+        }
+
+    def died(self):
+        return self.ended(events.MemberDied, events.MemberReplaced)
+
+    def sent(self):
+        """Messages and bytes sent by each running daemon so far."""
+        counts = [network.counters() for network in self.networks.values()]
+        return [(count.messages_sent, count.bytes_sent) for count in counts]
+
+
+@pytest.fixture
+def new_fleet():
+    return Fleet
+
+
+@pytest.fixture
+def settled_fleet():
+    def settled(size, **arguments):
+        fleet = Fleet(size, **arguments)
+        fleet.ticks_until(fleet.agree, limit=40)
+        fleet.tick(20)
+        return fleet
+
+    return settled
--- /dev/null
+++ b/libraries/membership/tests/cover/test_membership_rings.py
@@ -0,0 +1,54 @@
+"""Every member has its monitors, and a change moves few of them."""
+
+import collections
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sardinepier.core import ids, rendezvous
+from sardinepier.membership.internal import rings, table
+
+_RINGS = 4
+
+
+def _entries(size):
+    entries = []
+    for index in range(size):
+        name = ids.InstanceId(f'entry-{index}~{index:016x}')
+        points = tuple(
+            rendezvous.score(f'ring-{ring}', name) for ring in range(_RINGS)
+        )
+        held = type('Held', (), {'instance_id': name})
+        entries.append(table.Entry(held, 0, points))
+    return entries
+
+
+def _edges(entries):
+    return {
+        (own.record.instance_id, chosen)
+        for own in entries
+        for chosen in rings.monitored(own, entries)
+    }
+
+
+@pytest.mark.parametrize('size', [1, 2, 3, 5, 48, 300])
+def test_each_monitors_and_is_monitored_by_about_as_many(size):
+    edges = _edges(_entries(size))
+    expected = min(_RINGS, size - 1)
+    assert len(edges) == size * expected
+    monitors = collections.Counter(monitored for _, monitored in edges)
+    if size > 1:
+        assert len(monitors) == size
+        # Fewer only where two rings put the same member before it.
+        assert min(monitors.values()) >= min(expected, 2)
+        assert max(monitors.values()) <= _RINGS + 2
+
+
+@given(st.integers(0, 47))
+def test_one_death_moves_as_many_edges_as_there_are_rings(index):
+    entries = _entries(48)
+    dead = entries[index].record.instance_id
+    before = {edge for edge in _edges(entries) if dead not in edge}
+    entries.pop(index)
+    assert len(_edges(entries) - before) <= 2 * _RINGS
--- a/libraries/wire/src/sardinepier/wire/memory_network.py
+++ b/libraries/wire/src/sardinepier/wire/memory_network.py
@@ -64,6 +64,7 @@
         self._cuts: set[tuple[messages.PeerAddress, messages.PeerAddress]] = (
             set()
         )
+        self._paused: dict[messages.PeerAddress, list[bytes]] = {}
         self._due: list[tuple[float, int, messages.PeerAddress, bytes]] = []
         self._sequence = itertools.count()
 
@@ -82,6 +83,15 @@
         """Take the daemon at ``address`` off the network, as a crash does."""
         self._networks.pop(address, None)
 
+    def pause(self, address: messages.PeerAddress) -> None:
+        """Hold back all that arrives at ``address``, as in its buffers."""
+        self._paused.setdefault(address, [])
+
+    def resume(self, address: messages.PeerAddress) -> None:
+        """Hand over what was held back for ``address``, and go on."""
+        for frame in self._paused.pop(address, []):
+            self._receive(address, frame)
+
     def cut(
         self,
         source: messages.PeerAddress,
@@ -103,7 +113,7 @@
         self._cuts.clear()
 
     def deliver(self) -> int:
-        """Hand over all that is due now and return how many that were.
+        """Take all that is due now to its end, and return how many.
 
         Replies which handlers send at once are due at once, and delivered in
         the same call.
@@ -111,10 +121,8 @@
         delivered = 0
         while self._due and self._due[0][0] <= self._clock.monotonic_s():
             _, _, address, frame = heapq.heappop(self._due)
-            receiver = self._networks.get(address)
-            if receiver is not None:
-                receiver.receive(frame)
-                delivered += 1
+            self._receive(address, frame)
+            delivered += 1
         return delivered
 
     def carry(
@@ -135,6 +143,15 @@
         if self._happens(self.faults.duplicate):
             self._schedule(destination, frame)
 
+    def _receive(self, address: messages.PeerAddress, frame: bytes) -> None:
+        held_back = self._paused.get(address)
+        if held_back is not None:
+            held_back.append(frame)
+            return
+        receiver = self._networks.get(address)
+        if receiver is not None:
+            receiver.receive(frame)
+
     def _happens(self, share: float) -> bool:
         # No draw without a fault, so that adding one keeps other draws.
         return bool(share) and self._random.random() < share
--- a/libraries/wire/tests/cover/test_wire_memory_network.py
+++ b/libraries/wire/tests/cover/test_wire_memory_network.py
@@ -103,3 +103,16 @@
     second.send(_address(1), Item(3))
     hub.deliver()
     assert heard == {1: [], 2: []}
+
+
+def test_a_paused_daemon_gets_all_that_waited_when_it_resumes():
+    hub, _, (first, _), heard = _hub()
+    hub.pause(_address(2))
+    first.send(_address(2), Item(1))
+    first.send(_address(2), Item(2))
+    hub.deliver()
+    assert not heard[2]
+    hub.resume(_address(2))
+    first.send(_address(2), Item(3))
+    hub.deliver()
+    assert heard[2] == [1, 2, 3]
