Tell groups right after judging, and fill the whole status document

Reports had a timer of their own at 20 Hz beside the judgement at 10 Hz.

Change: one loop judges and reports; the status is put together in steps. Run: libraries/daemon, all passed.

--- a/libraries/daemon/src/sardinepier/daemon/internal/groups.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/groups.py
@@ -1,6 +1,5 @@
 """What the daemons of a service's group tell each other about targets."""
 
-import asyncio
 import dataclasses
 from collections.abc import Callable
 from typing import Final
@@ -21,7 +20,6 @@
 from sardinepier.settings import model
 from sardinepier.wire import messages, network
 
-_TICK_S: Final = 0.05
 _REPORT_BYTES_PER_S: Final = 12_000
 _REPORT_BURST_BYTES: Final = 96_000
 _GUEST_S: Final = 10.0
@@ -109,12 +107,6 @@
             self._on_quarantine,
         )
 
-    async def run(self) -> None:
-        """Exchange until cancelled."""
-        while True:
-            self.tick()
-            await asyncio.sleep(_TICK_S)
-
     def tick(self) -> None:
         """Send the reports that are due."""
         self._join_groups()
--- a/libraries/daemon/src/sardinepier/daemon/internal/pages.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/pages.py
@@ -33,7 +33,7 @@
         request: web_request.BaseRequest,
     ) -> web_response.StreamResponse:
         """Answer the status document."""
-        document = self.source.document(self.state())
+        document = await self.source.document(self.state())
         return _json(status.encode(document))
 
     async def show_metrics(
@@ -41,7 +41,8 @@
         request: web_request.BaseRequest,
     ) -> web_response.StreamResponse:
         """Answer a snapshot of all metrics."""
-        return _json(msgspec.json.encode(self.metrics.snapshot()))
+        measured = await self.metrics.snapshot_in_steps()
+        return _json(msgspec.json.encode(measured))
 
     async def show_timeline(
         self,
--- a/libraries/daemon/src/sardinepier/daemon/internal/status_document.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/status_document.py
@@ -11,7 +11,7 @@
 from sardinepier.gateway import service_runtime
 from sardinepier.health import targets
 from sardinepier.membership import members
-from sardinepier.telemetry import metrics, status, summaries
+from sardinepier.telemetry import status, summaries
 from sardinepier.wire import counters, zmq_network
 
 _OUTCOMES: Final = 'answers'
@@ -42,11 +42,11 @@
     store: stores.Store
     network: zmq_network.ZmqNetwork
 
-    def document(self, state: DaemonState) -> status.DaemonStatus:
-        """Return the whole document as of now."""
+    async def document(self, state: DaemonState) -> status.DaemonStatus:
+        """Return the whole document as of now, letting requests go first."""
         context = self.context
         own = context.view.own
-        measured = context.metrics.snapshot()
+        measured = await context.metrics.snapshot_in_steps()
         age_s = context.clock.monotonic_s() - context.started_at_s
         return status.DaemonStatus(
             instance_id=own.instance_id,
@@ -58,11 +58,7 @@
             members=tuple(_member(one) for one in context.view.members()),
             files=tuple(self._files()),
             services=tuple(_service(one) for one in context.services),
-            outcomes=tuple(
-                _outcome(counted)
-                for counted in measured.counters
-                if counted.name == _OUTCOMES
-            ),
+            outcomes=summaries.outcomes(measured, _OUTCOMES),
             latencies=summaries.latencies(measured),
             peers=_peers(self.network.counters()),
         )
@@ -107,6 +103,9 @@
                 weight=one.weight,
                 reason=_reason(one.reason),
                 in_flight=one.in_flight,
+                incarnation=one.incarnation,
+                evidence=one.score,
+                returns_in_s=one.returns_in_s,
             )
             for one in runtime.health.status()
         ),
@@ -119,15 +118,6 @@
     return '' if reason is targets.Reason.NONE else reason.value
 
 
-def _outcome(counted: metrics.CounterValue) -> status.OutcomeCount:
-    labels = {label.name: label.value for label in counted.labels}
-    return status.OutcomeCount(
-        service=labels['service'],
-        outcome=labels['outcome'],
-        requests=counted.count,
-    )
-
-
 def _peers(counted: counters.NetworkCounters) -> status.PeerCounters:
     return status.PeerCounters(
         sent_messages=counted.messages_sent,
