--- a/libraries/health/src/sardinepier/health/evidence.py
+++ b/libraries/health/src/sardinepier/health/evidence.py
@@ -74,6 +74,8 @@
     answers, ``attempts`` all attempts that said anything. ``overdue`` is the
     evidence of requests still in flight at the moment of the report, and
     ``overdue_ms`` for how long the oldest of these has been overdue.
+    ``in_flight`` counts the other requests in flight: overdue ones may never
+    have arrived, so they do not show that a slot is taken.
     """
 
     target_id: ids.TargetId
--- a/libraries/health/src/sardinepier/health/internal/judgement.py
+++ b/libraries/health/src/sardinepier/health/internal/judgement.py
@@ -13,6 +13,9 @@
 _DOUBT_SCORE: Final = 0.25
 _FEWEST_TO_DOUBT: Final = 3
 _MS_PER_S: Final = 1000
+_USUAL: Final = 0.7
+"""A target is set against the level which this share of others is below."""
+
 _STALE_S: Final = 0.5
 
 
@@ -63,19 +66,22 @@
     scores then differ by chance the more, the higher they all are.
     """
     levels = [_levels(one, group, now_s, limits) for one in tracked_targets]
-    own_median = relative.OthersMedian([own for own, _ in levels])
-    group_median = relative.OthersMedian([pooled for _, pooled in levels])
+    usual_own = relative.OthersQuantile([own for own, _ in levels], _USUAL)
+    usual_group = relative.OthersQuantile(
+        [pooled for _, pooled in levels],
+        _USUAL,
+    )
     for one, (own, pooled) in zip(tracked_targets, levels, strict=True):
         suspicion = one.suspicion
         suspicion.own_level = own / limits.threshold
         suspicion.own_score = _standing_out(
             own,
-            own_median.without(own),
+            usual_own.without(own),
             limits.threshold,
         )
         suspicion.group_score = _standing_out(
             pooled,
-            group_median.without(pooled),
+            usual_group.without(pooled),
             limits.threshold,
         )
         _update_since(suspicion, now_s)
--- a/libraries/health/src/sardinepier/health/internal/relative.py
+++ b/libraries/health/src/sardinepier/health/internal/relative.py
@@ -1,6 +1,7 @@
 """What is usual at the *other* targets right now."""
 
 import bisect
+import math
 from collections.abc import Sequence
 from typing import Final
 
@@ -8,26 +9,26 @@
 _PRIOR_ATTEMPTS: Final = 10
 
 
-class OthersMedian:
-    """The median of a list of values without one of them, in O(log n)."""
+class OthersQuantile:
+    """A quantile of a list of values without one of them, in O(log n)."""
 
-    def __init__(self, values: Sequence[float]) -> None:
+    def __init__(self, values: Sequence[float], quantile: float) -> None:
         """Sort the values once."""
         self._sorted = sorted(values)
+        self._quantile = quantile
 
     def without(self, value: float) -> float:
-        """Return the lower median of all values but one equal to ``value``.
+        """Return the quantile of all values but one equal to ``value``.
 
         0 when there is no other value.
         """
         others = len(self._sorted) - 1
         if others < 1:
             return 0.0
-        middle = (others - 1) // 2
-        own_place = bisect.bisect_left(self._sorted, value)
-        if own_place <= middle:
-            middle += 1
-        return self._sorted[middle]
+        place = math.ceil(self._quantile * (others - 1))
+        if bisect.bisect_left(self._sorted, value) <= place:
+            place += 1
+        return self._sorted[place]
 
 
 class OthersFailureShare:
--- a/libraries/health/src/sardinepier/health/internal/reporting.py
+++ b/libraries/health/src/sardinepier/health/internal/reporting.py
@@ -58,7 +58,7 @@
         attempts=one.tally.attempts,
         overdue=round(one.suspicion.overdue, _SCORE_DIGITS),
         overdue_ms=round(one.suspicion.overdue_ms),
-        in_flight=len(one.flights),
+        in_flight=len(one.flights) - one.suspicion.overdue_count,
     )
 
 
--- a/libraries/health/src/sardinepier/health/internal/scoring.py
+++ b/libraries/health/src/sardinepier/health/internal/scoring.py
@@ -11,6 +11,7 @@
 
 _RESIDUAL_MEMORY_S: Final = 2.0
 _FAILURE_MEMORY_S: Final = 5.0
+_MIDDLE: Final = 0.5
 _TICKS_PER_TABLE: Final = 20
 _FLIGHTS_LOOKED_AT: Final = 8
 _MS_PER_S: Final = 1000
@@ -47,8 +48,9 @@
         """Score all windows and empty them."""
         self._refresh_tables()
         self._fade(tracked_targets, now_s)
-        shifts = relative.OthersMedian(
+        shifts = relative.OthersQuantile(
             [one.recent.mean_residual() for one in tracked_targets],
+            _MIDDLE,
         )
         shares = relative.OthersFailureShare(
             [
@@ -145,6 +147,7 @@
         suspicion = one.suspicion
         suspicion.overdue = 0.0
         suspicion.overdue_ms = 0.0
+        suspicion.overdue_count = 0
         for number, flight in enumerate(one.flights.values()):
             if number >= _FLIGHTS_LOOKED_AT:
                 break
@@ -155,6 +158,7 @@
             position = baseline.residual(log_age, flight.median) - shift
             if position < baseline.SLOW_RESIDUAL:
                 continue
+            suspicion.overdue_count += 1
             suspicion.overdue += self._ratios.overdue(position)
             late_ms = age_ms - baseline.slow_ms(flight.median)
             suspicion.overdue_ms = max(suspicion.overdue_ms, late_ms)
--- a/libraries/health/src/sardinepier/health/internal/tracked.py
+++ b/libraries/health/src/sardinepier/health/internal/tracked.py
@@ -102,6 +102,7 @@
     )
     overdue: float = 0.0
     overdue_ms: float = 0.0
+    overdue_count: int = 0
     votes: dict[ids.InstanceId, Votes] = dataclasses.field(
         default_factory=dict,
     )
@@ -129,6 +130,7 @@
         self.group_score = 0.0
         self.overdue = 0.0
         self.overdue_ms = 0.0
+        self.overdue_count = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/libraries/health/src/sardinepier/health/options.py
+++ b/libraries/health/src/sardinepier/health/options.py
@@ -25,7 +25,7 @@
     floor_percent: float = 50
     """Share of the service's slots which ejections never go below."""
 
-    tolerated_pause_ms: float = 250
+    tolerated_pause_ms: float = 200
     """A target may stand still for so long without being called sick."""
 
     tick_interval_s: float = 0.1
--- a/libraries/workbench/src/sardinepier/workbench/detection/driver.py
+++ b/libraries/workbench/src/sardinepier/workbench/detection/driver.py
@@ -173,7 +173,9 @@
         now_s = self._now_s()
         timeout_s = now_s + self.service.timeout_ms / _MS_PER_S
         if self._strike.loses(work, now_s):
-            self._at(timeout_s, self._end_of(work, evidence.AttemptEnd.TIMED_OUT))
+            self._at(
+                timeout_s, self._end_of(work, evidence.AttemptEnd.TIMED_OUT)
+            )
             return
         if self._strike.crashes(work, now_s):
             crash = evidence.AttemptEnd.CRASH_SUSPECT
@@ -184,9 +186,13 @@
             self._begin(target, work)
         elif len(target.queue) < self.service.slots * _TARGET_QUEUE_FACTOR:
             target.queue.append(work)
-            self._at(timeout_s, self._end_of(work, evidence.AttemptEnd.TIMED_OUT))
+            self._at(
+                timeout_s, self._end_of(work, evidence.AttemptEnd.TIMED_OUT)
+            )
         else:
-            self._at(now_s + 0.001, self._end_of(work, evidence.AttemptEnd.SHED))
+            self._at(
+                now_s + 0.001, self._end_of(work, evidence.AttemptEnd.SHED)
+            )
 
     def _begin(
         self,
@@ -298,6 +304,7 @@
                 strict=True,
             ):
                 candidate.weight = weight
+            self._learn_load(place, daemon)
             self.measured.judged(now_s, place, weights)
             for target in self._judge.due_probes(place, now_s):
                 good = self._strike.probe_is_good(place, target, now_s)
@@ -307,6 +314,13 @@
 
         return tick
 
+    def _learn_load(self, place: int, daemon: _Daemon) -> None:
+        counts = self._judge.peers_in_flight(place)
+        if counts is None or self._strike.load_lag_s():
+            return
+        for candidate, count in zip(daemon.candidates, counts, strict=True):
+            candidate.peers_in_flight = count
+
     def _probe_end(self, place: int, target: int, good: bool) -> _Action:
         return lambda: self._judge.probed(place, target, good)
 
@@ -322,6 +336,9 @@
         self._at(now_s + _GOSSIP_S, self._tell_load)
 
     def _take_load(self, counts: list[list[int]]) -> None:
+        if self._judge.peers_in_flight(0) is not None:
+            if not self._strike.load_lag_s():
+                return
         totals = [sum(column) for column in zip(*counts, strict=True)]
         for daemon, own in zip(self._daemons, counts, strict=True):
             for place, candidate in enumerate(daemon.candidates):
--- a/libraries/workbench/src/sardinepier/workbench/detection/judge.py
+++ b/libraries/workbench/src/sardinepier/workbench/detection/judge.py
@@ -14,7 +14,9 @@
     are seconds of the experiment's clock.
     """
 
-    def started(self, daemon: int, target: int, route: int, number: int) -> None:
+    def started(
+        self, daemon: int, target: int, route: int, number: int
+    ) -> None:
         """A daemon sent an attempt to a target."""
         ...
 
@@ -38,6 +40,10 @@
         """Return the weight of each target at a daemon, 0 for out."""
         ...
 
+    def peers_in_flight(self, daemon: int) -> Sequence[int] | None:
+        """Return the peers' requests at each target, None if not known."""
+        ...
+
     def is_trial(self, daemon: int, target: int) -> bool:
         """Return whether work for a target is but a trial of its return."""
         ...
--- a/libraries/workbench/src/sardinepier/workbench/detection/pooled.py
+++ b/libraries/workbench/src/sardinepier/workbench/detection/pooled.py
@@ -35,9 +35,7 @@
         ]
         self._incarnations = [0 for _ in self._names]
         self._slots = service.slots
-        self._under_way: list[
-            tuple[float, int, evidence.EvidenceReport]
-        ] = []
+        self._under_way: list[tuple[float, int, evidence.EvidenceReport]] = []
         self.changes = 0
         self.daemons = [
             service_health.ServiceHealth(
@@ -52,7 +50,9 @@
         ]
         self._list_targets()
 
-    def started(self, daemon: int, target: int, route: int, number: int) -> None:
+    def started(
+        self, daemon: int, target: int, route: int, number: int
+    ) -> None:
         """Pass it on."""
         self.daemons[daemon].started(
             self._names[target],
@@ -95,6 +95,13 @@
         health = self.daemons[daemon]
         return [health.standing(name).weight for name in self._names]
 
+    def peers_in_flight(self, daemon: int) -> Sequence[int] | None:
+        """Return the counts from the peers' reports."""
+        if self._alone:
+            return None
+        health = self.daemons[daemon]
+        return [health.standing(name).peers_in_flight for name in self._names]
+
     def is_trial(self, daemon: int, target: int) -> bool:
         """Return whether the target is on trial at the daemon."""
         standing = self.daemons[daemon].standing(self._names[target])
--- a/libraries/workbench/src/sardinepier/workbench/detection/rules.py
+++ b/libraries/workbench/src/sardinepier/workbench/detection/rules.py
@@ -199,7 +199,9 @@
         self._out_until_s = [[0.0] * targets for _ in rules]
         self._now_s = 0.0
 
-    def started(self, daemon: int, target: int, route: int, number: int) -> None:
+    def started(
+        self, daemon: int, target: int, route: int, number: int
+    ) -> None:
         """Nothing to note: such rules look at ends only."""
 
     def finished(
@@ -232,6 +234,10 @@
             for until_s in self._out_until_s[daemon]
         ]
 
+    def peers_in_flight(self, daemon: int) -> Sequence[int] | None:
+        """Return None: the driver tells daemons the true counts."""
+        return None
+
     def is_trial(self, daemon: int, target: int) -> bool:
         """Return False: these rules know no trials."""
         return False
