Prove the request path across daemons, pauses, drains and crashing requests

Cause: relay, wake guard, draining, quarantine and hedging had no tests in the gateway, and shed replies were retried without a budget.

Change: tests on real sockets with two or three gateways; a shed reply now spends retry budget; the last refusal is told instead of "no target" when no target is left; refusals and quarantines go to the time line, added up.

Ruled out: taking one lost connection as no evidence at all. The first target that a request crashes may become suspect on a quiet service; it is not ejected, which the test pins.

--- a/libraries/gateway/src/sardinepier/gateway/activity.py
+++ b/libraries/gateway/src/sardinepier/gateway/activity.py
@@ -6,7 +6,10 @@
 
 
 class Activity:
-    """Counts requests in hand; used as a context manager around each.
+    """Counts work in hand; used as a context manager around each piece.
+
+    A keyed request counts twice while its caller waits: once for the caller
+    and once for the work, which goes on when the caller hangs up.
 
     Once draining, every answer tells its caller to close the connection, and
     :meth:`idle` returns when nothing is in hand any more.
--- a/libraries/gateway/src/sardinepier/gateway/context.py
+++ b/libraries/gateway/src/sardinepier/gateway/context.py
@@ -9,6 +9,7 @@
 from sardinepier.gateway import (
     activity,
     client,
+    refusal_counts,
     service_runtime,
     wake_guard,
 )
@@ -40,5 +41,6 @@
     client: client.TargetClient
     wake_guard: wake_guard.WakeGuard
     activity: activity.Activity
+    refusals: refusal_counts.RefusalCounts
     metrics: metrics.Metrics
     record_event: Callable[[events.Event], object]
--- a/libraries/gateway/src/sardinepier/gateway/exchange.py
+++ b/libraries/gateway/src/sardinepier/gateway/exchange.py
@@ -13,6 +13,7 @@
 from sardinepier.gateway import context as contexts
 from sardinepier.gateway import errors, reading, target_answer, work
 from sardinepier.health import evidence
+from sardinepier.telemetry import target_events
 
 _MS_PER_S: Final = 1000
 _FIRST_FAILURE_STATUS: Final = 500
@@ -139,9 +140,23 @@
             self._target_id,
             self._item.runtime.is_fine_otherwise(self._target_id),
         )
-        if held:
-            return evidence.AttemptEnd.CRASH_SUSPECT
-        return evidence.AttemptEnd.CONNECTION_LOST
+        if not held:
+            return evidence.AttemptEnd.CONNECTION_LOST
+        self._tell_of_quarantine()
+        return evidence.AttemptEnd.CRASH_SUSPECT
+
+    def _tell_of_quarantine(self) -> None:
+        item = self._item
+        for mark in self._context.quarantine.held():
+            if mark.fingerprint == item.fingerprint:
+                self._context.record_event(
+                    target_events.FingerprintQuarantined(
+                        item.snapshot.settings.name,
+                        f'{mark.fingerprint:016x}',
+                        mark.targets,
+                        mark.remaining_s,
+                    ),
+                )
 
     def _end(
         self,
--- a/libraries/gateway/src/sardinepier/gateway/forwarding.py
+++ b/libraries/gateway/src/sardinepier/gateway/forwarding.py
@@ -26,6 +26,7 @@
 _MOST_LOST: Final = 2
 _FIRST_FAILURE_STATUS: Final = 500
 _RETRY_AFTER_S: Final = 1.0
+_WORTH_RETRYING: Final = (errors.ConnectionLostError, errors.BadAnswerError)
 
 
 @dataclasses.dataclass(slots=True)
@@ -107,7 +108,7 @@
                 admission.Work(
                     item.route.priority,
                     item.deadline_s,
-                    takes_any=not history.tried,
+                    takes_any=item.route.idempotent and not history.tried,
                 ),
                 lambda: self._reserve(item, history),
             )
@@ -155,14 +156,18 @@
         return standing.state is not targets.TargetState.TRIAL
 
     def _require_target(self, item: work.Work, history: _History) -> None:
-        for target_id in item.runtime.health.selectable():
-            if target_id not in history.tried and self._suits(item, target_id):
-                return
-        raise refusals.NoTargetError(
-            f'Service {item.snapshot.settings.name} has no target left that '
-            'may take this request',
-            'Send it again after the stated time',
-            _RETRY_AFTER_S,
+        if not self._has_target(item, history):
+            raise refusals.NoTargetError(
+                f'Service {item.snapshot.settings.name} has no target that '
+                'may take this request',
+                'Send it again after the stated time',
+                _RETRY_AFTER_S,
+            )
+
+    def _has_target(self, item: work.Work, history: _History) -> bool:
+        return any(
+            target_id not in history.tried and self._suits(item, target_id)
+            for target_id in item.runtime.health.selectable()
         )
 
     def _may_go_on(
@@ -172,22 +177,31 @@
         error: errors.GatewayError,
     ) -> bool:
         """Decide on a further attempt after one without an answer."""
-        if history.attempts >= _MOST_ATTEMPTS:
-            return False
-        if isinstance(error, refusals.DeadlinePassedError):
+        if isinstance(error, errors.UnknownFateError):
+            history.failure = error
+            history.lost += isinstance(error, errors.ConnectionLostError)
+        if isinstance(error, refusals.PausedError):
+            # It waits for the guard again, within its deadline.
+            return history.attempts < _MOST_ATTEMPTS
+        if not self._has_room(item, history):
             return False
-        if isinstance(error, errors.ProvedNotRunError):
-            # Nothing was run, and a shed target backs off by itself, so this
+        if isinstance(error, errors.ConnectFailedError):
+            # A dead target costs no other one anything, so going past it
             # needs no budget; the number of attempts bounds it.
             return True
-        if isinstance(error, errors.UnknownFateError):
-            history.failure = error
-        history.lost += isinstance(error, errors.ConnectionLostError)
+        if isinstance(error, errors.ShedError):
+            return item.runtime.retry_budget.try_spend()
         if not item.route.idempotent or history.lost >= _MOST_LOST:
             return False
-        if isinstance(error, errors.AnswerOverdueError):
+        return (
+            isinstance(error, _WORTH_RETRYING)
+            and item.runtime.retry_budget.try_spend()
+        )
+
+    def _has_room(self, item: work.Work, history: _History) -> bool:
+        if history.attempts >= _MOST_ATTEMPTS:
             return False
-        return item.runtime.retry_budget.try_spend()
+        return self._has_target(item, history)
 
     def _may_improve(
         self,
@@ -198,6 +212,6 @@
         """Decide whether another target may give a better answer."""
         if answer.status < _FIRST_FAILURE_STATUS or answer.rest is not None:
             return False
-        if not item.route.idempotent or history.attempts >= _MOST_ATTEMPTS:
+        if not item.route.idempotent or not self._has_room(item, history):
             return False
         return item.runtime.retry_budget.try_spend()
--- a/libraries/gateway/src/sardinepier/gateway/pipeline.py
+++ b/libraries/gateway/src/sardinepier/gateway/pipeline.py
@@ -59,7 +59,7 @@
                 self._count(service, 'caller-gone')
                 raise
             except Exception as error:  # noqa: BLE001 - the last resort
-                response = self._problem(request, error)
+                response = self._problem(request, service, error)
             if self._context.activity.is_draining:
                 response.force_close()
         self._measure(service, response, started_s)
@@ -94,6 +94,7 @@
     def _problem(
         self,
         request: web_request.BaseRequest,
+        service: str,
         error: Exception,
     ) -> web_response.Response:
         if not isinstance(error, core_errors.SardinepierError):
@@ -102,7 +103,9 @@
                 f'The daemon failed: {type(error).__name__}',
                 'Find out whether the request ran before sending it anew',
             )
-        outcome = problem_table.kind_of(error).outcome
+        kind = problem_table.kind_of(error)
+        self._context.refusals.note(service, kind.name)
+        outcome = kind.outcome
         if outcome is outcomes.Outcome.NOT_RUN and not self._is_proved(request):
             outcome = outcomes.Outcome.UNKNOWN
         return problems.answer(
--- /dev/null
+++ b/libraries/gateway/tests/cover/test_gateway_targets.py
@@ -0,0 +1,193 @@
+"""Which targets get work, and what becomes of it when they change."""
+
+import asyncio
+import json
+
+import pytest
+
+from sardinepier.health import targets
+from sardinepier.telemetry import daemon_events, target_events
+
+
+def outcome_of(answer):
+    return answer.headers['Sardinepier-Outcome']
+
+
+async def until(condition):
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+async def test_the_second_target_that_a_request_crashes_is_the_last(world):
+    await world.add_targets('ok', 'ok', 'ok', 'ok')
+    gateway = await world.add_gateway()
+    first, _ = await world.send('GET', '/books/books/poison')
+    assert (first.status, outcome_of(first)) == (502, 'unknown')
+    for _ in range(3):
+        again, content = await world.send('GET', '/books/books/poison')
+        assert (again.status, outcome_of(again)) == (503, 'not-run')
+        assert json.loads(content)['type'].endswith('quarantined')
+        assert int(again.headers['Retry-After']) > 1
+        good, _ = await world.send('GET', '/books/books/other')
+        assert good.status == 200
+    assert world.runs()['GET /books/poison HTTP/1.1'] == 2
+    gateway.runtime().tick()
+    for target in world.targets:
+        state = gateway.runtime().health.standing(target.name).state
+        assert state is not targets.TargetState.EJECTED
+    assert isinstance(
+        gateway.events[0],
+        target_events.FingerprintQuarantined,
+    )
+    gateway.context.refusals.flush(10)
+    assert daemon_events.RequestRefused('books', 'quarantined', 3, 10) in (
+        gateway.events
+    )
+
+
+async def test_keys_of_one_caller_crash_two_targets_at_most(world):
+    await world.add_targets('ok', 'ok', 'ok', 'ok')
+    await world.add_gateway()
+    outcomes = []
+    for number in range(5):
+        headers = {'Idempotency-Key': f'{await world.ticket()}.{number}'}
+        answer, _ = await world.send(
+            'PUT',
+            '/books/postings/poison',
+            headers=headers,
+        )
+        outcomes.append(outcome_of(answer))
+    assert outcomes[:2] == ['unknown', 'unknown']
+    assert outcomes[2:] == ['not-run', 'not-run', 'not-run']
+    assert world.runs().total() == 2
+
+
+async def test_a_popular_request_is_not_caught_in_an_outage(world):
+    await world.add_targets('ok', 'ok', 'ok', 'ok')
+    gateway = await world.add_gateway()
+    await world.send('GET', '/books/books/popular')
+    for target in world.targets[:3]:
+        target.behaviour = 'drop after running'
+    for _ in range(6):
+        await world.send('GET', '/books/books/popular')
+    assert not gateway.context.quarantine.held()
+    for target in world.targets:
+        target.behaviour = 'ok'
+    answer, _ = await world.send('GET', '/books/books/popular')
+    assert answer.status == 200
+
+
+async def test_a_full_queue_refuses_at_once(world):
+    target = await world.add_target('hang')
+    gateway = await world.add_gateway(slots=1, queue_length=1)
+    busy = [
+        asyncio.ensure_future(world.send('GET', f'/books/books/{number}'))
+        for number in range(2)
+    ]
+    await until(lambda: len(gateway.runtime().queue) == 1)
+    answer, content = await world.send('GET', '/books/books/9')
+    assert (answer.status, outcome_of(answer)) == (503, 'not-run')
+    assert json.loads(content)['type'].endswith('queue-full')
+    assert int(answer.headers['Retry-After']) >= 1
+    target.released.set()
+    assert {(await one)[0].status for one in busy} == {200}
+    assert len(target.seen) == 2
+
+
+async def test_an_answer_after_the_deadline_reaches_nobody(world):
+    target = await world.add_target('hang')
+    gateway = await world.add_gateway()
+    hasty = {'Sardinepier-Deadline-Ms': '50'}
+    late, _ = await world.send('GET', '/books/books/1', headers=hasty)
+    assert (late.status, outcome_of(late)) == (504, 'unknown')
+    await until(lambda: target.closed)
+    target.behaviour = 'ok'
+    target.content = b'for the second'
+    _, content = await world.send('GET', '/books/books/2')
+    assert content == b'for the second'
+    assert not gateway.runtime().slots.report()
+
+
+@pytest.mark.parametrize('is_slow_first', [True, False])
+async def test_a_hedge_wins_and_its_loser_is_closed(world, is_slow_first):
+    await world.add_targets('hang', 'ok')
+    gateway = await world.add_gateway()
+    delay = gateway.runtime().hedge_delay('GET /hedged/{id}')
+    for _ in range(100):
+        delay.observe(5)
+    if not is_slow_first:
+        await world.send('GET', '/books/hedged/0')
+    for number in range(3):
+        answer, content = await world.send('GET', f'/books/hedged/{number}')
+        assert (answer.status, content) == (200, world.targets[1].content)
+    slow = world.targets[0]
+    await until(lambda: slow.seen and slow.closed == slow.connections)
+    assert not gateway.runtime().slots.report()
+
+
+async def test_a_draining_answer_ends_new_work_at_once(world):
+    await world.add_targets('draining', 'ok')
+    await world.add_gateway()
+    for number in range(6):
+        answer, _ = await world.send('GET', f'/books/books/{number}')
+        assert answer.status == 200
+    assert len(world.targets[0].seen) == 1
+
+
+async def test_a_request_keeps_the_settings_it_started_with(world):
+    old = await world.add_target('hang')
+    gateway = await world.add_gateway(slots=1)
+    holding = asyncio.ensure_future(world.send('GET', '/books/books/1'))
+    await until(lambda: old.seen)
+    waiting = asyncio.ensure_future(world.send('GET', '/books/books/2'))
+    await until(lambda: len(gateway.runtime().queue))
+    new = await world.add_target('ok')
+    gateway.configure(world.service([new], answer_buffer_limit_bytes=1))
+    fresh, _ = await world.send('GET', '/books/books/3')
+    assert fresh.status == 200
+    old.released.set()
+    assert (await holding)[1] == old.content
+    # It knows only the old target, which is configured no longer.
+    refused, _ = await waiting
+    assert outcome_of(refused) == 'not-run'
+    assert [seen.line.split()[1] for seen in new.seen] == ['/books/3']
+
+
+async def test_a_service_without_targets_refuses_at_once(world):
+    await world.add_gateway()
+    answer, content = await world.send('GET', '/books/books/1')
+    assert (answer.status, outcome_of(answer)) == (503, 'not-run')
+    assert json.loads(content)['type'].endswith('no-target')
+    assert answer.headers['Retry-After'] == '1'
+
+
+async def test_draining_serves_everything_and_sends_callers_elsewhere(world):
+    target = await world.add_target('hang')
+    gateway = await world.add_gateway()
+    await world.add_gateway()
+    headers = {'Idempotency-Key': f'{await world.ticket()}.1'}
+    path = '/books/postings'
+    first = asyncio.ensure_future(world.send('POST', path, headers=headers))
+    await until(lambda: target.seen)
+    gateway.server.begin_draining()
+    await _check_draining_addresses(world)
+    closing = asyncio.ensure_future(gateway.server.close(20))
+    again = asyncio.ensure_future(
+        world.send('POST', path, at=1, headers=headers),
+    )
+    await asyncio.sleep(0.05)
+    target.released.set()
+    done, relayed, unfinished = await asyncio.gather(first, again, closing)
+    assert (done[0].status, done[1]) == (200, target.content)
+    assert done[0].headers['Connection'] == 'close'
+    assert not unfinished
+    assert outcome_of(relayed[0]) in {'completed', 'unknown'}
+    assert list(target.ran.values()) == [1]
+
+
+async def _check_draining_addresses(world):
+    answer, content = await world.send('GET', '/v1/addresses?service=books')
+    ports = [one['port'] for one in json.loads(content)['addresses']]
+    assert ports == [world.gateways[1].port]
+    assert answer.headers['Connection'] == 'close'
--- a/libraries/once/src/sardinepier/once/quarantine.py
+++ b/libraries/once/src/sardinepier/once/quarantine.py
@@ -175,11 +175,18 @@
             if mark.remaining_s > 0:
                 self._take(mark, now_s)
 
-    def held(self) -> tuple[int, ...]:
-        """Return the fingerprints that are held back now."""
+    def held(self) -> tuple[marks.CrashMark, ...]:
+        """Return what is held back now, with the targets that were lost.
+
+        ``remaining_s`` says for how long.
+        """
         now_s = self._clock.monotonic_s()
         return tuple(
-            fingerprint
+            marks.CrashMark(
+                fingerprint,
+                tuple(sorted(entry.targets(now_s))),
+                entry.held_until_s - now_s,
+            )
             for fingerprint, entry in self._entries.items()
             if entry.held_until_s > now_s
         )
