Test the exchange of groups, and join groups once a second at most

The state compared was the id() of a configuration, which another object may get later. Change: at most one pass a second; the configuration itself is compared. Tests of the exchange over the memory network: leaving marks reach the group and survive a stale list, in-flight counts and quarantine marks are shared, guests are heard and answered, reports stay within their bytes, an unknown service changes nothing.

--- a/libraries/daemon/src/sardinepier/daemon/internal/groups.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/groups.py
@@ -22,6 +22,7 @@
 
 _REPORT_BYTES_PER_S: Final = 12_000
 _REPORT_BURST_BYTES: Final = 96_000
+_JOIN_INTERVAL_S: Final = 1.0
 _GUEST_S: Final = 10.0
 _MOST_GUESTS: Final = 16
 _QUARANTINE_INTERVAL_S: Final = 1.0
@@ -98,15 +99,23 @@
             _REPORT_BYTES_PER_S,
             _REPORT_BURST_BYTES,
         )
+        self.spent_bytes = 0
         self._exchanges: dict[ids.ServiceName, _ServiceExchange] = {}
-        self._joined_for: tuple[int, int] | None = None
+        self._joined_version = -1
+        self._joined_configuration: model.Configuration | None = None
+        self._join_due_s = clock.monotonic_s()
         self._quarantine_due_s = clock.monotonic_s()
-        peer_network.subscribe(group_messages.GroupReport, self._on_report)
+        peer_network.subscribe(group_messages.GroupReport, self.take_report)
         peer_network.subscribe(
             group_messages.QuarantineNotice,
             self._on_quarantine,
         )
 
+    def guests(self, service: ids.ServiceName) -> frozenset[ids.InstanceId]:
+        """Return who hears of a service here without being in its group."""
+        exchange = self._exchanges.get(service)
+        return frozenset(exchange.guests) if exchange else frozenset()
+
     def tick(self) -> None:
         """Send the reports that are due."""
         self._join_groups()
@@ -115,21 +124,40 @@
                 self._send_report(runtime)
         self._send_quarantine()
 
+    def take_report(
+        self,
+        sender: messages.Sender,
+        received: group_messages.GroupReport,
+    ) -> None:
+        """Take in a peer's report; of a service unknown here, nothing."""
+        for runtime in self._services:
+            if _name(runtime) == received.service:
+                self._take_report(sender, received, runtime)
+
     def _join_groups(self) -> None:
         """Take part in the services whose group this daemon is in now."""
         current = self._configuration()
         if current is None:
             return
-        state = (self._view.version, id(current))
-        if state == self._joined_for:
+        now_s = self._clock.monotonic_s()
+        if now_s < self._join_due_s or self._has_joined_for(current):
             return
-        self._joined_for = state
+        # While a zone is lost, the view changes with every tick. Going over
+        # all services each time would take most of a core.
+        self._join_due_s = now_s + _JOIN_INTERVAL_S
+        self._joined_version = self._view.version
+        self._joined_configuration = current
         self._directory.retain(current.services)
         own = self._view.own.instance_id
         for name, settings in current.services.items():
             if own in self._group(settings):
                 self._services.get(name)
 
+    def _has_joined_for(self, current: model.Configuration) -> bool:
+        if self._view.version != self._joined_version:
+            return False
+        return current is self._joined_configuration
+
     def _group(self, settings: model.ServiceSettings) -> _Peers:
         return {
             member.instance_id: member.peer_address
@@ -152,6 +180,7 @@
         )
         exchange.report_bytes = len(msgspec.msgpack.encode(report))
         self._budget.spend(exchange.report_bytes * len(peers))
+        self.spent_bytes += exchange.report_bytes * len(peers)
         for address in peers.values():
             self._network.send(address, report)
 
@@ -175,15 +204,6 @@
             runtime.slots.set_group(shown)
         return peers
 
-    def _on_report(
-        self,
-        sender: messages.Sender,
-        received: group_messages.GroupReport,
-    ) -> None:
-        for runtime in self._services:
-            if _name(runtime) == received.service:
-                self._take_report(sender, received, runtime)
-
     def _take_report(
         self,
         sender: messages.Sender,
--- /dev/null
+++ b/libraries/daemon/tests/cover/test_daemon_groups.py
@@ -0,0 +1,234 @@
+"""What the daemons of a group learn from each other, and at what cost."""
+
+import random
+
+import pytest
+
+from sardinepier.core import clock as clocks
+from sardinepier.core import ids
+from sardinepier.daemon.internal import (
+    group_messages,
+    groups,
+    service_parts,
+    target_directory,
+    target_notices,
+)
+from sardinepier.gateway import service_runtime
+from sardinepier.health import evidence, targets
+from sardinepier.membership import members
+from sardinepier.once import quarantine
+from sardinepier.platform import interface
+from sardinepier.settings import model, parsing
+from sardinepier.wire import memory_network, messages
+
+_FLEET = '[fleet]\nname = f\n[zone north]\nregion = metro\n'
+_SERVICE = """
+[service]
+name = deposits
+group_daemons_per_zone = {per_zone}
+[shed-reply]
+status = 503
+header_name = Shed
+header_value = not-run
+[route register]
+method = POST
+path = /deposits
+idempotent = no
+deadline_ms = 4000
+"""
+_TARGET = """
+[target t{number}]
+ip = 10.0.0.{number}
+port = 80
+zone = north
+slots = 3
+"""
+
+
+class _View:
+    """A fixed view of a few members in one zone."""
+
+    def __init__(self, own, everyone):
+        self.own = own
+        self.version = 1
+        self._everyone = tuple(everyone)
+
+    def members(self):
+        return self._everyone
+
+    def serving(self):
+        return self._everyone
+
+    def find(self, instance_id):
+        return next(
+            (one for one in self._everyone if one.instance_id == instance_id),
+            None,
+        )
+
+
+def _member(number):
+    return members.Member(
+        instance_id=ids.InstanceId(f'd{number}~{number:016x}'),
+        daemon_id=ids.DaemonId(f'd{number}'),
+        zone='north',
+        region='metro',
+        peer_address=messages.PeerAddress('10.1.0.1', 1000 + number),
+        http_ip='10.1.0.1',
+        http_port=2000 + number,
+        incarnation=0,
+        state=members.MemberState.ALIVE,
+        started_at_s=0.0,
+    )
+
+
+class _Daemon:
+    """The exchange of one daemon with real services and a fake network."""
+
+    def __init__(self, hub, clock, own, everyone, configuration):
+        self.own = own
+        sender = messages.Sender(own.instance_id, own.peer_address)
+        network = hub.network(sender)
+        self.services = service_runtime.ServiceRuntimes(
+            service_parts.runtime_parts(
+                own.instance_id, clock, random.Random(1), lambda event: None
+            ),
+        )
+        self.services.update(configuration)
+        view = _View(own, everyone)
+        directory = target_directory.TargetDirectory()
+        self.quarantine = quarantine.Quarantine(clock)
+        self.exchange = groups.GroupExchange(
+            view,
+            network,
+            self.services,
+            directory,
+            self.quarantine,
+            lambda: configuration,
+            clock,
+        )
+        self.noticer = target_notices.TargetNoticer(
+            view, network, self.services, directory, lambda: configuration
+        )
+
+    @property
+    def health(self):
+        return self.services.get('deposits').health
+
+
+class _Fleet:
+    def __init__(self, daemons, per_zone, targets_count=3):
+        self.clock = clocks.ManualClock()
+        self.hub = memory_network.MemoryHub(
+            group_messages.KINDS, self.clock, random.Random(1)
+        )
+        text = _SERVICE.format(per_zone=per_zone) + ''.join(
+            _TARGET.format(number=number)
+            for number in range(1, targets_count + 1)
+        )
+        store = _configuration(text)
+        everyone = [_member(number) for number in range(daemons)]
+        self.daemons = [
+            _Daemon(self.hub, self.clock, own, everyone, store)
+            for own in everyone
+        ]
+
+    def run(self, ticks):
+        for _ in range(ticks):
+            self.clock.advance(0.1)
+            for daemon in self.daemons:
+                daemon.services.tick()
+                daemon.exchange.tick()
+            self.hub.deliver()
+
+
+def _configuration(service_text):
+    fleet = parsing.parse_fleet(_FLEET, 'fleet')
+    service = parsing.parse_service(service_text, 'service/deposits')
+    return model.Configuration(fleet, {service.name: service}, {})
+
+
+def _listed(target_id, incarnation, state=interface.ListedState.LIVE):
+    return interface.ListedTarget('deposits', target_id, incarnation, state)
+
+
+def test_a_leaving_mark_reaches_the_group_and_stays():
+    fleet = _Fleet(daemons=4, per_zone=4)
+    fleet.run(20)
+    leaving = _listed('t1', 'a', interface.ListedState.LEAVING)
+    first = fleet.daemons[0].noticer
+    first.on_instances(interface.InstanceList(targets=(_listed('t1', 'a'),)))
+    fleet.run(2)
+    first.on_instances(interface.InstanceList(targets=(leaving,)))
+    fleet.run(2)
+    stale = interface.InstanceList(targets=(_listed('t1', 'a'),))
+    fleet.daemons[1].noticer.on_instances(stale)
+    fleet.run(2)
+    for daemon in fleet.daemons:
+        assert 't1' not in daemon.health.selectable()
+
+
+def test_what_one_daemon_sees_the_others_learn():
+    fleet = _Fleet(daemons=3, per_zone=3)
+    fleet.run(20)
+    witness = fleet.daemons[0]
+    for attempt in range(3):
+        witness.health.started('t1', 'register', attempt)
+    fleet.run(10)
+    others = [
+        daemon.health.standing('t1').peers_in_flight
+        for daemon in fleet.daemons[1:]
+    ]
+    assert others == [3, 3]
+
+
+def test_a_guest_and_the_group_hear_each_other():
+    fleet = _Fleet(daemons=4, per_zone=2)
+    fleet.run(20)
+    guest = next(
+        daemon for daemon in fleet.daemons if not list(daemon.services)
+    )
+    guest.health.started('t1', 'register', 1)
+    fleet.run(15)
+    in_group = [
+        daemon
+        for daemon in fleet.daemons
+        if daemon is not guest and list(daemon.services)
+    ]
+    assert len(in_group) == 2
+    for daemon in in_group:
+        assert daemon.health.standing('t1').peers_in_flight == 1
+        assert guest.own.instance_id in daemon.exchange.guests('deposits')
+
+
+def test_marks_of_crashing_requests_reach_the_group():
+    fleet = _Fleet(daemons=2, per_zone=2)
+    fleet.run(20)
+    first, second = fleet.daemons
+    first.quarantine.crashed(7, 't1', target_healthy_otherwise=True)
+    fleet.run(20)
+    second.quarantine.crashed(7, 't2', target_healthy_otherwise=True)
+    held = [mark.fingerprint for mark in second.quarantine.held()]
+    assert held == [7]
+
+
+@pytest.mark.parametrize('targets_count', (3, 47))
+def test_reports_stay_within_their_budget_of_bytes(targets_count):
+    fleet = _Fleet(daemons=6, per_zone=6, targets_count=targets_count)
+    fleet.run(20)
+    before = fleet.daemons[0].exchange.spent_bytes
+    seconds = 60
+    fleet.run(10 * seconds)
+    spent = fleet.daemons[0].exchange.spent_bytes - before
+    assert spent <= 12_000 * seconds + 96_000
+
+
+def test_a_target_state_is_never_changed_by_an_unknown_service():
+    fleet = _Fleet(daemons=2, per_zone=2)
+    fleet.run(20)
+    first, second = fleet.daemons
+    report = evidence.EvidenceReport(1, False, (), (), ())
+    sender = messages.Sender(first.own.instance_id, first.own.peer_address)
+    message = group_messages.GroupReport('no-such-service', report)
+    second.exchange.take_report(sender, message)
+    states = {one.state for one in second.health.status()}
+    assert states == {targets.TargetState.IN_SERVICE}
