configuration: a rejected version no longer ends the pull of the valid one

Cause: a daemon that lacks both the valid version in force and a newer, rejected one asks for both. The answer with the higher revision ended both questions, and the valid version was then held to be useless for good, so that the daemon never took it. A stateful test over faults, restarts, cuts and operators found it: no convergence within 300 virtual seconds. Ruled out: lost answers (the marks differ for ever, so it would be asked again).

Change: an answer ends only questions that it satisfies; a version that came and is still wanted is left alone for 60 s instead of for ever; the next try goes to another peer.

--- a/libraries/configuration/src/sardinepier/configuration/internal/pulls.py
+++ b/libraries/configuration/src/sardinepier/configuration/internal/pulls.py
@@ -13,6 +13,7 @@
 _MOST_TRIES: Final = 4
 _MOST_WAITING: Final = 2 * store.MOST_FILES
 _MOST_USELESS: Final = 1024
+_USELESS_S: Final = 60.0
 _PeerAddress = wire_messages.PeerAddress
 
 
@@ -55,7 +56,7 @@
         self._limits = limits
         self._waiting: dict[_Version, _Pull] = {}
         self._in_flight: dict[_Version, _Pull] = {}
-        self._useless: set[_Version] = set()
+        self._useless: dict[_Version, float] = {}
 
     @property
     def is_idle(self) -> bool:
@@ -74,16 +75,19 @@
         return bool(missing)
 
     def arrived(self, name: ids.FileName, revision: ids.Revision) -> None:
-        """Note an answer, which may be newer than what was asked for.
+        """Note an answer, once the store was offered what it brought.
 
-        Call it once the store was offered the answer. A version that is in
-        force at a peer and still not here was found invalid: the peer runs
-        a program that reads files otherwise. It is not fetched again.
+        It may be newer than what was asked for, and end that question too.
+        A rejected version never ends the question for a valid one, though
+        its revision is higher.
         """
         for version in tuple(self._in_flight):
-            if version.name == name and version.revision <= revision:
-                self._in_flight.pop(version)
+            if version.name != name:
+                continue
+            if version.revision == revision:
                 self._note_useless(version)
+            if not self._is_wanted(version):
+                self._in_flight.pop(version)
         self._start()
 
     def expire(self) -> None:
@@ -98,15 +102,22 @@
                 continue
             self._in_flight.pop(version)
             if pull.tries < _MOST_TRIES:
+                pull.sources.append(pull.sources.pop(0))
                 self._waiting[version] = pull
         self._start()
 
     def _note_useless(self, version: _Version) -> None:
+        """Leave a version alone that came and is wanted all the same.
+
+        It is in force at a peer and invalid here: the peer runs a program
+        that reads files otherwise, or another peer's garbled text came first.
+        """
         if not self._is_wanted(version):
             return
         if len(self._useless) >= _MOST_USELESS:
             self._useless.clear()
-        self._useless.add(version)
+        until_s = self._clock.monotonic_s() + _USELESS_S
+        self._useless[version] = until_s
 
     def _missing(self, entry: messages.KnownRevision) -> tuple[_Version, ...]:
         if not self._store.has_room(entry.name):
@@ -135,7 +146,7 @@
                 self._ask(version, pull)
 
     def _is_wanted(self, version: _Version) -> bool:
-        if version in self._useless:
+        if self._clock.monotonic_s() < self._useless.get(version, 0):
             return False
         known = self._store.find(version.name)
         if version.is_valid:
@@ -143,10 +154,9 @@
         return version.revision > known.newest_revision
 
     def _ask(self, version: _Version, pull: _Pull) -> None:
-        peer = pull.sources.pop(0)
-        pull.sources.append(peer)
         pull.tries += 1
         now_s = self._clock.monotonic_s()
         pull.deadline_s = now_s + self._limits.answer_timeout_s
         self._in_flight[version] = pull
-        self._send(peer, messages.FileRequest(version.name, version.revision))
+        request = messages.FileRequest(version.name, version.revision)
+        self._send(pull.sources[0], request)
