--- a/libraries/health/src/sardinepier/health/internal/judgement.py
+++ b/libraries/health/src/sardinepier/health/internal/judgement.py
@@ -16,6 +16,12 @@
 _USUAL: Final = 0.7
 """A target is set against the level which this share of others is below."""
 
+_STAND_OUT: Final = 2.0
+"""How far above the others' usual level a target must be."""
+
+_VOTING: Final = 0.35
+"""Above the score that one chance failure leaves behind."""
+
 _STALE_S: Final = 0.5
 
 
@@ -97,7 +103,7 @@
 
 
 def _standing_out(level: float, usual: float, threshold: float) -> float:
-    return (level - usual) / (threshold + usual)
+    return (level - _STAND_OUT * usual) / (threshold + usual)
 
 
 def doubts_itself(tracked_targets: Sequence[tracked.Tracked]) -> bool:
@@ -248,8 +254,13 @@
 
 
 def _update_since(suspicion: tracked.Suspicion, now_s: float) -> None:
-    if suspicion.score() < SUSPICION:
+    score = suspicion.score()
+    if score < SUSPICION:
         suspicion.since_s = None
-        suspicion.votes.clear()
     elif suspicion.since_s is None:
         suspicion.since_s = now_s
+    if score < _VOTING:
+        suspicion.voting_since_s = None
+        suspicion.votes.clear()
+    elif suspicion.voting_since_s is None:
+        suspicion.voting_since_s = now_s
--- a/libraries/health/src/sardinepier/health/internal/reporting.py
+++ b/libraries/health/src/sardinepier/health/internal/reporting.py
@@ -101,7 +101,7 @@
     What its first report says was partly seen before suspicion arose, so
     counting starts with the second.
     """
-    if one.suspicion.since_s is None:
+    if one.suspicion.voting_since_s is None:
         return
     votes = one.suspicion.votes.setdefault(observer, tracked.Votes())
     votes.reports += 1
--- a/libraries/health/src/sardinepier/health/internal/tracked.py
+++ b/libraries/health/src/sardinepier/health/internal/tracked.py
@@ -107,6 +107,7 @@
         default_factory=dict,
     )
     since_s: float | None = None
+    voting_since_s: float | None = None
     own_level: float = 0.0
     own_score: float = 0.0
     group_score: float = 0.0
@@ -125,6 +126,7 @@
         self.pending.clear()
         self.votes.clear()
         self.since_s = None
+        self.voting_since_s = None
         self.own_level = 0.0
         self.own_score = 0.0
         self.group_score = 0.0
--- a/libraries/health/src/sardinepier/health/internal/verdict.py
+++ b/libraries/health/src/sardinepier/health/internal/verdict.py
@@ -170,10 +170,7 @@
         if ejecting < majority:
             one.way_back.may_follow = True
             return False
-        return (
-            one.way_back.may_follow
-            and one.suspicion.vote is not tracked.Vote.CUT_LINK
-        )
+        return one.way_back.may_follow
 
     def _eject(self, one: tracked.Tracked, now_s: float) -> None:
         if one.state is not _States.EJECTED:
--- a/libraries/health/src/sardinepier/health/internal/voting.py
+++ b/libraries/health/src/sardinepier/health/internal/voting.py
@@ -14,8 +14,8 @@
 from sardinepier.health.internal import tracked
 
 _LINK_SHARE: Final = 3
-_LINK_RATIO: Final = 7.0
-_HANG_OPEN_S: Final = 0.5
+_LINK_RATIO: Final = 8.0
+_HANG_OPEN_S: Final = 0.4
 _REPORTS_TO_SPEAK: Final = 2
 _GOOD_AGAINST_HANG: Final = 3
 
@@ -63,7 +63,7 @@
     good_elsewhere = sum(good for bad, good in counts if not bad)
     if good_elsewhere >= _GOOD_AGAINST_HANG:
         return tracked.Vote.CUT_LINK
-    since_s = one.suspicion.since_s
+    since_s = one.suspicion.voting_since_s
     waited = since_s is not None and now_s - since_s >= _HANG_OPEN_S
     many = _LINK_SHARE * len(overdue) > len(one.suspicion.votes)
     return tracked.Vote.SICK if waited or many else tracked.Vote.OPEN
