--- a/libraries/health/src/sardinepier/health/internal/voting.py
+++ b/libraries/health/src/sardinepier/health/internal/voting.py
@@ -15,9 +15,9 @@
 
 _LINK_SHARE: Final = 3
 _LINK_RATIO: Final = 8.0
-_HANG_OPEN_S: Final = 0.4
+_HANG_OPEN_S: Final = 0.6
 _REPORTS_TO_SPEAK: Final = 2
-_GOOD_AGAINST_HANG: Final = 3
+_GOOD_AGAINST_HANG: Final = 2
 
 
 def vote(
@@ -43,7 +43,8 @@
     if _link_ratio(accusing, resting) >= _LINK_RATIO:
         return tracked.Vote.CUT_LINK
     if len(overdue) > sum(_has_bad(one) for one in votes.values()):
-        return _vote_on_hang(one, counts, overdue, now_s)
+        waiting = _LINK_SHARE * len(overdue) > len(peers) + 1
+        return _vote_on_hang(one, counts, waiting, now_s)
     spoken = _have_spoken(one, peers, overdue)
     return tracked.Vote.SICK if spoken else tracked.Vote.OPEN
 
@@ -51,7 +52,7 @@
 def _vote_on_hang(
     one: tracked.Tracked,
     counts: list[tuple[int, int]],
-    overdue: Set[ids.InstanceId],
+    many_wait: bool,
     now_s: float,
 ) -> tracked.Vote:
     """Return the vote when the evidence is mostly of requests in flight.
@@ -65,8 +66,7 @@
         return tracked.Vote.CUT_LINK
     since_s = one.suspicion.voting_since_s
     waited = since_s is not None and now_s - since_s >= _HANG_OPEN_S
-    many = _LINK_SHARE * len(overdue) > len(one.suspicion.votes)
-    return tracked.Vote.SICK if waited or many else tracked.Vote.OPEN
+    return tracked.Vote.SICK if waited or many_wait else tracked.Vote.OPEN
 
 
 def _bad_and_good(
