Relay only what a fault case cuts, and witness that it was cut

The relay accepts a connection before it knows that the process behind is gone, and so hid that nothing was sent.

Change: each case names the relays it needs; a case whose link lost no byte fails; rows in JSON carry the daemons' own answers by title.

--- a/libraries/workbench/src/sardinepier/workbench/faults/cases.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/cases.py
@@ -40,7 +40,8 @@
     ``cut_allowed`` says whether callers may lose connections: not when
     something leaves gracefully. ``completed_percent`` of the requests must
     complete at least, so that a fleet which serves nobody does not pass.
-    With ``poison``, requests that hold this text are sent as well. ``check``
+    ``relays`` names the listeners of the relay that the case cuts. With
+    ``poison``, requests that hold this text are sent as well. ``check``
     finds promises broken beyond those that every case looks at.
     """
 
@@ -53,5 +54,6 @@
     cut_allowed: bool = True
     completed_percent: float = 50.0
     keyed_route: options.RouteChoice = DEPOSIT
+    relays: tuple[str, ...] = ()
     poison: str = ''
     check: Check = no_check
--- a/libraries/workbench/src/sardinepier/workbench/faults/command.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/command.py
@@ -34,13 +34,14 @@
     case: str = '',
     directory: str = '',
     names: bool = False,
+    relays: bool = False,
     heading: bool = False,
     json: bool = False,
 ) -> None:
     """Run one ``case`` against the fleet that keeps files in ``directory``.
 
-    ``names`` prints the names of all cases instead, one a line, and
-    ``heading`` the heading of the table.
+    ``names`` prints the names of all cases instead, one a line, ``relays``
+    the relays that the case needs, and ``heading`` the table's heading.
     """
     if names:
         _write([known.name for known in table.CASES])
@@ -49,6 +50,9 @@
         _write([_HEADING])
         return
     chosen = _find(case)
+    if relays:
+        _write(chosen.relays)
+        return
     row = asyncio.run(_play(chosen, pathlib.Path(directory)))
     _write([msgspec.json.encode(row).decode() if json else _render(row)])
     if row.broken:
--- a/libraries/workbench/src/sardinepier/workbench/faults/driver.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/driver.py
@@ -43,6 +43,8 @@
         watching.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await watching
+        if self._case.relays:
+            self._seen.cut_connections = await self._fleet.count_cuts()
         files = self._fleet.processes.execution_files()
         self._seen.executions = witness.read_files(files)
         return verdicts.judge(self._case, self._seen)
--- a/libraries/workbench/src/sardinepier/workbench/faults/fleet.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/fleet.py
@@ -49,6 +49,13 @@
         """Change what the relay does."""
         await self._post('relay', '/control/link', msgspec.json.encode(rule))
 
+    async def count_cuts(self) -> int:
+        """Return on how many connections the relay has lost bytes."""
+        url = f'{self.processes.endpoint("relay").url}/control/cuts'
+        async with self._session.get(url, timeout=_TIMEOUT) as reply:
+            raw = await reply.read()
+        return msgspec.json.decode(raw, type=links.CutCount).connections
+
     async def set_platform(self, mode: str) -> None:
         """Change how the platform answers: up, down, hang, stale, garbage."""
         body = msgspec.json.encode(_PlatformMode(mode))
--- a/libraries/workbench/src/sardinepier/workbench/faults/links.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/links.py
@@ -46,6 +46,12 @@
         return self.direction in {direction, Direction.BOTH}
 
 
+class CutCount(msgspec.Struct, frozen=True):
+    """On how many connections the relay has lost bytes so far."""
+
+    connections: int
+
+
 class ListenerPlan(msgspec.Struct, frozen=True):
     """A port of the relay and the process behind it."""
 
--- a/libraries/workbench/src/sardinepier/workbench/faults/observations.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/observations.py
@@ -19,7 +19,9 @@
 
     ``revisions`` holds, for each daemon, the revisions it has shown one
     after another, and ``loads``, for each target, how much it had run at
-    several moments. Moments are readings of the local monotonic clock.
+    several moments.
+    ``cut_connections`` says on how many connections the relay lost bytes.
+    Moments are readings of the local monotonic clock.
     """
 
     started_at_s: float
@@ -33,6 +35,7 @@
     executions: witness.Executions = dataclasses.field(
         default_factory=lambda: witness.Executions({}, {}),
     )
+    cut_connections: int = 0
     revisions: dict[str, list[int]] = dataclasses.field(default_factory=dict)
     loads: dict[str, list[LoadSample]] = dataclasses.field(
         default_factory=dict,
--- a/libraries/workbench/src/sardinepier/workbench/faults/relay.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/relay.py
@@ -41,6 +41,7 @@
 
     def __init__(self) -> None:
         """Start without listeners; all links pass."""
+        self.cut_connections = 0
         self._servers: list[asyncio.Server] = []
         self._rules: dict[tuple[str, str], links.LinkRule] = {}
         self._connections: set[_Connection] = set()
@@ -136,7 +137,7 @@
             while chunk:
                 rule = self._rule(connection.listener, connection.source_ip)
                 if rule.drops(direction):
-                    connection.lost_bytes = True
+                    self._lose(connection)
                 else:
                     writer.write(chunk)
                     await writer.drain()
@@ -145,6 +146,11 @@
         # protocol here treats it as the end of the exchange.
         connection.close()
 
+    def _lose(self, connection: _Connection) -> None:
+        if not connection.lost_bytes:
+            connection.lost_bytes = True
+            self.cut_connections += 1
+
     def _rule(self, listener: str, source_ip: str) -> links.LinkRule:
         for source in (source_ip, ''):
             rule = self._rules.get((listener, source))
--- a/libraries/workbench/src/sardinepier/workbench/faults/relay_main.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/relay_main.py
@@ -2,7 +2,8 @@
 
 It reads ``relay.json`` in the fleet's directory (a ``links.RelayPlan``),
 writes the port of each listener to ``port/<name>-relay`` and that of its
-control endpoint, ``POST /control/link``, to ``port/relay``.
+control endpoint to ``port/relay``: ``POST /control/link`` changes a link, and
+``GET /control/cuts`` answers on how many connections bytes were lost.
 """
 
 import asyncio
@@ -30,7 +31,9 @@
         port = await running.listen(listener)
         (fleet / 'port' / f'{listener.name}-relay').write_text(f'{port}\n')
     application = web.Application()
-    application.router.add_post('/control/link', _Control(running).serve)
+    control = _Control(running)
+    application.router.add_post('/control/link', control.set_link)
+    application.router.add_get('/control/cuts', control.count_cuts)
     runner = web.AppRunner(application)
     await runner.setup()
     await web.TCPSite(runner, _IP, 0).start()
@@ -43,7 +46,7 @@
     def __init__(self, running: relay.Relay) -> None:
         self._relay = running
 
-    async def serve(self, request: web.Request) -> web.Response:
+    async def set_link(self, request: web.Request) -> web.Response:
         body = await request.read()
         try:
             rule = msgspec.json.decode(body, type=links.LinkRule)
@@ -55,6 +58,10 @@
         self._relay.apply(rule)
         return web.Response()
 
+    async def count_cuts(self, request: web.Request) -> web.Response:
+        cuts = links.CutCount(self._relay.cut_connections)
+        return web.Response(body=msgspec.json.encode(cuts))
+
 
 if __name__ == '__main__':
     asyncio.run(serve(pathlib.Path(sys.argv[1])))
--- a/libraries/workbench/src/sardinepier/workbench/faults/table.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/table.py
@@ -8,6 +8,7 @@
 from sardinepier.workbench.traffic import options
 
 _HOME: Final = 'd1'
+_HOME_HTTP: Final = 'd1-http'
 _PEER: Final = 'd2'
 _LEAVING: Final = 'd3'
 _TARGET: Final = checks.LEAVING_TARGET
@@ -87,7 +88,12 @@
         _STOPPED,
         attempt_timeout_s=_IMPATIENT_S,
     ),
-    cases.FaultCase('one-way cut between daemons', _ONE_WAY, _HEALED),
+    cases.FaultCase(
+        'one-way cut between daemons',
+        _ONE_WAY,
+        _HEALED,
+        relays=(_PEER,),
+    ),
     _drop(target_faults.DropMoment.BEFORE),
     _drop(target_faults.DropMoment.DURING),
     _drop(target_faults.DropMoment.AFTER),
@@ -100,15 +106,17 @@
             links.Direction.BACKWARD,
         ),
         actions.SetLink(_TARGET, links.LinkMode.PASS),
+        relays=(_TARGET,),
     ),
     cases.FaultCase(
         'answers to callers cut off',
         actions.SetLink(
-            f'{_HOME}-http',
+            _HOME_HTTP,
             links.LinkMode.DROP,
             links.Direction.BACKWARD,
         ),
-        actions.SetLink(f'{_HOME}-http', links.LinkMode.PASS),
+        actions.SetLink(_HOME_HTTP, links.LinkMode.PASS),
+        relays=(_HOME_HTTP,),
         attempt_timeout_s=_IMPATIENT_S,
     ),
     cases.FaultCase(
@@ -174,5 +182,6 @@
         _HEALED,
         _GRACEFUL,
         cut_allowed=False,
+        relays=(_PEER,),
     ),
 )
--- a/libraries/workbench/src/sardinepier/workbench/faults/verdicts.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/verdicts.py
@@ -16,8 +16,8 @@
     """One row of the table.
 
     ``recover_s`` is the time from the fault to the start of the last request
-    that did not complete within a second. ``broken`` is empty when the case
-    holds.
+    that did not complete within a second. ``problems`` counts the daemons'
+    own answers by title. ``broken`` is empty when the case holds.
     """
 
     name: str
@@ -28,6 +28,7 @@
     lost: int
     cut: int
     recover_s: float
+    problems: dict[str, int]
     broken: tuple[promises.BrokenPromise, ...]
 
 
@@ -48,9 +49,11 @@
         lost=len(verdict.lost),
         cut=summary.connections_cut,
         recover_s=_recover_s(seen),
+        problems=summary.problems,
         broken=(
             *_broken_counts(case, summary, verdict),
             *_broken_service(case, summary),
+            *_broken_witness(case, seen),
             *case.check(seen),
         ),
     )
@@ -88,6 +91,17 @@
             yield promises.BrokenPromise(promise, f'broken {count} times')
 
 
+def _broken_witness(
+    case: cases.FaultCase,
+    seen: observations.Observations,
+) -> Iterator[promises.BrokenPromise]:
+    if case.relays and not seen.cut_connections:
+        yield promises.BrokenPromise(
+            promises.Promise.WITNESS,
+            'no connection has lost a byte',
+        )
+
+
 def _broken_service(
     case: cases.FaultCase,
     summary: report.TrafficReport,
--- a/libraries/workbench/tests/cover/test_faults_relay.py
+++ b/libraries/workbench/tests/cover/test_faults_relay.py
@@ -63,6 +63,7 @@
         cutting.apply(links.LinkRule('t1', DROP, direction=direction))
         assert not await is_answered(*stream)
         assert heard.empty() != is_heard
+        assert cutting.cut_connections == 1
         cutting.apply(links.LinkRule('t1', PASS))
         assert await stream[0].read() == b''
         assert await is_answered(*await connect(port))
--- a/libraries/workbench/tests/cover/test_faults_verdicts.py
+++ b/libraries/workbench/tests/cover/test_faults_verdicts.py
@@ -64,6 +64,14 @@
     assert judge(seen(kind, runs), cut_allowed=False) == broken
 
 
+@pytest.mark.parametrize(
+    ('cuts', 'broken'), [(0, {Promise.WITNESS}), (1, set())]
+)
+def test_a_link_that_lost_nothing_proves_nothing(cuts, broken):
+    observed = seen(cut_connections=cuts)
+    assert judge(observed, relays=('t1',)) == broken
+
+
 def test_a_cut_is_allowed_where_something_is_killed():
     assert judge(seen(Kind.CUT)) == {Promise.SERVES}
 
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -14,23 +14,25 @@
 DAEMONS=(d1 d2 d3)
 TARGETS=(t1 t2 t3 t4 t5 t6)
 
-# Relays stand before each target and before both ports of each daemon.
+# start_relay LISTENER...: t1 stands before a target, d1 before the peer port
+# of a daemon and d1-http before its HTTP port. A case gets only the relays
+# that it cuts: a relay accepts a connection before it knows that the process
+# behind it is gone, and so would hide that nothing was sent.
 start_relay() {
-    local name number=0 separator=''
+    local name daemon ip port separator=''
     {
         printf '{"listeners":['
-        for name in "${TARGETS[@]}"; do
-            printf '%s{"name":"%s","ip":"127.0.0.1","port":%s}' \
-                "$separator" "$name" "$(cat "$FLEET/port/$name")"
+        for name in "$@"; do
+            daemon="${name%-http}"
+            case "$name" in
+                t*) ip=127.0.0.1 port="$name" ;;
+                *-http) ip="127.0.1.${daemon#d}" port="$daemon" ;;
+                *) ip="127.0.1.${daemon#d}" port="$name-peer" ;;
+            esac
+            printf '%s{"name":"%s","ip":"%s","port":%s}' "$separator" \
+                "$name" "$ip" "$(cat "$FLEET/port/$port")"
             separator=','
         done
-        for name in "${DAEMONS[@]}"; do
-            number=$((number + 1))
-            printf ',{"name":"%s","ip":"127.0.1.%s","port":%s}' \
-                "$name" "$number" "$(cat "$FLEET/port/$name-peer")"
-            printf ',{"name":"%s-http","ip":"127.0.1.%s","port":%s}' \
-                "$name" "$number" "$(cat "$FLEET/port/$name")"
-        done
         printf ']}'
     } >"$FLEET/relay.json"
     start relay "$BIN/python" -m sardinepier.workbench.faults.relay_main \
@@ -40,7 +42,7 @@
 
 run_case() {
     fleet_begin
-    local name
+    local name relays
     for name in "${TARGETS[@]}"; do
         start_target "$name" --slots=3 --service_ms=15 --jitter_percent=50 \
             --drain_ms=5000 --poison=poison-pill
@@ -49,7 +51,11 @@
         await_file "$FLEET/port/$name"
     done
     choose_daemon_ports "${DAEMONS[@]}"
-    start_relay
+    relays="$("$BIN/sardinepier-workbench" faults --relays --case="$1")"
+    if [ -n "$relays" ]; then
+        # shellcheck disable=SC2086  # one word a relay
+        start_relay $relays
+    fi
     write_fleet_file 'addresses_valid_s = 2
 ticket_epoch_s = 2
 shutdown_grace_s = 6
