Refuse waiting requests at once when no target can take them any more

Cause: a request whose targets were all configured away while it waited for a slot stayed in the queue until its deadline (20 s in the test).

Ruled out: cancelling the waiting task from outside, which can't be told from a caller that hangs up.

Change: the queue's choice gives such a request a slot at no target, and it is refused.

--- a/libraries/gateway/src/sardinepier/gateway/forwarding.py
+++ b/libraries/gateway/src/sardinepier/gateway/forwarding.py
@@ -16,6 +16,7 @@
     exchange,
     hedged,
     refusals,
+    service_runtime,
     target_answer,
     work,
 )
@@ -101,21 +102,32 @@
         """Wait until an attempt may start, and reserve a slot for it."""
         await self._context.wake_guard.ready(item.deadline_s)
         item.require_time(self._context.clock)
-        self._require_target(item, history)
+        if not self._has_target(item, history):
+            raise _no_target(item)
         self._context.quarantine.admit(item.fingerprint)
         try:
-            return await item.runtime.queue.acquire(
-                admission.Work(
-                    item.route.priority,
-                    item.deadline_s,
-                    takes_any=item.route.idempotent and not history.tried,
-                ),
-                lambda: self._reserve(item, history),
-            )
+            return await self._wait_for_slot(item, history)
         except BaseException:
             self._context.quarantine.released(item.fingerprint)
             raise
 
+    async def _wait_for_slot(
+        self,
+        item: work.Work,
+        history: _History,
+    ) -> ids.TargetId:
+        target_id = await item.runtime.queue.acquire(
+            admission.Work(
+                item.route.priority,
+                item.deadline_s,
+                takes_any=item.route.idempotent and not history.tried,
+            ),
+            lambda: self._reserve_or_give_up(item, history),
+        )
+        if target_id == service_runtime.NO_TARGET:
+            raise _no_target(item)
+        return target_id
+
     async def _attempt(
         self,
         item: work.Work,
@@ -133,6 +145,20 @@
         )
         return await race.run(first)
 
+    def _reserve_or_give_up(
+        self,
+        item: work.Work,
+        history: _History,
+    ) -> ids.TargetId | None:
+        """Return ``NO_TARGET`` once no target can take the request any more.
+
+        Targets may go while the request waits: it is then told at once.
+        """
+        target_id = self._reserve(item, history)
+        if target_id is None and not self._has_target(item, history):
+            return service_runtime.NO_TARGET
+        return target_id
+
     def _reserve(
         self,
         item: work.Work,
@@ -155,15 +181,6 @@
         standing = item.runtime.health.standing(target_id)
         return standing.state is not targets.TargetState.TRIAL
 
-    def _require_target(self, item: work.Work, history: _History) -> None:
-        if not self._has_target(item, history):
-            raise refusals.NoTargetError(
-                f'Service {item.snapshot.settings.name} has no target that '
-                'may take this request',
-                'Send it again after the stated time',
-                _RETRY_AFTER_S,
-            )
-
     def _has_target(self, item: work.Work, history: _History) -> bool:
         return any(
             target_id not in history.tried and self._suits(item, target_id)
@@ -215,3 +232,12 @@
         if not item.route.idempotent or not self._has_room(item, history):
             return False
         return item.runtime.retry_budget.try_spend()
+
+
+def _no_target(item: work.Work) -> refusals.NoTargetError:
+    return refusals.NoTargetError(
+        f'Service {item.snapshot.settings.name} has no target that may take '
+        'this request',
+        'Send it again after the stated time',
+        _RETRY_AFTER_S,
+    )
--- a/libraries/gateway/src/sardinepier/gateway/service_runtime.py
+++ b/libraries/gateway/src/sardinepier/gateway/service_runtime.py
@@ -28,6 +28,9 @@
     )
 )
 
+NO_TARGET: Final = ids.TargetId('')
+"""Stands for a slot at no target, given to a request that can't get one."""
+
 MakeHealth = Callable[[model.ServiceSettings], service_health.ServiceHealth]
 MakeChooser = Callable[[], choice.TargetChooser]
 
@@ -151,7 +154,7 @@
             clock,
             settings.queue_length,
             self._parts.random_source,
-            self.slots.release,
+            self._give_back,
         )
         self.retry_budget = budget.RetryBudget(
             clock,
@@ -169,6 +172,10 @@
             self._parts.random_source,
         )
 
+    def _give_back(self, target_id: ids.TargetId) -> None:
+        if target_id != NO_TARGET:
+            self.slots.release(target_id)
+
     def _apply_targets(self) -> None:
         settings = self.snapshot.settings
         most = settings.connections_per_target
--- a/libraries/gateway/tests/cover/test_gateway_client.py
+++ b/libraries/gateway/tests/cover/test_gateway_client.py
@@ -63,8 +63,9 @@
 
 async def exchange(client, peer, *, is_new=True, **more):
     answering = asyncio.ensure_future(peer.answer_next(is_new))
-    content = await fetch(client, peer, **more)
-    await answering
+    async with asyncio.timeout(10):
+        content = await fetch(client, peer, **more)
+        await answering
     return content
 
 
--- a/libraries/gateway/tests/cover/test_gateway_keys.py
+++ b/libraries/gateway/tests/cover/test_gateway_keys.py
@@ -185,6 +185,7 @@
     target = await world.add_target()
     clock = clocks.ManualClock(100)
     gateway = await world.add_gateway(clock=clock)
+    gateway.guard.set_gap_ms(400)
     ticking = asyncio.ensure_future(gateway.guard.run())
     headers = await key_headers(world)
     await world.send('POST', POSTING, headers=headers)
@@ -196,7 +197,7 @@
     # A resend of a key that ran is refused too, but not as not run.
     again, _ = await world.send('POST', POSTING, headers=headers)
     assert (again.status, outcome_of(again)) == (503, 'unknown')
-    assert gateway.gaps == [(60_000, 30_000)]
+    assert gateway.gaps == [(60_000, 400)]
     assert len(target.seen) == 1
     gateway.is_confirmed = True
     await until(gateway.guard.check)
@@ -217,10 +218,10 @@
     )
     await until(lambda: len(gateway.runtime().queue))
     gateway.is_confirmed = False
-    clock.advance(31)
-    gateway.runtime().queue.wake()
+    gateway.guard.set_gap_ms(500)
+    clock.advance(1)
+    target.released.set()
     answer, _ = await waiting
     assert outcome_of(answer) == 'not-run'
-    target.released.set()
     await holding
     assert len(target.seen) == 1
--- a/libraries/gateway/tests/cover/test_gateway_targets.py
+++ b/libraries/gateway/tests/cover/test_gateway_targets.py
@@ -146,11 +146,12 @@
     gateway.configure(world.service([new], answer_buffer_limit_bytes=1))
     fresh, _ = await world.send('GET', '/books/books/3')
     assert fresh.status == 200
-    old.released.set()
-    assert (await holding)[1] == old.content
     # It knows only the old target, which is configured no longer.
-    refused, _ = await waiting
+    refused, content = await waiting
     assert outcome_of(refused) == 'not-run'
+    assert json.loads(content)['type'].endswith('no-target')
+    old.released.set()
+    assert (await holding)[1] == old.content
     assert [seen.line.split()[1] for seen in new.seen] == ['/books/3']
 
 
