Report only news of quiet services, and bound reports by messages too

Cause: idle daemons told their groups twice a second that nothing had changed. Change: a report without news goes out every 2 s only; reports of all services together stay below 16 messages a second after a burst of 192. The peers of a service have a module of their own.

--- a/libraries/daemon/src/sardinepier/daemon/internal/groups.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/groups.py
@@ -1,6 +1,5 @@
 """What the daemons of a service's group tell each other about targets."""
 
-import dataclasses
 from collections.abc import Callable
 from typing import Final
 
@@ -9,8 +8,9 @@
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
 from sardinepier.daemon.internal import (
-    byte_budget,
     group_messages,
+    rate_budget,
+    service_exchange,
     target_directory,
 )
 from sardinepier.gateway import service_runtime
@@ -22,51 +22,11 @@
 
 _REPORT_BYTES_PER_S: Final = 12_000
 _REPORT_BURST_BYTES: Final = 96_000
+_REPORTS_PER_S: Final = 16
+_REPORT_BURST: Final = 192
 _JOIN_INTERVAL_S: Final = 1.0
-_GUEST_S: Final = 10.0
-_MOST_GUESTS: Final = 16
 _QUARANTINE_INTERVAL_S: Final = 1.0
 
-_Peers = dict[ids.InstanceId, messages.PeerAddress]
-
-
-@dataclasses.dataclass(slots=True)
-class _Guest:
-    """A daemon outside the group that has traffic for the service."""
-
-    address: messages.PeerAddress
-    until_s: float
-
-
-class _ServiceExchange:
-    """The peers of one service and what its last report weighed."""
-
-    def __init__(self) -> None:
-        self.guests: dict[ids.InstanceId, _Guest] = {}
-        self.shown_group: frozenset[ids.InstanceId] = frozenset()
-        self.report_bytes = 0
-
-    def note_guest(
-        self,
-        sender: messages.Sender,
-        now_s: float,
-    ) -> None:
-        """Keep a bounded number of guests for some seconds."""
-        if sender.instance_id in self.guests or len(self.guests) < _MOST_GUESTS:
-            self.guests[sender.instance_id] = _Guest(
-                sender.address,
-                now_s + _GUEST_S,
-            )
-
-    def recent_guests(self, now_s: float) -> _Peers:
-        """Return the guests, without those that fell silent."""
-        self.guests = {
-            name: guest
-            for name, guest in self.guests.items()
-            if guest.until_s > now_s
-        }
-        return {name: guest.address for name, guest in self.guests.items()}
-
 
 class GroupExchange:
     """Sends this daemon's evidence to its groups and takes in theirs.
@@ -94,13 +54,20 @@
         self._quarantine = quarantine
         self._configuration = configuration
         self._clock = clock
-        self._budget = byte_budget.ByteBudget(
+        self._byte_budget = rate_budget.RateBudget(
             clock,
             _REPORT_BYTES_PER_S,
             _REPORT_BURST_BYTES,
         )
+        self._message_budget = rate_budget.RateBudget(
+            clock,
+            _REPORTS_PER_S,
+            _REPORT_BURST,
+        )
         self.spent_bytes = 0
-        self._exchanges: dict[ids.ServiceName, _ServiceExchange] = {}
+        self._exchanges: dict[
+            ids.ServiceName, service_exchange.ServiceExchange
+        ] = {}
         self._joined_version = -1
         self._joined_configuration: model.Configuration | None = None
         self._join_due_s = clock.monotonic_s()
@@ -158,7 +125,7 @@
             return False
         return current is self._joined_configuration
 
-    def _group(self, settings: model.ServiceSettings) -> _Peers:
+    def _group(self, settings: model.ServiceSettings) -> service_exchange.Peers:
         return {
             member.instance_id: member.peer_address
             for member in groups.service_group(
@@ -171,30 +138,42 @@
     def _send_report(self, runtime: service_runtime.ServiceRuntime) -> None:
         exchange = self._exchange(runtime)
         peers = self._peers(runtime, exchange)
-        expected_bytes = exchange.report_bytes * len(peers)
-        if not self._budget.has(expected_bytes):
+        if not self._may_send(exchange, len(peers)):
             return
         report = group_messages.GroupReport(
             _name(runtime),
             runtime.health.report(),
         )
+        if not exchange.is_worth_sending(report, self._clock.monotonic_s()):
+            return
         exchange.report_bytes = len(msgspec.msgpack.encode(report))
-        self._budget.spend(exchange.report_bytes * len(peers))
+        self._byte_budget.spend(exchange.report_bytes * len(peers))
+        self._message_budget.spend(len(peers))
         self.spent_bytes += exchange.report_bytes * len(peers)
         for address in peers.values():
             self._network.send(address, report)
 
+    def _may_send(
+        self, exchange: service_exchange.ServiceExchange, peer_count: int
+    ) -> bool:
+        expected_bytes = exchange.report_bytes * peer_count
+        if not self._byte_budget.has(expected_bytes):
+            return False
+        return self._message_budget.has(peer_count)
+
     def _exchange(
         self,
         runtime: service_runtime.ServiceRuntime,
-    ) -> _ServiceExchange:
-        return self._exchanges.setdefault(_name(runtime), _ServiceExchange())
+    ) -> service_exchange.ServiceExchange:
+        return self._exchanges.setdefault(
+            _name(runtime), service_exchange.ServiceExchange()
+        )
 
     def _peers(
         self,
         runtime: service_runtime.ServiceRuntime,
-        exchange: _ServiceExchange,
-    ) -> _Peers:
+        exchange: service_exchange.ServiceExchange,
+    ) -> service_exchange.Peers:
         group = self._group(runtime.snapshot.settings)
         peers = group | exchange.recent_guests(self._clock.monotonic_s())
         peers.pop(self._view.own.instance_id, None)
@@ -249,7 +228,7 @@
         report = self._quarantine.report()
         if not report.marks:
             return
-        peers: _Peers = {}
+        peers: service_exchange.Peers = {}
         for runtime in self._services:
             peers |= self._group(runtime.snapshot.settings)
         peers.pop(self._view.own.instance_id, None)
--- a/libraries/daemon/tests/cover/test_daemon_byte_budget.py
+++ b/libraries/daemon/tests/cover/test_daemon_rate_budget.py
@@ -1,10 +1,10 @@
-"""Reports never cost more bytes than their budget earns."""
+"""Reports never cost more than their budget earns."""
 
 from hypothesis import given
 from hypothesis import strategies as st
 
 from sardinepier.core import clock as clocks
-from sardinepier.daemon.internal import byte_budget
+from sardinepier.daemon.internal import rate_budget
 
 _RATE = 100
 _BURST = 400
@@ -21,22 +21,22 @@
 )
 def test_spending_stays_within_the_burst_and_what_was_earned(steps):
     clock = clocks.ManualClock()
-    budget = byte_budget.ByteBudget(clock, _RATE, _BURST)
+    budget = rate_budget.RateBudget(clock, _RATE, _BURST)
     spent = 0
     largest = 0
-    for tenths, size_bytes in steps:
+    for tenths, amount in steps:
         clock.advance(tenths / 10)
-        if budget.has(size_bytes):
-            budget.spend(size_bytes)
-            spent += size_bytes
-            largest = max(largest, size_bytes)
+        if budget.has(amount):
+            budget.spend(amount)
+            spent += amount
+            largest = max(largest, amount)
     overdraft = max(0, largest - _BURST)
     assert spent <= _BURST + _RATE * clock.monotonic_s() + overdraft + 1e-6
 
 
 def test_a_message_larger_than_the_burst_goes_out_when_the_bucket_is_full():
     clock = clocks.ManualClock()
-    budget = byte_budget.ByteBudget(clock, _RATE, _BURST)
+    budget = rate_budget.RateBudget(clock, _RATE, _BURST)
     assert budget.has(10 * _BURST)
     budget.spend(10 * _BURST)
     assert not budget.has(1)
