health: follow a slowdown of the whole service within half a second

Cause: the others' median over two seconds lags when a daemon sees a few requests a second, so each target gathered evidence for two seconds. Change: the mean of all answers of the last half second, less the slowest target, counts when it is larger; below two quarter octaves nothing counts. Ruled out: a deadband-free estimate would take chance for slowness and hide a 2x slow target.

--- a/libraries/health/src/sardinepier/health/internal/relative.py
+++ b/libraries/health/src/sardinepier/health/internal/relative.py
@@ -5,8 +5,14 @@
 from collections.abc import Sequence
 from typing import Final
 
+from sardinepier.health.internal import tracked
+
 _TRIMMED_SHARE: Final = 4
 _PRIOR_ATTEMPTS: Final = 10
+_MIDDLE: Final = 0.5
+_FEWEST_NEWEST: Final = 2
+_CHANCE_SLOWNESS: Final = 2.0
+_SLOWNESS_FACTOR: Final = 1.33
 
 
 class OthersQuantile:
@@ -31,6 +37,45 @@
         return self._sorted[place]
 
 
+class CommonSlowness:
+    """By how much the other targets are slower than usual, all at once.
+
+    The larger of two estimates counts: the median of the targets' means over
+    seconds, and the mean of all answers of the last half second without the
+    slowest target. The first is exact but late, the second the reverse.
+    """
+
+    def __init__(self, recents: Sequence[tracked.Recent]) -> None:
+        """Take the recent residuals of all targets."""
+        means = [recent.mean_residual() for recent in recents]
+        self._means = OthersQuantile(means, _MIDDLE)
+        self._slowest = max(recents, key=_newest_mean, default=None)
+        self._newest_sum = sum(recent.newest_sum for recent in recents)
+        self._newest_count = sum(recent.newest_count for recent in recents)
+
+    def without(self, own: tracked.Recent) -> int:
+        """Return the others' slowness in whole quarter octaves, from 0 up.
+
+        A little is taken for chance. More is taken one third larger, since
+        targets that are all slow also differ more from each other.
+        """
+        total = self._newest_sum - own.newest_sum
+        count = self._newest_count - own.newest_count
+        slowest = self._slowest
+        if slowest is not None and slowest is not own:
+            total -= slowest.newest_sum
+            count -= slowest.newest_count
+        newest = total / count if count >= _FEWEST_NEWEST else 0.0
+        slowness = max(newest, self._means.without(own.mean_residual()))
+        if slowness < _CHANCE_SLOWNESS:
+            return 0
+        return round(slowness * _SLOWNESS_FACTOR)
+
+
+def _newest_mean(recent: tracked.Recent) -> float:
+    return recent.newest_sum / (recent.newest_count + 1)
+
+
 class OthersFailureShare:
     """The share of failures at the other targets, less the worst quarter.
 
--- a/libraries/health/src/sardinepier/health/internal/scoring.py
+++ b/libraries/health/src/sardinepier/health/internal/scoring.py
@@ -10,15 +10,12 @@
 from sardinepier.health.internal import rates, relative, tracked
 
 _RESIDUAL_MEMORY_S: Final = 2.0
+_NEWEST_MEMORY_S: Final = 0.5
 _FAILURE_MEMORY_S: Final = 5.0
-_MIDDLE: Final = 0.5
 _TICKS_PER_TABLE: Final = 20
 _FLIGHTS_LOOKED_AT: Final = 8
 _MS_PER_S: Final = 1000
 _WRONG_FACTOR: Final = 2
-_COMMON_SLOWNESS_FACTOR: Final = 1.3
-"""When all are slow, differences between them are larger too."""
-
 ABOVE_SUSPICION: Final = 0.25
 
 
@@ -48,9 +45,8 @@
         """Score all windows and empty them."""
         self._refresh_tables()
         self._fade(tracked_targets, now_s)
-        shifts = relative.OthersQuantile(
-            [one.recent.mean_residual() for one in tracked_targets],
-            _MIDDLE,
+        shifts = relative.CommonSlowness(
+            [one.recent for one in tracked_targets],
         )
         shares = relative.OthersFailureShare(
             [
@@ -61,8 +57,7 @@
         )
         self.rate.advance(len(tracked_targets), now_s)
         for one in tracked_targets:
-            others_mean = shifts.without(one.recent.mean_residual())
-            shift = max(0, round(others_mean * _COMMON_SLOWNESS_FACTOR))
+            shift = shifts.without(one.recent)
             if one.window.attempts():
                 self.rate.add(one.window.attempts())
                 usual_share = shares.without(
@@ -88,6 +83,7 @@
         elapsed_s = now_s - last_s
         self._last_s = now_s
         residual_fade = math.exp(-elapsed_s / _RESIDUAL_MEMORY_S)
+        newest_fade = math.exp(-elapsed_s / _NEWEST_MEMORY_S)
         failure_fade = math.exp(-elapsed_s / _FAILURE_MEMORY_S)
         for one in tracked_targets:
             recent = one.recent
@@ -95,11 +91,13 @@
             recent.failures *= failure_fade
             recent.residual_sum *= residual_fade
             recent.residual_count *= residual_fade
+            recent.newest_sum *= newest_fade
+            recent.newest_count *= newest_fade
             window = one.window
             recent.attempts += window.attempts()
             recent.failures += window.failures + window.wrong
-            recent.residual_sum += sum(window.residuals)
-            recent.residual_count += len(window.residuals)
+            if window.residuals:
+                recent.add_residuals(window.residuals)
 
     def _score_window(
         self,
--- a/libraries/health/src/sardinepier/health/internal/tracked.py
+++ b/libraries/health/src/sardinepier/health/internal/tracked.py
@@ -49,6 +49,17 @@
     failures: float = 0.0
     residual_sum: float = 0.0
     residual_count: float = 0.0
+    newest_sum: float = 0.0
+    newest_count: float = 0.0
+    """The residuals of the last half second, for the whole service's sake."""
+
+    def add_residuals(self, residuals: list[int]) -> None:
+        """Count the residuals of a window."""
+        total = sum(residuals)
+        self.residual_sum += total
+        self.residual_count += len(residuals)
+        self.newest_sum += total
+        self.newest_count += len(residuals)
 
     def mean_residual(self) -> float:
         """Return the mean residual, drawn to zero when there are few."""
--- a/libraries/health/tests/cover/test_health_fault_cases.py
+++ b/libraries/health/tests/cover/test_health_fault_cases.py
@@ -144,7 +144,7 @@
         for name in daemon.due_probes():
             daemon.probed(name, good=name != 't0', latency_ms=1.0)
         group.run(1)
-    weights = [daemon.standing(name).weight for name in group.names]
+    weights = [daemon.standing(one).weight for one in group.names]
     assert weights[0] < 0.1
     assert weights[1:] == [1, 1, 1, 1, 1]
 
