--- a/libraries/gateway/src/sardinepier/gateway/activity.py
+++ b/libraries/gateway/src/sardinepier/gateway/activity.py
@@ -1,8 +1,18 @@
 """What this daemon has in hand, and whether it is on its way out."""
 
 import asyncio
+import contextlib
 import types
-from typing import Self
+from collections.abc import Iterator
+from typing import Final, Self
+
+from sardinepier.gateway import refusals
+
+BODY_MEMORY_BYTES: Final = 67_108_864
+"""How much memory all bodies in hand may take."""
+
+_MOST_IN_HAND: Final = 4096
+_RETRY_AFTER_S: Final = 1.0
 
 
 class Activity:
@@ -18,6 +28,7 @@
     def __init__(self) -> None:
         """Start with nothing in hand."""
         self.in_hand = 0
+        self.body_bytes = 0
         self.is_draining = False
         self._idle = asyncio.Event()
         self._idle.set()
@@ -39,6 +50,25 @@
         if not self.in_hand:
             self._idle.set()
 
+    @contextlib.contextmanager
+    def body(self, size_bytes: int) -> Iterator[None]:
+        """Set memory aside for a body while the context lasts.
+
+        Raises ``OverloadedError`` when too much is in hand already.
+        """
+        wanted_bytes = self.body_bytes + size_bytes
+        if wanted_bytes > BODY_MEMORY_BYTES or self.in_hand > _MOST_IN_HAND:
+            raise refusals.OverloadedError(
+                'This daemon has as many requests in hand as it can hold',
+                'Send the request again, best to another address',
+                _RETRY_AFTER_S,
+            )
+        self.body_bytes = wanted_bytes
+        try:
+            yield
+        finally:
+            self.body_bytes -= size_bytes
+
     def begin_draining(self) -> None:
         """Tell callers from now on to go elsewhere."""
         self.is_draining = True
--- a/libraries/gateway/src/sardinepier/gateway/pipeline.py
+++ b/libraries/gateway/src/sardinepier/gateway/pipeline.py
@@ -7,6 +7,7 @@
 
 from sardinepier.core import errors as core_errors
 from sardinepier.core import ids, outcomes
+from sardinepier.gateway import activity as activities
 from sardinepier.gateway import context as contexts
 from sardinepier.gateway import (
     delivery,
@@ -30,6 +31,7 @@
     once_errors.BadKeyError,
     once_errors.FutureTicketError,
 )
+_UNSTATED_BODY_BYTES: Final = 1_048_576
 _UNKNOWN_SERVICE: Final = '-'
 
 
@@ -52,9 +54,10 @@
         service = _UNKNOWN_SERVICE
         with self._context.activity:
             try:
-                item = await self._intake.read(request)
-                service = item.snapshot.settings.name
-                response = await self._answer(request, item)
+                with self._context.activity.body(_body_bytes(request)):
+                    item = await self._intake.read(request)
+                    service = item.snapshot.settings.name
+                    response = await self._answer(request, item)
             except asyncio.CancelledError:
                 self._count(service, 'caller-gone')
                 raise
@@ -164,3 +167,14 @@
             service=service,
             outcome=outcome,
         ).add()
+
+
+def _body_bytes(request: web_request.BaseRequest) -> int:
+    """Return how much memory to set aside for the body."""
+    if not request.body_exists:
+        return 0
+    stated = request.content_length
+    # A larger one is refused for its size, whatever is in hand.
+    if stated is None or stated > activities.BODY_MEMORY_BYTES:
+        return _UNSTATED_BODY_BYTES
+    return stated
--- a/libraries/gateway/src/sardinepier/gateway/problem_table.py
+++ b/libraries/gateway/src/sardinepier/gateway/problem_table.py
@@ -127,6 +127,12 @@
         'deadline-passed',
         'The time ran out before the request was sent',
     ),
+    refusals.OverloadedError: _Kind(
+        _Status.SERVICE_UNAVAILABLE,
+        _NOT_RUN,
+        'overloaded',
+        'The daemon has too much in hand',
+    ),
     refusals.ReleasedError: _Kind(
         _Status.SERVICE_UNAVAILABLE,
         _NOT_RUN,
--- a/libraries/gateway/src/sardinepier/gateway/refusals.py
+++ b/libraries/gateway/src/sardinepier/gateway/refusals.py
@@ -53,3 +53,7 @@
 
 class ReleasedError(errors.ProvedNotRunError):
     """The send of the same key that this one waited for did not run."""
+
+
+class OverloadedError(errors.ProvedNotRunError):
+    """The daemon has as many requests in hand as its memory allows."""
--- a/libraries/gateway/tests/cover/test_gateway_requests.py
+++ b/libraries/gateway/tests/cover/test_gateway_requests.py
@@ -147,6 +147,11 @@
             b'\r\nContent-Length: 99999\r\n\r\n',
             b'413',
         ),
+        (
+            b'PUT /books/books/1 HTTP/1.1\r\nHost: x\r\n'
+            b'Content-Length: 99999999999\r\n\r\n',
+            b'413',
+        ),
     ],
 )
 async def test_raw_requests(world, sent, status):
@@ -242,3 +247,14 @@
         outcome,
     )
     assert not target.seen
+
+
+async def test_bodies_in_hand_are_bounded(world):
+    target = await world.add_target('hang')
+    gateway = await world.add_gateway()
+    with gateway.context.activity.body(67_108_863):
+        answer, content = await world.send('PUT', '/books/books/1', data=b'xy')
+        assert (answer.status, answer.headers['Retry-After']) == (503, '1')
+        assert json.loads(content)['type'].endswith('overloaded')
+    assert not gateway.context.activity.body_bytes
+    assert not target.seen
--- a/libraries/once/src/sardinepier/once/errors.py
+++ b/libraries/once/src/sardinepier/once/errors.py
@@ -48,6 +48,8 @@
 class RecordDeadlineError(OnceError):
     """A resend waited for the running attempt until its own deadline."""
 
+    retry_after_s = 1.0
+
 
 class QuarantinedError(OnceError):
     """The request crashed several targets and is held back for a while."""
--- a/libraries/once/src/sardinepier/once/ledger.py
+++ b/libraries/once/src/sardinepier/once/ledger.py
@@ -63,8 +63,8 @@
 class Ledger:
     """Grants each key once, and answers its resends.
 
-    ``epoch_s`` holds for the life of the process, because it gives the epochs
-    their numbers. The other options may be replaced at any time.
+    ``epoch_s`` is fixed from the first request on, because it gives the
+    epochs their numbers. The other options may be replaced at any time.
     """
 
     def __init__(
@@ -83,6 +83,7 @@
         self._count = 0
         self._kept_bytes = 0
         self._first_valid_epoch = 0
+        self._is_used = False
 
     def __len__(self) -> int:
         """Return the number of live records."""
@@ -95,19 +96,20 @@
 
     @property
     def epoch_s(self) -> float:
-        """The length of this home's epochs, which never changes."""
+        """The length of this home's epochs."""
         return self._options.epoch_s
 
     def set_options(self, options: LedgerOptions) -> None:
-        """Take new limits; the length of an epoch stays as it was.
+        """Take new limits; once used, the length of an epoch stays.
 
         A longer validity never revives a ticket that has already run out,
         because its records are gone.
         """
-        self._options = dataclasses.replace(
-            options,
-            epoch_s=self._options.epoch_s,
-        )
+        if self._is_used:
+            options = dataclasses.replace(options, epoch_s=self.epoch_s)
+        else:
+            self._first_valid_epoch = 0
+        self._options = options
 
     def begin(
         self,
@@ -123,6 +125,7 @@
         """
         if key.ticket.home != self._home:
             raise _foreign(key.ticket.home)
+        self._is_used = True
         self.expire()
         epoch = key.ticket.epoch
         # One epoch ahead is let through: a ticket is never minted early, but
--- a/libraries/once/tests/cover/test_once_ledger.py
+++ b/libraries/once/tests/cover/test_once_ledger.py
@@ -242,6 +242,17 @@
     assert home.epoch_s == EPOCH_S
 
 
+def test_the_length_of_an_epoch_is_fixed_by_the_first_request():
+    clock = clocks.ManualClock()
+    home = make_ledger(clock)
+    clock.advance(35)
+    home.expire()
+    home.set_options(dataclasses.replace(OPTIONS, epoch_s=100.0))
+    home.begin(make_key(), CALLER, 1)
+    home.set_options(dataclasses.replace(OPTIONS, epoch_s=1.0))
+    assert home.epoch_s == 100
+
+
 async def test_resends_join_the_running_attempt_until_their_deadline():
     clock = clocks.ManualClock()
     home = make_ledger(clock)
