--- a/libraries/configuration/tests/conftest.py
+++ b/libraries/configuration/tests/conftest.py
@@ -187,6 +187,8 @@
         ring = random.Random(self.member.daemon_id)
         while True:
             await asyncio.sleep(ring.uniform(0.4, 0.6))
+            if not self._fleet.has_heartbeats:
+                continue
             others = [
                 one for one in self._fleet.members if one is not self.member
             ]
@@ -223,6 +225,7 @@
         self.daemons = {}
         self.starts = collections.Counter()
         self.version = 0
+        self.has_heartbeats = True
         self.members = ()
 
     def start(self, *numbers):
--- a/libraries/configuration/tests/cover/test_configuration_distributor.py
+++ b/libraries/configuration/tests/cover/test_configuration_distributor.py
@@ -138,6 +138,33 @@
     assert not any(one.store.problems() for one in fleet.daemons.values())
 
 
+def test_daemon_that_saw_only_the_invalid_file_gets_the_valid_one(world):
+    fleet = world.make(4)
+    fleet.settle()
+    bad = fleet.platform.publish(world.service, '[service]\nnme = x\n')
+    fleet.run(5)
+    fleet.hub.faults = memory_network.LinkFaults(loss=1.0)
+    fleet.start(0)
+    fleet.run(30)
+    assert fleet.daemons[0].in_force()[world.service] == 0
+    fleet.hub.faults = memory_network.LinkFaults()
+    fleet.run_until(lambda: fleet.all_have(world.service, bad - 1), _LIMIT_S)
+
+
+def test_news_spreads_without_waiting_for_heartbeats(world):
+    fleet = world.make(24)
+    fleet.settle()
+    fleet.has_heartbeats = False
+    revision = fleet.publish()
+    fleet.run(1)
+    told = [
+        daemon
+        for daemon in fleet.daemons.values()
+        if daemon.in_force()[world.service] == revision
+    ]
+    assert len(told) >= 22
+
+
 def _newest(fleet):
     return {one.store.mark().newest_revision for one in fleet.daemons.values()}
 
@@ -209,6 +236,7 @@
     fleet.hub.cut(fleet.members[1].peer_address, woken.member.peer_address)
     fleet.hub.cut(fleet.members[2].peer_address, woken.member.peer_address)
     # What was sent before the pause ended arrives now, and proves nothing.
+    fleet.run(0.5)
     beat = fleet.daemons[1].store.mark()
     woken.distributor.heard_mark(fleet.daemons[1].network.sender, beat)
     assert not confirm(moment_s)
--- a/libraries/platform/tests/conformance/test_platform_contract.py
+++ b/libraries/platform/tests/conformance/test_platform_contract.py
@@ -130,6 +130,23 @@
         assert changed.daemons == (daemon,)
 
 
+@_ALL
+async def test_instance_list_of_thousands_of_targets_fits(kind):
+    async with kind() as platform:
+        targets = tuple(
+            interface.ListedTarget(
+                ids.ServiceName(f'service-{number % 340}'),
+                ids.TargetId(f'worker-{number}'),
+                ids.TargetIncarnation(f'{number * 7919:016x}'),
+                interface.ListedState.LIVE,
+            )
+            for number in range(16_000)
+        )
+        platform.standin.set_instances(interface.InstanceList(targets))
+        listed = await platform.client.list_instances()
+        assert listed.targets == targets
+
+
 @_ALL
 async def test_stale_platform_serves_the_earlier_state(kind):
     async with kind() as platform:
--- a/libraries/standins/src/sardinepier/standins/internal/platform_handlers.py
+++ b/libraries/standins/src/sardinepier/standins/internal/platform_handlers.py
@@ -132,7 +132,10 @@
 
 
 def _json_response(content: msgspec.Struct) -> web.Response:
-    return web.Response(
+    """Answer with ``content``, compressed for a reader who accepts that."""
+    response = web.Response(
         body=msgspec.json.encode(content),
         content_type='application/json',
     )
+    response.enable_compression()
+    return response
