health: failing probes alone lower a target's weight, they don't eject

Change: weight 0.1 and reason probes-failed; good traffic seen by any observer overrules the probes.

--- a/libraries/health/src/sardinepier/health/internal/engine.py
+++ b/libraries/health/src/sardinepier/health/internal/engine.py
@@ -114,6 +114,8 @@
             elif increment.incarnation == one.identity.incarnation:
                 reporting.absorb(one, increment)
                 self.scorer.rate.add(increment.attempts)
+                if increment.good:
+                    one.last_traffic_s = self._clock.monotonic_s()
         if report.ejections:
             self.enforce()
 
--- a/libraries/health/src/sardinepier/health/internal/floor.py
+++ b/libraries/health/src/sardinepier/health/internal/floor.py
@@ -14,7 +14,6 @@
         targets.Reason.GROUP_EVIDENCE,
         targets.Reason.OWN_EVIDENCE,
         targets.Reason.PEERS_EJECTED,
-        targets.Reason.PROBES_FAILED,
     ),
 )
 """The verdicts for which a target should be out of service."""
--- a/libraries/health/src/sardinepier/health/internal/verdict.py
+++ b/libraries/health/src/sardinepier/health/internal/verdict.py
@@ -73,7 +73,7 @@
             elif one.verdict in floor.SICK:
                 self._hold(one)
             elif one.state in _JUDGED:
-                self._settle(one)
+                self._settle(one, now_s)
 
     def leave(self, one: tracked.Tracked) -> None:
         """Take a leaving target out for good."""
@@ -130,8 +130,6 @@
             return targets.Reason.OWN_EVIDENCE
         if self._peers_say(one, group, now_s):
             return targets.Reason.PEERS_EJECTED
-        if _probes_say(one, now_s):
-            return targets.Reason.PROBES_FAILED
         if one.verdict in floor.SICK and suspicion.score() >= _STILL_WANTED:
             return one.verdict
         return targets.Reason.NONE
@@ -183,7 +181,10 @@
         if one.state not in {_States.COLD, _States.LEAVING}:
             self.move(one, _States.SUSPECT, targets.Reason.HELD_BY_FLOOR)
 
-    def _settle(self, one: tracked.Tracked) -> None:
+    def _settle(self, one: tracked.Tracked, now_s: float) -> None:
+        if _probes_say(one, now_s):
+            self.move(one, _States.SUSPECT, targets.Reason.PROBES_FAILED)
+            return
         suspected = one.suspicion.score() >= judgement.SUSPICION
         state = _States.SUSPECT if suspected else _States.IN_SERVICE
         self.move(one, state, targets.Reason.NONE)
--- a/libraries/health/src/sardinepier/health/internal/weights.py
+++ b/libraries/health/src/sardinepier/health/internal/weights.py
@@ -7,7 +7,8 @@
 from sardinepier.health.internal import tracked
 
 _States = targets.TargetState
-_HELD_WEIGHT: Final = 0.1
+_AVOIDED_WEIGHT: Final = 0.1
+_AVOIDED: Final = (targets.Reason.HELD_BY_FLOOR, targets.Reason.PROBES_FAILED)
 
 
 def weight(
@@ -21,8 +22,8 @@
         return 0.0
     if state is _States.TRIAL:
         return 0.0 if one.flights else readmission.TRIAL_WEIGHT
-    if one.reason is targets.Reason.HELD_BY_FLOOR:
-        return _HELD_WEIGHT
+    if one.reason in _AVOIDED:
+        return _AVOIDED_WEIGHT
     if state is _States.COLD:
         return _cold_weight(one, options, now_s)
     if now_s >= one.way_back.ramp_until_s:
--- a/libraries/health/src/sardinepier/health/targets.py
+++ b/libraries/health/src/sardinepier/health/targets.py
@@ -47,7 +47,7 @@
     """Two or more observers ejected it, nothing here speaks for it."""
 
     PROBES_FAILED = 'probes-failed'
-    """No traffic reaches it and its probes fail one after the other."""
+    """Its probes fail and no traffic speaks for it; it gets little work."""
 
     HELD_BY_FLOOR = 'held-by-floor'
     """Would be out, but the floor leaves no room; it gets little work."""
--- /dev/null
+++ b/libraries/workbench/src/sardinepier/workbench/detection/command.py
@@ -0,0 +1,127 @@
+"""Larger runs of the detection experiment, in shards, for the design note.
+
+A shard takes every n-th plan, so that several terminals share the work::
+
+    sardinepier-workbench detection-faults out.0.jsonl --shard 0/3
+"""
+
+import itertools
+import pathlib
+from collections.abc import Sequence
+
+from sardinepier.workbench.detection import (
+    contenders,
+    curve,
+    driver,
+    experiment,
+    scenario,
+    tables,
+)
+
+
+def run(
+    seed: int = 1,
+    output_directory: str | None = None,
+    quick: bool = False,
+) -> str:
+    """Run the experiment once and return its tables."""
+    return experiment.run(seed, output_directory, quick).render()
+
+
+def faults(
+    output: str,
+    seeds: int = 3,
+    services: Sequence[int] = (2,),
+    loads: Sequence[int] = (1,),
+    shard: str = '0/1',
+    rivals: bool = True,
+) -> str:
+    """Run every fault over seeds, services and loads; write the records."""
+    plans = [
+        driver.Plan(
+            scenario.SERVICES[service],
+            scenario.LOADS[load],
+            fault,
+            experiment.FAULT_AT_S,
+            experiment.FAULT_END_S,
+            seed,
+        )
+        for service, load, seed, fault in itertools.product(
+            services,
+            loads,
+            range(1, seeds + 1),
+            experiment.FAULTS,
+        )
+    ]
+    return _run(plans, experiment.users(), output, shard, rivals)
+
+
+def healthy(
+    output: str,
+    seeds: int = 3,
+    service: int = 0,
+    length_s: float = 300.0,
+    shard: str = '0/1',
+    rivals: bool = True,
+) -> str:
+    """Run healthy traffic of every kind; write the records."""
+    plans = []
+    for seed in range(1, seeds + 1):
+        plans.extend(
+            experiment.healthy_plans(
+                scenario.SERVICES[service],
+                length_s,
+                seed,
+            ),
+        )
+    return _run(plans, experiment.users(), output, shard, rivals)
+
+
+def settings(output: str, shard: str = '0/1', length_s: float = 120.0) -> str:
+    """Run the library over its one setting, for the curve."""
+    service = scenario.SERVICES[2]
+    plans = [
+        driver.Plan(
+            service,
+            scenario.LOADS[1],
+            fault,
+            experiment.FAULT_AT_S,
+            experiment.FAULT_END_S,
+            1,
+        )
+        for fault in scenario.SICK_FAULTS
+    ]
+    plans.extend(experiment.healthy_plans(service, length_s, 1))
+    acting = [
+        contenders.group(per_day)
+        for per_day in contenders.CURVE_PER_DAY
+        if per_day not in _USERS_PER_DAY
+    ]
+    return _run(plans, acting, output, shard, rivals=False)
+
+
+def draw(figure: str, *inputs: str) -> str:
+    """Draw the curve of written records and return their tables."""
+    done = tuple(
+        one for name in inputs for one in experiment.read(pathlib.Path(name))
+    )
+    curve.draw(done, pathlib.Path(figure))
+    return tables.render(done)
+
+
+_USERS_PER_DAY = (contenders.RED_TESIS_PER_DAY, contenders.KLOOFNEK_PER_DAY)
+
+
+def _run(
+    plans: Sequence[driver.Plan],
+    acting: Sequence[contenders.Contender],
+    output: str,
+    shard: str,
+    rivals: bool,
+) -> str:
+    place, count = (int(part) for part in shard.split('/'))
+    done = tuple(
+        experiment.run_plans(plans[place::count], acting, rivals),
+    )
+    experiment.write(done, pathlib.Path(output))
+    return tables.summary_table(done)
--- a/libraries/workbench/src/sardinepier/workbench/detection/internal/faults.py
+++ b/libraries/workbench/src/sardinepier/workbench/detection/internal/faults.py
@@ -117,6 +117,6 @@
             return True
         if self._fault.effect is _Effect.CUT:
             return daemon >= self._fault.cut_daemons
-        if self._fault.probes is scenario.Probes.TRUE:
+        if self._fault.probes is scenario.Probes.HONEST:
             return False
         return self._fault.probes is not scenario.Probes.ALWAYS_BAD
--- a/libraries/workbench/src/sardinepier/workbench/detection/judge.py
+++ b/libraries/workbench/src/sardinepier/workbench/detection/judge.py
@@ -1,12 +1,16 @@
 """What a way of judging targets must offer to take part in the experiment."""
 
 from collections.abc import Sequence
-from typing import Protocol
+from typing import Final, Protocol
 
 from sardinepier.core import ids
 from sardinepier.health import evidence
 
 
+UNKNOWN: Final = None
+"""A judge that does not know the peers' load says so."""
+
+
 class Judge(Protocol):
     """All daemons of one group, judging one service's targets.
 
@@ -66,6 +70,11 @@
     return ids.TargetId(f't{place:04d}')
 
 
+def target_place(name: ids.TargetId) -> int:
+    """Return the place of a target by the id that ``target_name`` gave."""
+    return int(name[1:])
+
+
 def route_name(place: int) -> ids.RouteName:
     """Return the name of the route at this place."""
     return ids.RouteName(f'r{place}')
