--- a/libraries/gateway/src/sardinepier/gateway/intake.py
+++ b/libraries/gateway/src/sardinepier/gateway/intake.py
@@ -1,5 +1,6 @@
 """From what a caller sent to a checked piece of work."""
 
+import re
 from typing import Final
 
 from aiohttp import web_request
@@ -16,6 +17,7 @@
 _FRAGMENT: Final = '#'
 _LONGEST_CALLER: Final = 256
 _RETRY_AFTER_S: Final = 1.0
+_MILLISECONDS: Final = re.compile('[0-9]{1,12}')
 
 
 class Intake:
@@ -123,7 +125,7 @@
     stated = request.headers.get(headers.DEADLINE)
     if stated is None:
         return route.deadline_ms
-    if not (stated.isascii() and stated.isdigit()):
+    if not _MILLISECONDS.fullmatch(stated):
         raise refusals.BadRequestError(
             f'The header {headers.DEADLINE} is not a number of milliseconds',
             'Write the remaining time in whole milliseconds, or leave it out',
--- a/libraries/once/src/sardinepier/once/answers.py
+++ b/libraries/once/src/sardinepier/once/answers.py
@@ -4,7 +4,9 @@
 import enum
 from typing import Final
 
-_HEADER_OVERHEAD_BYTES: Final = 4
+_ANSWER_BYTES: Final = 160
+_HEADER_BYTES: Final = 160
+"""What the objects of an answer and of each header take by themselves."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,10 +25,9 @@
     def size_bytes(self) -> int:
         """Return about how much memory the content takes."""
         headers_bytes = sum(
-            len(name) + len(text) + _HEADER_OVERHEAD_BYTES
-            for name, text in self.headers
+            len(name) + len(text) + _HEADER_BYTES for name, text in self.headers
         )
-        return headers_bytes + len(self.body or b'')
+        return _ANSWER_BYTES + headers_bytes + len(self.body or b'')
 
     def without_content(self) -> 'RecordedAnswer':
         """Return the same answer with its status alone."""
--- a/libraries/once/src/sardinepier/once/ledger.py
+++ b/libraries/once/src/sardinepier/once/ledger.py
@@ -15,7 +15,7 @@
 from sardinepier.core import ids
 from sardinepier.once import answers, errors, records, tickets
 
-RECORD_BYTES: Final = 700
+RECORD_BYTES: Final = 900
 """About what a record takes without its answer: key, dict entry, objects."""
 
 
@@ -209,7 +209,6 @@
         self,
         bucket: _Bucket,
         identity: _Identity,
-        record: records.Record,
         settlement: answers.Settlement,
     ) -> answers.Settlement:
         if self._buckets.get(identity.key.ticket.epoch) is not bucket:
--- a/libraries/once/src/sardinepier/once/records.py
+++ b/libraries/once/src/sardinepier/once/records.py
@@ -7,6 +7,8 @@
 from sardinepier.core import clock as clocks
 from sardinepier.once import answers, errors
 
+_OnSettled = Callable[[answers.Settlement], answers.Settlement]
+
 
 class Record:
     """One key that was granted to run; settled exactly once.
@@ -22,10 +24,7 @@
         self,
         fingerprint: int,
         clock: clocks.Clock,
-        on_settled: Callable[
-            ['Record', answers.Settlement],
-            answers.Settlement,
-        ],
+        on_settled: '_OnSettled',
     ) -> None:
         """Open the record of a request with this fingerprint.
 
@@ -33,9 +32,10 @@
         """
         self.fingerprint = fingerprint
         self._clock = clock
-        self._on_settled = on_settled
+        self._on_settled: _OnSettled | None = on_settled
         self._settled: answers.Settlement | None = None
-        self._waiters: list[asyncio.Future[answers.Settlement]] = []
+        # Most records never have any, and many records are kept.
+        self._waiters: tuple[asyncio.Future[answers.Settlement], ...] = ()
 
     @property
     def settlement(self) -> answers.Settlement | None:
@@ -62,7 +62,7 @@
         if self._settled is not None:
             return self._settled
         waiter = asyncio.get_running_loop().create_future()
-        self._waiters.append(waiter)
+        self._waiters = (*self._waiters, waiter)
         remaining_s = deadline_s - self._clock.monotonic_s()
         try:
             return await asyncio.wait_for(waiter, max(0.0, remaining_s))
@@ -76,16 +76,19 @@
             self._forget(waiter)
 
     def _settle(self, settlement: answers.Settlement) -> None:
-        if self._settled is not None:
+        on_settled = self._on_settled
+        if on_settled is None:
             return
-        self._settled = self._on_settled(self, settlement)
+        self._on_settled = None
+        self._settled = on_settled(settlement)
         for waiter in self._waiters:
             if not waiter.done():
                 waiter.set_result(self._settled)
 
     def _forget(self, waiter: asyncio.Future[answers.Settlement]) -> None:
-        if waiter in self._waiters:
-            self._waiters.remove(waiter)
+        self._waiters = tuple(
+            other for other in self._waiters if other is not waiter
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
