--- a/libraries/health/src/sardinepier/health/internal/judgement.py
+++ b/libraries/health/src/sardinepier/health/internal/judgement.py
@@ -22,6 +22,9 @@
 _VOTING: Final = 0.35
 """Above the score that one chance failure leaves behind."""
 
+_VOTING_S: Final = 3.0
+"""Votes are counted anew after so long, lest old ones outvote a new fault."""
+
 _STALE_S: Final = 0.5
 
 
@@ -262,5 +265,11 @@
     if score < _VOTING:
         suspicion.voting_since_s = None
         suspicion.votes.clear()
-    elif suspicion.voting_since_s is None:
+    elif _voting_is_over(suspicion, now_s):
         suspicion.voting_since_s = now_s
+        suspicion.votes.clear()
+
+
+def _voting_is_over(suspicion: tracked.Suspicion, now_s: float) -> bool:
+    since_s = suspicion.voting_since_s
+    return since_s is None or now_s - since_s >= _VOTING_S
--- a/libraries/health/src/sardinepier/health/internal/verdict.py
+++ b/libraries/health/src/sardinepier/health/internal/verdict.py
@@ -11,6 +11,7 @@
 
 _States = targets.TargetState
 _STILL_WANTED: Final = 0.5
+_AGAINST_GROUP: Final = 1.5
 _HEAD_START: Final = 0.33
 _PROBES_IN_ROW: Final = 3
 _QUIET_S: Final = 10.0
@@ -126,7 +127,7 @@
         suspicion = one.suspicion
         if self._group_says(one, group):
             return targets.Reason.GROUP_EVIDENCE
-        if suspicion.own_score >= 1 and not doubts:
+        if self._own_says(suspicion, group) and not doubts:
             return targets.Reason.OWN_EVIDENCE
         if self._peers_say(one, group, now_s):
             return targets.Reason.PEERS_EJECTED
@@ -154,6 +155,16 @@
             return False
         return suspicion.vote is tracked.Vote.SICK
 
+    def _own_says(
+        self,
+        suspicion: tracked.Suspicion,
+        group: judgement.Group,
+    ) -> bool:
+        """Return whether the own evidence suffices; more against the group."""
+        if group.peers and suspicion.group_score < _STILL_WANTED:
+            return suspicion.own_score >= _AGAINST_GROUP
+        return suspicion.own_score >= 1
+
     def _peers_say(
         self,
         one: tracked.Tracked,
--- a/libraries/health/src/sardinepier/health/internal/voting.py
+++ b/libraries/health/src/sardinepier/health/internal/voting.py
@@ -57,12 +57,12 @@
 ) -> tracked.Vote:
     """Return the vote when the evidence is mostly of requests in flight.
 
-    A hung target has no good answer for anybody. Others' good answers show
-    a cut link; they get a moment to come in, unless more observers wait
+    A hung target has no good answer for anybody. Good answers show a cut
+    link or a long queue; they get a moment to come in, unless more observers wait
     than one cut link explains.
     """
-    good_elsewhere = sum(good for bad, good in counts if not bad)
-    if good_elsewhere >= _GOOD_AGAINST_HANG:
+    good_answers = sum(good for _, good in counts)
+    if good_answers >= _GOOD_AGAINST_HANG:
         return tracked.Vote.CUT_LINK
     since_s = one.suspicion.voting_since_s
     waited = since_s is not None and now_s - since_s >= _HANG_OPEN_S
