Check that each library declares what it imports

Cause: in one shared environment a missing declaration goes unnoticed; seven of fifteen libraries had one, one declared a package it did not use.

--- a/Makefile
+++ b/Makefile
@@ -16,17 +16,18 @@
 setup: $(VENV)/.ready
 
 format: setup
-	$(BIN)/ruff format libraries
+	$(BIN)/ruff format libraries scripts conftest.py
 
 lint: setup
-	$(BIN)/ruff format --check libraries
-	$(BIN)/flake8 libraries
+	$(BIN)/ruff format --check libraries scripts conftest.py
+	$(BIN)/flake8 libraries scripts conftest.py
 
 types: setup
 	$(BIN)/mypy
 
 imports: setup
 	$(BIN)/lint-imports --no-cache
+	$(BIN)/python scripts/check_dependencies.py
 
 pytest: setup
 	HYPOTHESIS_PROFILE=ci $(BIN)/python -m pytest
--- a/scripts/http_helper.py
+++ b/scripts/http_helper.py
@@ -8,8 +8,8 @@
 
 import sys
 import time
-import urllib.error
-import urllib.request
+from urllib import error as url_errors
+from urllib import request as url_requests
 
 _POLL_S = 0.1
 _TIMEOUT_S = 2
@@ -17,9 +17,9 @@
 
 def post(url: str, body: str) -> int:
     """Send ``body`` and return 0 when the answer was a success."""
-    request = urllib.request.Request(url, data=body.encode(), method='POST')
+    request = url_requests.Request(url, data=body.encode(), method='POST')
     try:
-        urllib.request.urlopen(request, timeout=_TIMEOUT_S).close()
+        url_requests.urlopen(request, timeout=_TIMEOUT_S).close()
     except OSError as error:
         sys.stderr.write(f'POST {url} failed: {error}\n')
         return 1
@@ -42,7 +42,7 @@
 def read(url: str) -> str:
     """Return the answer's body, or what went wrong."""
     try:
-        with urllib.request.urlopen(url, timeout=_TIMEOUT_S) as answer:
+        with url_requests.urlopen(url, timeout=_TIMEOUT_S) as answer:
             return answer.read().decode(errors='replace')
     except OSError as error:
         return f'failed: {error}'
