--- a/scripts/http_helper.py
+++ b/scripts/http_helper.py
@@ -8,7 +8,6 @@
 
 import sys
 import time
-from urllib import error as url_errors
 from urllib import request as url_requests
 
 _POLL_S = 0.1
