Deal home slots among a service's group, anew for a new service

Guests were counted in, though each daemon knows other guests. A service that was withdrawn and published again kept the old note of its group and would never have got one. Change: the group without guests and the own name are passed on; what was told is kept by runtime. Both new tests failed before. Run: libraries/daemon, all passed.

--- a/libraries/daemon/src/sardinepier/daemon/internal/groups.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/groups.py
@@ -1,5 +1,6 @@
 """What the daemons of a service's group tell each other about targets."""
 
+import weakref
 from collections.abc import Callable
 from typing import Final
 
@@ -27,6 +28,11 @@
 _JOIN_INTERVAL_S: Final = 1.0
 _QUARANTINE_INTERVAL_S: Final = 1.0
 
+_Exchanges = weakref.WeakKeyDictionary[
+    service_runtime.ServiceRuntime,
+    service_exchange.ServiceExchange,
+]
+
 
 class GroupExchange:
     """Sends this daemon's evidence to its groups and takes in theirs.
@@ -65,9 +71,9 @@
             _REPORT_BURST,
         )
         self.spent_bytes = 0
-        self._exchanges: dict[
-            ids.ServiceName, service_exchange.ServiceExchange
-        ] = {}
+        # By runtime, not by name: a service that is withdrawn and published
+        # again starts anew, and so does what was told about it.
+        self._exchanges: _Exchanges = weakref.WeakKeyDictionary()
         self._joined_version = -1
         self._joined_configuration: model.Configuration | None = None
         self._join_due_s = clock.monotonic_s()
@@ -80,8 +86,12 @@
 
     def guests(self, service: ids.ServiceName) -> frozenset[ids.InstanceId]:
         """Return who hears of a service here without being in its group."""
-        exchange = self._exchanges.get(service)
-        return frozenset(exchange.guests) if exchange else frozenset()
+        return frozenset(
+            guest
+            for runtime, exchange in self._exchanges.items()
+            if _name(runtime) == service
+            for guest in exchange.guests
+        )
 
     def tick(self) -> None:
         """Send the reports that are due."""
@@ -166,7 +176,8 @@
         runtime: service_runtime.ServiceRuntime,
     ) -> service_exchange.ServiceExchange:
         return self._exchanges.setdefault(
-            _name(runtime), service_exchange.ServiceExchange()
+            runtime,
+            service_exchange.ServiceExchange(),
         )
 
     def _peers(
@@ -175,14 +186,31 @@
         exchange: service_exchange.ServiceExchange,
     ) -> service_exchange.Peers:
         group = self._group(runtime.snapshot.settings)
+        self._show_group(runtime, exchange, frozenset(group))
         peers = group | exchange.recent_guests(self._clock.monotonic_s())
         peers.pop(self._view.own.instance_id, None)
-        shown = frozenset(peers)
-        if shown != exchange.shown_group:
-            exchange.shown_group = shown
-            runtime.slots.set_group(shown)
         return peers
 
+    def _show_group(
+        self,
+        runtime: service_runtime.ServiceRuntime,
+        exchange: service_exchange.ServiceExchange,
+        group: frozenset[ids.InstanceId],
+    ) -> None:
+        """Let the slots be dealt among the group.
+
+        Guests get none: each daemon knows other guests, and a deal that
+        differs from daemon to daemon makes them collide.
+        """
+        if group == exchange.shown_group:
+            return
+        exchange.shown_group = group
+        own = self._view.own.instance_id
+        runtime.slots.set_group(
+            group - {own},
+            own if own in group else None,
+        )
+
     def _take_report(
         self,
         sender: messages.Sender,
--- a/libraries/daemon/tests/cover/test_daemon_groups.py
+++ b/libraries/daemon/tests/cover/test_daemon_groups.py
@@ -94,6 +94,7 @@
             ),
         )
         self.services.update(configuration)
+        self.configuration = configuration
         view = _View(own, everyone)
         directory = target_directory.TargetDirectory()
         self.quarantine = quarantine.Quarantine(clock)
@@ -185,7 +186,7 @@
     fleet = _Fleet(daemons=4, per_zone=2)
     fleet.run(20)
     guest = next(
-        daemon for daemon in fleet.daemons if not list(daemon.services)
+        daemon for daemon in fleet.daemons if not tuple(daemon.services)
     )
     guest.health.started('t1', 'register', 1)
     fleet.run(15)
@@ -232,3 +233,41 @@
     second.exchange.take_report(sender, message)
     states = {one.state for one in second.health.status()}
     assert states == {targets.TargetState.IN_SERVICE}
+
+
+def _recorded_groups(daemon):
+    """Note from now on among whom the slots of the service are dealt."""
+    groups_seen = []
+    slots = daemon.services.get('deposits').slots
+    slots.set_group = lambda others, own=None: groups_seen.append((others, own))
+    return groups_seen
+
+
+def test_slots_are_dealt_among_the_group_and_not_among_guests():
+    fleet = _Fleet(daemons=3, per_zone=2)
+    fleet.run(20)
+    group = {
+        one.own.instance_id for one in fleet.daemons if tuple(one.services)
+    }
+    guest = next(one for one in fleet.daemons if not tuple(one.services))
+    members_see = [
+        _recorded_groups(one) for one in fleet.daemons if one is not guest
+    ]
+    guest_sees = _recorded_groups(guest)
+    guest.health.started('t1', 'register', 1)
+    fleet.run(20)
+    assert guest_sees == [(group, None)]
+    assert members_see == [[], []]
+
+
+def test_a_service_published_again_has_its_slots_dealt_again():
+    fleet = _Fleet(daemons=2, per_zone=2)
+    fleet.run(20)
+    first, second = fleet.daemons
+    without = model.Configuration(first.configuration.fleet, {}, {})
+    first.services.update(without)
+    first.services.update(first.configuration)
+    seen = _recorded_groups(first)
+    fleet.run(20)
+    others = frozenset((second.own.instance_id,))
+    assert seen == [(others, first.own.instance_id)]
