Measure the slopes of capacity and work out the target size: first version

Cause: the target size was planned for on paper only; nothing said which mechanism holds at 1,500 daemons and which does not. Ruled out: wall time (the machine is shared; processor time is used), counting messages in bursts (many at once share system calls and seem five times cheaper than heartbeats, which come alone).

--- /dev/null
+++ b/libraries/workbench/src/sardinepier/workbench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Measures the slopes from which docs/CAPACITY.md is worked out."""
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -1,5 +1,11 @@
 #!/usr/bin/env bash
-# Measures the figures of docs/CAPACITY.md.
+# Measures the figures of docs/CAPACITY.md with fleets of real processes.
+#
+#   scripts/capacity.sh                          everything, about 20 minutes
+#   scripts/capacity.sh idle LABEL 48 3 1 6      one idle fleet
+#
+# Results go to the directory OUTPUT. WINDOW_S and SETTLE_S set the seconds of
+# a window and those before it.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 source scripts/fleet.sh
@@ -21,7 +27,7 @@
     rm "$FLEET/port/targets"
     write_fleet_file ''
     for number in $(seq 1 "$services"); do
-        write_service_file "service-$number" 3 '' \
+        write_service_file "service-$number" 3 'queue_length = 64' \
             $(seq -f 't%03g' 1 "$targets")
     done
     start_platform
@@ -66,19 +72,77 @@
     done
 }
 
+# measure KIND OPTION...: one measurement of the running fleet.
 measure() {
+    local kind="$1"
+    shift
     "$BIN/sardinepier-workbench" capacity "--output_directory=$OUTPUT" \
-        "--fleet=$FLEET" "$@"
+        "--fleet=$FLEET" "--measure=$kind" "--window_s=$WINDOW_S" "$@"
 }
 
-# idle LABEL DAEMONS ZONES SERVICES TARGETS
+# idle LABEL DAEMONS ZONES SERVICES TARGETS [KIND...]: starts a fleet, and
+# measures it while nobody sends requests, then each KIND.
 idle() {
     (
+        local shape kind
+        shape=("--label=$1" "--zones=$3" "--services=$4" "--targets=$5")
         begin_fleet "$2" "$3" "$4" "$5"
         sleep "${SETTLE_S:-12}"
-        measure "--label=$1" "--zones=$3" "--services=$4" "--targets=$5" \
-            "--window_s=$WINDOW_S"
-    )
+        measure steady "${shape[@]}"
+        for kind in "${@:6}"; do
+            sleep 5
+            measure "$kind" "${shape[@]}"
+        done
+    ) || echo "not measured: $*" >&2
 }
 
-"$@"
+# loaded LABEL DAEMONS ZONES SERVICES TARGETS RATE: the same under requests,
+# all to the first service, spread over a few daemons of its group.
+loaded() {
+    (
+        local number daemons=''
+        begin_fleet "$2" "$3" "$4" "$5"
+        for number in $(seq 1 "$2"); do
+            daemons+="127.0.1.$number:$(cat "$FLEET/port/$(printf 'd%03d' "$number")"),"
+        done
+        "$BIN/sardinepier-workbench" traffic "--daemons=${daemons%,}" \
+            --service=service-1 "--rate_per_s=$6" \
+            "--duration_s=$((${SETTLE_S:-12} + WINDOW_S + 4))" >"$FLEET/traffic" &
+        sleep "${SETTLE_S:-12}"
+        measure steady "--label=$1" "--zones=$3" "--services=$4" \
+            "--targets=$5" "--requests_per_s=$6"
+        wait "$!" || true
+    ) || echo "not measured: $*" >&2
+}
+
+# The slopes: targets, services and observers, then fleets of growing size.
+slopes() {
+    idle targets 9 9 1 6
+    idle targets 9 9 1 47
+    idle targets 9 9 4 47
+    idle observers 27 9 1 6
+    idle observers 27 9 1 47
+}
+
+fleets() {
+    idle daemons 3 3 1 6 changes start
+    idle daemons 12 3 1 6 changes start platform
+    idle daemons 48 3 1 6 changes start zone
+    idle daemons 100 3 1 6 changes start
+}
+
+# Both deployments as they are today: three services on 48 daemons.
+today() {
+    idle today 48 3 3 14
+    loaded today 48 3 3 14 200
+}
+
+everything() {
+    rm -rf "$OUTPUT"
+    slopes
+    fleets
+    today
+    "$BIN/sardinepier-workbench" capacity "--output_directory=$OUTPUT"
+}
+
+"${@:-everything}"; exit
