health: accusers need firm evidence; veto a hang by answers heard just now

Cause (trace, 6 targets, 95% load): a little lateness from queues made an observer an accuser, and good answers from before a hang vetoed it.

--- a/libraries/health/src/sardinepier/health/internal/engine.py
+++ b/libraries/health/src/sardinepier/health/internal/engine.py
@@ -74,6 +74,7 @@
                 self._observer,
                 window.attempts(),
                 window.good,
+                now_s,
             )
         self.scorer.score(listed, now_s, self.doubts)
         judgement.update(listed, group, now_s, limits)
@@ -107,15 +108,16 @@
         increments = self.peers.take(observer, report)
         if increments is None:
             return
+        now_s = self._clock.monotonic_s()
         for one in self.listed:
             increment = increments.get(one.target_id)
             if increment is None:
-                reporting.vote(one, observer, 0, 0)
+                reporting.vote(one, observer, 0, 0, now_s)
             elif increment.incarnation == one.identity.incarnation:
-                reporting.absorb(one, increment)
+                reporting.absorb(one, increment, now_s)
                 self.scorer.rate.add(increment.attempts)
                 if increment.good:
-                    one.last_traffic_s = self._clock.monotonic_s()
+                    one.last_traffic_s = now_s
         if report.ejections:
             self.enforce()
 
--- a/libraries/health/src/sardinepier/health/internal/judgement.py
+++ b/libraries/health/src/sardinepier/health/internal/judgement.py
@@ -25,6 +25,9 @@
 _VOTING_S: Final = 3.0
 """Votes are counted anew after so long, lest old ones outvote a new fault."""
 
+_ACCUSING: Final = 5.0
+"""An observer accuses a target of a hang from so much evidence on."""
+
 _STALE_S: Final = 0.5
 
 
@@ -96,7 +99,12 @@
         _update_since(suspicion, now_s)
         suspicion.vote = tracked.Vote.OPEN
         if suspicion.group_score >= 1:
-            accusers = overdue_by_observer(one, group).keys()
+            overdue = overdue_by_observer(one, group)
+            accusers = {
+                observer
+                for observer, ratio in overdue.items()
+                if ratio >= _ACCUSING
+            }
             suspicion.vote = voting.vote(
                 one,
                 group.peers,
@@ -176,6 +184,7 @@
     pooled = max(
         cusum.capped(limits.observer_limit) for cusum in suspicion.group
     )
+    suspicion.finished_level = pooled / limits.threshold
     if not suspicion.overdue and not group.accusing:
         return own, pooled
     overdue = overdue_by_observer(one, group)
--- a/libraries/health/src/sardinepier/health/internal/reporting.py
+++ b/libraries/health/src/sardinepier/health/internal/reporting.py
@@ -76,7 +76,11 @@
             )
 
 
-def absorb(one: tracked.Tracked, increment: pooling.Increment) -> None:
+def absorb(
+    one: tracked.Tracked,
+    increment: pooling.Increment,
+    now_s: float,
+) -> None:
     """Add what a peer learned to what the next tick will judge."""
     pending = one.suspicion.pending
     known = pending.get(increment.observer)
@@ -87,7 +91,7 @@
             earlier + ratio
             for earlier, ratio in zip(known, increment.ratios, strict=False)
         ]
-    vote(one, increment.observer, increment.attempts, increment.good)
+    vote(one, increment.observer, increment.attempts, increment.good, now_s)
 
 
 def vote(
@@ -95,6 +99,7 @@
     observer: ids.InstanceId,
     attempts: int,
     good: int,
+    now_s: float,
 ) -> None:
     """Count an observer's attempts while there is suspicion.
 
@@ -108,6 +113,8 @@
     if votes.reports > 1:
         votes.attempts += attempts
         votes.bad += attempts - good
+        if good:
+            one.suspicion.good_heard.append((now_s, good))
 
 
 def status(
--- a/libraries/health/src/sardinepier/health/internal/tracked.py
+++ b/libraries/health/src/sardinepier/health/internal/tracked.py
@@ -1,5 +1,6 @@
 """All that one daemon remembers about one incarnation of one target."""
 
+import collections
 import dataclasses
 import enum
 from typing import Final
@@ -8,6 +9,7 @@
 from sardinepier.health import change_detection, readmission, targets
 
 _PRIOR_COUNT: Final = 0.5
+_MOST_HEARD: Final = 32
 
 
 @dataclasses.dataclass(slots=True)
@@ -94,6 +96,10 @@
     bad: int = 0
 
 
+def _bounded() -> collections.deque[tuple[float, int]]:
+    return collections.deque(maxlen=_MOST_HEARD)
+
+
 def _cusums() -> list[change_detection.Cusum]:
     return [change_detection.Cusum() for _ in change_detection.HYPOTHESES]
 
@@ -117,9 +123,17 @@
     votes: dict[ids.InstanceId, Votes] = dataclasses.field(
         default_factory=dict,
     )
+    good_heard: collections.deque[tuple[float, int]] = dataclasses.field(
+        default_factory=_bounded,
+    )
+    """When good answers were heard of lately, and how many."""
+
     since_s: float | None = None
     voting_since_s: float | None = None
     own_level: float = 0.0
+    finished_level: float = 0.0
+    """The group's level, of finished attempts only, over the threshold."""
+
     own_score: float = 0.0
     group_score: float = 0.0
     vote: Vote = Vote.OPEN
--- a/libraries/health/src/sardinepier/health/internal/voting.py
+++ b/libraries/health/src/sardinepier/health/internal/voting.py
@@ -16,6 +16,7 @@
 _LINK_SHARE: Final = 3
 _LINK_RATIO: Final = 8.0
 _HANG_OPEN_S: Final = 0.6
+_NEWEST_S: Final = 0.25
 _REPORTS_TO_SPEAK: Final = 2
 _GOOD_AGAINST_HANG: Final = 2
 
@@ -42,7 +43,7 @@
     resting = counts[most_accusers:]
     if _link_ratio(accusing, resting) >= _LINK_RATIO:
         return tracked.Vote.CUT_LINK
-    if len(overdue) > sum(_has_bad(one) for one in votes.values()):
+    if overdue and one.suspicion.finished_level < 1:
         waiting = _LINK_SHARE * len(overdue) > len(peers) + 1
         return _vote_on_hang(one, counts, waiting, now_s)
     spoken = _have_spoken(one, peers, overdue)
@@ -55,13 +56,19 @@
     many_wait: bool,
     now_s: float,
 ) -> tracked.Vote:
-    """Return the vote when the evidence is mostly of requests in flight.
+    """Return the vote when it takes the requests in flight to condemn.
 
     A hung target has no good answer for anybody. Good answers show a cut
     link or a long queue; they get a moment to come in, unless more observers wait
     than one cut link explains.
     """
-    good_answers = sum(good for _, good in counts)
+    if many_wait:
+        heard = one.suspicion.good_heard
+        good_answers = sum(
+            count for heard_s, count in heard if now_s - heard_s < _NEWEST_S
+        )
+    else:
+        good_answers = sum(good for _, good in counts)
     if good_answers >= _GOOD_AGAINST_HANG:
         return tracked.Vote.CUT_LINK
     since_s = one.suspicion.voting_since_s
