Read the instance list in shares, each target by two watchers in two zones

Cause: at 16,000 targets and 1,500 daemons the list is 1.66 MB, more than the platform's largest value, and each watcher read all of it at each change.

Ruled out: one call for each part (as many calls a second as a watcher has parts); a choice by rendezvous score for each part (both readers of some parts in one zone, some watchers with many parts and some with none).

Change: list_instances takes a share: some of the parts into which services are divided by a hash of their names, in one call with one tag. There are as many parts as watchers; a watcher reads the part of its own place and that of the watcher half the circle away. Fleets with one or two watchers read the whole as before. The daemons are a part of their own, read every 10 s. An answer for another share is refused. The client's rate can be set while it runs.

A test of the handing on pinned that setting an equal list again is handed on. That was a property of the stand-in's version counter; a tag now follows from the bytes. It is replaced by one that checks every target, both readers, their zones, the time, one call of the callback a change, and that all others get nothing. With the backup at the next place three of the new tests fail.

--- a/libraries/configuration/src/sardinepier/configuration/distributor.py
+++ b/libraries/configuration/src/sardinepier/configuration/distributor.py
@@ -107,8 +107,10 @@
     def on_instances(self, callback: instance_poller.OnInstances) -> None:
         """Call ``callback`` with each new instance list of the platform.
 
-        Only watchers read the list, and a starting daemon that knows no
-        peers reads it once.
+        The list has the targets of this watcher's own share, all of them each
+        time, and all daemons; its ``share`` tells which services it covers.
+        The share changes when the watchers do. Only watchers read targets; a
+        starting daemon that knows no peers reads the daemons once.
         """
         self._instances.subscribe(callback)
 
@@ -172,7 +174,7 @@
             self._peers.exchange.ask_some()
             await asyncio.sleep(self._options.refresh_s)
         if not self._peers.choice.pick(1):
-            await self._instances.read_once()
+            await self._instances.read_daemons()
 
     def _has_taken_over(self, began_s: float) -> bool:
         if self._store.mark().newest_revision == 0:
--- a/libraries/configuration/src/sardinepier/configuration/internal/watchers.py
+++ b/libraries/configuration/src/sardinepier/configuration/internal/watchers.py
@@ -5,8 +5,10 @@
 
 from sardinepier.core import ids, rendezvous
 from sardinepier.membership import members, view
+from sardinepier.platform import shares
 
 _NO_VERSION: Final = -1
+_READERS_OF_A_PART: Final = 2
 
 
 class Watchers:
@@ -39,6 +41,28 @@
             return None
         return rendezvous.first(f'read/{name}', chosen, len(chosen)).index(own)
 
+    def share(self) -> shares.InstanceShare | None:
+        """Return the share of the instance list that falls to this daemon.
+
+        Returns ``None`` when it is no watcher. There are as many parts as
+        watchers, and each watcher has the part of its own place and, as a
+        backup, that of the watcher half the circle away. That one is in
+        another zone unless one zone has more than half of all watchers, so a
+        zone that is cut off from the platform hides no target. A choice by
+        score for each part would put both readers of some parts into one
+        zone, and give some watchers many parts and some none.
+        """
+        chosen = self._choose()
+        own = self._view.own.daemon_id
+        if own not in chosen:
+            return None
+        count = len(chosen)
+        if count <= _READERS_OF_A_PART:
+            return shares.WHOLE
+        place = chosen.index(own)
+        opposite = (place + count // 2) % count
+        return shares.share_of(count, (place, opposite))
+
     def member_count(self) -> int:
         """Return how many daemons are known to serve, this one included."""
         return max(1, len(self._view.serving()))
--- a/libraries/configuration/src/sardinepier/configuration/options.py
+++ b/libraries/configuration/src/sardinepier/configuration/options.py
@@ -23,6 +23,10 @@
     and rarer in a large fleet, with ``audit_per_member_s`` for each member,
     so that the rate of the whole fleet is the same at every size. One that
     has heard of no peer for ``silence_s`` no longer waits for that.
+
+    A watcher reads its share of the instance list about every ``instances_s``
+    and the list of daemons, which only helps parted daemons to meet again,
+    every ``daemons_s``.
     """
 
     watchers_per_zone: int = 2
@@ -38,6 +42,7 @@
     audit_per_member_s: float = 1.0
     silence_s: float = 5.0
     instances_s: float = 1.0
+    daemons_s: float = 10.0
     backoff_least_s: float = 0.25
     backoff_most_s: float = 5.0
     recheck_s: float = 60.0
--- /dev/null
+++ b/libraries/configuration/tests/cover/test_configuration_shares.py
@@ -0,0 +1,147 @@
+"""Every target is read by two watchers, and each of them reads few."""
+
+import types
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sardinepier.configuration.internal import watchers
+from sardinepier.core import ids
+from sardinepier.platform import interface, shares
+
+
+def _share(serving, own, per_zone):
+    view = types.SimpleNamespace(version=1, own=own, serving=lambda: serving)
+    return watchers.Watchers(view, lambda: per_zone).share()
+
+
+def _shares(sizes, per_zone):
+    """Return the zone and the share of each watcher."""
+    serving = tuple(
+        types.SimpleNamespace(daemon_id=f'd{zone}-{number}', zone=zone)
+        for zone, size in enumerate(sizes)
+        for number in range(size)
+    )
+    found = [(own.zone, _share(serving, own, per_zone)) for own in serving]
+    return [one for one in found if one[1]]
+
+
+@given(
+    st.lists(st.integers(min_value=1, max_value=4), min_size=1, max_size=9),
+    st.integers(min_value=1, max_value=3),
+)
+def test_two_watchers_in_two_zones_read_each_part(sizes, per_zone):
+    watching = _shares(sizes, per_zone)
+    count = sum(min(size, per_zone) for size in sizes)
+    assert len(watching) == count
+    if count <= 2:
+        assert {share for _, share in watching} == {shares.WHOLE}
+        return
+    most = max(min(size, per_zone) for size in sizes)
+    for number in range(count):
+        zones = [zone for zone, one in watching if number in one.chosen]
+        assert len(zones) == 2
+        assert most > count // 2 or zones[0] != zones[1]
+    for _, share in watching:
+        assert (share.parts, len(share.chosen)) == (count, 2)
+        assert not share.has_daemons
+
+
+def _listed(count, leaving=()):
+    states = interface.ListedState
+    return interface.InstanceList(
+        targets=tuple(
+            interface.ListedTarget(
+                ids.ServiceName(f's{number}'),
+                ids.TargetId('w'),
+                ids.TargetIncarnation('1'),
+                states.LEAVING if number in leaving else states.LIVE,
+            )
+            for number in range(count)
+        ),
+        daemons=(interface.ListedDaemon(ids.DaemonId('d'), '10.0.0.1', 1),),
+    )
+
+
+def _readers(fleet, service):
+    return [
+        daemon
+        for daemon in fleet.daemons.values()
+        if daemon.distributor.is_watcher
+        and daemon.instances[-1].share.covers(service)
+    ]
+
+
+def test_watchers_hand_on_their_share_and_changes_of_it_in_time(world):
+    fleet = world.make(12)
+    fleet.settle()
+    fleet.platform.set_instances(_listed(60))
+    fleet.run(15)
+    watching = [
+        daemon
+        for daemon in fleet.daemons.values()
+        if daemon.distributor.is_watcher
+    ]
+    assert len(watching) == 6
+    for daemon in watching:
+        listed = daemon.instances[-1]
+        covered = [
+            target
+            for target in _listed(60).targets
+            if listed.share.covers(target.service)
+        ]
+        assert listed.targets == tuple(covered)
+        assert listed.daemons == _listed(60).daemons
+        assert listed.share.has_daemons
+    for number in range(60):
+        for daemon in fleet.daemons.values():
+            daemon.instances.clear()
+        leaving = _listed(60, {number})
+        fleet.platform.set_instances(leaving)
+        # Half of the 3 s after which a leaving target gets no new work.
+        fleet.run(1.55)
+        told = [one for one in fleet.daemons.values() if one.instances]
+        assert set(told) <= set(watching)
+        changed = leaving.targets[number]
+        assert all(len(one.instances) == 1 for one in told)
+        knowing = [one for one in told if changed in one.instances[-1].targets]
+        assert len(knowing) == 2
+        assert knowing[0].member.zone != knowing[1].member.zone
+
+
+def test_zone_cut_off_from_the_platform_hides_no_target(world):
+    fleet = world.make(12)
+    fleet.settle()
+    fleet.platform.set_instances(_listed(60))
+    fleet.run(15)
+    for cut in fleet.daemons.values():
+        cut.sight.is_cut = cut.member.zone == 'a'
+    leaving = _listed(60, set(range(60)))
+    fleet.platform.set_instances(leaving)
+    fleet.run(1.55)
+    known = set()
+    for one in fleet.daemons.values():
+        known.update(*(listed.targets for listed in one.instances[-1:]))
+    assert known >= set(leaving.targets)
+
+
+def test_share_moves_when_a_watcher_goes(world):
+    fleet = world.make(12)
+    fleet.settle()
+    fleet.platform.set_instances(_listed(60))
+    fleet.run(15)
+    gone = next(
+        number
+        for number, daemon in fleet.daemons.items()
+        if daemon.distributor.is_watcher
+    )
+    fleet.stop(gone)
+    fleet.run(3)
+    for target in _listed(60).targets:
+        assert len(_readers(fleet, target.service)) == 2
+    watching = {
+        daemon
+        for daemon in fleet.daemons.values()
+        if daemon.distributor.is_watcher
+    }
+    assert len(watching) == 6
--- a/libraries/platform/src/sardinepier/platform/http_platform.py
+++ b/libraries/platform/src/sardinepier/platform/http_platform.py
@@ -20,8 +20,12 @@
 from sardinepier.core import clock as clocks
 from sardinepier.core import errors as core_errors
 from sardinepier.core import ids
-from sardinepier.platform import errors, interface
-from sardinepier.platform.internal import exchange, token_bucket
+from sardinepier.platform import errors, interface, shares
+from sardinepier.platform.internal import (
+    exchange,
+    instance_cache,
+    token_bucket,
+)
 
 _Value = TypeVar('_Value')
 
@@ -87,8 +91,7 @@
         )
         self._session = session
         self._session_is_own = session is None
-        self._instances: interface.InstanceList | None = None
-        self._instances_tag = ''
+        self._instances = instance_cache.InstanceCache()
 
     async def list_files(self) -> interface.Listing:
         """Return the revisions of all files."""
@@ -122,22 +125,39 @@
             text=_decode_text(reply.body),
         )
 
-    async def list_instances(self) -> interface.InstanceList:
-        """Return the instance list, the same object while it is unchanged."""
-        known = self._instances
-        headers = {'If-None-Match': self._instances_tag} if known else {}
+    async def list_instances(
+        self,
+        share: shares.InstanceShare = shares.WHOLE,
+    ) -> interface.InstanceList:
+        """Return the share, the same object while it is unchanged.
+
+        An answer that speaks of another share, or has a target outside it,
+        is refused: a platform that divides the services otherwise, or not at
+        all, must not pass for one that has nothing listed.
+        """
+        known = self._instances.find(share)
+        query = shares.query_of(share)
         reply = await self._call(
-            '/v1/instances',
+            f'/v1/instances?{query}' if query else '/v1/instances',
             self._options.instances_limit_bytes,
-            headers,
+            {'If-None-Match': known.tag} if known else _NO_HEADERS,
         )
         if known is not None and not reply.modified:
-            return known
+            return known.listed
         fresh = _decode(reply.body, interface.InstanceList)
-        self._instances_tag = reply.headers.get('ETag', '')
-        self._instances = fresh if self._instances_tag else None
+        instance_cache.check_share(fresh, share)
+        self._instances.keep(fresh, reply.headers.get('ETag', ''))
         return fresh
 
+    def set_reads_per_s(self, reads_per_s: float) -> None:
+        """Make ``reads_per_s`` calls a second at most from now on.
+
+        Calls that wait for their turn keep it. Raises
+        :class:`sardinepier.core.errors.InvalidArgumentError` for a rate that
+        is not above zero.
+        """
+        self._bucket.set_rate(reads_per_s)
+
     async def close(self) -> None:
         """Close the client's own connections; calls are possible no more."""
         if self._session is not None and self._session_is_own:
--- a/libraries/platform/src/sardinepier/platform/interface.py
+++ b/libraries/platform/src/sardinepier/platform/interface.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from sardinepier.core import ids
+from sardinepier.platform import shares
 
 FILE_LIMIT_BYTES: Final = 1024 * 1024
 """The platform holds no larger file."""
@@ -78,10 +79,16 @@
 
 
 class InstanceList(msgspec.Struct, frozen=True):
-    """The platform's lagging list of targets and daemons."""
+    """The platform's lagging list of targets and daemons, or a share of it.
+
+    ``share`` says what the list speaks of. A target of a service that the
+    share covers and that is not among ``targets`` is not listed; of all other
+    services the list says nothing.
+    """
 
     targets: tuple[ListedTarget, ...] = ()
     daemons: tuple[ListedDaemon, ...] = ()
+    share: shares.InstanceShare = shares.WHOLE
 
 
 class Platform(Protocol):
@@ -117,9 +124,12 @@
         """
         ...
 
-    async def list_instances(self) -> InstanceList:
-        """Return the instance list.
+    async def list_instances(
+        self,
+        share: shares.InstanceShare = shares.WHOLE,
+    ) -> InstanceList:
+        """Return the instance list, or the asked share of it.
 
-        The very same object comes again as long as the list is unchanged.
+        The very same object comes again as long as the share is unchanged.
         """
         ...
--- a/libraries/platform/src/sardinepier/platform/internal/token_bucket.py
+++ b/libraries/platform/src/sardinepier/platform/internal/token_bucket.py
@@ -1,6 +1,7 @@
 """A token bucket: a steady rate of calls with a small burst."""
 
 import asyncio
+import math
 
 from sardinepier.core import clock as clocks
 from sardinepier.core import errors as core_errors
@@ -34,6 +35,16 @@
         self._tokens = float(burst)
         self._counted_until_s = clock.monotonic_s()
 
+    def set_rate(self, rate_per_s: float) -> None:
+        """Let ``rate_per_s`` calls a second through from now on.
+
+        Raises :class:`sardinepier.core.errors.InvalidArgumentError` when the
+        rate is not above zero.
+        """
+        _check_rate(rate_per_s)
+        self._refill(self._clock.monotonic_s())
+        self._rate_per_s = rate_per_s
+
     async def take(self, deadline_s: float) -> None:
         """Wait for a token.
 
@@ -72,10 +83,10 @@
 
 
 def _check_rate(rate_per_s: float) -> None:
-    if rate_per_s <= 0:
+    if not 0 < rate_per_s < math.inf:
         raise core_errors.InvalidArgumentError(
             f'The rate of platform calls is {rate_per_s} a second',
-            'Pass a rate above 0',
+            'Pass a finite rate above 0',
         )
 
 
--- a/libraries/platform/tests/conformance/test_platform_contract.py
+++ b/libraries/platform/tests/conformance/test_platform_contract.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from sardinepier.core import clock, ids
-from sardinepier.platform import errors, http_platform, interface
+from sardinepier.platform import errors, http_platform, interface, shares
 from sardinepier.standins import platform_memory, platform_standin
 
 _FLEET = ids.FileName('fleet')
@@ -147,6 +147,70 @@
         assert listed.targets == targets
 
 
+def _target(service, incarnation='1'):
+    return interface.ListedTarget(
+        ids.ServiceName(service),
+        ids.TargetId('w1'),
+        ids.TargetIncarnation(incarnation),
+        interface.ListedState.LIVE,
+    )
+
+
+@_ALL
+@hypothesis.settings(max_examples=20)
+@hypothesis.given(
+    services=st.sets(st.text(max_size=9), min_size=1, max_size=12),
+    parts=st.integers(min_value=1, max_value=8),
+)
+def test_parts_have_each_target_once_and_change_alone(kind, services, parts):
+    async def read_all(client):
+        asked = [shares.share_of(parts, (number,)) for number in range(parts)]
+        return [await client.list_instances(share) for share in asked]
+
+    async def check():
+        async with kind() as platform:
+            daemon = interface.ListedDaemon(ids.DaemonId('d'), '10.0.0.1', 1)
+            targets = tuple(map(_target, sorted(services)))
+            publish = platform.standin.set_instances
+            publish(interface.InstanceList(targets, (daemon,)))
+            before = await read_all(platform.client)
+            found = [target for part in before for target in part.targets]
+            assert sorted(found, key=targets.index) == list(targets)
+            assert not any(part.daemons for part in before)
+            daemons = await platform.client.list_instances(shares.DAEMONS)
+            assert (daemons.targets, daemons.daemons) == ((), (daemon,))
+            changed = _target(targets[0].service, '2')
+            publish(interface.InstanceList((changed, *targets[1:]), (daemon,)))
+            after = await read_all(platform.client)
+            number = shares.part_of(changed.service, parts)
+            for other in set(range(parts)) - {number}:
+                assert before[other] == after[other]
+            assert changed in after[number].targets
+            whole = await platform.client.list_instances()
+            assert len(whole.targets) == len(services)
+
+    asyncio.run(check())
+
+
+@_ALL
+async def test_one_call_reads_several_parts(kind):
+    async with kind() as platform:
+        targets = tuple(_target(f's{number}') for number in range(40))
+        platform.standin.set_instances(interface.InstanceList(targets))
+        share = shares.share_of(18, (12, 3), has_daemons=True)
+        listed = await platform.client.list_instances(share)
+        assert listed is await platform.client.list_instances(share)
+        assert platform.standin.counts.instances == 2
+        assert (listed.share, share.chosen) == (share, (3, 12))
+        expected = [one for one in targets if share.covers(one.service)]
+        assert listed.targets == tuple(expected)
+        # The tag follows the share: a change elsewhere is none here.
+        elsewhere = next(one for one in targets if one not in expected)
+        rest = (one for one in targets if one is not elsewhere)
+        platform.standin.set_instances(interface.InstanceList(tuple(rest)))
+        assert listed is await platform.client.list_instances(share)
+
+
 @_ALL
 async def test_stale_platform_serves_the_earlier_state(kind):
     async with kind() as platform:
--- a/libraries/standins/src/sardinepier/standins/internal/platform_served.py
+++ b/libraries/standins/src/sardinepier/standins/internal/platform_served.py
@@ -4,8 +4,12 @@
 from typing import Final
 
 from sardinepier.core import ids
-from sardinepier.platform import interface
-from sardinepier.standins.internal import platform_faults, platform_state
+from sardinepier.platform import interface, shares
+from sardinepier.standins.internal import (
+    platform_faults,
+    platform_shares,
+    platform_state,
+)
 
 _MS_PER_S: Final = 1000
 _LONGEST_WATCH_MS: Final = 60_000
@@ -20,6 +24,7 @@
         self._history = platform_state.StateHistory()
         self._stale = self._history.newest
         self._changed = asyncio.Event()
+        self._shares = platform_shares.ServedShares()
 
     @property
     def newest(self) -> platform_state.PlatformState:
@@ -42,6 +47,13 @@
         text = platform_faults.GARBLED_TEXT if is_garbled else held.text
         return interface.PublishedFile(name, held.revision, text)
 
+    def instances(
+        self,
+        share: shares.InstanceShare,
+    ) -> platform_shares.ServedShare:
+        """Return a share of the instance list as readers get it."""
+        return self._shares.find(self.served.instances, share)
+
     def push(self, state: platform_state.PlatformState) -> None:
         """Make ``state`` the newest and wake all who wait."""
         self._history.push(state)
--- /dev/null
+++ b/libraries/standins/src/sardinepier/standins/internal/platform_shares.py
@@ -0,0 +1,77 @@
+"""The shares of the instance list that readers ask a stand-in for."""
+
+import dataclasses
+from typing import Final
+
+import msgspec
+import xxhash
+
+from sardinepier.platform import interface, shares
+
+_MOST_SHARES: Final = 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServedShare:
+    """A share, as it is sent, and a tag that follows from its bytes."""
+
+    listed: interface.InstanceList
+    body: bytes
+    tag: str
+
+
+class ServedShares:
+    """Cuts each share once for each instance list.
+
+    A share that a new list leaves as it was stays the same object with the
+    same tag, so that a reader learns that nothing changed for it.
+    """
+
+    def __init__(self) -> None:
+        """Start with nothing cut."""
+        self._whole = interface.InstanceList()
+        self._current: dict[shares.InstanceShare, ServedShare] = {}
+        self._earlier: dict[shares.InstanceShare, ServedShare] = {}
+
+    def find(
+        self,
+        whole: interface.InstanceList,
+        share: shares.InstanceShare,
+    ) -> ServedShare:
+        """Return the ``share`` of the ``whole`` list."""
+        if whole is not self._whole:
+            self._whole = whole
+            self._earlier |= self._current
+            self._current = {}
+        if share not in self._current:
+            self._bound()
+            fresh = _serve(_cut(whole, share))
+            earlier = self._earlier.get(share, fresh)
+            is_same = earlier.body == fresh.body
+            self._current[share] = earlier if is_same else fresh
+        return self._current[share]
+
+    def _bound(self) -> None:
+        if len(self._earlier) + len(self._current) >= _MOST_SHARES:
+            self._earlier.clear()
+            self._current.clear()
+
+
+def _cut(
+    whole: interface.InstanceList,
+    share: shares.InstanceShare,
+) -> interface.InstanceList:
+    services = {target.service for target in whole.targets}
+    covered = {service for service in services if share.covers(service)}
+    return interface.InstanceList(
+        targets=tuple(
+            target for target in whole.targets if target.service in covered
+        ),
+        daemons=whole.daemons if share.has_daemons else (),
+        share=share,
+    )
+
+
+def _serve(listed: interface.InstanceList) -> ServedShare:
+    body = msgspec.json.encode(listed)
+    return ServedShare(listed, body, f'"{xxhash.xxh3_64_hexdigest(body)}"')
