--- a/libraries/routing/src/sardinepier/routing/waiting_line.py
+++ b/libraries/routing/src/sardinepier/routing/waiting_line.py
@@ -8,6 +8,7 @@
 
 import bisect
 import dataclasses
+import math
 import random
 from typing import Final, Protocol
 
@@ -126,9 +127,20 @@
 
     def leave(self, waiter: Waiter) -> None:
         """Take out a waiter that was cancelled. Unknown ones are ignored."""
-        self._places = [
-            place for place in self._places if place.waiter is not waiter
-        ]
+        work = waiter.work
+        position = bisect.bisect(
+            self._places,
+            (work.priority, work.deadline_s, 0),
+            key=_rank_of,
+        )
+        while position < len(self._places):
+            place = self._places[position]
+            if place.waiter is waiter:
+                self._places.pop(position)
+                return
+            if place.rank[:2] != (work.priority, work.deadline_s):
+                return
+            position += 1
 
     def serve(self) -> None:
         """Refuse whom the deadline beats, then hand out the free slots."""
@@ -174,15 +186,27 @@
         return True
 
     def _refuse_hopeless(self) -> None:
+        """Refuse whom the deadline beats.
+
+        Within a priority the earliest deadline comes first, so only the first
+        of each priority needs a look.
+        """
         now_s = self._clock.monotonic_s()
-        hopeful: list[_Place] = []
-        hopeless: list[_Place] = []
-        for place in self._places:
-            is_late = now_s >= self.give_up_s(place.waiter.work)
-            (hopeless if is_late else hopeful).append(place)
-        self._places = hopeful
-        for late in hopeless:
-            late.waiter.refuse(self._refusals.late(self._likely_wait_s()))
+        position = 0
+        while position < len(self._places):
+            work = self._places[position].waiter.work
+            if now_s < self.give_up_s(work):
+                position = self._first_after(work.priority)
+            else:
+                late = self._places.pop(position)
+                late.waiter.refuse(self._refusals.late(self._likely_wait_s()))
+
+    def _first_after(self, priority: int) -> int:
+        return bisect.bisect(
+            self._places,
+            (priority, math.inf, 0),
+            key=_rank_of,
+        )
 
     def _likely_wait_s(self) -> float:
         behind_all_s = self._estimate.wait_s(len(self._places) + 1)
--- a/libraries/workbench/src/sardinepier/workbench/load/simulation.py
+++ b/libraries/workbench/src/sardinepier/workbench/load/simulation.py
@@ -14,7 +14,7 @@
 
 _MS_PER_S: Final = 1000
 _PERCENT: Final = 100
-_DRAIN_S: Final = 10.0
+_DRAIN_S: Final = 0.1
 
 
 class Simulation:
@@ -53,7 +53,8 @@
             self._failing_percent = phase.failing_percent
             self._arrive(phase, start_s + phase.duration_s)
             start_s += phase.duration_s
-        self._events.run_until(start_s + _DRAIN_S)
+        last_ms = max(one.deadline_ms for one in self._setup.classes)
+        self._events.run_until(start_s + last_ms / _MS_PER_S + _DRAIN_S)
         return self.counts
 
     def slot_use_percent(self) -> float:
