Pass on all of a watcher's share of the instance list

Cause: the list is now read in shares, each by two watchers. A watcher told the groups of its first list only of the services that rendezvous hashing gave it among all watchers, which might be services that it does not read: then nobody would have told their groups. Change: a watcher tells all that is new to it. Run: libraries/daemon cover tests, passed.

--- a/libraries/daemon/src/sardinepier/daemon/internal/target_notices.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/target_notices.py
@@ -1,8 +1,9 @@
 """From the platform's instance list to the daemons that need it."""
 
 import collections
-from collections.abc import Callable, Iterable
-from sardinepier.core import ids, rendezvous
+from collections.abc import Callable
+
+from sardinepier.core import ids
 from sardinepier.daemon.internal import group_messages, target_directory
 from sardinepier.gateway import service_runtime
 from sardinepier.membership import groups, members
@@ -17,9 +18,9 @@
 class TargetNoticer:
     """Spreads what a watcher reads, and takes in what others spread.
 
-    Every watcher passes on each change. The whole of its first list it
-    passes on only for the services that fall to it, because each of the
-    others does the same with its share.
+    A watcher reads a share of the list, and another watcher reads the same
+    share. Each passes on what has changed since it last read, and all of a
+    share that is new to it.
     """
 
     def __init__(
@@ -36,16 +37,13 @@
         self._services = services
         self._directory = directory
         self._configuration = configuration
-        self._listed: _Notices | None = None
+        self._listed: _Notices = ()
         peer_network.subscribe(group_messages.TargetNotices, self._on_notices)
 
     def on_instances(self, listed: interface.InstanceList) -> None:
         """Take a new instance list of the platform and pass it on."""
         notices = tuple(_notice(target) for target in listed.targets)
-        if self._listed is None:
-            told = tuple(self._own_share(notices))
-        else:
-            told = target_directory.changes(self._listed, notices)
+        told = target_directory.changes(self._listed, notices)
         self._listed = notices
         self.take(notices)
         self._tell_groups(told)
@@ -81,32 +79,6 @@
         if any(news):
             runtime.refresh()
 
-    def _own_share(
-        self, notices: _Notices
-    ) -> Iterable[group_messages.TargetNotice]:
-        watchers = self._watchers()
-        own = self._view.own.instance_id
-        by_service = {notice.service for notice in notices}
-        mine = {
-            service
-            for service in by_service
-            if own in rendezvous.first(service, watchers, 1)
-        }
-        return (notice for notice in notices if notice.service in mine)
-
-    def _watchers(self) -> tuple[ids.InstanceId, ...]:
-        current = self._configuration()
-        if current is None:
-            return (self._view.own.instance_id,)
-        count = current.fleet.configuration_watchers_per_zone
-        zones = {member.zone for member in self._view.serving()}
-        found = [
-            member.instance_id
-            for zone in sorted(zones)
-            for member in groups.watchers(self._view, zone, count)
-        ]
-        return tuple(found) or (self._view.own.instance_id,)
-
     def _tell_groups(self, notices: _Notices) -> None:
         by_member: dict[members.Member, list[group_messages.TargetNotice]] = (
             collections.defaultdict(list)
