Make the fault cases see what a missing mechanism would break

Cause: each mechanism was taken out of a scratch copy in turn, to see whether the table notices. Two of six went unnoticed: a daemon that stops to listen at once, as nothing was in flight when it left and nobody counted refused connections, and a store that takes any revision, as no daemon had a newer file than the stale platform.

Change: where something leaves gracefully, a connection refused at an address still good breaks a promise, and targets are slow so that work is in flight; a new case replaces a daemon while the platform serves an older file than the fleet has. Names on the command line that look like numbers stay text.

--- a/libraries/standins/src/sardinepier/standins/target_main.py
+++ b/libraries/standins/src/sardinepier/standins/target_main.py
@@ -20,6 +20,13 @@
 
 CRASH_CODE: Final = 70
 _USAGE_CODE: Final = 2
+_TEXT_OPTIONS: Final = (
+    'target_id',
+    'ip',
+    'port_file',
+    'executions_path',
+    'poison',
+)
 
 
 class PortInUseError(errors.SardinepierError):
@@ -42,7 +49,7 @@
     ``--slots 3 --service_ms 10``.
     """
     try:
-        options = _read_habits(str(target_id), habits)
+        options = _read_habits(target_id, habits)
     except errors.SardinepierError as error:
         _leave(error, _USAGE_CODE)
     try:
@@ -53,6 +60,10 @@
 
 def main() -> None:
     """Run the command line."""
+    # The library would take a name like 5j for a number, and would list its
+    # own attribute in the help text, had it no underscore.
+    fire.decorators.FIRE_METADATA = '_fire_metadata'
+    fire.decorators.SetParseFns(**dict.fromkeys(_TEXT_OPTIONS, str))(run)
     fire.Fire(run, name='sardinepier-target-standin')
 
 
--- a/libraries/standins/tests/nocover/test_standins_target_process.py
+++ b/libraries/standins/tests/nocover/test_standins_target_process.py
@@ -39,7 +39,8 @@
 
 
 async def test_poison_ends_the_process_and_the_next_goes_on_counting(tmp_path):
-    executions = f'--executions_path={tmp_path / "executions"}'
+    # A name that a command line might take for a number.
+    executions = f'--executions_path={tmp_path / "tmp.5j"}'
     process, base = await start(tmp_path, executions)
     async with aiohttp.ClientSession(base) as session:
         await session.post('/control/fault', data=b'{"poison": "rm"}')
--- a/libraries/workbench/src/sardinepier/workbench/bench/command.py
+++ b/libraries/workbench/src/sardinepier/workbench/bench/command.py
@@ -37,6 +37,14 @@
     knee: knee.Knee
 
 
+TEXT_OPTIONS: Final = (
+    'daemon',
+    'target',
+    'service',
+)
+"""Options that stay text even when they look like a number."""
+
+
 def run(
     daemon: str,
     target: str,
--- a/libraries/workbench/src/sardinepier/workbench/faults/actions.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/actions.py
@@ -1,5 +1,6 @@
 """What a fault case can do to a fleet, each as one small value."""
 
+import asyncio
 import dataclasses
 import signal
 from typing import Protocol
@@ -123,6 +124,17 @@
         running.publish_queue_length(self.queue_length)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wait:
+    """Let some time go by between two actions."""
+
+    wait_s: float
+
+    async def act(self, running: fleet.Fleet) -> None:
+        """Do it now."""
+        await asyncio.sleep(self.wait_s)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Together:
     """Take several actions, one straight after another."""
--- a/libraries/workbench/src/sardinepier/workbench/faults/command.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/command.py
@@ -30,6 +30,13 @@
     """No case of the table has the name that was asked for."""
 
 
+TEXT_OPTIONS: Final = (
+    'case',
+    'directory',
+)
+"""Options that stay text even when they look like a number."""
+
+
 def run(
     case: str = '',
     directory: str = '',
--- a/libraries/workbench/src/sardinepier/workbench/faults/promises.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/promises.py
@@ -14,6 +14,7 @@
     OWN_ANSWER = 'callers get the whole answer to their own request'
     MARKED = 'each answer says what became of the request'
     NO_CUT = 'leaving gracefully cuts no request'
+    ADDRESSES = 'addresses that were handed out stay good for their time'
     SERVES = 'callers still reach healthy targets'
     NO_REVERT = 'no daemon returns to an older revision'
     IN_FORCE = 'an accepted change comes into force everywhere'
--- a/libraries/workbench/src/sardinepier/workbench/faults/table.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/table.py
@@ -17,6 +17,8 @@
 _ALL: Final = 100.0
 _HALF: Final = 50.0
 _MUCH_SLOWER: Final = 40.0
+_SLOWER: Final = 20.0
+_MODEST_PER_S: Final = 20.0
 _FLAP_MS: Final = 700.0
 _NEW_QUEUE_LENGTH: Final = 50
 
@@ -27,6 +29,7 @@
 _PUBLISHED: Final = cases.Schedule(heal_at_s=_EARLY_S, end_at_s=_LONG_S)
 _GRACEFUL: Final = cases.Schedule(end_at_s=_LONG_S)
 _IMPATIENT_S: Final = 2.0
+_IN_FORCE_S: Final = 2.0
 
 _SOUND: Final = actions.Break(target_faults.Fault(), (_TARGET,))
 _SLOW: Final = actions.Break(
@@ -153,13 +156,41 @@
     ),
     cases.FaultCase(
         'daemon ended by signal',
-        actions.End(_HOME, signal.SIGTERM),
+        # Targets that take a while leave work in flight at each moment, or
+        # an exit that cuts it would go unnoticed.
+        actions.Together(
+            (
+                actions.Break(
+                    target_faults.Fault(slow_factor=_SLOWER),
+                    _TARGETS,
+                ),
+                actions.Wait(1),
+                actions.End(_HOME, signal.SIGTERM),
+            )
+        ),
         schedule=_GRACEFUL,
+        rate_per_s=_MODEST_PER_S,
         cut_allowed=False,
     ),
     _publish_while('down'),
     _publish_while('stale'),
     _publish_while('garbage'),
+    cases.FaultCase(
+        'platform stale, daemon replaced',
+        # The fleet has the newer file before the platform turns stale, and
+        # a daemon starts that knows nothing.
+        actions.Together(
+            (
+                actions.Publish(_NEW_QUEUE_LENGTH),
+                actions.Wait(_IN_FORCE_S),
+                actions.SetPlatform('stale'),
+                actions.Signal(_PEER, signal.SIGKILL),
+            )
+        ),
+        actions.SetPlatform('up'),
+        _STOPPED,
+        check=checks.converges,
+    ),
     cases.FaultCase(
         'poison crashes targets',
         actions.Break(target_faults.Fault(poison=_POISON), _TARGETS),
--- a/libraries/workbench/src/sardinepier/workbench/faults/verdicts.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/verdicts.py
@@ -77,7 +77,11 @@
     attempts = summary.attempts_by_kind
     wrong = attempts.get(records.Kind.WRONG_ANSWER.value, 0)
     unmarked = attempts.get(records.Kind.UNMARKED.value, 0)
-    cut = 0 if case.cut_allowed else summary.connections_cut
+    cut = 0
+    unreached = 0
+    if not case.cut_allowed:
+        cut = summary.connections_cut
+        unreached = attempts.get(records.Kind.NOT_CONNECTED.value, 0)
     counts = {
         promises.Promise.AT_MOST_ONCE: len(verdict.doubled),
         promises.Promise.NOT_RUN: len(verdict.false_not_run),
@@ -85,6 +89,7 @@
         promises.Promise.OWN_ANSWER: wrong,
         promises.Promise.MARKED: unmarked,
         promises.Promise.NO_CUT: cut,
+        promises.Promise.ADDRESSES: unreached,
     }
     for promise, count in counts.items():
         if count:
--- a/libraries/workbench/src/sardinepier/workbench/main.py
+++ b/libraries/workbench/src/sardinepier/workbench/main.py
@@ -71,6 +71,11 @@
         f'sardinepier.workbench.{words[-1]}.command',
     )
     run: Callable[..., None] = module.run
+    # The library would take a name like 5j for a number, and would list its
+    # own attribute in every help text, had it no underscore.
+    fire.decorators.FIRE_METADATA = '_fire_metadata'
+    text_options = getattr(module, 'TEXT_OPTIONS', ())
+    fire.decorators.SetParseFns(**dict.fromkeys(text_options, str))(run)
     return run
 
 
--- a/libraries/workbench/src/sardinepier/workbench/traffic/command.py
+++ b/libraries/workbench/src/sardinepier/workbench/traffic/command.py
@@ -24,6 +24,20 @@
     """Fewer requests completed than the command line asked for."""
 
 
+TEXT_OPTIONS: Final = (
+    'daemons',
+    'service',
+    'idempotent',
+    'keyed',
+    'targets',
+    'executions',
+    'caller_header',
+    'zone',
+    'poison',
+)
+"""Options that stay text even when they look like a number."""
+
+
 def run(
     daemons: str,
     service: str,
@@ -97,9 +111,7 @@
     executions: str,
 ) -> witness.Verdict | None:
     if executions:
-        parts = executions if isinstance(executions, tuple) else [executions]
-        names = [name for part in parts for name in part.split(',')]
-        counts = witness.read_files(pathlib.Path(name) for name in names)
+        counts = witness.read_files(map(pathlib.Path, executions.split(',')))
     elif targets:
         endpoints = options.parse_endpoints(targets)
         counts = asyncio.run(witness.ask_targets(endpoints))
--- a/libraries/workbench/src/sardinepier/workbench/traffic/options.py
+++ b/libraries/workbench/src/sardinepier/workbench/traffic/options.py
@@ -83,14 +83,13 @@
             )
 
 
-def parse_endpoints(text: object) -> tuple[Endpoint, ...]:
+def parse_endpoints(text: str) -> tuple[Endpoint, ...]:
     """Return the endpoints in ``text``, for example ``127.0.0.1:80,[::1]:81``.
 
-    A command line may have split the text at its commas already. Raises
-    ``InvalidArgumentError`` for anything that is not an address and a port.
+    Raises ``InvalidArgumentError`` for anything that is not an address and a
+    port.
     """
-    parts = text if isinstance(text, tuple | list) else str(text).split(',')
-    return tuple(_parse_endpoint(str(part)) for part in parts if str(part))
+    return tuple(_parse_endpoint(part) for part in text.split(',') if part)
 
 
 def parse_route(text: str) -> RouteChoice:
