--- a/libraries/membership/src/sardinepier/membership/internal/contacts.py
+++ b/libraries/membership/src/sardinepier/membership/internal/contacts.py
@@ -42,8 +42,8 @@
             usable = self._random.sample(usable, self._max_contacts)
         self._seeds = dict.fromkeys(usable)
 
-    def lost(self, address: messages.PeerAddress) -> None:
-        """Remember the address of a member that was taken for dead."""
+    def remember(self, address: messages.PeerAddress) -> None:
+        """Try the address of one taken for dead, or met but not known."""
         self._lost.pop(address, None)
         self._lost[address] = None
         if len(self._lost) > self._max_contacts:
--- a/libraries/membership/src/sardinepier/membership/internal/heartbeat.py
+++ b/libraries/membership/src/sardinepier/membership/internal/heartbeat.py
@@ -101,6 +101,10 @@
         if not self._known.news.budget.take_ack():
             return
         first = self._known.news.claims_about(sender.instance_id)
+        stranger = self._known.table.get(sender.instance_id) is None
+        if stranger:
+            # A way in, should the seeds be busy with the whole fleet.
+            self._known.contacts.remember(sender.address)
         if probe.target != self._known.table.own.instance_id:
             first = (*self._known.news.own_update(), *first)
         self._network.send(
@@ -109,7 +113,7 @@
                 sequence=probe.sequence,
                 mark=self._mark_source(),
                 digest=self._known.table.digests.total(),
-                stranger=self._known.table.get(sender.instance_id) is None,
+                stranger=stranger,
                 updates=(*first, *self._known.news.take()),
             ),
         )
--- a/libraries/membership/src/sardinepier/membership/internal/knowledge.py
+++ b/libraries/membership/src/sardinepier/membership/internal/knowledge.py
@@ -38,13 +38,14 @@
         """Tell whether what ``sender`` claims about others is believed.
 
         One that is dead here was cut off until now, and so what it holds of
-        others is old. If at least half of the fleet is dead here, then it is
-        this daemon that was cut off: it forgets its claims of death, so that
-        they don't spread among those who never lost each other.
+        others is old. If at least half of the fleet is dead here when one
+        returns, be it that it was forgotten meanwhile, then it is this
+        daemon that was cut off: it forgets its claims of death, so that they
+        don't spread among those who never lost each other.
         """
         held = self.table.get(sender.instance_id)
-        if held is None or not held.is_dead:
-            return held is not None
+        if held is not None and not held.is_dead:
+            return True
         if len(self.table.dead) >= self.table.live_count:
             for dead in self.table.dead:
                 self.news.rumors.drop(dead.instance_id)
@@ -196,7 +197,7 @@
             return
         after = change.after
         if after.is_dead:
-            self.contacts.lost(after.identity.peer_address)
+            self.contacts.remember(after.identity.peer_address)
         else:
             self.contacts.found(after.identity.peer_address)
         if spread or after.is_dead:
--- a/libraries/membership/src/sardinepier/membership/internal/rumors.py
+++ b/libraries/membership/src/sardinepier/membership/internal/rumors.py
@@ -7,6 +7,7 @@
 from sardinepier.core import ids
 
 _REPEATS_PER_LOG: Final = 3
+_REPEATS_PER_HEARD: Final = 6
 
 
 class Rumors:
@@ -34,10 +35,14 @@
         self._sent = {instance_id: 0, **self._sent}
 
     def heard(self, instance_id: ids.InstanceId) -> None:
-        """Count a peer that sent the same news: it needs ours no more."""
+        """Count a peer that sent the same news as one it need not reach.
+
+        When a few peers know it already, most do, and to send it on would
+        only hold up what is newer.
+        """
         sent = self._sent.get(instance_id)
         if sent is not None:
-            self._sent[instance_id] = sent + 1
+            self._sent[instance_id] = sent + _REPEATS_PER_HEARD
 
     def drop(self, instance_id: ids.InstanceId) -> None:
         """Stop spreading a record."""
--- a/libraries/membership/src/sardinepier/membership/internal/shown.py
+++ b/libraries/membership/src/sardinepier/membership/internal/shown.py
@@ -1,7 +1,7 @@
 """The members as the view shows them, built once for each version."""
 
 from sardinepier.membership import members
-from sardinepier.membership.internal import record, table
+from sardinepier.membership.internal import table
 
 _Members = tuple[members.Member, ...]
 
@@ -29,9 +29,7 @@
     def _refresh(self) -> None:
         if self._table.version == self._version:
             return
-        living = [
-            record.to_member(entry.record) for entry in self._table.entries()
-        ]
+        living = [entry.member() for entry in self._table.entries()]
         living.sort(key=lambda member: member.instance_id)
         self._living = tuple(living)
         self._serving = tuple(
--- a/libraries/membership/src/sardinepier/membership/internal/sync.py
+++ b/libraries/membership/src/sardinepier/membership/internal/sync.py
@@ -1,5 +1,6 @@
 """The exchange of tables, which mends whatever messages were lost."""
 
+import itertools
 import random
 from collections.abc import Callable, Iterable
 from typing import Final
@@ -154,10 +155,11 @@
         left = self._left
         grouped = self._in_buckets(differing)
         for bucket in differing:
-            if left <= 0:
+            entries = grouped[bucket]
+            if chosen and len(entries) > left:
                 break
-            chosen[bucket] = grouped[bucket]
-            left -= len(grouped[bucket])
+            chosen[bucket] = entries
+            left -= len(entries)
         return chosen
 
     def _in_buckets(
@@ -196,7 +198,10 @@
             if theirs.get(held.instance_id, (-1, False))
             < (held.incarnation, held.leaving)
         )
-        return self._known.news.updates(lacking)[: kinds.MAX_UPDATES]
+        allowed = max(self._left, 0)
+        updates = self._known.news.updates(itertools.islice(lacking, allowed))
+        self._left -= len(updates)
+        return updates
 
     def _doubts(
         self,
--- a/libraries/membership/src/sardinepier/membership/internal/table.py
+++ b/libraries/membership/src/sardinepier/membership/internal/table.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from sardinepier.core import ids, rendezvous
-from sardinepier.membership import kinds, options
+from sardinepier.membership import kinds, members, options
 from sardinepier.membership.internal import dead_records, digests, record
 from sardinepier.wire import messages
 
@@ -18,13 +18,21 @@
 class Entry:
     """A living record with what is kept beside it.
 
-    ``deadline_s`` is until when a suspect may refute.
+    ``deadline_s`` is until when a suspect may refute. ``shown`` is the
+    record as the view shows it, once anybody asked.
     """
 
     record: record.Record
     bucket: int
     ring_points: tuple[int, ...]
     deadline_s: float | None = None
+    shown: members.Member | None = None
+
+    def member(self) -> members.Member:
+        """Return the record as the view shows it."""
+        if self.shown is None:
+            self.shown = record.to_member(self.record)
+        return self.shown
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -134,6 +142,7 @@
             if after.liveness is kinds.Liveness.SUSPECT:
                 entry.deadline_s = now_s + self._bounds.suspicion_timeout_s
         entry.record = after
+        entry.shown = None
         self._entries[after.instance_id] = entry
         self._by_address[after.identity.peer_address] = after.instance_id
         self.digests.toggle(entry.bucket, after)
--- a/libraries/membership/tests/conftest.py
+++ b/libraries/membership/tests/conftest.py
@@ -128,15 +128,19 @@
         names = self.names(chosen)
         return all(self.sees(index) == names for index in chosen)
 
-    def ended(self, *kinds_of_end, since=0):
-        """Names that any running daemon reported in such events."""
+    def reported(self, index, *kinds_of_event):
+        """Names that one daemon reported in such events."""
         return {
             event.instance_id
-            for daemon in self.running.values()
-            for event in self.events[daemon.own.instance_id][since:]
-            if isinstance(event, kinds_of_end)
+            for event in self.events[self.running[index].own.instance_id]
+            if isinstance(event, kinds_of_event)
         }
 
+    def ended(self, *kinds_of_end):
+        """Names that any running daemon reported in such events."""
+        ended = [self.reported(index, *kinds_of_end) for index in self.running]
+        return set().union(*ended)
+
     def died(self):
         return self.ended(events.MemberDied, events.MemberReplaced)
 
