--- a/libraries/routing/src/sardinepier/routing/internal/peer_counts.py
+++ b/libraries/routing/src/sardinepier/routing/internal/peer_counts.py
@@ -40,7 +40,9 @@
         self._stale_s = stale_s
         self._peers: dict[ids.InstanceId, _Peer] = {}
         self._sums: dict[ids.TargetId, float] = {}
-        self._changed: set[ids.TargetId] = set()
+        # A dictionary keeps its order, unlike a set, whose order changes with
+        # each process: the same seed has to give the same choices.
+        self._changed: dict[ids.TargetId, None] = {}
         self._next_fade_s = 0.0
 
     @property
@@ -54,9 +56,10 @@
         homes: home_slots.Homes,
     ) -> None:
         """Keep the reports of ``others`` only, and take their home slots."""
-        for gone in tuple(self._peers.keys() - set(others)):
-            self._count(self._peers.pop(gone), -1)
-        for name in others:
+        for known in tuple(self._peers):
+            if known not in others:
+                self._count(self._peers.pop(known), -1)
+        for name in sorted(others):
             peer = self._peers.setdefault(name, _Peer({}, {}, _NEVER_S, 0))
             self._count(peer, -1)
             peer.homes = homes.get(name, {})
@@ -82,10 +85,10 @@
         """Return what all peers have in flight at the target."""
         return self._sums.get(target_id, 0)
 
-    def changed(self) -> set[ids.TargetId]:
+    def changed(self) -> list[ids.TargetId]:
         """Return the targets whose count changed since the last call."""
-        changed = self._changed
-        self._changed = set()
+        changed = list(self._changed)
+        self._changed.clear()
         return changed
 
     def fade(self, now_s: float) -> bool:
@@ -116,7 +119,7 @@
             return
         for target_id, count in counts.items():
             total = self._sums.get(target_id, 0) + factor * count
-            self._changed.add(target_id)
+            self._changed[target_id] = None
             self._sums[target_id] = total
             if abs(total) < _NOTHING:
                 self._sums.pop(target_id)
