Measure whether a shed request waits while the retry budget is empty

Cause: the gateway answers a shed request at once when the budget is empty; the simulated one lets it wait for the budget or its deadline. Change: the experiment has both, as a row of its table of disturbances.

--- a/libraries/workbench/src/sardinepier/workbench/load/comparisons.py
+++ b/libraries/workbench/src/sardinepier/workbench/load/comparisons.py
@@ -37,6 +37,7 @@
     '9 daemons, one target ejected': {'ejected_targets': 1},
     '9 daemons, reports every 500 ms': {'report_interval_ms': 500},
     '9 daemons, nothing heard': {'pooled': False},
+    '9 daemons, shed requests do not wait': {'shed_waits': False},
 }
 
 
--- a/libraries/workbench/src/sardinepier/workbench/load/scenario.py
+++ b/libraries/workbench/src/sardinepier/workbench/load/scenario.py
@@ -127,6 +127,7 @@
     slot_options: in_flight.SlotOptions = in_flight.SlotOptions()
     queue_length: int = 100
     retry_budget_percent: float = 10
+    shed_waits: bool = True
     caller_requests_per_s: float = 0
     caller_burst: int = 20
     ejected_targets: int = 0
--- a/libraries/workbench/src/sardinepier/workbench/load/simulated_daemon.py
+++ b/libraries/workbench/src/sardinepier/workbench/load/simulated_daemon.py
@@ -135,7 +135,7 @@
             self._finish(arrival)
         else:
             self.slots.shed(target_id)
-            self.queue(arrival, is_retry=True)
+            self._send_again(arrival)
         self.line.serve()
 
     def _finish(self, arrival: Arrival) -> None:
@@ -148,6 +148,13 @@
         else:
             self.end(arrival, tally.End.COMPLETED)
 
+    def _send_again(self, arrival: Arrival) -> None:
+        """Let a shed request wait, also while the budget is empty."""
+        if self._setup.shed_waits:
+            self.queue(arrival, is_retry=True)
+        else:
+            self._retry(arrival, tally.End.SHED)
+
     def _retry(self, arrival: Arrival, otherwise: tally.End) -> None:
         if self.retries.has_room():
             self.queue(arrival, is_retry=True)
