One loop for upkeep, shared probes, and no services that are not ours

Ruled out: aligning the timers by a shared clock; one loop is simpler. Change: one loop every 100 ms notices pauses, judges, reports and probes; a group shares the probes of its targets; only changed weights are set; guests fall silent after 10 s and are dropped after 60 s; addresses look at the group only. The exchange is split into what is ours, what reports may cost, reports and quarantine marks. Run: libraries/daemon and libraries/gateway, 512 passed. One fixture of the gateway's tests takes the new argument of configure_health.

--- a/libraries/daemon/src/sardinepier/daemon/internal/exchange_assembly.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/exchange_assembly.py
@@ -1,8 +1,12 @@
 """Builds what the daemons of a group tell each other about targets."""
 
+import dataclasses
+
 from sardinepier.daemon.internal import (
     assembly,
     groups,
+    own_services,
+    quarantine_exchange,
     target_directory,
     target_notices,
 )
@@ -31,11 +35,24 @@
         self._noticer.on_instances(listed)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Exchange:
+    """All that this daemon and its groups tell each other."""
+
+    reports: groups.GroupExchange
+    marks: quarantine_exchange.QuarantineExchange
+
+    def tick(self) -> None:
+        """Send what is due."""
+        self.reports.tick()
+        self.marks.tick()
+
+
 def build_exchange(
     base: assembly.Foundation,
     context: contexts.GatewayContext,
-) -> groups.GroupExchange:
-    """Return the exchange of reports, with the instance list connected."""
+) -> Exchange:
+    """Return the exchange, with the instance list connected to it."""
     directory = target_directory.TargetDirectory()
     noticer = target_notices.TargetNoticer(
         base.membership,
@@ -45,15 +62,29 @@
         context.configuration,
     )
     base.distributor.on_instances(InstanceListReader(base, noticer).take)
-    return groups.GroupExchange(
+    owned = own_services.OwnServices(
         base.membership,
-        base.network,
         context.services,
         directory,
-        context.quarantine,
         context.configuration,
         base.clock,
     )
+    return Exchange(
+        groups.GroupExchange(
+            owned,
+            base.network,
+            context.services,
+            directory,
+            base.clock,
+        ),
+        quarantine_exchange.QuarantineExchange(
+            owned,
+            base.network,
+            context.services,
+            context.quarantine,
+            base.clock,
+        ),
+    )
 
 
 def _addresses(
--- /dev/null
+++ b/libraries/daemon/src/sardinepier/daemon/internal/quarantine_exchange.py
@@ -0,0 +1,61 @@
+"""Marks of requests that crash targets, told to the groups."""
+
+from typing import Final
+
+from sardinepier.core import clock as clocks
+from sardinepier.daemon.internal import (
+    group_messages,
+    own_services,
+    service_exchange,
+)
+from sardinepier.gateway import service_runtime
+from sardinepier.once import quarantine as quarantines
+from sardinepier.wire import messages, network
+
+_INTERVAL_S: Final = 1.0
+
+
+class QuarantineExchange:
+    """Sends this daemon's own marks to its groups and takes in theirs."""
+
+    def __init__(
+        self,
+        owned: own_services.OwnServices,
+        peer_network: network.PeerNetwork,
+        services: service_runtime.ServiceRuntimes,
+        quarantine: quarantines.Quarantine,
+        clock: clocks.Clock,
+    ) -> None:
+        """Listen to marks; nothing is sent before :meth:`tick`."""
+        self._owned = owned
+        self._network = peer_network
+        self._services = services
+        self._quarantine = quarantine
+        self._clock = clock
+        self._due_s = clock.monotonic_s()
+        peer_network.subscribe(group_messages.QuarantineNotice, self._take)
+
+    def tick(self) -> None:
+        """Send the marks once a second while there are any."""
+        now_s = self._clock.monotonic_s()
+        if now_s < self._due_s:
+            return
+        self._due_s = now_s + _INTERVAL_S
+        report = self._quarantine.report()
+        if report.marks:
+            self._send(group_messages.QuarantineNotice(report))
+
+    def _send(self, notice: group_messages.QuarantineNotice) -> None:
+        peers: service_exchange.Peers = {}
+        for runtime in self._services:
+            peers |= self._owned.group(runtime.snapshot.settings)
+        peers.pop(self._owned.own, None)
+        for address in peers.values():
+            self._network.send(address, notice)
+
+    def _take(
+        self,
+        sender: messages.Sender,
+        received: group_messages.QuarantineNotice,
+    ) -> None:
+        self._quarantine.heard(sender.instance_id, received.report)
--- a/libraries/daemon/src/sardinepier/daemon/internal/service_exchange.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/service_exchange.py
@@ -11,7 +11,7 @@
 from sardinepier.wire import messages
 
 _QUIET_INTERVAL_S: Final = 2.0
-_GUEST_S: Final = 10.0
+GUEST_S: Final = 10.0
 _MOST_GUESTS: Final = 16
 
 Peers = dict[ids.InstanceId, messages.PeerAddress]
@@ -62,7 +62,7 @@
         if sender.instance_id in self.guests or len(self.guests) < _MOST_GUESTS:
             self.guests[sender.instance_id] = _Guest(
                 sender.address,
-                now_s + _GUEST_S,
+                now_s + GUEST_S,
             )
 
     def recent_guests(self, now_s: float) -> Peers:
--- a/libraries/daemon/src/sardinepier/daemon/internal/service_parts.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/service_parts.py
@@ -39,7 +39,7 @@
         return service_health.ServiceHealth(
             settings.name,
             self._own,
-            _health_options(settings),
+            _health_options(settings, 1),
             self._clock,
             self._random,
             self._on_event,
@@ -66,17 +66,25 @@
 def _configure_health(
     health: service_health.ServiceHealth,
     settings: model.ServiceSettings,
+    group_size: int,
 ) -> None:
-    health.configure(_health_options(settings))
+    health.configure(_health_options(settings, group_size))
 
 
 def _health_options(
     settings: model.ServiceSettings,
+    group_size: int,
 ) -> health_options.HealthOptions:
+    """Return the options of one of ``group_size`` daemons that judge.
+
+    The operators' interval is that between two probes of one target. Each
+    daemon of the group probes that much more rarely, or a target of a large
+    group would spend a good part of its slots on probes.
+    """
     return health_options.HealthOptions(
         false_ejections_per_target_day=(
             settings.false_ejections_per_target_day
         ),
         floor_percent=settings.floor_percent,
-        probe_interval_s=settings.probe_interval_ms / _MS_PER_S,
+        probe_interval_s=settings.probe_interval_ms / _MS_PER_S * group_size,
     )
--- a/libraries/daemon/src/sardinepier/daemon/internal/upkeep.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/upkeep.py
@@ -1,29 +1,41 @@
-"""Regular work of the request path: judging targets, dropping records."""
+"""The regular work of a daemon, done in one loop."""
 
 import asyncio
+import dataclasses
 from typing import Final
 
-from sardinepier.daemon.internal import groups
+from sardinepier.daemon.internal import exchange_assembly
 from sardinepier.gateway import context as contexts
+from sardinepier.gateway import probes
 
 _TICK_S: Final = 0.1
 _EXPIRY_INTERVAL_S: Final = 5.0
 
 
-async def judge_targets(
-    context: contexts.GatewayContext,
-    exchange: groups.GroupExchange,
-) -> None:
-    """Judge the targets of all services and tell the groups, until cancelled.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Upkeep:
+    """Judges targets, tells the groups, probes, and notices pauses.
 
-    One loop does both: a report that follows the judgement at once is as
-    fresh as it can be, and each further timer of an idle daemon would cost
-    it a part of what control may take of a core.
+    One loop does it all. Each further timer would wake up an idle daemon some
+    more times a second, and that was most of what control cost it. A report
+    that follows the judgement at once is also as fresh as it can be.
     """
-    while True:
-        context.services.tick()
-        exchange.tick()
-        await asyncio.sleep(_TICK_S)
+
+    context: contexts.GatewayContext
+    exchange: exchange_assembly.Exchange
+    probes: probes.Probes
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+        async with asyncio.TaskGroup() as running:
+            while True:
+                # First of all, so that nothing is judged by what a paused
+                # process still remembers as fresh.
+                await self.context.wake_guard.tick()
+                self.context.services.tick()
+                self.exchange.tick()
+                self.probes.start_due(running)
+                await asyncio.sleep(_TICK_S)
 
 
 async def expire_records(context: contexts.GatewayContext) -> None:
--- a/libraries/daemon/src/sardinepier/daemon/process.py
+++ b/libraries/daemon/src/sardinepier/daemon/process.py
@@ -97,10 +97,9 @@
     ) -> None:
         base.store.on_change(followers.ConfigurationFollower(context).follow)
         exchange = exchange_assembly.build_exchange(base, context)
-        self._tasks.start(context.wake_guard.run())
-        self._tasks.start(upkeeps.judge_targets(context, exchange))
+        upkeep = upkeeps.Upkeep(context, exchange, probes.Probes(context))
+        self._tasks.start(upkeep.run())
         self._tasks.start(upkeeps.expire_records(context))
-        self._tasks.start(probes.Probes(context).run())
         self._tasks.start(context.refusals.run())
 
     async def _listen(
--- a/libraries/daemon/tests/cover/test_daemon_groups.py
+++ b/libraries/daemon/tests/cover/test_daemon_groups.py
@@ -9,6 +9,8 @@
 from sardinepier.daemon.internal import (
     group_messages,
     groups,
+    own_services,
+    quarantine_exchange,
     service_parts,
     target_directory,
     target_notices,
@@ -98,14 +100,14 @@
         view = _View(own, everyone)
         directory = target_directory.TargetDirectory()
         self.quarantine = quarantine.Quarantine(clock)
+        owned = own_services.OwnServices(
+            view, self.services, directory, lambda: configuration, clock
+        )
         self.exchange = groups.GroupExchange(
-            view,
-            network,
-            self.services,
-            directory,
-            self.quarantine,
-            lambda: configuration,
-            clock,
+            owned, network, self.services, directory, clock
+        )
+        self.marks = quarantine_exchange.QuarantineExchange(
+            owned, network, self.services, self.quarantine, clock
         )
         self.noticer = target_notices.TargetNoticer(
             view, network, self.services, directory, lambda: configuration
@@ -139,6 +141,7 @@
             for daemon in self.daemons:
                 daemon.services.tick()
                 daemon.exchange.tick()
+                daemon.marks.tick()
             self.hub.deliver()
 
 
@@ -237,10 +240,10 @@
 
 def _recorded_groups(daemon):
     """Note from now on among whom the slots of the service are dealt."""
-    groups_seen = []
+    seen = []
     slots = daemon.services.get('deposits').slots
-    slots.set_group = lambda others, own=None: groups_seen.append((others, own))
-    return groups_seen
+    slots.set_group = lambda others, own: seen.append((others, own))
+    return seen
 
 
 def test_slots_are_dealt_among_the_group_and_not_among_guests():
@@ -271,3 +274,29 @@
     fleet.run(20)
     others = frozenset((second.own.instance_id,))
     assert seen == [(others, first.own.instance_id)]
+
+
+def test_a_service_that_is_not_ours_is_dropped_when_unused():
+    fleet = _Fleet(daemons=3, per_zone=2)
+    fleet.run(20)
+    guest = next(one for one in fleet.daemons if not tuple(one.services))
+    guest.services.get('deposits')
+    fleet.run(300)
+    assert tuple(guest.services)
+    fleet.run(700)
+    assert [len(tuple(one.services)) for one in fleet.daemons].count(1) == 2
+    assert not tuple(guest.services)
+
+
+def test_a_group_shares_the_probes_of_its_targets():
+    fleet = _Fleet(daemons=4, per_zone=4, targets_count=5)
+    fleet.run(50)
+    seconds = 60
+    probes = 0
+    for _ in range(10 * seconds):
+        fleet.run(1)
+        probes += sum(
+            len(daemon.health.due_probes()) for daemon in fleet.daemons
+        )
+    # The interval in the file is one second for each target.
+    assert probes == pytest.approx(5 * seconds, rel=0.15)
--- a/libraries/gateway/src/sardinepier/gateway/addresses.py
+++ b/libraries/gateway/src/sardinepier/gateway/addresses.py
@@ -94,19 +94,18 @@
         )
 
     def _serving(self, settings: model.ServiceSettings) -> list[members.Member]:
-        view = self._context.view
-        serving = {
-            one.instance_id: one
-            for one in view.serving()
-            if not self._is_leaving(one)
-        }
         group = groups.service_group(
-            view,
+            self._context.view,
             settings.name,
             settings.group_daemons_per_zone,
         )
-        chosen = [one for one in group if one.instance_id in serving]
-        return chosen or list(serving.values())
+        chosen = [one for one in group if not self._is_leaving(one)]
+        if chosen:
+            return chosen
+        # Only now is the whole fleet looked at: in each answer it would cost
+        # more than all the rest.
+        everyone = self._context.view.serving()
+        return [one for one in everyone if not self._is_leaving(one)]
 
     def _is_leaving(self, one: members.Member) -> bool:
         own = self._context.own
--- a/libraries/gateway/src/sardinepier/gateway/probes.py
+++ b/libraries/gateway/src/sardinepier/gateway/probes.py
@@ -29,10 +29,11 @@
         """Probe until cancelled."""
         async with asyncio.TaskGroup() as running:
             while True:
-                self._start_due(running)
+                self.start_due(running)
                 await asyncio.sleep(_INTERVAL_S)
 
-    def _start_due(self, running: asyncio.TaskGroup) -> None:
+    def start_due(self, running: asyncio.TaskGroup) -> None:
+        """Start the probes that are due now as tasks of ``running``."""
         for runtime in self._context.services:
             for target_id in runtime.health.due_probes():
                 running.create_task(self._probe(runtime, target_id))
--- a/libraries/gateway/src/sardinepier/gateway/service_runtime.py
+++ b/libraries/gateway/src/sardinepier/gateway/service_runtime.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import random
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterator, Mapping
 from typing import Final
 
 from sardinepier.core import clock as clocks
@@ -32,6 +32,10 @@
 """Stands for a slot at no target, given to a request that can't get one."""
 
 MakeHealth = Callable[[model.ServiceSettings], service_health.ServiceHealth]
+ConfigureHealth = Callable[
+    [service_health.ServiceHealth, model.ServiceSettings, int],
+    None,
+]
 MakeChooser = Callable[[], choice.TargetChooser]
 
 
@@ -40,16 +44,14 @@
     """What all services are made from.
 
     ``make_health`` builds the judge of a new service. ``configure_health``
-    puts changed settings of a known service in force.
+    puts changed settings of a known service in force, or a changed number of
+    daemons that judge it together.
     """
 
     clock: clocks.Clock
     random_source: random.Random
     make_health: MakeHealth
-    configure_health: Callable[
-        [service_health.ServiceHealth, model.ServiceSettings],
-        None,
-    ]
+    configure_health: ConfigureHealth
     make_chooser: MakeChooser
 
 
@@ -65,6 +67,9 @@
         self._parts = parts
         self._incarnations: dict[ids.TargetId, ids.TargetIncarnation] = {}
         self._attempts = 0
+        self._group_size = 1
+        self._weights: dict[ids.TargetId, float] = {}
+        self.last_used_s = parts.clock.monotonic_s()
         self._hedges: dict[ids.RouteName, hedging.HedgeDelay] = {}
         self.health = parts.make_health(settings)
         self.slots = in_flight.TargetSlots(parts.clock, parts.random_source)
@@ -82,9 +87,22 @@
         self.snapshot = snapshots.ServiceSnapshot(settings)
         if _figures(before) != _figures(settings):
             self._build()
-        self._parts.configure_health(self.health, settings)
+        self._configure_health()
         self._apply_targets()
 
+    def set_group(
+        self,
+        others: Collection[ids.InstanceId],
+        own: ids.InstanceId | None,
+    ) -> None:
+        """Set which daemons judge this service and share its slots.
+
+        ``own`` is None when this daemon is not one of them.
+        """
+        self.slots.set_group(others, own)
+        self._group_size = len(others) + (own is not None)
+        self._configure_health()
+
     def set_incarnations(
         self,
         listed: Mapping[ids.TargetId, ids.TargetIncarnation],
@@ -103,7 +121,9 @@
         """Let the choice of targets follow their health."""
         for target_id in self.snapshot.targets:
             weight = self.health.standing(target_id).weight
-            self.slots.set_weight(target_id, weight)
+            if weight != self._weights.get(target_id):
+                self._weights[target_id] = weight
+                self.slots.set_weight(target_id, weight)
         self.queue.wake()
 
     def mark_leaving(self, target_id: ids.TargetId) -> bool:
@@ -176,8 +196,17 @@
         if target_id != NO_TARGET:
             self.slots.release(target_id)
 
+    def _configure_health(self) -> None:
+        self._parts.configure_health(
+            self.health,
+            self.snapshot.settings,
+            max(1, self._group_size),
+        )
+
     def _apply_targets(self) -> None:
         settings = self.snapshot.settings
+        # The slots forget the weights of targets that they take anew.
+        self._weights.clear()
         most = settings.connections_per_target
         self.health.set_targets(
             targets.TargetIdentity(
@@ -234,6 +263,7 @@
         """Return the runtime of a service; raise ``UnknownServiceError``."""
         runtime = self._by_name.get(name)
         if runtime is not None:
+            runtime.last_used_s = self._parts.clock.monotonic_s()
             return runtime
         settings = self._settings.get(name)
         if settings is None:
@@ -245,6 +275,20 @@
         self._by_name[name] = runtime
         return runtime
 
+    def retire(
+        self,
+        kept: Collection[ids.ServiceName],
+        unused_since_s: float,
+    ) -> None:
+        """Drop the services not in ``kept`` that nobody asked for of late.
+
+        A stray request may come for any service of the fleet. Without this a
+        daemon would in the end judge the targets of all of them.
+        """
+        for name, runtime in tuple(self._by_name.items()):
+            if name not in kept and runtime.last_used_s < unused_since_s:
+                del self._by_name[name]
+
     def tick(self) -> None:
         """Judge the targets of all services anew."""
         for runtime in self:
--- a/libraries/gateway/src/sardinepier/gateway/wake_guard.py
+++ b/libraries/gateway/src/sardinepier/gateway/wake_guard.py
@@ -92,13 +92,18 @@
         """Tick, and refresh after each pause, until cancelled."""
         self._last_tick_s = self._clock.monotonic_s()
         while True:
-            await self._tick()
+            await self.tick()
             if self._awake_since_s is None:
                 await asyncio.sleep(self._gap_ms / _MS_PER_S / _TICKS_PER_GAP)
             else:
                 await asyncio.sleep(_POLL_INTERVAL_S)
 
-    async def _tick(self) -> None:
+    async def tick(self) -> None:
+        """Note that the loop runs, and refresh if it stood still before.
+
+        For an owner of a loop of its own that calls this a few times in each
+        ``gap_ms``, in place of :meth:`run`.
+        """
         self.check()
         self._last_tick_s = self._clock.monotonic_s()
         since_s = self._awake_since_s
--- a/libraries/gateway/tests/conftest.py
+++ b/libraries/gateway/tests/conftest.py
@@ -293,7 +293,7 @@
                 self.clock,
                 source,
                 self._make_health,
-                lambda health, settings: None,
+                lambda health, settings, group_size: None,
                 lambda: choice.RoundRobin(),
             ),
         )
