configuration: read texts beside the event loop; no timer while nothing is open

Cause: a file of 300 targets and 1,000 routes was parsed on the event loop and held up every request for its whole reading. The expiry of questions to peers ran ten times a second for ever.

Ruled out: yielding between files only, which leaves the large file as it is; a thread for each file, as several at once share one interpreter lock.

Change: a thread reads one text at a time; whether the version is still news is looked at before and after. Files that arrive wait in a queue of 16, and nobody else is asked for one that waits. A starting daemon goes on taking files from its peers while they come in (for up to 10 s), instead of turning to the platform after 1 s. The expiry sleeps until the nearest deadline, and without any timer when no question is open. The store's own offer stays synchronous.

Timers of the expiry in an idle fleet: 10 a second a daemon before, none now (asserted).

--- a/libraries/configuration/src/sardinepier/configuration/distributor.py
+++ b/libraries/configuration/src/sardinepier/configuration/distributor.py
@@ -151,6 +151,7 @@
         """Keep the store up to date until cancelled."""
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._peers.exchange.expire())
+            tasks.create_task(self._peers.exchange.take_files())
             await self._hear_peers()
             self._peers.news.begin()
             tasks.create_task(self._peers.news.push_changes())
@@ -164,18 +165,25 @@
         """Take over what peers have before the platform is asked.
 
         The platform may be stale. A daemon that restarts beside others must
-        not show an older file than they do, nor than it did itself.
+        not show an older file than they do, nor than it did itself. While
+        files come from peers there is no sense in asking for more.
         """
         began_s = self._clock.monotonic_s()
-        deadline_s = began_s + self._options.peer_wait_s
-        while self._clock.monotonic_s() < deadline_s:
+        while self._waits_for_peers(began_s):
             if self._has_taken_over(began_s):
                 return
-            self._peers.exchange.ask_some()
+            if not self._peers.exchange.is_fetching:
+                self._peers.exchange.ask_some()
             await asyncio.sleep(self._options.refresh_s)
         if not self._peers.choice.pick(1):
             await self._instances.read_daemons()
 
+    def _waits_for_peers(self, began_s: float) -> bool:
+        waited_s = self._clock.monotonic_s() - began_s
+        if self._peers.exchange.is_fetching:
+            return waited_s < self._options.peer_fetch_s
+        return waited_s < self._options.peer_wait_s
+
     def _has_taken_over(self, began_s: float) -> bool:
         if self._store.mark().newest_revision == 0:
             return False
--- a/libraries/configuration/src/sardinepier/configuration/internal/intake.py
+++ b/libraries/configuration/src/sardinepier/configuration/internal/intake.py
@@ -1,8 +1,10 @@
 """Offers versions to the store and reports what became of them."""
 
+import asyncio
 from collections.abc import Callable
 
 from sardinepier.configuration import files, store
+from sardinepier.configuration.internal import reading
 from sardinepier.core import ids
 from sardinepier.telemetry import file_events
 
@@ -16,32 +18,64 @@
         """Offer to ``file_store`` and report to ``on_event``."""
         self._store = file_store
         self._on_event = on_event
+        self._reading = asyncio.Lock()
 
-    def offer(
+    async def take(
         self,
         name: ids.FileName,
         version: files.FileVersion,
         source: str,
     ) -> files.OfferResult:
-        """Offer a version, or a deletion, that came from ``source``."""
-        result = self._offer(name, version)
-        match result:
-            case files.OfferResult.ACCEPTED:
-                self._report_accepted(name, version, source)
-            case files.OfferResult.INVALID:
-                self._report_rejected(name, version.revision)
-            case files.OfferResult.STALE:
-                self._report_stale(name, version.revision, source)
+        """Read a version that came from ``source``, and offer it.
+
+        The text of a large file takes many milliseconds to read, in which no
+        request would be served, so a thread does it. One at a time: the
+        threads share a processor with the loop. What has become old while it
+        waited for its turn is not read at all.
+        """
+        async with self._reading:
+            result = await self._read(name, version)
+        self._report(result, name, version, source)
+        return result
+
+    def take_deletion(
+        self,
+        name: ids.FileName,
+        revision: ids.Revision,
+        source: str,
+    ) -> files.OfferResult:
+        """Offer a deletion, which has no text to read."""
+        result = self._store.offer_deleted(name, revision)
+        deletion = files.FileVersion(revision, None)
+        self._report(result, name, deletion, source)
         return result
 
-    def _offer(
+    async def _read(
         self,
         name: ids.FileName,
         version: files.FileVersion,
     ) -> files.OfferResult:
         if version.text is None:
             return self._store.offer_deleted(name, version.revision)
-        return self._store.offer(name, version.revision, version.text)
+        if not self._store.is_news(name, version):
+            return files.OfferResult.STALE
+        found = await asyncio.to_thread(reading.read, name, version.text)
+        return self._store.offer_read(name, version, found)
+
+    def _report(
+        self,
+        result: files.OfferResult,
+        name: ids.FileName,
+        version: files.FileVersion,
+        source: str,
+    ) -> None:
+        match result:
+            case files.OfferResult.ACCEPTED:
+                self._report_accepted(name, version, source)
+            case files.OfferResult.INVALID:
+                self._report_rejected(name, version.revision)
+            case files.OfferResult.STALE:
+                self._report_stale(name, version.revision, source)
 
     def _report_accepted(
         self,
--- a/libraries/configuration/src/sardinepier/configuration/internal/peer_exchange.py
+++ b/libraries/configuration/src/sardinepier/configuration/internal/peer_exchange.py
@@ -1,6 +1,7 @@
 """Learns from peers of the files that they have newer."""
 
 import asyncio
+import dataclasses
 import random
 from typing import Final
 
@@ -13,15 +14,23 @@
     pulls,
 )
 from sardinepier.core import clock as clocks
+from sardinepier.core import ids
 from sardinepier.membership import marks
 from sardinepier.wire import messages as wire_messages
 from sardinepier.wire import network
 
 _NONCE_BITS: Final = 48
-_TICK_S: Final = 0.1
+_SHORTEST_S: Final = 0.01
+_MOST_ARRIVED: Final = 16
 _ASKED_AT_ONCE: Final = 3
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Arrival:
+    source: ids.InstanceId
+    answer: messages.FileAnswer
+
+
 class PeerExchange:
     """Compares with peers and fetches from them what is missing here."""
 
@@ -49,17 +58,44 @@
         self._pulls = pulls.Pulls(peers.send, file_store, clock, limits)
         self._table = peer_table.PeerTable(clock)
         self._asked: dict[int, float] = {}
+        self._has_asked = asyncio.Event()
+        self._arrived: asyncio.Queue[_Arrival] = asyncio.Queue(_MOST_ARRIVED)
         peers.subscribe(messages.ConfigurationNews, self._on_news)
         peers.subscribe(messages.RevisionTable, self._on_table)
         peers.subscribe(messages.FileAnswer, self._on_file)
 
+    @property
+    def is_fetching(self) -> bool:
+        """Tell whether files are awaited from peers."""
+        return not self._pulls.is_idle
+
     async def expire(self) -> None:
-        """Give up on questions without an answer, until cancelled."""
+        """Give up on questions without an answer, until cancelled.
+
+        Sleeps without a timer while no question is open.
+        """
         while True:
-            await asyncio.sleep(_TICK_S)
+            await self._has_asked.wait()
+            due_s = self._next_due_s()
+            if due_s is None:
+                self._has_asked.clear()
+                continue
+            # All questions wait equally long, so a later one is due later.
+            wait_s = due_s - self._clock.monotonic_s()
+            await asyncio.sleep(max(_SHORTEST_S, wait_s))
             self._forget_overdue()
             self._pulls.expire()
 
+    async def take_files(self) -> None:
+        """Read and offer the files that arrive, until cancelled."""
+        while True:
+            arrival = await self._arrived.get()
+            answer = arrival.answer
+            version = files.FileVersion(answer.revision, answer.text)
+            await self._intake.take(answer.name, version, arrival.source)
+            self._pulls.arrived(answer.name, answer.revision)
+            self._has_asked.set()
+
     def heard_mark(
         self,
         sender: wire_messages.Sender,
@@ -95,9 +131,18 @@
             return
         nonce = self._random.getrandbits(_NONCE_BITS)
         self._asked[nonce] = self._confirmed.now_s()
+        self._has_asked.set()
         mark = self._store.mark()
         self._peers.send(peer, messages.RevisionTableRequest(nonce, mark))
 
+    def _next_due_s(self) -> float | None:
+        """Return when the next open question is overdue, if there is one."""
+        due_s = [
+            asked_s + self._limits.answer_timeout_s
+            for asked_s in self._asked.values()
+        ]
+        return min([*due_s, *self._pulls.due_s()], default=None)
+
     def _forget_overdue(self) -> None:
         oldest_s = self._clock.monotonic_s() - self._limits.answer_timeout_s
         for nonce, asked_s in tuple(self._asked.items()):
@@ -141,6 +186,7 @@
     ) -> bool:
         """Fetch what ``entries`` have over us; return whether it is any."""
         wanted = [entry for entry in entries if self._want_one(sender, entry)]
+        self._has_asked.set()
         return bool(wanted)
 
     def _want_one(
@@ -150,8 +196,11 @@
     ) -> bool:
         in_force = self._store.find(entry.name).in_force_revision
         if entry.deleted and entry.in_force > in_force:
-            deletion = files.FileVersion(entry.in_force, None)
-            self._intake.offer(entry.name, deletion, sender.instance_id)
+            self._intake.take_deletion(
+                entry.name,
+                entry.in_force,
+                sender.instance_id,
+            )
         return self._pulls.want(entry, sender.address)
 
     def _on_file(
@@ -159,6 +208,12 @@
         sender: wire_messages.Sender,
         answer: messages.FileAnswer,
     ) -> None:
-        version = files.FileVersion(answer.revision, answer.text)
-        self._intake.offer(answer.name, version, sender.instance_id)
-        self._pulls.arrived(answer.name, answer.revision)
+        """Keep an answer until it is read; drop it when many wait.
+
+        What is dropped is asked for again.
+        """
+        try:
+            self._arrived.put_nowait(_Arrival(sender.instance_id, answer))
+        except asyncio.QueueFull:
+            return
+        self._pulls.hold(answer.name)
--- a/libraries/configuration/src/sardinepier/configuration/internal/platform_reader.py
+++ b/libraries/configuration/src/sardinepier/configuration/internal/platform_reader.py
@@ -155,8 +155,11 @@
         known = self._parts.file_store.find(entry.name)
         if entry.revision <= known.newest_revision:
             return False
-        deletion = files.FileVersion(entry.revision, None)
-        result = self._parts.file_intake.offer(entry.name, deletion, PLATFORM)
+        result = self._parts.file_intake.take_deletion(
+            entry.name,
+            entry.revision,
+            PLATFORM,
+        )
         return result is not files.OfferResult.STALE
 
     async def _read(self, name: ids.FileName) -> bool:
@@ -171,7 +174,7 @@
             return False
         self._reading_health.succeeded()
         version = files.FileVersion(published.revision, published.text)
-        result = self._parts.file_intake.offer(name, version, PLATFORM)
+        result = await self._parts.file_intake.take(name, version, PLATFORM)
         if result is files.OfferResult.STALE and not self._is_known(published):
             return False
         self._wanted.drop(name)
--- a/libraries/configuration/src/sardinepier/configuration/internal/pulls.py
+++ b/libraries/configuration/src/sardinepier/configuration/internal/pulls.py
@@ -1,6 +1,7 @@
 """Which versions are being fetched from peers, each once."""
 
 import dataclasses
+import math
 from collections.abc import Callable
 from typing import Final
 
@@ -86,10 +87,29 @@
                 continue
             if version.revision == revision:
                 self._note_useless(version)
-            if not self._is_wanted(version):
+            if self._is_wanted(version):
+                self._in_flight[version].deadline_s = self._deadline_s()
+            else:
                 self._in_flight.pop(version)
         self._start()
 
+    def hold(self, name: ids.FileName) -> None:
+        """Note that an answer for ``name`` has come and is about to be read.
+
+        Until ``arrived`` follows, nobody else is asked for the file.
+        """
+        for version, pull in self._in_flight.items():
+            if version.name == name:
+                pull.deadline_s = math.inf
+
+    def due_s(self) -> tuple[float, ...]:
+        """Return until when each answer that has not come is waited for."""
+        return tuple(
+            pull.deadline_s
+            for pull in self._in_flight.values()
+            if pull.deadline_s < math.inf
+        )
+
     def expire(self) -> None:
         """Ask again, another peer if there is one, what was not answered.
 
@@ -155,8 +175,10 @@
 
     def _ask(self, version: _Version, pull: _Pull) -> None:
         pull.tries += 1
-        now_s = self._clock.monotonic_s()
-        pull.deadline_s = now_s + self._limits.answer_timeout_s
+        pull.deadline_s = self._deadline_s()
         self._in_flight[version] = pull
         request = messages.FileRequest(version.name, version.revision)
         self._send(pull.sources[0], request)
+
+    def _deadline_s(self) -> float:
+        return self._clock.monotonic_s() + self._limits.answer_timeout_s
--- a/libraries/configuration/src/sardinepier/configuration/internal/reading.py
+++ b/libraries/configuration/src/sardinepier/configuration/internal/reading.py
@@ -1,25 +1,30 @@
 """From the text of a file to its settings, or to a list of mistakes."""
 
+import dataclasses
+
 from sardinepier.configuration.internal import file_names
 from sardinepier.core import ids
 from sardinepier.platform import interface
 from sardinepier.settings import errors, model, parsing
 
 
-def read(
-    name: ids.FileName,
-    text: str,
-) -> model.FleetSettings | model.ServiceSettings:
-    """Return the settings in ``text``.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reading:
+    """What a text holds: its settings, or all its mistakes."""
+
+    parsed: model.FleetSettings | model.ServiceSettings | None = None
+    problems: tuple[errors.Problem, ...] = ()
+
 
-    Raises :class:`sardinepier.settings.errors.InvalidSettingsError` with all
-    mistakes.
+def read(name: ids.FileName, text: str) -> Reading:
+    """Return the settings in ``text``, or its mistakes.
+
+    It touches nothing but its arguments, so any thread may run it.
     """
-    if len(text.encode()) > interface.FILE_LIMIT_BYTES:
-        raise _too_large(name)
-    if name == file_names.FLEET:
-        return parsing.parse_fleet(text, name)
-    return parsing.parse_service(text, name)
+    try:
+        return Reading(parsed=_parse(name, text))
+    except errors.InvalidSettingsError as invalid:
+        return Reading(problems=invalid.problems)
 
 
 def deleted_fleet() -> errors.Problem:
@@ -33,6 +38,17 @@
     )
 
 
+def _parse(
+    name: ids.FileName,
+    text: str,
+) -> model.FleetSettings | model.ServiceSettings:
+    if len(text.encode()) > interface.FILE_LIMIT_BYTES:
+        raise _too_large(name)
+    if name == file_names.FLEET:
+        return parsing.parse_fleet(text, name)
+    return parsing.parse_service(text, name)
+
+
 def _too_large(name: ids.FileName) -> errors.InvalidSettingsError:
     # Such a text would not fit into a message between daemons either.
     problem = errors.Problem(
--- a/libraries/configuration/src/sardinepier/configuration/options.py
+++ b/libraries/configuration/src/sardinepier/configuration/options.py
@@ -15,7 +15,8 @@
     peers, each for ``answer_timeout_s``.
 
     ``peer_wait_s`` is how long a starting daemon lets its peers answer before
-    it takes anything from the platform. A watch is held for ``watch_s``.
+    it takes anything from the platform, and ``peer_fetch_s`` while their
+    files still come in. A watch is held for ``watch_s``.
     Another reader follows after ``stagger_s`` if the first one fails.
 
     A daemon that does not watch lists the files too, now and then, in case
@@ -36,6 +37,7 @@
     answer_timeout_s: float = 1.0
     news_delay_s: float = 0.02
     peer_wait_s: float = 1.0
+    peer_fetch_s: float = 10.0
     watch_s: float = 20.0
     stagger_s: float = 0.15
     audit_s: float = 10.0
--- a/libraries/configuration/src/sardinepier/configuration/store.py
+++ b/libraries/configuration/src/sardinepier/configuration/store.py
@@ -62,13 +62,26 @@
         may garble a file once; the same text is not parsed again.
         """
         version = files.FileVersion(revision, text)
-        if not self._is_news(name, version):
+        if not self.is_news(name, version):
             return files.OfferResult.STALE
-        try:
-            parsed = reading.read(name, text)
-        except errors.InvalidSettingsError as invalid:
-            return self._reject(name, version, invalid.problems)
-        return self._accept(name, version, parsed)
+        return self.offer_read(name, version, reading.read(name, text))
+
+    def offer_read(
+        self,
+        name: ids.FileName,
+        version: files.FileVersion,
+        found: reading.Reading,
+    ) -> files.OfferResult:
+        """Take a version whose text was read already, elsewhere.
+
+        Whether it is still news is looked at only here: a newer version may
+        have come while the text was read.
+        """
+        if not self.is_news(name, version):
+            return files.OfferResult.STALE
+        if found.problems:
+            return self._reject(name, version, found.problems)
+        return self._accept(name, version, found.parsed)
 
     def offer_deleted(
         self,
@@ -81,13 +94,22 @@
         and its last valid version stays in force.
         """
         version = files.FileVersion(revision, None)
-        if not self._is_news(name, version):
+        if not self.is_news(name, version):
             return files.OfferResult.STALE
         if name == file_names.FLEET:
             problems = (reading.deleted_fleet(),)
             return self._reject(name, version, problems)
         return self._accept(name, version, None)
 
+    def is_news(self, name: ids.FileName, version: files.FileVersion) -> bool:
+        """Tell whether the version may be taken, if it is valid."""
+        if not self.has_room(name):
+            return False
+        known = self.find(name)
+        if version.revision <= known.in_force_revision:
+            return False
+        return known.rejected is None or known.rejected.version != version
+
     def find(self, name: ids.FileName) -> files.KnownFile:
         """Return what is known of a file; an empty value if nothing is."""
         return self._files.get(name, _UNKNOWN)
@@ -132,14 +154,6 @@
         """Call ``callback`` with the name whenever a file's state grew."""
         self._on_news.append(callback)
 
-    def _is_news(self, name: ids.FileName, version: files.FileVersion) -> bool:
-        if not self.has_room(name):
-            return False
-        known = self.find(name)
-        if version.revision <= known.in_force_revision:
-            return False
-        return known.rejected is None or known.rejected.version != version
-
     def _reject(
         self,
         name: ids.FileName,
--- a/libraries/configuration/tests/conftest.py
+++ b/libraries/configuration/tests/conftest.py
@@ -16,6 +16,7 @@
 from sardinepier.core import ids
 from sardinepier.membership import marks, members
 from sardinepier.platform import errors, interface
+from sardinepier.platform.internal import token_bucket
 from sardinepier.standins import platform_memory, platform_standin
 from sardinepier.wire import memory_network
 from sardinepier.wire import messages as wire_messages
@@ -25,6 +26,8 @@
 _ZONES = ('a', 'b', 'c')
 _HEARTBEAT_PEERS = 4
 _DELIVERY_S = 0.005
+_BURST = 5
+_CALL_S = 3.0
 
 
 class _JumpingSelector(selectors.DefaultSelector):
@@ -45,11 +48,30 @@
 
     def __init__(self):
         self._jumping = _JumpingSelector()
+        self.reading_s = 0.006
+        self.timers = collections.Counter()
         super().__init__(self._jumping)
 
     def time(self):
         return self._jumping.now_s
 
+    def call_at(self, when, callback, *arguments, context=None):
+        """Count the timers of each kind of task."""
+        task = asyncio.current_task(self)
+        self.timers[task.get_coro().__qualname__ if task else ''] += 1
+        return super().call_at(when, callback, *arguments, context=context)
+
+    def run_in_executor(self, executor, work, *arguments):
+        """Do the work at a moment of virtual time, while others go on."""
+        done = self.create_future()
+
+        def finish():
+            if not done.cancelled():
+                done.set_result(work(*arguments))
+
+        self.call_later(self.reading_s, finish)
+        return done
+
     def monotonic_s(self):
         return self._jumping.now_s
 
@@ -88,16 +110,24 @@
 
 
 class Sight:
-    """A daemon's way to the platform, which may be cut for it alone."""
+    """A daemon's way to the platform, which may be cut for it alone.
 
-    def __init__(self, platform):
+    It lets no more calls through than the client over HTTP would.
+    """
+
+    def __init__(self, platform, clock, reads_per_s):
         self.is_cut = False
+        self.called_s = collections.defaultdict(list)
         self._platform = platform
+        self._clock = clock
+        self._bucket = token_bucket.TokenBucket(clock, reads_per_s, _BURST)
 
     def __getattr__(self, name):
         call = getattr(self._platform, name)
 
         async def meet(*arguments):
+            await self._bucket.take(self._clock.monotonic_s() + _CALL_S)
+            self.called_s[name].append(self._clock.monotonic_s())
             if self.is_cut:
                 raise errors.PlatformUnavailableError('It is cut', 'Wait')
             return await call(*arguments)
@@ -136,7 +166,11 @@
         self.store.on_news(self._check)
         sender = wire_messages.Sender(self.member.instance_id, address)
         self.network = fleet.hub.network(sender)
-        self.sight = Sight(platform_memory.in_process(fleet.platform, 0.5))
+        self.sight = Sight(
+            platform_memory.in_process(fleet.platform, 0.5),
+            fleet.loop,
+            fleet.reads_per_s,
+        )
         self.sent = collections.Counter()
         self._send = self.network.send
         self.network.send = self._count_and_send
@@ -210,8 +244,9 @@
 class Fleet:
     """Daemons, a platform and the network between them."""
 
-    def __init__(self, seed=0, **limits):
+    def __init__(self, seed=0, reads_per_s=1000, **limits):
         self.seed = seed
+        self.reads_per_s = reads_per_s
         self.runner = asyncio.Runner(loop_factory=VirtualLoop)
         self.loop = self.runner.get_loop()
         self.options = options.DistributorOptions(**limits)
--- a/libraries/configuration/tests/cover/test_configuration_distributor.py
+++ b/libraries/configuration/tests/cover/test_configuration_distributor.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from sardinepier.configuration import messages
 from sardinepier.core import ids
 from sardinepier.wire import memory_network
 
@@ -184,7 +185,8 @@
     assert _no_one_went_back(fleet)
 
 
-def test_starting_daemon_takes_all_files_from_its_peers(world):
+@pytest.mark.parametrize('reading_s', [0.006, 0.1])
+def test_starting_daemon_takes_all_files_from_its_peers(world, reading_s):
     fleet = world.make(3)
     fleet.publish(world.fleet)
     for number in range(60):
@@ -193,11 +195,13 @@
         lambda: len(fleet.marks()) == 1 and last in _newest(fleet), 60
     )
     before = fleet.platform.counts.files
+    fleet.loop.reading_s = reading_s
     fleet.start(7)
-    fleet.run(3)
+    fleet.run(3 + 61 * reading_s)
     assert len(fleet.daemons[7].store.current.services) == 60
     assert fleet.platform.counts.files == before
     assert fleet.daemons[7].sent['FileRequest'] == 61
+    assert fleet.daemons[7].sent['RevisionTableRequest'] <= 12
 
 
 def test_same_news_from_many_peers_is_fetched_once(world):
@@ -217,6 +221,20 @@
         assert daemon.sent['ConfigurationNews'] <= 10 * (4 + 4)
 
 
+def test_flood_of_files_from_one_peer_delays_no_change(world):
+    fleet = world.make(3)
+    fleet.settle()
+    fleet.loop.reading_s = 0.05
+    flooded = fleet.members[0].peer_address
+    for number in range(400):
+        name = ids.FileName(f'service/s{number}')
+        answer = messages.FileAnswer(name, ids.Revision(1), '<rubbish>')
+        fleet.daemons[1].network.send(flooded, answer)
+    fleet.run(0.05)
+    revision = fleet.publish()
+    fleet.run_until(lambda: fleet.all_have(world.service, revision), _LIMIT_S)
+
+
 def test_peer_that_falls_silent_is_replaced_by_another(world):
     fleet = world.make(12)
     fleet.settle()
@@ -268,3 +286,18 @@
     moment_s = fleet.loop.time()
     confirm = fleet.daemons[0].distributor.confirm_since
     fleet.run_until(lambda: confirm(moment_s), 5)
+
+
+def test_idle_daemons_set_few_timers(world):
+    fleet = world.make(12)
+    fleet.settle()
+    fleet.run(10)
+    fleet.loop.timers.clear()
+    fleet.run(60)
+    assert fleet.loop.timers['PeerExchange.expire'] == 0
+    own = {
+        name: count
+        for name, count in fleet.loop.timers.items()
+        if name.split('.')[0] in {'InstancePoller', 'PlatformReader'}
+    }
+    assert sum(own.values()) < 12 * 60 * 2.5
--- a/libraries/configuration/tests/cover/test_configuration_pulls.py
+++ b/libraries/configuration/tests/cover/test_configuration_pulls.py
@@ -86,3 +86,14 @@
     assert len(bench.sent) == bench.limits.pulls_in_flight
     bench.late()
     assert len(bench.sent) == 2 * bench.limits.pulls_in_flight
+
+
+def test_answer_about_to_be_read_is_not_asked_for_again(bench):
+    bench.want(newest=3, in_force=3)
+    bench.pulls.hold(_NAME)
+    bench.late()
+    assert (bench.asked(), bench.pulls.due_s()) == ([(1, 3)], ())
+    # What came was something else than what was asked for.
+    bench.pulls.arrived(_NAME, 2)
+    bench.late()
+    assert bench.asked() == [(1, 3), (1, 3)]
