Put the rate of platform calls of the fleet file in force

Cause: platform_reads_per_s was read, checked and ignored; every daemon used 2.0. Change: 20 a second until the fleet file is known, since a daemon that starts alone has to read all files; then what the file says, also when it changes. Run: libraries/daemon passed; six idle daemons with the default of 1.0 ran 30 s without an event of the platform.

--- a/libraries/daemon/src/sardinepier/daemon/internal/assembly.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/assembly.py
@@ -29,7 +29,9 @@
 )
 from sardinepier.wire import hooks, messages, zmq_network
 
-_PLATFORM_READS_PER_S: Final = 2.0
+# Until the fleet file says how many there may be: a daemon that starts without
+# peers has to read all files from the platform.
+_PLATFORM_READS_PER_S: Final = 20.0
 _SEED_BITS: Final = 64
 _Kinds = tuple[type[messages.Message], ...]
 _KINDS: Final[_Kinds] = (
--- a/libraries/daemon/src/sardinepier/daemon/process.py
+++ b/libraries/daemon/src/sardinepier/daemon/process.py
@@ -85,7 +85,7 @@
             return
         context = gateway_assembly.build_context(base, configuration)
         stack.push_async_callback(context.client.close)
-        self._start_request_path(base, context)
+        self._start_request_path(base, context, configuration)
         caller_server = await self._listen(base, context)
         await self._stop.wait()
         await self._depart(base, context, caller_server)
@@ -94,8 +94,11 @@
         self,
         base: assembly.Foundation,
         context: contexts.GatewayContext,
+        configuration: model.Configuration,
     ) -> None:
-        base.store.on_change(followers.ConfigurationFollower(context).follow)
+        follower = followers.ConfigurationFollower(context, base.platform)
+        base.store.on_change(follower.follow)
+        follower.follow(configuration)
         exchange = exchange_assembly.build_exchange(base, context)
         upkeep = upkeeps.Upkeep(context, exchange, probes.Probes(context))
         self._tasks.start(upkeep.run())
