--- a/libraries/health/tests/cover/test_health_reports.py
+++ b/libraries/health/tests/cover/test_health_reports.py
@@ -6,6 +6,7 @@
 
 from sardinepier.core import clock
 from sardinepier.health import evidence, options, pooling, targets
+from sardinepier.health.internal import judgement, tracked
 
 _NAMES = ('t0', 't1', 't2')
 
@@ -157,3 +158,34 @@
     second.forget('d0~0')
     second.tick()
     assert second.standing('t0').peers_in_flight == 0
+
+
+def test_an_observer_that_doubts_itself_accuses_nobody():
+    peers = pooling.PeerEvidence(
+        'd~0', options.HealthOptions(), clock.ManualClock()
+    )
+    for sequence, doubts in ((1, False), (2, True), (3, False)):
+        row = evidence.TargetEvidence(
+            't0', 'a', (9.0 * sequence, -sequence), 0, sequence, 8.0, 9.0, 1
+        )
+        report = evidence.EvidenceReport(sequence, doubts, (row,), (), ())
+        added = peers.take('x~0', report)
+        if doubts:
+            assert added['t0'].ratios == (0, -1)
+            assert not peers.live()['x~0'].overdue
+    assert added['t0'].ratios == (9, -1)
+    assert peers.live()['x~0'].overdue == {'t0'}
+
+
+def test_doubt_takes_a_majority_of_the_targets_in_use():
+    def seen(level, attempts=9.0):
+        identity = targets.TargetIdentity('t', 'a', 3)
+        one = tracked.Tracked(identity)
+        one.recent.attempts = attempts
+        one.suspicion.own_level = level
+        return one
+
+    assert judgement.doubts_itself([seen(1), seen(1), seen(0)])
+    assert not judgement.doubts_itself([seen(1), seen(0), seen(0)])
+    assert not judgement.doubts_itself([seen(1), seen(1)])
+    assert not judgement.doubts_itself([seen(1), seen(1, 0), seen(0)])
--- /dev/null
+++ b/libraries/health/tests/cover/test_health_statistics.py
@@ -0,0 +1,168 @@
+"""The statistics under the decisions, each on its own."""
+
+import math
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sardinepier.core import errors
+from sardinepier.health import baseline, change_detection, evidence, options
+from sardinepier.health.internal import relative, tracked
+
+_LIMITS = change_detection.Limits(
+    threshold=20.0, pause_s=0.2, observer_limit=12.0
+)
+
+
+@given(st.floats(0.01, 1e4), st.floats(1e-4, 1e4))
+def test_threshold_grows_with_traffic_and_falls_with_tolerance(rate, per_day):
+    level = change_detection.threshold(rate, per_day)
+    assert change_detection.threshold(2 * rate, per_day) >= level
+    assert change_detection.threshold(rate, 2 * per_day) < level
+
+
+@given(st.floats(0.002, 0.99))
+def test_a_failure_never_speaks_for_a_target_nor_a_success_against(share):
+    for failure, success in change_detection.failure_ratios(share):
+        assert failure >= 0 >= success
+        if share >= 0.5:
+            assert failure == success == 0
+
+
+def _spread(sigma=0.5, count=20000):
+    random_source = random.Random(1)
+    spread = baseline.ResidualSpread()
+    for _ in range(count):
+        log_value = baseline.log_latency(random_source.lognormvariate(0, sigma))
+        spread.observe(baseline.residual(log_value, 0.0))
+    return spread
+
+
+def test_slower_answers_are_never_better_evidence_and_usual_ones_clear():
+    ratios = change_detection.LatencyRatios(_spread())
+    for table in ratios.tables:
+        assert table == sorted(table)
+        assert table[-baseline.LOWEST] < 0
+        assert table[-1] > 0
+    late = [ratios.overdue(place) for place in range(0, 32)]
+    assert late == sorted(late)
+
+
+def test_healthy_answers_drift_down_and_slow_ones_climb_within_a_few():
+    ratios = change_detection.LatencyRatios(_spread())
+    random_source = random.Random(2)
+    table = ratios.tables[change_detection.Hypothesis.MUCH_SLOWER]
+
+    def mean(factor):
+        places = [
+            baseline.residual(
+                baseline.log_latency(
+                    factor * random_source.lognormvariate(0, 0.5)
+                ),
+                0.0,
+            )
+            for _ in range(2000)
+        ]
+        total = sum(table[place - baseline.LOWEST] for place in places)
+        return total / len(places)
+
+    assert mean(1) < -1
+    assert mean(5) > 2
+
+
+def test_route_median_settles_and_memory_of_routes_is_bounded():
+    medians = baseline.RouteMedians(limit=3)
+    random_source = random.Random(3)
+    for _ in range(500):
+        latency_ms = random_source.lognormvariate(math.log(40), 0.5)
+        medians.observe('list', baseline.log_latency(latency_ms))
+    level = medians.get('list')
+    assert level == pytest.approx(baseline.log_latency(40), abs=1)
+    assert medians.get('other') is None
+    for place in range(3):
+        medians.observe(f'r{place}', 1.0)
+    assert medians.get('list') is None
+
+
+def test_evidence_within_one_pause_stays_a_third_of_the_threshold():
+    cusum = change_detection.Cusum()
+    cusum.add({'d0~0': 500.0}, 10.0, _LIMITS)
+    assert cusum.level == pytest.approx(20 / 3)
+    cusum.add({'d0~0': 500.0}, 10.1, _LIMITS)
+    assert cusum.level <= 20 / 2
+    for step in range(2, 20):
+        cusum.add({'d0~0': 500.0}, 10 + step / 10, _LIMITS)
+    assert cusum.level == 40
+    assert cusum.capped(12.0) == 12
+    cusum.add({'d0~0': -500.0}, 13.0, _LIMITS)
+    assert cusum.level == 0
+    assert not cusum.by_observer
+
+
+@given(st.lists(st.floats(0, 9), min_size=2, max_size=9), st.data())
+def test_others_quantile_leaves_out_just_one_equal_value(values, data):
+    own = data.draw(st.sampled_from(values))
+    others = list(values)
+    others.remove(own)
+    expected = sorted(others)[math.ceil(0.7 * (len(others) - 1))]
+    assert relative.OthersQuantile(values, 0.7).without(own) == expected
+
+
+def test_one_failing_target_does_not_excuse_itself_nor_the_next():
+    counts = [(30, 30), (30, 30), *((0, 30) for _ in range(14))]
+    shares = relative.OthersFailureShare(counts, 0.002)
+    assert shares.without(30, 30) < 0.01
+    assert shares.without(0, 30) < 0.01
+    common = relative.OthersFailureShare([(9, 30) for _ in range(6)], 0.002)
+    assert common.without(9, 30) > 0.15
+
+
+def test_common_slowness_is_seen_at_once_and_one_slow_target_is_not():
+    def recents(slow):
+        made = [tracked.Recent() for _ in range(6)]
+        for place, one in enumerate(made):
+            one.add_residuals([8, 9, 8] if place < slow else [0, -1, 1])
+        return made
+
+    for slow, least, most in ((1, 0, 0), (6, 8, 12)):
+        made = recents(slow)
+        common = relative.CommonSlowness(made)
+        assert all(least <= common.without(one) <= most for one in made)
+
+
+@pytest.mark.parametrize(
+    ('end', 'slow', 'sign'),
+    [
+        ('ANSWERED', False, 'GOOD'),
+        ('ANSWERED', True, 'SLOW'),
+        ('FAILED', False, 'FAILED'),
+        ('WRONG', False, 'WRONG'),
+        ('CONNECT_FAILED', False, 'FAILED'),
+        ('CONNECTION_LOST', False, 'LOST_CONNECTION'),
+        ('TIMED_OUT', True, 'HUNG'),
+        ('TIMED_OUT', False, None),
+        ('SHED', True, None),
+        ('CANCELLED', True, None),
+        ('CRASH_SUSPECT', True, None),
+    ],
+)
+def test_sign_of_every_end(end, slow, sign):
+    expected = None if sign is None else evidence.Sign[sign]
+    assert evidence.sign_of(evidence.AttemptEnd[end], slow) is expected
+
+
+@pytest.mark.parametrize(
+    'wrong',
+    [
+        {'false_ejections_per_target_day': 0},
+        {'floor_percent': 101},
+        {'floor_percent': -1},
+        {'tolerated_pause_ms': -5},
+        {'routes_limit': 0},
+    ],
+)
+def test_options_out_of_range_are_refused_with_a_remedy(wrong):
+    with pytest.raises(errors.InvalidArgumentError, match='Set it to'):
+        options.HealthOptions(**wrong)
--- /dev/null
+++ b/libraries/workbench/tests/cover/test_detection_driver.py
@@ -0,0 +1,163 @@
+"""The detection experiment: seeded, honest about the truth, and repeatable."""
+
+import pathlib
+
+import pytest
+
+from sardinepier.health import evidence
+from sardinepier.workbench.detection import (
+    contenders,
+    driver,
+    experiment,
+    measures,
+    panel,
+    records,
+    rules,
+    scenario,
+)
+from sardinepier.workbench.detection import curve as curves
+from sardinepier.workbench.detection import tables
+from sardinepier.workbench.detection.internal import case_tables
+
+_NAMED = {fault.name: fault for fault in scenario.FAULTS}
+_END = evidence.AttemptEnd
+
+
+def _plan(fault, seed=3, at_s=14.0, end_s=18.0):
+    return driver.Plan(
+        scenario.SERVICES[0],
+        scenario.LOADS[1],
+        _NAMED.get(fault, experiment.NOTHING),
+        at_s,
+        end_s,
+        seed,
+    )
+
+
+def _run(fault, seed=3):
+    return experiment.run_one(_plan(fault, seed), contenders.group(0.01))
+
+
+def test_the_same_plan_gives_the_same_record_and_another_seed_another():
+    assert _run('slow 5x') == _run('slow 5x')
+    assert _run('slow 5x') != _run('slow 5x', seed=4)
+
+
+@pytest.mark.parametrize(
+    ('fault', 'limit_s'),
+    [('100% errors', 2), ('hang', 2), ('slow 20x', 2), ('30% wrong', 3.5)],
+)
+def test_the_library_detects_and_takes_no_other_target_out(fault, limit_s):
+    record = _run(fault)
+    assert record.detection_s is not None
+    assert record.detection_s < limit_s
+    assert record.false_ejections == 0
+    assert record.below_floor == 0
+
+
+@pytest.mark.parametrize(
+    'misfortune',
+    ['cold start', 'crashing request', 'probes bad', 'all slow 5x'],
+)
+def test_misfortunes_take_nobody_out(misfortune):
+    record = _run(misfortune)
+    assert record.false_ejections == 0
+    assert record.detection_s is None
+
+
+def test_a_panel_judges_for_all_rivals_and_ejects_nothing():
+    rivals = contenders.rivals()
+    done = panel.run(_plan('100% errors'), rivals)
+    assert [one.contender for one in done] == [one.name for one in rivals]
+    assert len({one.struck_requests for one in done}) == 1
+    found = {one.contender: one.detection_s for one in done}
+    assert found['consecutive 2'] is not None
+    assert found['p50 over 5x mean'] is None
+
+
+def test_measures_know_false_ejections_and_the_floor():
+    service = scenario.SERVICES[0]
+    measured = measures.Measures(service, _NAMED['hang'], fault_at_s=10.0)
+    measured.judged(1.0, 0, [1, 0, 1, 1, 1, 1])
+    measured.judged(1.1, 1, [1, 0, 1, 1, 1, 1])
+    assert measured.false_ejections == 1
+    measured.sent(10.5, 0, 0, trial=False)
+    for daemon in range(service.daemons):
+        measured.judged(11.0, daemon, [0, 1, 1, 1, 1, 1])
+    measured.sent(12.0, 0, 0, trial=True)
+    assert measured.detection_s() == 0.5
+    assert measured.false_ejections == 1
+    assert measured.below_floor == 0
+    measured.judged(11.1, 0, [0, 0, 0, 0, 1, 1])
+    assert measured.below_floor == 1
+
+
+@pytest.mark.parametrize(
+    ('rule', 'ends', 'sick'),
+    [
+        (rules.ConsecutiveErrors(3), [True, True, False, True], False),
+        (rules.ConsecutiveErrors(3), [False, True, True, True], True),
+        (rules.ErrorRate(0.5, 4, 10), [True, False, True], False),
+        (rules.ErrorRate(0.5, 4, 10), [True, False, True, False], True),
+    ],
+)
+def test_error_rules_condemn_as_their_names_say(rule, ends, sick):
+    for failed in ends:
+        rule.count(1, failed, 40.0)
+    assert (1 in rule.sick(1.0)) is sick
+    rule.forget(1)
+    assert 1 not in rule.sick(1.1)
+
+
+def test_the_latency_rule_compares_with_the_mean_of_all():
+    rule = rules.LatencyQuantile(0.5, 2, 3, 10)
+    for target, latency_ms in enumerate([40, 40, 40, 400]):
+        for _ in range(3):
+            rule.count(target, False, latency_ms)
+    assert rule.sick(1.0) == [3]
+
+
+def test_a_rule_ejects_at_most_half_of_the_targets():
+    judge = rules.RuleJudge([rules.ConsecutiveErrors(1)], targets=4)
+    for target in range(4):
+        judge.finished(0, target, 0, target, _END.FAILED, 5.0)
+    judge.finished(0, 0, 0, 9, _END.SHED, 5.0)
+    judge.tick(0, 1.0)
+    assert sum(judge.weights(0)) == 2
+
+
+def test_records_survive_their_file_and_draw_the_same_figure(tmp_path):
+    done = [
+        *experiment.run_plans([_plan('hang')], [contenders.group(1.0)]),
+        *experiment.run_plans([_plan('none')], [contenders.group(1.0)]),
+    ]
+    path = pathlib.Path(tmp_path) / 'records.jsonl'
+    experiment.write(done, path)
+    read = experiment.read(path)
+    assert list(read) == done
+    figures = [pathlib.Path(tmp_path) / name for name in ('a.svg', 'b.svg')]
+    for figure in figures:
+        curves.draw(read, figure)
+    assert figures[0].read_bytes() == figures[1].read_bytes()
+    text = tables.render(read)
+    assert 'hang at 30%' in text
+    assert 'group 1/day' in text
+
+
+def test_an_undetected_fault_counts_as_the_horizon():
+    plan = _plan('hang')
+    key = (plan.service, plan.traffic, plan.fault, 1)
+    measured = measures.Measures(plan.service, plan.fault, 14.0)
+    measured.arrived(18.0)
+    record = records.record('group 1/day', key, measured)
+    assert record.detection_s is None
+    assert tables.mean_detection_s([record]) == 30.0
+    assert '> 30' in tables.render([record])
+
+
+def test_case_tables_are_checked_against_their_types():
+    names = [fault.name for fault in scenario.FAULTS]
+    assert len(set(names)) == len(names)
+    assert _NAMED['cut to 1 zone'].cut_daemons == 3
+    with pytest.raises(Exception, match='amount'):
+        case_tables.parse(scenario.Fault, 'odd | effect=slow amount=much')
