configuration: each watcher reads its own files first and lets peers bring the rest

Cause: with 110 files published at once and 5 calls a second a client, each of 6 watchers read in the order of the listing.

Ruled out: a longer stagger, which delays every file of a watcher that is cut off.

Change: the file whose time came first is read first; while files come from peers, one that others read earlier is held back for at most 2 s.

With the order of the listing the new test fails at 5 calls a second.

--- a/libraries/configuration/src/sardinepier/configuration/distributor.py
+++ b/libraries/configuration/src/sardinepier/configuration/distributor.py
@@ -86,6 +86,7 @@
                 options,
                 on_event,
                 self._is_silent,
+                self._is_fetching,
             ),
         )
         self._instances = instance_poller.InstancePoller(
@@ -172,7 +173,7 @@
         while self._waits_for_peers(began_s):
             if self._has_taken_over(began_s):
                 return
-            if not self._peers.exchange.is_fetching:
+            if not self._is_fetching():
                 self._peers.exchange.ask_some()
             await asyncio.sleep(self._options.refresh_s)
         if not self._peers.choice.pick(1):
@@ -180,7 +181,7 @@
 
     def _waits_for_peers(self, began_s: float) -> bool:
         waited_s = self._clock.monotonic_s() - began_s
-        if self._peers.exchange.is_fetching:
+        if self._is_fetching():
             return waited_s < self._options.peer_fetch_s
         return waited_s < self._options.peer_wait_s
 
@@ -215,6 +216,9 @@
         heard_s = self._peers.exchange.heard_peer_s
         return self._clock.monotonic_s() > heard_s + self._options.silence_s
 
+    def _is_fetching(self) -> bool:
+        return self._peers.exchange.is_fetching
+
     def _per_zone(self) -> int:
         if self._store.current is None:
             return self._options.watchers_per_zone
--- a/libraries/configuration/src/sardinepier/configuration/internal/platform_reader.py
+++ b/libraries/configuration/src/sardinepier/configuration/internal/platform_reader.py
@@ -41,6 +41,7 @@
     limits: options.DistributorOptions
     on_event: intake.OnEvent
     is_silent: Callable[[], bool]
+    is_fetching: Callable[[], bool]
 
 
 class PlatformReader:
@@ -57,6 +58,7 @@
             parts.clock,
             parts.random_source,
             parts.limits,
+            parts.is_fetching,
         )
         self._listing_health = self._health('platform files')
         self._reading_health = self._health('platform file texts')
--- a/libraries/configuration/src/sardinepier/configuration/internal/wanted_files.py
+++ b/libraries/configuration/src/sardinepier/configuration/internal/wanted_files.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+from collections.abc import Callable
 from typing import Final
 
 from sardinepier.configuration import options, store
@@ -12,15 +13,21 @@
 
 _LEAST_WAIT_S: Final = 1.0
 _PER_MEMBER_S: Final = 2.0
+_PATIENCE_S: Final = 2.0
 
 
 @dataclasses.dataclass(slots=True)
 class _Wanted:
-    """A revision to read; a recheck reads a rejected one once more."""
+    """A revision to read.
+
+    It is the daemon's own when no other one reads it earlier. A recheck reads
+    a rejected one once more.
+    """
 
     revision: ids.Revision
     read_after_s: float
-    is_recheck: bool
+    is_own: bool = False
+    is_recheck: bool = False
 
 
 class WantedFiles:
@@ -39,8 +46,10 @@
         clock: clocks.Clock,
         random_source: random.Random,
         limits: options.DistributorOptions,
+        is_fetching: Callable[[], bool],
     ) -> None:
-        """Begin with no listing."""
+        """Begin with no listing; ``is_fetching`` tells of pulls from peers."""
+        self._is_fetching = is_fetching
         self._store = file_store
         self._watchers = chosen
         self._clock = clock
@@ -74,27 +83,32 @@
         return self.has_newer
 
     def due(self) -> ids.FileName | None:
-        """Return a file to read now, or ``None``; forget those that came."""
-        now_s = self._clock.monotonic_s()
+        """Return a file to read now, or ``None``; forget those that came.
+
+        The one whose time came first goes first: a daemon's own files before
+        those that it reads in case others fail. When reading is slow, the
+        others have read theirs by the time that its own are done.
+        """
         for name, wanted in tuple(self._wanted.items()):
             if self._has_come(name, wanted):
                 self.drop(name)
-            elif wanted.read_after_s <= now_s:
-                return name
-        return None
+        first = min(self._wanted, key=self._read_after_s, default=None)
+        if first is None or self._read_after_s(first) > self._now_s():
+            return None
+        return first
 
     def next_due_s(self) -> float | None:
-        """Return when the next file is due, or ``None`` for none."""
-        return min(
-            (wanted.read_after_s for wanted in self._wanted.values()),
-            default=None,
-        )
+        """Return when to look for the next file, or ``None`` for none."""
+        due_s = min(map(self._read_after_s, self._wanted), default=None)
+        if due_s is not None and self._is_fetching():
+            return min(due_s, self._now_s() + self._limits.stagger_s)
+        return due_s
 
     def postpone(self, name: ids.FileName, wait_s: float) -> None:
         """Read ``name`` again after ``wait_s`` seconds."""
         wanted = self._wanted.get(name)
         if wanted is not None:
-            wanted.read_after_s = self._clock.monotonic_s() + wait_s
+            wanted.read_after_s = self._now_s() + wait_s
 
     def drop(self, name: ids.FileName) -> None:
         """Want ``name`` no more, until another listing has it."""
@@ -104,10 +118,11 @@
         if entry.deleted or not self._store.has_room(entry.name):
             return None
         known = self._store.find(entry.name)
-        now_s = self._clock.monotonic_s()
+        now_s = self._now_s()
         if entry.revision > known.newest_revision:
-            wait_s = self._turn_s(entry.name)
-            return _Wanted(entry.revision, now_s + wait_s, is_recheck=False)
+            rank = self._watchers.rank(entry.name)
+            wait_s = self._turn_s(rank)
+            return _Wanted(entry.revision, now_s + wait_s, is_own=rank == 0)
         if known.rejected is None:
             return None
         if entry.revision != known.rejected.version.revision:
@@ -122,9 +137,8 @@
             return known.in_force_revision >= wanted.revision
         return known.newest_revision >= wanted.revision
 
-    def _turn_s(self, name: ids.FileName) -> float:
+    def _turn_s(self, rank: int | None) -> float:
         """Return for how long to leave the reading to others."""
-        rank = self._watchers.rank(name)
         if rank is not None:
             return rank * self._limits.stagger_s
         most_s = self._watchers.member_count() * _PER_MEMBER_S
@@ -141,3 +155,18 @@
             return float('inf')
         wait_s = self._limits.recheck_s * (rank + 1)
         return backoff.jitter(wait_s, self._random)
+
+    def _read_after_s(self, name: ids.FileName) -> float:
+        """Return when to read ``name``.
+
+        While files come from peers they are likely to bring this one too. It
+        is held back for a bounded time only: it may be the one that no peer
+        could read.
+        """
+        wanted = self._wanted[name]
+        if wanted.is_own or not self._is_fetching():
+            return wanted.read_after_s
+        return wanted.read_after_s + _PATIENCE_S
+
+    def _now_s(self) -> float:
+        return self._clock.monotonic_s()
--- a/libraries/configuration/tests/cover/test_configuration_pulls.py
+++ b/libraries/configuration/tests/cover/test_configuration_pulls.py
@@ -1,10 +1,14 @@
 """Each wanted version is fetched once, from whoever has it."""
 
+import random
+import types
+
 import pytest
 
 from sardinepier.configuration import messages, options, store
-from sardinepier.configuration.internal import pulls
+from sardinepier.configuration.internal import pulls, wanted_files
 from sardinepier.core import clock, ids
+from sardinepier.platform import interface
 from sardinepier.wire import messages as wire_messages
 
 _NAME = ids.FileName('service/search')
@@ -97,3 +101,32 @@
     bench.pulls.arrived(_NAME, 2)
     bench.late()
     assert bench.asked() == [(1, 3), (1, 3)]
+
+
+@pytest.mark.parametrize(
+    ('rank', 'is_fetching', 'due_s'),
+    [(0, True, 0), (0, False, 0), (2, False, 0.3), (2, True, 2.3)],
+)
+def test_pulls_hold_back_reads_for_others_and_not_for_ever(
+    bench, rank, is_fetching, due_s
+):
+    wanted = wanted_files.WantedFiles(
+        bench.store,
+        types.SimpleNamespace(rank=lambda name: rank),
+        bench.clock,
+        random.Random(0),
+        bench.limits,
+        lambda: is_fetching,
+    )
+    entry = interface.FileRevision(_NAME, ids.Revision(1))
+    wanted.replace(interface.Listing(ids.Revision(1), (entry,)))
+    began_s = bench.clock.monotonic_s()
+    for _ in range(40):
+        if wanted.due():
+            break
+        # Whoever waits comes back in time, and never at once again.
+        wait_s = wanted.next_due_s() - bench.clock.monotonic_s()
+        assert 0 < wait_s <= bench.limits.stagger_s * rank
+        bench.clock.advance(wait_s)
+    elapsed_s = bench.clock.monotonic_s() - began_s
+    assert elapsed_s == pytest.approx(due_s)
--- a/libraries/configuration/tests/cover/test_configuration_shares.py
+++ b/libraries/configuration/tests/cover/test_configuration_shares.py
@@ -1,7 +1,9 @@
 """Every target is read by two watchers, and each of them reads few."""
 
+import itertools
 import types
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -145,3 +147,28 @@
         if daemon.distributor.is_watcher
     }
     assert len(watching) == 6
+
+
+def _longest_pause_s(watching, call):
+    return max(
+        later - earlier
+        for daemon in watching
+        for earlier, later in itertools.pairwise(daemon.sight.called_s[call])
+    )
+
+
+@pytest.mark.parametrize(('reads_per_s', 'limit_s'), [(5.0, 8), (1000.0, 2)])
+def test_many_changes_at_once_starve_no_call(world, reads_per_s, limit_s):
+    fleet = world.make(12, reads_per_s=reads_per_s)
+    fleet.settle()
+    fleet.run(20)
+    names = [ids.FileName(f'service/s{number}') for number in range(110)]
+    revisions = list(map(fleet.publish, names))
+    fleet.run_until(lambda: all(map(fleet.all_have, names, revisions)), limit_s)
+    fleet.run(60)
+    watching = [
+        one for one in fleet.daemons.values() if one.distributor.is_watcher
+    ]
+    assert _longest_pause_s(watching, 'list_instances') < 2.5
+    assert _longest_pause_s(watching, 'watch_files') < 22
+    assert not any(one.happened('PlatformFailed') for one in watching)
