Send to targets without aiohttp's session and without its resolver

Cause: by a profile of 4,000 GETs, a quarter of the time of a request in the daemon was in aiohttp's ClientSession: cookies, redirects, defaults, timers, a middleware chain, and a loop that sends again, which we had to break. New connections also went through name look-up and a race of addresses, although targets are IP numbers.

Change: aiohttp's request, connector and answer are used directly. The connector makes its connection itself. There is no loop left that sends a request twice.

Ruled out: the connector alone.

All tests of gateway, once and daemon pass.

--- a/libraries/gateway/src/sardinepier/gateway/client.py
+++ b/libraries/gateway/src/sardinepier/gateway/client.py
@@ -1,10 +1,11 @@
 """The client towards targets: no byte of a request is ever sent twice.
 
-aiohttp's client sends a request again by itself when a pooled connection
+aiohttp's session sends a request again by itself when a pooled connection
 turns out to be closed and it takes the method for idempotent, PUT and DELETE
-among them. Only the operators' file may say what is idempotent. So every
-failure is turned into one of our own types before aiohttp's loop sees it,
-which ends that loop; a test pins this.
+among them. Only the operators' file may say what is idempotent. So aiohttp's
+request, connection and answer are used without its session, which also adds
+cookies, redirects and defaults that have no place here. Tests pin that a
+request goes out once and as it came.
 
 Pooled connections are guarded further: one on which the target spoke or
 which it closed while nobody asked is never used again, because the next
@@ -18,6 +19,7 @@
 from collections.abc import Callable
 from typing import Any, Final, cast
 
+import multidict
 import yarl
 from aiohttp import (
     client,
@@ -25,27 +27,21 @@
     client_proto,
     client_reqrep,
     connector,
-    cookiejar,
     hdrs,
+    tracing,
 )
 
 from sardinepier.gateway import errors
 
-_SKIPPED_DEFAULTS: Final = frozenset(
-    (
-        hdrs.ACCEPT,
-        hdrs.ACCEPT_ENCODING,
-        hdrs.USER_AGENT,
-        hdrs.CONTENT_TYPE,
-    )
+_NO_DEFAULTS: Final = multidict.CIMultiDict[None](
+    {hdrs.CONTENT_TYPE: None},
 )
+_HTTP_PORT: Final = 80
 _STALE_TRIES: Final = 4
 _TIMEOUTS_KEPT: Final = 64
 _KEEPALIVE_S: Final = 15.0
 _RETRY_AFTER_S: Final = 1.0
 
-Send = Callable[[client_reqrep.ClientRequest], Any]
-
 
 class _GuardedHandler(client_proto.ResponseHandler):
     """A connection that closes when the target speaks unasked."""
@@ -85,15 +81,33 @@
         self.is_reused = True
 
 
-class _GuardedConnector(connector.TCPConnector):
-    """Makes guarded connections; slots of the queue bound their number."""
+class _GuardedConnector(connector.BaseConnector):
+    """Makes guarded connections; slots of the queue bound their number.
+
+    Targets and peers are IP numbers without TLS: there is no name to look up
+    and no choice of addresses to try side by side.
+    """
 
     def __init__(self, *, force_close: bool) -> None:
         if force_close:
             super().__init__(limit=0, force_close=True)
         else:
             super().__init__(limit=0, keepalive_timeout=_KEEPALIVE_S)
-        self._factory = cast(Any, self._guarded)
+
+    async def _create_connection(
+        self,
+        req: client_reqrep.ClientRequest,
+        traces: list[tracing.Trace],
+        timeout: client.ClientTimeout,
+    ) -> client_proto.ResponseHandler:
+        """Connect within ``timeout``, or raise an ``OSError``."""
+        async with asyncio.timeout(timeout.sock_connect):
+            _, made = await self._loop.create_connection(
+                self._guarded,
+                host=req.host,
+                port=req.port or _HTTP_PORT,
+            )
+        return made
 
     def _guarded(self) -> _GuardedHandler:
         return _GuardedHandler(self._loop)
@@ -103,6 +117,10 @@
     """A request that asks for permission right before its first byte."""
 
     exchange: 'Exchange | None' = None
+    _skip_auto_headers = _NO_DEFAULTS
+
+    def update_auto_headers(self, skip_auto_headers: Any) -> None:
+        """Add nothing to what the caller sent."""
 
     async def send(
         self, conn: connector.Connection
@@ -118,16 +136,27 @@
             self.exchange.about_to_write()
         protocol.is_idle = False
         conn.add_callback(protocol.pooled)
+        protocol.set_response_params(
+            skip_payload=self.method == hdrs.METH_HEAD,
+            read_until_eof=True,
+            auto_decompress=False,
+        )
         return await super().send(conn)
 
 
 class Exchange:
-    """One request to one address: a middleware of aiohttp for one call."""
+    """One request to one address, sent once."""
 
-    __slots__ = ('_permit', 'written')
+    __slots__ = ('_permit', '_request', 'written')
 
-    def __init__(self, permit: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        request: client_reqrep.ClientRequest,
+        permit: Callable[[], None],
+    ) -> None:
         """Call ``permit`` before the first byte; it raises to forbid it."""
+        cast(_Request, request).exchange = self
+        self._request = request
         self._permit = permit
         self.written = False
 
@@ -136,15 +165,14 @@
         self._permit()
         self.written = True
 
-    async def typed(
+    async def run(
         self,
-        request: client_reqrep.ClientRequest,
-        send: Send,
+        pool: connector.BaseConnector,
+        timeout: client.ClientTimeout,
     ) -> client_reqrep.ClientResponse:
-        """Send ``request`` and raise only errors of this project."""
-        cast(_Request, request).exchange = self
+        """Send the request and raise only errors of this project."""
         try:
-            return cast(client_reqrep.ClientResponse, await send(request))
+            return await self._run(pool, timeout)
         except client_exceptions.ClientResponseError as error:
             raise errors.BadAnswerError(
                 f'The target answered with broken HTTP: {error.message}',
@@ -153,6 +181,20 @@
         except (client_exceptions.ClientError, OSError) as error:
             raise self._failure(error) from error
 
+    async def _run(
+        self,
+        pool: connector.BaseConnector,
+        timeout: client.ClientTimeout,
+    ) -> client_reqrep.ClientResponse:
+        connection = await pool.connect(self._request, [], timeout)
+        try:
+            response = await self._request.send(connection)
+            return await _head(response, connection)
+        except BaseException:
+            # A connection whose exchange broke is never used again.
+            connection.close()
+            raise
+
     def _failure(self, error: Exception) -> errors.GatewayError:
         name = type(error).__name__
         if self.written:
@@ -167,13 +209,26 @@
         )
 
 
+async def _head(
+    response: client_reqrep.ClientResponse,
+    connection: connector.Connection,
+) -> client_reqrep.ClientResponse:
+    try:
+        return await response.start(connection)
+    except BaseException:
+        # Stops the writing of a body that is still on its way, too.
+        response.close()
+        raise
+
+
 class TargetClient:
     """Keeps the connections to targets and peers; one a process."""
 
     def __init__(self) -> None:
         """Open no connection yet. Needs a running event loop."""
-        self._pooled = _session(_GuardedConnector(force_close=False))
-        self._fresh = _session(_GuardedConnector(force_close=True))
+        self._loop = asyncio.get_running_loop()
+        self._pooled = _GuardedConnector(force_close=False)
+        self._fresh = _GuardedConnector(force_close=True)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -199,17 +254,18 @@
         something was, and what ``permit`` raises.
         """
         for left in range(_STALE_TRIES, -1, -1):
-            session = self._fresh if fresh or not left else self._pooled
-            exchange = Exchange(permit)
+            pool = self._fresh if fresh or not left else self._pooled
+            request = _Request(
+                method,
+                url,
+                headers=headers,
+                data=body or None,
+                loop=self._loop,
+            )
             with contextlib.suppress(errors.StaleConnectionError):
-                return await session.request(
-                    method,
-                    url,
-                    headers=headers,
-                    data=body or None,
-                    timeout=_timeout(connect_timeout_s),
-                    middlewares=(exchange.typed,),
-                    allow_redirects=False,
+                return await Exchange(request, permit).run(
+                    pool,
+                    _timeout(connect_timeout_s),
                 )
         raise _no_connection()
 
@@ -228,14 +284,3 @@
         total=None,
         sock_connect=connect_timeout_s,
     )
-
-
-def _session(pool: connector.TCPConnector) -> client.ClientSession:
-    return client.ClientSession(
-        connector=pool,
-        request_class=_Request,
-        cookie_jar=cookiejar.DummyCookieJar(),
-        skip_auto_headers=_SKIPPED_DEFAULTS,
-        auto_decompress=False,
-        trust_env=False,
-    )
