Let membership be asked again at any time without harm

Cause: refresh() may be called on every check of a wake guard. Each call sent probes to all monitored peers, and a call right before a heartbeat made the heartbeat count these peers as silent, as their answers came after it. Ruled out: leaving the bound to callers. Change: at most four rounds an interval, counted for nobody's silence. Conclusion: callers need no bound of their own.

--- a/libraries/membership/src/sardinepier/membership/internal/heartbeat.py
+++ b/libraries/membership/src/sardinepier/membership/internal/heartbeat.py
@@ -21,6 +21,7 @@
 _CHECKS_PER_TICK: Final = 4
 _MAX_PENDING: Final = 512
 _PENDING_INTERVALS: Final = 8
+_ASKS_PER_INTERVAL: Final = 4
 _SPREAD: Final = (0.5, 1.5)
 _CONTACTS_WHEN_ALONE: Final = 3
 _UNNAMED: Final = ids.InstanceId('')
@@ -53,8 +54,9 @@
         )
         self._doubted: dict[ids.InstanceId, kinds.MemberUpdate] = {}
         self.evidence = evidence.Evidence()
-        self._ring_version = -1
+        self._choice = rings.Choice(known.table)
         self._next_contact_s = time_source.monotonic_s()
+        self._next_ask_s = self._next_contact_s
 
     def wake(self) -> None:
         """Start anew after a pause: whatever was missed says nothing."""
@@ -68,18 +70,25 @@
         self._pending.expire(self._clock.monotonic_s())
         self._weigh()
         self._known.expire()
-        self._choose_monitored()
-        self.probe_all()
+        self._watches.monitor(self._choice.current())
+        self._probe_watched()
         self._probe_contacts()
 
-    def probe_all(self) -> None:
-        """Send a probe to every watched peer."""
-        for instance_id in self._watches.due():
+    def ask_again(self) -> None:
+        """Probe the watched peers once more within this interval.
+
+        Whoever does not answer this is not held to have missed a heartbeat:
+        the next tick may come before the answer can. More often than a few
+        times an interval nothing is sent.
+        """
+        now_s = self._clock.monotonic_s()
+        if now_s < self._next_ask_s:
+            return
+        interval_s = self._bounds.heartbeat_interval_s
+        self._next_ask_s = now_s + interval_s / _ASKS_PER_INTERVAL
+        for instance_id in self._watches.names():
             held = self._known.table.get(instance_id)
-            if held is None or held.is_dead:
-                self._watches.drop(instance_id)
-                self._doubted.pop(instance_id, None)
-            else:
+            if held is not None and not held.is_dead:
                 self._probe(held)
 
     def check(self, claim: kinds.MemberUpdate) -> None:
@@ -204,22 +213,23 @@
         for helper in chosen:
             self._network.send(helper.identity.peer_address, request)
 
-    def _choose_monitored(self) -> None:
-        known = self._known.table
-        if known.version != self._ring_version:
-            own = known.entry(known.own.instance_id)
-            self._watches.monitor(rings.monitored(own, known.entries()))
-            self._ring_version = known.version
+    def _probe_watched(self) -> None:
+        for instance_id in self._watches.due():
+            held = self._known.table.get(instance_id)
+            if held is None or held.is_dead:
+                self._watches.drop(instance_id)
+                self._doubted.pop(instance_id, None)
+            else:
+                self._watches.sent(instance_id, self._probe(held))
 
-    def _probe(self, held: record.Record) -> None:
+    def _probe(self, held: record.Record) -> int:
         claim = self._doubted.get(held.instance_id)
         first = (claim,) if claim else ()
-        sequence = self._send_probe(
+        return self._send_probe(
             held.instance_id,
             held.identity.peer_address,
             (*first, *self._known.news.claims_about(held.instance_id)),
         )
-        self._watches.sent(held.instance_id, sequence)
 
     def _probe_contacts(self) -> None:
         now_s = self._clock.monotonic_s()
--- a/libraries/membership/src/sardinepier/membership/internal/rings.py
+++ b/libraries/membership/src/sardinepier/membership/internal/rings.py
@@ -45,6 +45,24 @@
     return tuple(chosen)
 
 
+class Choice:
+    """The monitored peers, chosen anew only when the view has changed."""
+
+    def __init__(self, records: table.Table) -> None:
+        """Choose from ``records``."""
+        self._table = records
+        self._version = -1
+        self._chosen: tuple[ids.InstanceId, ...] = ()
+
+    def current(self) -> tuple[ids.InstanceId, ...]:
+        """Return the peers to monitor now."""
+        if self._table.version != self._version:
+            own = self._table.entry(self._table.own.instance_id)
+            self._chosen = monitored(own, self._table.entries())
+            self._version = self._table.version
+        return self._chosen
+
+
 def _distance(
     ring: int,
     start: int,
--- a/libraries/membership/src/sardinepier/membership/internal/watches.py
+++ b/libraries/membership/src/sardinepier/membership/internal/watches.py
@@ -82,12 +82,16 @@
             if watch.missed >= tolerated
         )
 
+    def names(self) -> tuple[ids.InstanceId, ...]:
+        """Return the peers that are watched now."""
+        return tuple(self._all())
+
     def due(self) -> tuple[ids.InstanceId, ...]:
         """Return the peers to probe in this interval."""
         for instance_id in tuple(self._waiting)[: self._checks_per_tick]:
             self._waiting.pop(instance_id)
             self._checks[instance_id] = Watch()
-        return tuple(self._all())
+        return self.names()
 
     def sent(self, instance_id: ids.InstanceId, sequence: int) -> None:
         """Note the probe that awaits an answer in this interval."""
--- a/libraries/membership/src/sardinepier/membership/membership.py
+++ b/libraries/membership/src/sardinepier/membership/membership.py
@@ -124,7 +124,7 @@
     def announce_leaving(self) -> None:
         """Tell the peers at once that this instance leaves, for good."""
         self._known.announce_leaving()
-        self._heartbeat.probe_all()
+        self._heartbeat.ask_again()
 
     def confirm_since(self, moment_s: float) -> bool:
         """Tell whether peers answered what was sent after ``moment_s``.
@@ -140,8 +140,12 @@
         return self._heartbeat.evidence.answered_since(moment_s) >= needed
 
     def refresh(self) -> None:
-        """Probe the monitored peers now, without waiting for the tick."""
-        self._heartbeat.probe_all()
+        """Probe the monitored peers now, without waiting for the tick.
+
+        May be called as often as one likes: at most four times an interval
+        anything is sent.
+        """
+        self._heartbeat.ask_again()
 
     def tick(self) -> None:
         """Do the work of one heartbeat interval."""
--- a/libraries/membership/tests/cover/test_membership_mechanisms.py
+++ b/libraries/membership/tests/cover/test_membership_mechanisms.py
@@ -135,3 +135,30 @@
     fleet.tick(2)
     assert fleet.ended(events.MemberReplaced) == {old}
     assert not fleet.ended(events.MemberSuspected)
+
+
+def test_asking_again_makes_nobody_look_silent(fleet):
+    asking = fleet.running[7]
+    for _ in range(10):
+        fleet.clock.advance(1)
+        for daemon in fleet.running.values():
+            if daemon is asking:
+                # Asked just before the tick: the answers come after it.
+                daemon.refresh()
+            daemon.tick()
+            fleet.hub.deliver()
+    assert not fleet.ended(events.MemberSuspected)
+
+
+def test_asking_again_and_again_is_bounded(fleet):
+    before = fleet.networks[7].counters().messages_sent
+    for _ in range(100):
+        fleet.running[7].refresh()
+        fleet.hub.deliver()
+    assert fleet.networks[7].counters().messages_sent - before <= 4
+    fleet.tick()
+    moment_s = fleet.clock.monotonic_s()
+    fleet.clock.advance(0.5)
+    fleet.running[7].refresh()
+    fleet.hub.deliver()
+    assert fleet.running[7].confirm_since(moment_s)
