--- a/libraries/configuration/tests/cover/test_configuration_shares.py
+++ b/libraries/configuration/tests/cover/test_configuration_shares.py
@@ -65,12 +65,11 @@
     )
 
 
-def _readers(fleet, service):
+def _watching(fleet):
     return [
         daemon
         for daemon in fleet.daemons.values()
         if daemon.distributor.is_watcher
-        and daemon.instances[-1].share.covers(service)
     ]
 
 
@@ -79,11 +78,7 @@
     fleet.settle()
     fleet.platform.set_instances(_listed(60))
     fleet.run(15)
-    watching = [
-        daemon
-        for daemon in fleet.daemons.values()
-        if daemon.distributor.is_watcher
-    ]
+    watching = _watching(fleet)
     assert len(watching) == 6
     for daemon in watching:
         listed = daemon.instances[-1]
@@ -109,6 +104,20 @@
         knowing = [one for one in told if changed in one.instances[-1].targets]
         assert len(knowing) == 2
         assert knowing[0].member.zone != knowing[1].member.zone
+    # When one goes another one takes its share.
+    leaving = _listed(60, set(range(60)))
+    fleet.platform.set_instances(leaving)
+    fleet.run(1.55)
+    fleet.stop(int(watching[0].member.daemon_id.removeprefix('d')))
+    fleet.run(3)
+    assert len(_watching(fleet)) == 6
+    for target in leaving.targets:
+        readers = [
+            one
+            for one in _watching(fleet)
+            if one.instances[-1].share.covers(target.service)
+        ]
+        assert len(readers) == 2
 
 
 def test_zone_cut_off_from_the_platform_hides_no_target(world):
@@ -127,28 +136,6 @@
     assert known >= set(leaving.targets)
 
 
-def test_share_moves_when_a_watcher_goes(world):
-    fleet = world.make(12)
-    fleet.settle()
-    fleet.platform.set_instances(_listed(60))
-    fleet.run(15)
-    gone = next(
-        number
-        for number, daemon in fleet.daemons.items()
-        if daemon.distributor.is_watcher
-    )
-    fleet.stop(gone)
-    fleet.run(3)
-    for target in _listed(60).targets:
-        assert len(_readers(fleet, target.service)) == 2
-    watching = {
-        daemon
-        for daemon in fleet.daemons.values()
-        if daemon.distributor.is_watcher
-    }
-    assert len(watching) == 6
-
-
 def _longest_pause_s(watching, call):
     return max(
         later - earlier
@@ -166,9 +153,7 @@
     revisions = list(map(fleet.publish, names))
     fleet.run_until(lambda: all(map(fleet.all_have, names, revisions)), limit_s)
     fleet.run(60)
-    watching = [
-        one for one in fleet.daemons.values() if one.distributor.is_watcher
-    ]
+    watching = _watching(fleet)
     assert _longest_pause_s(watching, 'list_instances') < 2.5
     assert _longest_pause_s(watching, 'watch_files') < 22
     assert not any(one.happened('PlatformFailed') for one in watching)
--- a/libraries/platform/tests/conformance/test_platform_contract.py
+++ b/libraries/platform/tests/conformance/test_platform_contract.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import hypothesis
+import msgspec
 import pytest
 from hypothesis import strategies as st
 
@@ -110,26 +111,6 @@
         assert platform.standin.counts.watches == 2
 
 
-@_ALL
-async def test_instance_list_is_the_same_object_until_it_changes(kind):
-    async with kind() as platform:
-        first = await platform.client.list_instances()
-        assert first is await platform.client.list_instances()
-        target = interface.ListedTarget(
-            ids.ServiceName('deposits'),
-            ids.TargetId('w1'),
-            ids.TargetIncarnation('1'),
-            interface.ListedState.LEAVING,
-        )
-        daemon = interface.ListedDaemon(ids.DaemonId('d1'), '10.0.0.1', 7000)
-        platform.standin.set_instances(
-            interface.InstanceList((target,), (daemon,)),
-        )
-        changed = await platform.client.list_instances()
-        assert changed.targets == (target,)
-        assert changed.daemons == (daemon,)
-
-
 @_ALL
 async def test_instance_list_of_thousands_of_targets_fits(kind):
     async with kind() as platform:
@@ -193,22 +174,39 @@
 
 
 @_ALL
-async def test_one_call_reads_several_parts(kind):
+@pytest.mark.parametrize(
+    'share',
+    [shares.WHOLE, shares.share_of(18, (12, 3), has_daemons=True)],
+)
+async def test_share_is_the_same_object_until_it_changes(kind, share):
     async with kind() as platform:
-        targets = tuple(_target(f's{number}') for number in range(40))
-        platform.standin.set_instances(interface.InstanceList(targets))
-        share = shares.share_of(18, (12, 3), has_daemons=True)
-        listed = await platform.client.list_instances(share)
+
+        async def publish(*targets):
+            listed = interface.InstanceList(targets, (daemon,))
+            platform.standin.set_instances(listed)
+            return await platform.client.list_instances(share)
+
+        first = await platform.client.list_instances(share)
+        assert first is await platform.client.list_instances(share)
+        daemon = interface.ListedDaemon(ids.DaemonId('d1'), '10.0.0.1', 7000)
+        targets = [_target(f's{number}') for number in range(40)]
+        listed = await publish(*targets)
         assert listed is await platform.client.list_instances(share)
-        assert platform.standin.counts.instances == 2
-        assert (listed.share, share.chosen) == (share, (3, 12))
-        expected = [one for one in targets if share.covers(one.service)]
-        assert listed.targets == tuple(expected)
+        assert platform.standin.counts.instances == 4
+        covered = [one for one in targets if share.covers(one.service)]
+        assert (listed.targets, listed.daemons) == (tuple(covered), (daemon,))
+        assert (listed.share, share.chosen) in {
+            (shares.WHOLE, (0,)),
+            (share, (3, 12)),
+        }
         # The tag follows the share: a change elsewhere is none here.
-        elsewhere = next(one for one in targets if one not in expected)
-        rest = (one for one in targets if one is not elsewhere)
-        platform.standin.set_instances(interface.InstanceList(tuple(rest)))
-        assert listed is await platform.client.list_instances(share)
+        elsewhere = [one for one in targets if one not in covered]
+        assert listed is await publish(*covered, *elsewhere[1:])
+        leaving = msgspec.structs.replace(
+            covered[0], state=interface.ListedState.LEAVING
+        )
+        changed = await publish(leaving, *covered[1:])
+        assert changed.targets == (leaving, *covered[1:])
 
 
 @_ALL
