health: strike from the group's evidence what a cut link explains

Cause (trace): the group's evidence of the cut daemons outlasted their votes, since they had stopped sending and good answers take it down slowly.

--- a/libraries/health/src/sardinepier/health/change_detection.py
+++ b/libraries/health/src/sardinepier/health/change_detection.py
@@ -210,6 +210,11 @@
         capped = sum(min(part, limit) for part in parts)
         return min(self.level, capped)
 
+    def strike(self, observer: ids.InstanceId) -> None:
+        """Take out what one observer holds against the target."""
+        part = self.by_observer.pop(observer, 0.0)
+        self.level = max(0.0, self.level - max(0.0, part))
+
     def restart(self, level: float) -> None:
         """Forget all evidence and stand at ``level``."""
         self.level = level
--- a/libraries/health/src/sardinepier/health/internal/judgement.py
+++ b/libraries/health/src/sardinepier/health/internal/judgement.py
@@ -116,6 +116,20 @@
                 accusers,
                 now_s,
             )
+        if suspicion.vote is tracked.Vote.CUT_LINK:
+            _strike_cut_links(suspicion)
+
+
+def _strike_cut_links(suspicion: tracked.Suspicion) -> None:
+    """Take out of the group's evidence what cut links explain.
+
+    It would else outlast the votes: its observers send no more, and the
+    others' good answers take it down but slowly.
+    """
+    for observer, votes in suspicion.votes.items():
+        if 2 * votes.bad > votes.attempts:
+            for cusum in suspicion.group:
+                cusum.strike(observer)
 
 
 def _loss_level(suspicion: tracked.Suspicion) -> float:
