--- a/libraries/health/tests/cover/test_health_statistics.py
+++ b/libraries/health/tests/cover/test_health_statistics.py
@@ -167,3 +167,17 @@
 def test_options_out_of_range_are_refused_with_a_remedy(wrong):
     with pytest.raises(errors.InvalidArgumentError, match='Set it to'):
         options.HealthOptions(**wrong)
+
+
+def test_striking_an_observer_takes_out_its_part_and_no_more():
+    cusum = change_detection.Cusum()
+    for step in range(20):
+        ratios = {'d0~0': 0.3, 'd1~0': 0.1}
+        cusum.add(ratios, 10 + step / 10, _LIMITS)
+    assert cusum.level == pytest.approx(8)
+    cusum.strike('d0~0')
+    assert cusum.level == pytest.approx(2)
+    assert set(cusum.by_observer) == {'d1~0'}
+    cusum.strike('d9~0')
+    cusum.strike('d1~0')
+    assert cusum.level == 0
