--- a/libraries/gateway/src/sardinepier/gateway/exchange.py
+++ b/libraries/gateway/src/sardinepier/gateway/exchange.py
@@ -7,8 +7,6 @@
 import asyncio
 from typing import Final
 
-import yarl
-
 from sardinepier.core import ids
 from sardinepier.gateway import context as contexts
 from sardinepier.gateway import errors, reading, target_answer, work
@@ -82,15 +80,15 @@
     async def _exchange(self) -> target_answer.TargetAnswer:
         item = self._item
         settings = item.snapshot.settings
-        origin = item.snapshot.origin(self._target_id)
         response = await self._context.client.open(
             item.method,
-            yarl.URL(f'{origin}{item.target_path}', encoded=True),
+            item.snapshot.url(self._target_id),
             item.target_headers(self._context.clock),
             item.body,
             fresh=not item.route.idempotent,
             connect_timeout_s=item.snapshot.connect_timeout_s,
             permit=self._permit,
+            path=item.target_path,
         )
         if settings.draining_header in response.headers:
             item.runtime.mark_leaving(self._target_id)
--- a/libraries/gateway/src/sardinepier/gateway/relaying.py
+++ b/libraries/gateway/src/sardinepier/gateway/relaying.py
@@ -86,12 +86,13 @@
         pairs = item.target_headers(self._context.clock)
         return await self._context.client.open(
             item.method,
-            yarl.URL(f'{origin}{request.raw_path}', encoded=True),
+            yarl.URL(origin, encoded=True),
             [*pairs, (headers.RELAYED, self._context.own)],
             item.body,
             fresh=False,
             connect_timeout_s=_CONNECT_TIMEOUT_S,
             permit=self._context.wake_guard.require,
+            path=request.raw_path,
         )
 
 
--- a/libraries/gateway/src/sardinepier/gateway/snapshots.py
+++ b/libraries/gateway/src/sardinepier/gateway/snapshots.py
@@ -6,6 +6,8 @@
 
 from typing import Final
 
+import yarl
+
 from sardinepier.core import ids
 from sardinepier.gateway import refusals
 from sardinepier.settings import model, routes
@@ -24,6 +26,7 @@
         self.connect_timeout_s = settings.connect_timeout_ms / _MS_PER_S
         self.targets = {one.target_id: one for one in settings.targets}
         self._table = routes.RouteTable(settings.routes)
+        self._urls: dict[ids.TargetId, yarl.URL] = {}
 
     def route(self, method: str, path: str) -> model.RouteSettings:
         """Return the route of a request; ``path`` has no query.
@@ -43,6 +46,14 @@
         target = self.targets[target_id]
         return origin(target.ip, target.port)
 
+    def url(self, target_id: ids.TargetId) -> yarl.URL:
+        """Return the target's address as a URL without a path."""
+        url = self._urls.get(target_id)
+        if url is None:
+            url = yarl.URL(self.origin(target_id), encoded=True)
+            self._urls[target_id] = url
+        return url
+
     def _no_route(self, method: str, path: str) -> Exception:
         name = self.settings.name
         methods = self._table.methods_for(path)
--- a/libraries/gateway/tests/cover/test_gateway_requests.py
+++ b/libraries/gateway/tests/cover/test_gateway_requests.py
@@ -18,6 +18,7 @@
         '/books/1?a=b?c=/../d',
         '/books/%zz?%',
         '/?x',
+        '/books/1?',
         '/books/!$&()*,;=:@',
     ],
 )
