End only its own request when a waiter's choice fails

Cause: the queue is served from whichever task wakes it. A choice that raised there ended that task's request, and one that raised on arrival would have left its waiter in the queue. Change: the failure goes to the task that waits, and every end of acquire but a grant takes its waiter out of the queue.

--- a/libraries/routing/src/sardinepier/routing/admission.py
+++ b/libraries/routing/src/sardinepier/routing/admission.py
@@ -79,21 +79,20 @@
         Raises :class:`errors.QueueFullError` when there is no place, its
         subclass :class:`errors.DisplacedError` when the place went to work
         of higher priority, and :class:`errors.QueueDeadlineError` as soon as
-        the deadline can't be met.
+        the deadline can't be met. What ``choose`` raises is passed on.
         """
         waiter = _TaskWaiter(work, choose)
-        self._line.enter(waiter)
-        if waiter.outcome.done():
-            return waiter.outcome.result()
-        self._keep_rechecking()
-        alarm = self._set_alarm(work)
         try:
+            self._line.enter(waiter)
+            self._watch(waiter)
             return await waiter.outcome
-        except asyncio.CancelledError:
+        except BaseException:
+            # Cancelled, or its own choice failed; a refused one is out of
+            # the line already, and taking it out again does no harm.
             self._withdraw(waiter)
             raise
         finally:
-            alarm.cancel()
+            waiter.stop_alarm()
 
     def wake(self) -> None:
         """Hand out free slots. Call it when a slot or a target came free."""
@@ -105,10 +104,15 @@
             self._release(waiter.granted)
         self.wake()
 
-    def _set_alarm(self, work: waiting_line.Work) -> asyncio.TimerHandle:
-        remaining_s = self._line.give_up_s(work) - self._clock.monotonic_s()
+    def _watch(self, waiter: '_TaskWaiter') -> None:
+        """Serve the queue when the waiter gets too late, and in between."""
+        if waiter.outcome.done():
+            return
+        self._keep_rechecking()
+        give_up_s = self._line.give_up_s(waiter.work)
+        remaining_s = max(0.0, give_up_s - self._clock.monotonic_s())
         loop = asyncio.get_running_loop()
-        return loop.call_later(max(0.0, remaining_s), self.wake)
+        waiter.alarm = loop.call_later(remaining_s, self.wake)
 
     def _keep_rechecking(self) -> None:
         if self._recheck is None:
@@ -134,11 +138,30 @@
     ) -> None:
         """Wait in the running event loop."""
         self.work = work
-        self.choose = choose
+        self._choose = choose
         self.granted: ids.TargetId | None = None
+        self.alarm: asyncio.TimerHandle | None = None
         loop = asyncio.get_running_loop()
         self.outcome: asyncio.Future[ids.TargetId] = loop.create_future()
 
+    def choose(self) -> ids.TargetId | None:
+        """Reserve a slot; a failure goes to the task that waits.
+
+        The queue is served from other tasks, whose requests must not end by
+        a failure of this one's choice.
+        """
+        try:
+            return self._choose()
+        except Exception as error:
+            with contextlib.suppress(asyncio.InvalidStateError):
+                self.outcome.set_exception(error)
+            return None
+
+    def stop_alarm(self) -> None:
+        """Drop the timer of the waiter's deadline."""
+        if self.alarm is not None:
+            self.alarm.cancel()
+
     def grant(self, target_id: ids.TargetId) -> None:
         """Resume the task with its target.
 
--- a/libraries/routing/tests/cover/test_routing_slot_queue.py
+++ b/libraries/routing/tests/cover/test_routing_slot_queue.py
@@ -279,6 +279,31 @@
     picky.cancel()
 
 
+async def test_a_choice_that_fails_ends_its_own_request_and_no_other():
+    free = []
+    _, queue, choose = _queue(3, free)
+
+    def fail():
+        if free:
+            raise LookupError(free[0])
+
+    faulty = asyncio.create_task(queue.acquire(admission.Work(0, 60.0), fail))
+    other = asyncio.create_task(queue.acquire(admission.Work(1, 60.0), choose))
+    await asyncio.sleep(0)
+    free.append('t1')
+    queue.wake()
+    for _ in range(3):
+        await asyncio.sleep(0)
+    assert other.done()
+    assert other.result() == 't1'
+    with pytest.raises(LookupError):
+        await faulty
+    free.append('t1')
+    with pytest.raises(LookupError):
+        await queue.acquire(admission.Work(0, 60.0), fail)
+    assert not len(queue)
+
+
 @pytest.mark.parametrize(
     ('length', 'interval_s'), [(-1, 0.05), (3, 0.0), (3, -1.0)]
 )
