Take no port between its choice and its use, and judge by what was sent

Cause: in a full run of the table one target of the last case found its port taken: it had been chosen some moments before by binding and closing. The case went on without its targets, as the end at errors is off within a condition. In one demo a request that was lost at the killed daemon counted as never connected, because its last resend found no one.

Change: targets and the platform take a port from the system at their first start and keep it; daemons get a part of the loopback range of their own; a case that cannot start ends at once. The last attempt that was sent decides how a request came out.

--- a/libraries/workbench/src/sardinepier/workbench/faults/processes.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/processes.py
@@ -50,7 +50,8 @@
 
     def daemon_ip(self, name: str) -> str:
         """Return the address from which the daemon ``name`` connects."""
-        return f'127.0.1.{self.daemons.index(name) + 1}'
+        network = (self.directory / 'network').read_text().strip()
+        return f'{network}.{self.daemons.index(name) + 1}'
 
     def execution_files(self) -> tuple[pathlib.Path, ...]:
         """Return the files in which the targets keep their counts."""
--- a/libraries/workbench/src/sardinepier/workbench/traffic/records.py
+++ b/libraries/workbench/src/sardinepier/workbench/traffic/records.py
@@ -80,5 +80,14 @@
 
     @property
     def kind(self) -> Kind:
-        """How the request came out in the end."""
-        return self.attempts[-1].kind
+        """How the request came out in the end.
+
+        A connection that could not be made tells nothing new about a request
+        which was sent before, so the last attempt that was sent decides.
+        """
+        sent = [
+            attempt.kind
+            for attempt in self.attempts
+            if attempt.kind is not Kind.NOT_CONNECTED
+        ]
+        return sent[-1] if sent else Kind.NOT_CONNECTED
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -16,5 +16,5 @@
 start_platform
 LOG_LEVEL=WARNING start_daemons d1
 "$BIN/sardinepier-workbench" bench \
-    "--daemon=127.0.1.1:$(cat "$FLEET/port/d1")" \
+    "--daemon=$NETWORK.1:$(cat "$FLEET/port/d1")" \
     "--target=127.0.0.1:$(cat "$FLEET/port/t1")" --service=deposits "$@"
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -33,9 +33,9 @@
     "$FLEET/platform/services/deposits.ini"
 start_platform
 start_daemons "${DAEMONS[@]}"
-D1="127.0.1.1:$(cat "$FLEET/port/d1")"
-D2="127.0.1.2:$(cat "$FLEET/port/d2")"
-D3="127.0.1.3:$(cat "$FLEET/port/d3")"
+D1="$NETWORK.1:$(cat "$FLEET/port/d1")"
+D2="$NETWORK.2:$(cat "$FLEET/port/d2")"
+D3="$NETWORK.3:$(cat "$FLEET/port/d3")"
 
 say 'The addresses that a caller gets'
 "$BIN/sardinepier" addresses --service=deposits --daemon="$D1"
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -26,8 +26,8 @@
             daemon="${name%-http}"
             case "$name" in
                 t*) ip=127.0.0.1 port="$name" ;;
-                *-http) ip="127.0.1.${daemon#d}" port="$daemon" ;;
-                *) ip="127.0.1.${daemon#d}" port="$name-peer" ;;
+                *-http) ip="$NETWORK.${daemon#d}" port="$daemon" ;;
+                *) ip="$NETWORK.${daemon#d}" port="$name-peer" ;;
             esac
             printf '%s{"name":"%s","ip":"%s","port":%s}' "$separator" \
                 "$name" "$ip" "$(cat "$FLEET/port/$port")"
@@ -80,6 +80,13 @@
 [ -n "${OPTIONS:-}" ] || "$BIN/sardinepier-workbench" faults --heading
 for case in "${CASES[@]}"; do
     # A subshell a case: its exit trap ends the processes of its own fleet.
-    (run_case "$case") || BROKEN=1
+    # Not as a part of a condition, which would switch off the end at errors.
+    set +e
+    (
+        set -e
+        run_case "$case"
+    )
+    [ "$?" -eq 0 ] || BROKEN=1
+    set -e
 done
 exit "$BROKEN"
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -8,6 +8,7 @@
 #   hold/NAME        while this exists, NAME is not started again
 #   executions/NAME  what a target has run, one line each
 #   platform/        the files that the platform publishes
+#   network          the first three numbers of the daemons' addresses
 #
 # Every process is started by this shell, and ended by the id recorded here.
 
@@ -19,6 +20,10 @@
     FLEET="$(mktemp -d)"
     mkdir -p "$FLEET"/{pid,port,log,hold,executions,settings,platform/services}
     touch "$FLEET/running"
+    # A part of 127.0.0.0/8 for this fleet's daemons alone: nobody else can
+    # take a port there between its choice and its use.
+    NETWORK="127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 1))"
+    echo "$NETWORK" >"$FLEET/network"
     trap fleet_end EXIT
     trap 'exit 130' INT TERM
 }
@@ -108,22 +113,30 @@
 # start_target NAME HABIT...: starts one target; its port stays the same when
 # it is started again.
 start_target() {
-    local name="$1" port
+    local name="$1"
     shift
-    port="$("$BIN/python" scripts/free_ports.py 1)"
-    start "$name" "$BIN/sardinepier-target-standin" "--target_id=$name" \
-        "--port=$port" "--port_file=$FLEET/port/$name" \
-        "--executions_path=$FLEET/executions/$name" "$@"
+    start "$name" run_at_port "$name" "$BIN/sardinepier-target-standin" \
+        "--target_id=$name" "--executions_path=$FLEET/executions/$name" "$@"
 }
 
 start_platform() {
-    local port
-    port="$("$BIN/python" scripts/free_ports.py 1)"
-    start platform "$BIN/sardinepier-platform-standin" "--port=$port" \
-        "--directory=$FLEET/platform" "--port_file=$FLEET/port/platform"
+    start platform run_at_port platform "$BIN/sardinepier-platform-standin" \
+        "--directory=$FLEET/platform"
     await_file "$FLEET/port/platform"
 }
 
+# run_at_port NAME COMMAND...: becomes COMMAND, at the port that NAME had
+# before, or at one from the system. A port chosen beforehand may be taken by
+# another process of a busy machine until it is bound.
+run_at_port() {
+    local name="$1" port=0
+    shift
+    if [ -s "$FLEET/port/$name" ]; then
+        port="$(cat "$FLEET/port/$name")"
+    fi
+    exec "$@" "--port=$port" "--port_file=$FLEET/port/$name"
+}
+
 # write_fleet_file EXTRA_LINES: the operators' file for the whole fleet.
 write_fleet_file() {
     {
@@ -203,7 +216,7 @@
 }
 
 # start_daemons NAME...: writes the settings of each daemon and starts it.
-# Daemon number n listens at 127.0.1.n, so that a relay can tell who connects.
+# Daemon number n listens at $NETWORK.n, so that a relay can tell who connects.
 start_daemons() {
     local names=("$@") number=0 name seeds=''
     for name in "${names[@]}"; do
@@ -219,7 +232,7 @@
 daemon_id = $name
 zone = ${ZONES[$(((number - 1) % ${#ZONES[@]}))]}
 region = metro
-address_ip = 127.0.1.$number
+address_ip = $NETWORK.$number
 http_port = $(cat "$FLEET/port/$name")
 peer_port = $(cat "$FLEET/port/$name-peer")
 advertised_peer_ip = $(peer_ip "$name" "$number")
@@ -242,14 +255,14 @@
 }
 
 daemon_url() {
-    echo "http://127.0.1.$1:$(cat "$FLEET/port/$2")"
+    echo "http://$NETWORK.$1:$(cat "$FLEET/port/$2")"
 }
 
 peer_ip() {
     if [ -e "$FLEET/port/$1-relay" ]; then
         echo 127.0.0.1
     else
-        echo "127.0.1.$2"
+        echo "$NETWORK.$2"
     fi
 }
 
