Send a group's reports by position and by what changed

Cause: a report said names, incarnations and float scores of all targets each time: 47 targets are 4,053 bytes, so that eight peers at one report in two seconds take 16 KB/s for one service, and the budget of 12 KB/s delayed reports until observers expired. Change: names and all rows go out every 10 s, to new peers and when the list changes; in between only changed rows, by position, scores in thousandths, which is how they were rounded anyway. A reader that missed the whole report waits for the next one.

--- a/libraries/daemon/src/sardinepier/daemon/internal/groups.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/groups.py
@@ -86,11 +86,13 @@
         peers = self._peers(runtime, exchange)
         if not self._budget.has(exchange.report_bytes, len(peers)):
             return
-        report = group_messages.GroupReport(
+        now_s = self._clock.monotonic_s()
+        report = exchange.writer.write(
             _name(runtime),
             runtime.health.report(),
+            now_s,
         )
-        if not exchange.is_worth_sending(report, self._clock.monotonic_s()):
+        if not exchange.is_worth_sending(report, now_s):
             return
         exchange.report_bytes = len(msgspec.msgpack.encode(report))
         self._budget.spend(exchange.report_bytes, len(peers))
@@ -115,6 +117,9 @@
         self._show_group(runtime, exchange, frozenset(group))
         peers = group | exchange.recent_guests(self._clock.monotonic_s())
         peers.pop(self._owned.own, None)
+        if peers.keys() - exchange.told_peers:
+            exchange.writer.renew()
+        exchange.told_peers = frozenset(peers)
         return peers
 
     def _show_group(
@@ -143,19 +148,18 @@
         received: group_messages.GroupReport,
         runtime: service_runtime.ServiceRuntime,
     ) -> None:
-        self._learn_incarnations(runtime, received)
         exchange = self._exchange(runtime)
-        if sender.instance_id not in self._owned.group(
-            runtime.snapshot.settings
-        ):
+        observer = sender.instance_id
+        if observer not in self._owned.group(runtime.snapshot.settings):
             exchange.note_guest(sender, self._clock.monotonic_s())
-        runtime.health.heard(sender.instance_id, received.evidence)
+        report = exchange.reader(observer).read(received)
+        if report is None:
+            return
+        self._learn_incarnations(runtime, received)
+        runtime.health.heard(observer, report)
         runtime.slots.heard(
-            sender.instance_id,
-            {
-                row.target_id: row.in_flight
-                for row in received.evidence.evidence
-            },
+            observer,
+            {row.target_id: row.in_flight for row in report.evidence},
         )
 
     def _learn_incarnations(
@@ -166,10 +170,10 @@
         news = [
             self._directory.fill(
                 received.service,
-                row.target_id,
-                row.incarnation,
+                target.target_id,
+                target.incarnation,
             )
-            for row in received.evidence.evidence
+            for target in received.targets
         ]
         if any(news):
             runtime.set_incarnations(
--- a/libraries/daemon/src/sardinepier/daemon/internal/service_exchange.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/service_exchange.py
@@ -6,13 +6,13 @@
 import msgspec
 
 from sardinepier.core import ids
-from sardinepier.daemon.internal import group_messages
-from sardinepier.health import evidence
+from sardinepier.daemon.internal import group_messages, report_codec
 from sardinepier.wire import messages
 
 _QUIET_INTERVAL_S: Final = 2.0
 GUEST_S: Final = 10.0
 _MOST_GUESTS: Final = 16
+_MOST_READERS: Final = 64
 
 Peers = dict[ids.InstanceId, messages.PeerAddress]
 
@@ -32,8 +32,11 @@
         """Start without guests; nothing was told yet."""
         self.guests: dict[ids.InstanceId, _Guest] = {}
         self.shown_group: frozenset[ids.InstanceId] = frozenset()
+        self.told_peers: frozenset[ids.InstanceId] = frozenset()
         self.report_bytes = 0
-        self._last_sent: evidence.EvidenceReport | None = None
+        self.writer = report_codec.ReportWriter()
+        self._readers: dict[ids.InstanceId, report_codec.ReportReader] = {}
+        self._told: group_messages.GroupReport | None = None
         self._quiet_until_s = float('-inf')
 
     def is_worth_sending(
@@ -46,13 +49,28 @@
         A service without traffic says the same each time. Its peers only
         have to know now and then that this observer is still there.
         """
-        told = msgspec.structs.replace(report.evidence, sequence=0)
-        if told == self._last_sent and now_s < self._quiet_until_s:
+        told = msgspec.structs.replace(report, sequence=0, rows=())
+        has_news = bool(report.rows) or told != self._told
+        if not has_news and now_s < self._quiet_until_s:
             return False
-        self._last_sent = told
+        self._told = told
         self._quiet_until_s = now_s + _QUIET_INTERVAL_S
         return True
 
+    def reader(self, observer: ids.InstanceId) -> report_codec.ReportReader:
+        """Return what puts the reports of ``observer`` together.
+
+        In bounded number: the one used least lately is forgotten, and that
+        observer is understood again from its next whole report on.
+        """
+        reader = self._readers.pop(observer, None)
+        if reader is None:
+            reader = report_codec.ReportReader()
+        self._readers[observer] = reader
+        if len(self._readers) > _MOST_READERS:
+            self._readers.pop(next(iter(self._readers)))
+        return reader
+
     def note_guest(
         self,
         sender: messages.Sender,
--- a/libraries/daemon/tests/cover/test_daemon_groups.py
+++ b/libraries/daemon/tests/cover/test_daemon_groups.py
@@ -11,6 +11,7 @@
     groups,
     own_services,
     quarantine_exchange,
+    report_codec,
     service_parts,
     target_directory,
     target_notices,
@@ -232,7 +233,7 @@
     first, second = fleet.daemons
     report = evidence.EvidenceReport(1, False, (), (), ())
     sender = messages.Sender(first.own.instance_id, first.own.peer_address)
-    message = group_messages.GroupReport('no-such-service', report)
+    message = report_codec.ReportWriter().write('no-such-service', report, 0)
     second.exchange.take_report(sender, message)
     states = {one.state for one in second.health.status()}
     assert states == {targets.TargetState.IN_SERVICE}
