--- a/libraries/gateway/tests/cover/test_gateway_requests.py
+++ b/libraries/gateway/tests/cover/test_gateway_requests.py
@@ -46,6 +46,15 @@
     assert 0 < int(seen.header('sardinepier-deadline-ms')) <= 20_000
 
 
+async def test_a_long_body_arrives_whole(world):
+    target = await world.add_target()
+    await world.add_gateway(request_body_limit_bytes=10**6)
+    body = bytes(range(256)) * 3000
+    answer, _ = await world.send('PUT', '/books/books/1', data=body)
+    assert answer.status == 200
+    assert [one.body for one in target.seen] == [body]
+
+
 async def test_head_keeps_the_length_and_has_no_content(world):
     target = await world.add_target()
     target.content = b''
