--- a/libraries/workbench/src/sardinepier/workbench/detection/tables.py
+++ b/libraries/workbench/src/sardinepier/workbench/detection/tables.py
@@ -12,6 +12,7 @@
 _ACTING: Final = frozenset(('group', 'alone'))
 _SICK_NAMES: Final = frozenset(fault.name for fault in scenario.SICK_FAULTS)
 _NO_FAULT: Final = 'none'
+_NO_CASE: Final = '-'
 _CELL_WIDTH: Final = 20
 _HEADING_WIDTH: Final = 32
 _HIGH_QUANTILE: Final = 0.99
@@ -95,7 +96,7 @@
 
 def _detection(cases: Sequence[records.Record]) -> str:
     if not cases:
-        return '-'
+        return _NO_CASE
     times = sorted(_capped_s(one) for one in cases)
     middle = statistics.median(times)
     place = min(len(times) - 1, int(_HIGH_QUANTILE * len(times)))
@@ -107,10 +108,14 @@
 
 
 def _false_count(cases: Sequence[records.Record]) -> str:
+    if not cases:
+        return _NO_CASE
     return str(sum(one.false_ejections for one in cases))
 
 
 def _suffering(cases: Sequence[records.Record]) -> str:
+    if not cases:
+        return _NO_CASE
     before = statistics.fmean(
         one.failed_before + one.slowed_before for one in cases
     )
--- a/libraries/workbench/tests/cover/test_detection_driver.py
+++ b/libraries/workbench/tests/cover/test_detection_driver.py
@@ -142,6 +142,9 @@
     text = tables.render(read)
     assert 'hang at 30%' in text
     assert 'group 1/day' in text
+    assert tables.render(read[1:])
+    other = experiment.run_one(_plan('cold start'), contenders.group(0.1))
+    assert tables.render([*read, other]).count('-') > 2
 
 
 def test_an_undetected_fault_counts_as_the_horizon():
