--- a/libraries/workbench/tests/cover/test_faults_verdicts.py
+++ b/libraries/workbench/tests/cover/test_faults_verdicts.py
@@ -56,6 +56,7 @@
         (Kind.NOT_RUN, 1, {Promise.SERVES, Promise.NOT_RUN}),
         (Kind.UNKNOWN, 1, {Promise.SERVES}),
         (Kind.CUT, 1, {Promise.SERVES, Promise.NO_CUT}),
+        (Kind.NOT_CONNECTED, 0, {Promise.SERVES, Promise.ADDRESSES}),
         (Kind.WRONG_ANSWER, 1, {Promise.SERVES, Promise.OWN_ANSWER}),
         (Kind.UNMARKED, 1, {Promise.SERVES, Promise.MARKED}),
     ],
--- a/libraries/workbench/tests/cover/test_traffic.py
+++ b/libraries/workbench/tests/cover/test_traffic.py
@@ -13,6 +13,7 @@
     target_settings,
     target_standin,
 )
+from sardinepier.workbench import main
 from sardinepier.workbench.traffic import (
     command,
     generator,
@@ -22,6 +23,7 @@
     witness,
 )
 
+Kind = records.Kind
 COMPLETED = {'Sardinepier-Outcome': 'completed'}
 NOT_RUN = {'Sardinepier-Outcome': 'not-run', 'Retry-After': '0'}
 UNKNOWN = {'Sardinepier-Outcome': 'unknown'}
@@ -210,6 +212,21 @@
     assert verdict.false_not_run == ('u',)
 
 
+@pytest.mark.parametrize(
+    ('kinds', 'last'),
+    [
+        ([Kind.CUT, Kind.NOT_CONNECTED], Kind.CUT),
+        ([Kind.NOT_RUN, Kind.NOT_CONNECTED], Kind.NOT_RUN),
+        ([Kind.NOT_CONNECTED], Kind.NOT_CONNECTED),
+        ([Kind.NOT_CONNECTED, Kind.COMPLETED], Kind.COMPLETED),
+    ],
+)
+def test_the_last_attempt_that_was_sent_decides(kinds, last):
+    attempts = [records.Attempt(kind) for kind in kinds]
+    record = records.RequestRecord('u', False, 0.0, attempts)
+    assert record.kind is last
+
+
 @pytest.mark.parametrize(
     'mistake',
     [
@@ -224,6 +241,31 @@
         mistake()
 
 
+@pytest.mark.parametrize(
+    ('arguments', 'code', 'told'),
+    [
+        ([], None, 'experiment detection'),
+        (['sing'], 2, 'no subcommand'),
+        (['traffic', '--service', 's', '--daemons', 'x'], 2, 'IP:PORT'),
+        (['traffic', 's', '127.0.0.1:1', '--speed=3'], 2, 'IP:PORT'),
+        (['faults', '--case', '5j'], 2, "no fault case '5j'"),
+    ],
+)
+def test_command_line_explains_mistakes(
+    monkeypatch, capsys, arguments, code, told
+):
+    monkeypatch.setattr('sys.argv', ['sardinepier-workbench', *arguments])
+    if code is None:
+        main.main()
+    else:
+        with pytest.raises(SystemExit) as leaving:
+            main.main()
+        assert leaving.value.code == code
+    written = capsys.readouterr()
+    assert told in written.out + written.err
+    assert 'Traceback' not in written.err
+
+
 def test_latencies_keep_their_percentiles():
     latency = report.measure(float(number) for number in range(1, 101))
     assert latency.count == 100
