Take up services only once the view stands still

Cause: a starting daemon sees itself alone for about a second and took up all services of the fleet, which it then judged and probed for a minute. The capacity measurement put that at 59% of a core with 84 services of 47 targets. Ruled out: waiting for a peer's answer; a daemon may really be alone. Change: a daemon works out its services when the view and the files have been the same for a second, or after 5 s; it takes up 20 a second at most; what was taken up in vain is given up at once, and taking up does not count as use. Run: two of the three new tests failed before (the third guards the 5 s); libraries/daemon and two files of the gateway's tests, 381 passed. The processor time at a start was not measured anew yet.

--- a/libraries/daemon/src/sardinepier/daemon/internal/own_services.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/own_services.py
@@ -1,20 +1,43 @@
 """Which services this daemon judges, and with whom."""
 
+import contextlib
+import dataclasses
 from collections.abc import Callable
 from typing import Final
 
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
 from sardinepier.daemon.internal import service_exchange, target_directory
-from sardinepier.gateway import service_runtime
+from sardinepier.gateway import refusals, service_runtime
 from sardinepier.membership import groups
 from sardinepier.membership import view as views
 from sardinepier.settings import model
 
 _JOIN_INTERVAL_S: Final = 1.0
+_JOIN_LIMIT_S: Final = 5.0
+_JOINED_AT_ONCE: Final = 20
+_RETIRE_INTERVAL_S: Final = 10.0
 _RETIRE_AFTER_S: Final = 60.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class _State:
+    """What decides which services are ours."""
+
+    version: int
+    configuration: model.Configuration
+
+    def is_same(self, other: '_State | None') -> bool:
+        """Tell whether nothing has changed between the two.
+
+        Configurations are the same only if they are one object: comparing
+        hundreds of services each second would cost too much.
+        """
+        if other is None or other.version != self.version:
+            return False
+        return other.configuration is self.configuration
+
+
 class OwnServices:
     """The services whose group this daemon is in, and the guests' ones.
 
@@ -37,10 +60,13 @@
         self._configuration = configuration
         self._clock = clock
         self._names: frozenset[ids.ServiceName] = frozenset()
-        self._joined_version = -1
-        self._joined_configuration: model.Configuration | None = None
-        self._join_due_s = clock.monotonic_s()
-        self._retire_due_s = clock.monotonic_s()
+        self._joined_for: _State | None = None
+        self._seen: _State | None = None
+        self._unjoined: list[ids.ServiceName] = []
+        now_s = clock.monotonic_s()
+        self._join_due_s = now_s
+        self._join_limit_s = now_s + _JOIN_LIMIT_S
+        self._retire_due_s = now_s + _RETIRE_INTERVAL_S
 
     @property
     def own(self) -> ids.InstanceId:
@@ -53,13 +79,11 @@
         current = self._configuration()
         if current is None:
             return
-        # While a zone is lost, the view changes with every tick. Going over
-        # all services each time would take most of a core.
-        if now_s >= self._join_due_s and not self._has_joined_for(current):
+        if now_s >= self._join_due_s:
             self._join_due_s = now_s + _JOIN_INTERVAL_S
-            self._join(current)
+            self._join(current, now_s)
         if now_s >= self._retire_due_s:
-            self._retire_due_s = now_s + _RETIRE_AFTER_S / 2
+            self._retire_due_s = now_s + _RETIRE_INTERVAL_S
             self._services.retire(self._names, now_s - _RETIRE_AFTER_S)
 
     def takes_part(self, runtime: service_runtime.ServiceRuntime) -> bool:
@@ -80,19 +104,42 @@
             )
         }
 
-    def _join(self, current: model.Configuration) -> None:
-        self._joined_version = self._view.version
-        self._joined_configuration = current
+    def _join(self, current: model.Configuration, now_s: float) -> None:
+        """Work out which services are ours once the view stands still.
+
+        A daemon that starts sees itself alone at first, and would take up
+        every service of the fleet. While a zone is lost, the view changes all
+        the time, and going over all services each time would take most of a
+        core. So it waits for a view that stood still for a while, or until it
+        has waited for long.
+        """
+        state = _State(self._view.version, current)
+        is_still = state.is_same(self._seen)
+        self._seen = state
+        if state.is_same(self._joined_for):
+            self._join_limit_s = now_s + _JOIN_LIMIT_S
+        elif is_still or now_s >= self._join_limit_s:
+            self._joined_for = state
+            self._work_out(current)
+        self._hold_some()
+
+    def _work_out(self, current: model.Configuration) -> None:
         self._directory.retain(current.services)
+        before = self._names
         self._names = frozenset(
             name
             for name, settings in current.services.items()
             if self.own in self.group(settings)
         )
-        for name in self._names:
-            self._services.get(name)
+        held = {runtime.snapshot.settings.name for runtime in self._services}
+        self._unjoined = sorted(self._names - held)
+        if before - self._names:
+            # What was taken up in vain is given up at once.
+            self._retire_due_s = self._clock.monotonic_s()
 
-    def _has_joined_for(self, current: model.Configuration) -> bool:
-        if self._view.version != self._joined_version:
-            return False
-        return current is self._joined_configuration
+    def _hold_some(self) -> None:
+        """Take up a bounded number of services, as each takes some time."""
+        for name in self._unjoined[:_JOINED_AT_ONCE]:
+            with contextlib.suppress(refusals.UnknownServiceError):
+                self._services.hold(name)
+        self._unjoined = self._unjoined[_JOINED_AT_ONCE:]
--- a/libraries/daemon/tests/cover/test_daemon_groups.py
+++ b/libraries/daemon/tests/cover/test_daemon_groups.py
@@ -18,6 +18,7 @@
 )
 from sardinepier.gateway import service_runtime
 from sardinepier.health import evidence, targets
+from sardinepier.membership import groups as membership_groups
 from sardinepier.membership import members
 from sardinepier.once import quarantine
 from sardinepier.platform import interface, shares
@@ -54,17 +55,21 @@
     def __init__(self, own, everyone):
         self.own = own
         self.version = 1
-        self._everyone = tuple(everyone)
+        self.everyone = tuple(everyone)
+
+    def change(self, everyone):
+        self.everyone = everyone
+        self.version += 1
 
     def members(self):
-        return self._everyone
+        return self.everyone
 
     def serving(self):
-        return self._everyone
+        return self.everyone
 
     def find(self, instance_id):
         return next(
-            (one for one in self._everyone if one.instance_id == instance_id),
+            (one for one in self.everyone if one.instance_id == instance_id),
             None,
         )
 
@@ -99,6 +104,7 @@
         self.services.update(configuration)
         self.configuration = configuration
         view = _View(own, everyone)
+        self.view = view
         directory = target_directory.TargetDirectory()
         self.quarantine = quarantine.Quarantine(clock)
         owned = own_services.OwnServices(
@@ -340,3 +346,46 @@
         reserved.append(target)
         target = runtime.slots.reserve(runtime.chooser)
     return reserved
+
+
+def test_a_daemon_that_sees_itself_alone_at_first_takes_up_little():
+    fleet = _Fleet(daemons=3, per_zone=2)
+    newcomer = next(
+        one for one in fleet.daemons if not _is_in_group(fleet, one)
+    )
+    whole = newcomer.view.everyone
+    newcomer.view.change((newcomer.own,))
+    fleet.run(5)
+    assert not tuple(newcomer.services)
+    newcomer.view.change(whole)
+    fleet.run(200)
+    assert not tuple(newcomer.services)
+
+
+def test_a_view_that_never_stands_still_is_used_all_the_same():
+    fleet = _Fleet(daemons=2, per_zone=2)
+    for _ in range(70):
+        fleet.run(1)
+        for daemon in fleet.daemons:
+            daemon.view.version += 1
+    assert all(tuple(daemon.services) for daemon in fleet.daemons)
+
+
+def test_a_service_taken_up_in_vain_is_given_up_soon():
+    fleet = _Fleet(daemons=3, per_zone=2)
+    newcomer = next(
+        one for one in fleet.daemons if not _is_in_group(fleet, one)
+    )
+    whole = newcomer.view.everyone
+    newcomer.view.change((newcomer.own,))
+    fleet.run(30)
+    assert tuple(newcomer.services)
+    newcomer.view.change(whole)
+    fleet.run(30)
+    assert not tuple(newcomer.services)
+
+
+def _is_in_group(fleet, daemon):
+    service = daemon.configuration.services['deposits']
+    group = membership_groups.service_group(daemon.view, service.name, 2)
+    return daemon.own in group
--- a/libraries/gateway/src/sardinepier/gateway/service_runtime.py
+++ b/libraries/gateway/src/sardinepier/gateway/service_runtime.py
@@ -72,7 +72,7 @@
         self._attempts = 0
         self._group_size = 1
         self._weights: dict[ids.TargetId, float] = {}
-        self.last_used_s = parts.clock.monotonic_s()
+        self.last_used_s = float('-inf')
         self._hedges: dict[ids.RouteName, hedging.HedgeDelay] = {}
         self.health = parts.make_health(settings)
         self.slots = in_flight.TargetSlots(
@@ -267,10 +267,21 @@
                 runtime.update(settings)
 
     def get(self, name: ids.ServiceName) -> ServiceRuntime:
-        """Return the runtime of a service; raise ``UnknownServiceError``."""
+        """Return the runtime of a service for a request.
+
+        Raises ``UnknownServiceError``.
+        """
+        runtime = self.hold(name)
+        runtime.last_used_s = self._parts.clock.monotonic_s()
+        return runtime
+
+    def hold(self, name: ids.ServiceName) -> ServiceRuntime:
+        """Return the runtime of a service without counting it as used.
+
+        Raises ``UnknownServiceError``.
+        """
         runtime = self._by_name.get(name)
         if runtime is not None:
-            runtime.last_used_s = self._parts.clock.monotonic_s()
             return runtime
         settings = self._settings.get(name)
         if settings is None:
