health: learning a target's incarnation is no restart of it

Cause: a daemon that starts knows no incarnations. When the instance list or a peer named them a second later, every target began cold: 20 s in which nothing counts against it. Change: a first name keeps the target's state. One that said it is leaving under no name begins anew, as another start may have taken its place.

--- a/libraries/health/src/sardinepier/health/internal/roster.py
+++ b/libraries/health/src/sardinepier/health/internal/roster.py
@@ -42,17 +42,15 @@
         """Take the new list; a new incarnation starts cold.
 
         Targets of the very first list are not cold: it is this daemon that
-        is new, not they.
+        is new, not they. Nor is one whose incarnation was unknown until now,
+        unless it said that it is leaving: then another start may have taken
+        its place since.
         """
         before = self._tracked
         self._tracked = {}
         for identity in identities:
             known = before.get(identity.target_id)
-            same = (
-                known is not None
-                and known.identity.incarnation == identity.incarnation
-            )
-            if known is not None and same:
+            if known is not None and self._is_same(known, identity):
                 known.identity = identity
                 self._tracked[identity.target_id] = known
             else:
@@ -78,6 +76,16 @@
         newest = list(self._leaving)[-_MARKS_TOLD:]
         return tuple(dict.fromkeys([*listed, *newest]))
 
+    def _is_same(
+        self,
+        known: tracked.Tracked,
+        identity: targets.TargetIdentity,
+    ) -> bool:
+        before = known.identity.incarnation
+        if before == identity.incarnation:
+            return True
+        return not before and not self.is_leaving(known)
+
     def _new(
         self,
         identity: targets.TargetIdentity,
