Start ended processes again, and witness that they were

Cause: since a case ends at its first error, the loop that starts ended processes again ended at their failure too. In the poison case 206 of 480 requests were refused, as no crashed target came back; and the case of a replaced daemon passed without a new daemon, which no check had noticed. The daemon was ruled out by the logs: no target had a second start.

Change: the loop takes the status of an ended process as a fact, and a case names the processes that must have started anew.

The poison case still breaks its promise: one ran 6 times.

--- a/libraries/workbench/src/sardinepier/workbench/faults/cases.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/cases.py
@@ -40,7 +40,8 @@
     ``cut_allowed`` says whether callers may lose connections: not when
     something leaves gracefully. ``completed_percent`` of the requests must
     complete at least, so that a fleet which serves nobody does not pass.
-    ``relays`` names the listeners of the relay that the case cuts. With
+    ``relays`` names the listeners of the relay that the case cuts, and
+    ``restarts`` the processes that must have started anew by the end. With
     ``poison``, requests that hold this text are sent as well. ``check``
     finds promises broken beyond those that every case looks at.
     """
@@ -55,5 +56,6 @@
     completed_percent: float = 50.0
     keyed_route: options.RouteChoice = DEPOSIT
     relays: tuple[str, ...] = ()
+    restarts: tuple[str, ...] = ()
     poison: str = ''
     check: Check = no_check
--- a/libraries/workbench/src/sardinepier/workbench/faults/driver.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/driver.py
@@ -32,6 +32,8 @@
 
     async def play(self) -> verdicts.CaseRow:
         """Run the case and return its row."""
+        processes = self._fleet.processes
+        first_pids = {name: processes.pid(name) for name in self._case.restarts}
         watching = asyncio.create_task(self._watch())
         self._seen.started_at_s = self._clock.monotonic_s()
         async with asyncio.TaskGroup() as tasks:
@@ -45,7 +47,12 @@
             await watching
         if self._case.relays:
             self._seen.cut_connections = await self._fleet.count_cuts()
-        files = self._fleet.processes.execution_files()
+        self._seen.not_restarted = tuple(
+            name
+            for name, first_pid in first_pids.items()
+            if processes.pid(name) in {None, first_pid}
+        )
+        files = processes.execution_files()
         self._seen.executions = witness.read_files(files)
         return verdicts.judge(self._case, self._seen)
 
--- a/libraries/workbench/src/sardinepier/workbench/faults/observations.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/observations.py
@@ -21,6 +21,7 @@
     after another, and ``loads``, for each target, how much it had run at
     several moments.
     ``cut_connections`` says on how many connections the relay lost bytes.
+    ``not_restarted`` names processes that should have started anew.
     Moments are readings of the local monotonic clock.
     """
 
@@ -36,6 +37,7 @@
         default_factory=lambda: witness.Executions({}, {}),
     )
     cut_connections: int = 0
+    not_restarted: tuple[str, ...] = ()
     revisions: dict[str, list[int]] = dataclasses.field(default_factory=dict)
     loads: dict[str, list[LoadSample]] = dataclasses.field(
         default_factory=dict,
--- a/libraries/workbench/src/sardinepier/workbench/faults/processes.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/processes.py
@@ -58,19 +58,25 @@
         directory = self.directory / 'executions'
         return tuple(directory / name for name in self.targets)
 
+    def pid(self, name: str) -> int | None:
+        """Return the process id, or None while the process does not run."""
+        try:
+            return int((self.directory / 'pid' / name).read_text())
+        except FileNotFoundError:
+            return None
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one process.
 
         Raises ``ProcessMissingError`` when it does not run.
         """
-        try:
-            pid = int((self.directory / 'pid' / name).read_text())
-            os.kill(pid, number)
-        except (FileNotFoundError, ProcessLookupError) as error:
+        pid = self.pid(name)
+        if pid is None:
             raise ProcessMissingError(
                 f'The process {name} does not run',
                 f'Look into log/{name} in the directory of the fleet',
-            ) from error
+            )
+        os.kill(pid, number)
 
     def hold(self, name: str) -> None:
         """Keep the script from starting the process again."""
--- a/libraries/workbench/src/sardinepier/workbench/faults/table.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/table.py
@@ -83,6 +83,7 @@
     cases.FaultCase(
         'home replaced under its address',
         actions.Signal(_HOME, signal.SIGKILL),
+        restarts=(_HOME,),
     ),
     cases.FaultCase(
         'home stopped past the deadline',
@@ -126,6 +127,7 @@
         'target killed',
         actions.End(_TARGET, signal.SIGKILL),
         actions.Release(_TARGET),
+        restarts=(_TARGET,),
     ),
     cases.FaultCase(
         'target stopped and continued',
@@ -189,6 +191,7 @@
         ),
         actions.SetPlatform('up'),
         _STOPPED,
+        restarts=(_PEER,),
         check=checks.converges,
     ),
     cases.FaultCase(
--- a/libraries/workbench/src/sardinepier/workbench/faults/verdicts.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/verdicts.py
@@ -105,6 +105,11 @@
             promises.Promise.WITNESS,
             'no connection has lost a byte',
         )
+    for name in seen.not_restarted:
+        yield promises.BrokenPromise(
+            promises.Promise.WITNESS,
+            f'{name} has not started anew',
+        )
 
 
 def _broken_service(
--- a/libraries/workbench/tests/cover/test_faults_verdicts.py
+++ b/libraries/workbench/tests/cover/test_faults_verdicts.py
@@ -73,6 +73,10 @@
     assert judge(observed, relays=('t1',)) == broken
 
 
+def test_a_process_that_stayed_down_proves_nothing():
+    assert judge(seen(not_restarted=('d1',))) == {Promise.WITNESS}
+
+
 def test_a_cut_is_allowed_where_something_is_killed():
     assert judge(seen(Kind.CUT)) == {Promise.SERVES}
 
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -78,7 +78,7 @@
 supervise() {
     trap - EXIT
     trap '' INT TERM
-    local name="$1"
+    local name="$1" status
     shift
     while [ -e "$FLEET/running" ]; do
         if [ -e "$FLEET/hold/$name" ]; then
@@ -88,8 +88,10 @@
         "$@" 2>>"$FLEET/log/$name" >>"$FLEET/log/$name" &
         echo "$!" >"$FLEET/pid/.$name"
         mv "$FLEET/pid/.$name" "$FLEET/pid/$name"
-        wait "$!" 2>/dev/null
-        echo "# ended with status $?" >>"$FLEET/log/$name"
+        status=0
+        # Its failure must not end this loop, which is to start it again.
+        wait "$!" 2>/dev/null || status=$?
+        echo "# ended with status $status" >>"$FLEET/log/$name"
         rm -f "$FLEET/pid/$name"
         # Without this a process that cannot start would be tried in a spin.
         sleep 0.2
