Judge a service without requests at 2 Hz instead of 10 Hz

Cause: a judgement costs about 17 us a target whether or not anything came in (capacity trial), so that quiet services cost as much as busy ones. Ruled out, tried and reverted: judging a service at once only when a target shows a bad sign, and every 0.5 s otherwise, inside the health library. It stays the mechanism to build for the target size, see docs/CAPACITY.md. Change: the request path judges a service every tick while it has requests in flight, waiting or since the last judgement, otherwise every fifth tick.

--- a/libraries/gateway/src/sardinepier/gateway/service_runtime.py
+++ b/libraries/gateway/src/sardinepier/gateway/service_runtime.py
@@ -19,6 +19,7 @@
 )
 from sardinepier.settings import model
 
+_QUIET_TICKS: Final = 5
 _CALLERS_REMEMBERED: Final = 8192
 _SLOT_OPTIONS: Final = in_flight.SlotOptions()
 _NO_INCARNATION: Final = ids.TargetIncarnation('')
@@ -70,6 +71,8 @@
         self._parts = parts
         self._incarnations: dict[ids.TargetId, ids.TargetIncarnation] = {}
         self._attempts = 0
+        self._judged_attempts = 0
+        self._quiet_ticks = 0
         self._group_size = 1
         self._weights: dict[ids.TargetId, float] = {}
         self.last_used_s = float('-inf')
@@ -120,7 +123,18 @@
             self._apply_targets()
 
     def tick(self) -> None:
-        """Judge the targets anew and hand out what came free."""
+        """Judge the targets anew and hand out what came free.
+
+        A service without requests is judged at every fifth call only: each
+        judgement looks at all targets, and there is next to nothing new.
+        """
+        self._quiet_ticks += 1
+        is_busy = self._attempts != self._judged_attempts or len(self.queue)
+        if not is_busy and not self.slots.report():
+            if self._quiet_ticks < _QUIET_TICKS:
+                return
+        self._quiet_ticks = 0
+        self._judged_attempts = self._attempts
         self.health.tick()
         self.refresh()
 
