--- a/libraries/health/src/sardinepier/health/internal/reporting.py
+++ b/libraries/health/src/sardinepier/health/internal/reporting.py
@@ -106,6 +106,8 @@
     What its first report says was partly seen before suspicion arose, so
     counting starts with the second.
     """
+    if good:
+        one.suspicion.good_heard.append((now_s, good))
     if one.suspicion.voting_since_s is None:
         return
     votes = one.suspicion.votes.setdefault(observer, tracked.Votes())
@@ -113,8 +115,6 @@
     if votes.reports > 1:
         votes.attempts += attempts
         votes.bad += attempts - good
-        if good:
-            one.suspicion.good_heard.append((now_s, good))
 
 
 def status(
--- a/libraries/health/tests/cover/test_health_reports.py
+++ b/libraries/health/tests/cover/test_health_reports.py
@@ -1,12 +1,18 @@
 """Reports merge by maximum: order, repeats and loss leave the same facts."""
 
 import msgspec
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from sardinepier.core import clock
 from sardinepier.health import evidence, options, pooling, targets
-from sardinepier.health.internal import judgement, tracked
+from sardinepier.health.internal import (
+    judgement,
+    reporting,
+    tracked,
+    voting,
+)
 
 _NAMES = ('t0', 't1', 't2')
 
@@ -189,3 +195,24 @@
     assert not judgement.doubts_itself([seen(1), seen(0), seen(0)])
     assert not judgement.doubts_itself([seen(1), seen(1)])
     assert not judgement.doubts_itself([seen(1), seen(1, 0), seen(0)])
+
+
+@pytest.mark.parametrize(
+    ('good', 'elapsed_s', 'expected'),
+    [
+        (3, 0.1, tracked.Vote.CUT_LINK),
+        (3, 2.0, tracked.Vote.SICK),
+        (0, 0.1, tracked.Vote.SICK),
+    ],
+)
+def test_answers_heard_just_before_suspicion_veto_a_hang(
+    good, elapsed_s, expected
+):
+    one = tracked.Tracked(targets.TargetIdentity('t', 'a', 3))
+    reporting.vote(one, 'x~0', good, good, now_s=10.0)
+    observers = [f'o{place}~0' for place in range(5)]
+    peers = dict.fromkeys(observers)
+    now_s = 10 + elapsed_s
+    one.suspicion.voting_since_s = now_s
+    verdict = voting.vote(one, peers, set(observers[:4]), now_s)
+    assert verdict is expected
