--- a/libraries/workbench/src/sardinepier/workbench/capacity/fits.py
+++ b/libraries/workbench/src/sardinepier/workbench/capacity/fits.py
@@ -26,7 +26,8 @@
     ('pages', 'addresses chosen'),
 )
 _SIZES: Final = (
-    (_HEALTH, 'report'),
+    (_HEALTH, 'whole report'),
+    (_HEALTH, 'report with news of all'),
     (_HEALTH, 'state with 27 observers'),
     (_CONFIGURATION, 'store'),
     (_CONFIGURATION, 'instance list'),
--- a/libraries/workbench/src/sardinepier/workbench/capacity/parts_configuration.py
+++ b/libraries/workbench/src/sardinepier/workbench/capacity/parts_configuration.py
@@ -15,6 +15,7 @@
 _SERVICE_COUNTS: Final = (3, 34, 113, 340)
 _ROUTE_COUNTS: Final = (30, 1000, 10_000)
 _LISTS: Final = ((36, 48), (1600, 150), (16_000, 1500))
+_PARTS_A_WATCHER: Final = 2
 _PEER_PORT: Final = 7000
 _FLEET: Final = ids.FileName('fleet')
 _PATH: Final = '/things7/42/a'
@@ -78,6 +79,7 @@
             targets,
             functools.partial(decoder.decode, body),
         )
+    _measure_shares(part)
     for route_count in _ROUTE_COUNTS:
         table = routes.RouteTable(texts.routes(route_count))
         match = functools.partial(table.match, 'GET', _PATH)
@@ -107,6 +109,17 @@
         )
 
 
+def _measure_shares(part: parts.Part) -> None:
+    """Measure what one watcher reads: two parts of as many as watchers."""
+    size = sizes.TARGET
+    watchers = size.zones * sizes.WATCHERS_PER_ZONE
+    targets = size.workers * _PARTS_A_WATCHER // watchers
+    share = msgspec.json.encode(instance_list(targets, 0))
+    part.amount('share of the instance list', targets, len(share), 'bytes')
+    daemons = msgspec.json.encode(instance_list(0, size.daemons))
+    part.amount('list of daemons', size.daemons, len(daemons), 'bytes')
+
+
 def _measure_store(part: parts.Part, count: int) -> None:
     store = part.held('store', count, functools.partial(full_store, count))
     part.cost('change taken', count, _Changes(store, count).offer)
--- a/libraries/workbench/src/sardinepier/workbench/capacity/parts_health.py
+++ b/libraries/workbench/src/sardinepier/workbench/capacity/parts_health.py
@@ -7,8 +7,9 @@
 import msgspec
 
 from sardinepier.core import clock, ids
+from sardinepier.daemon.internal import group_messages, report_codec
 from sardinepier.health import evidence, options, service_health, targets
-from sardinepier.workbench.capacity import parts
+from sardinepier.workbench.capacity import parts, units
 
 _TARGETS: Final = (6, 16, 47, 94)
 _OBSERVERS: Final = (9, 18, 27)
@@ -22,6 +23,7 @@
 _LATENCY_MS: Final = 12.0
 _WARM_UP_TICKS: Final = 300
 _ROUTE: Final = ids.RouteName('search')
+_NAME: Final = ids.ServiceName('service-123')
 
 
 class Service:
@@ -31,7 +33,7 @@
         """Make targets that have been in service for a while."""
         self.clock = clock.ManualClock(start_s=_START_S)
         self.health = service_health.ServiceHealth(
-            ids.ServiceName('service-123'),
+            _NAME,
             ids.InstanceId('entry-0001~00c0ffee00c0ffee'),
             options.HealthOptions(),
             self.clock,
@@ -79,11 +81,15 @@
         for observer in self._observers:
             self.health.heard(observer, report)
 
+    def work_everywhere(self) -> None:
+        """Finish a good attempt at each target, and judge."""
+        for name in self.names:
+            self._attempt_at(name)
+        self.tick()
+
     def _warm_up(self) -> None:
         for _ in range(_WARM_UP_TICKS):
-            for name in self.names:
-                self._attempt_at(name)
-            self.tick()
+            self.work_everywhere()
 
     def _attempt_at(self, name: ids.TargetId) -> None:
         self._attempt += 1
@@ -121,22 +127,34 @@
     part.cost('due_probes', count, health.due_probes)
     part.cost('report made', count, health.report)
     part.cost('reports of 8 peers heard', count, service.hear_all)
-    report = health.report()
-    encoded = msgspec.msgpack.encode(report)
-    decoder = msgspec.msgpack.Decoder(evidence.EvidenceReport)
-    part.amount('report', count, len(encoded), 'bytes')
-    part.cost(
-        'report encoded',
+    _measure_reports(part, service, count)
+    part.held(
+        'state with 27 observers',
         count,
-        functools.partial(msgspec.msgpack.encode, report),
+        functools.partial(Service, count, _MOST_OBSERVERS),
     )
+
+
+def _measure_reports(part: parts.Part, service: Service, count: int) -> None:
+    """Measure a whole report, one with news of all targets, one without."""
+    writer = report_codec.ReportWriter()
+    now_s = service.clock.monotonic_s()
+    for name, prepare in (
+        ('whole report', _do_nothing),
+        ('report without news', _do_nothing),
+        ('report with news of all', service.work_everywhere),
+    ):
+        prepare()
+        message = writer.write(_NAME, service.health.report(), now_s)
+        encoded = msgspec.msgpack.encode(message)
+        part.amount(name, count, len(encoded), units.BYTES)
+    decoder = msgspec.msgpack.Decoder(group_messages.GroupReport)
     part.cost(
-        'report decoded',
+        'report with news of all decoded',
         count,
         functools.partial(decoder.decode, encoded),
     )
-    part.held(
-        'state with 27 observers',
-        count,
-        functools.partial(Service, count, _MOST_OBSERVERS),
-    )
+
+
+def _do_nothing() -> None:
+    """Leave the service as it is."""
--- a/libraries/workbench/src/sardinepier/workbench/capacity/parts_tables.py
+++ b/libraries/workbench/src/sardinepier/workbench/capacity/parts_tables.py
@@ -28,6 +28,8 @@
 _KEY_CALLERS: Final = 997
 _KEPT_ANSWER_BYTES: Final = 65_536
 _STATUS: Final = 200
+# More than the default, for the rounds of a measurement add keys as well.
+_ROOM_BYTES: Final = 1_000_000_000
 _BODY: Final = b'{"handle": "10915/123456", "state": "registered"}'
 
 
@@ -45,7 +47,7 @@
                 epoch_s=fleet.ticket_epoch_s,
                 valid_epochs=fleet.ticket_valid_epochs,
                 capacity=fleet.record_capacity,
-                capacity_bytes=fleet.record_capacity_bytes,
+                capacity_bytes=_ROOM_BYTES,
                 answer_limit_bytes=_KEPT_ANSWER_BYTES,
             ),
         )
@@ -121,12 +123,13 @@
     """Measure the tables that grow with keys, callers and events."""
     part = parts.Part('tables')
     for key_count in _KEYS[: 2 if quick else None]:
-        home = part.held(
+        part.held(
             'keys held',
             key_count,
             functools.partial(Home, key_count),
         )
-        part.cost('key granted and answered', key_count, home.grant)
+    # The rounds of this add keys too, so it starts with a few.
+    part.cost('key granted and answered', _KEYS[0], Home(_KEYS[0]).grant)
     for caller_count in _CALLERS[: 2 if quick else None]:
         callers = part.held(
             'callers remembered',
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -26,9 +26,12 @@
     await_file "$FLEET/port/targets"
     rm "$FLEET/port/targets"
     write_fleet_file ''
-    for number in $(seq 1 "$services"); do
-        write_service_file "service-$number" 3 'queue_length = 64' \
-            $(seq -f 't%03g' 1 "$targets")
+    write_service_file service-1 3 'queue_length = 64' \
+        $(seq -f 't%03g' 1 "$targets")
+    for number in $(seq 2 "$services"); do
+        sed "s/^name = service-1\$/name = service-$number/" \
+            "$FLEET/platform/services/service-1.ini" \
+            >"$FLEET/platform/services/service-$number.ini"
     done
     start_platform
     start_many "$count"
@@ -45,7 +48,7 @@
     for number in 1 2 3; do
         name="${names[$((number - 1))]}"
         seeds+="
-    127.0.1.$number:$(cat "$FLEET/port/$name-peer")"
+    $NETWORK.$number:$(cat "$FLEET/port/$name-peer")"
     done
     number=0
     for name in "${names[@]}"; do
@@ -55,7 +58,7 @@
 daemon_id = $name
 zone = ${ZONES[$(((number - 1) % ${#ZONES[@]}))]}
 region = metro
-address_ip = 127.0.1.$number
+address_ip = $NETWORK.$number
 http_port = $(cat "$FLEET/port/$name")
 peer_port = $(cat "$FLEET/port/$name-peer")
 platform_urls = http://127.0.0.1:$(cat "$FLEET/port/platform")
@@ -68,7 +71,7 @@
     for number in $(seq 1 "$1"); do
         name="${names[$((number - 1))]}"
         "$BIN/python" scripts/http_helper.py await \
-            "$(daemon_url "$number" "$name")/v1/status" service/ 30
+            "$(daemon_url "$number" "$name")/v1/status" service/ 30 || exit 1
     done
 }
 
@@ -103,7 +106,7 @@
         local number daemons=''
         begin_fleet "$2" "$3" "$4" "$5"
         for number in $(seq 1 "$2"); do
-            daemons+="127.0.1.$number:$(cat "$FLEET/port/$(printf 'd%03d' "$number")"),"
+            daemons+="$NETWORK.$number:$(cat "$FLEET/port/$(printf 'd%03d' "$number")"),"
         done
         "$BIN/sardinepier-workbench" traffic "--daemons=${daemons%,}" \
             --service=service-1 "--rate_per_s=$6" \
@@ -131,6 +134,11 @@
     idle daemons 100 3 1 6 changes start
 }
 
+# A daemon in the groups of all services: what one is that sees itself alone.
+crowded() {
+    SETTLE_S=25 idle crowded 3 3 340 47
+}
+
 # Both deployments as they are today: three services on 48 daemons.
 today() {
     idle today 48 3 3 14
@@ -138,7 +146,7 @@
 }
 
 everything() {
-    rm -rf "$OUTPUT"
+    rm -f "$OUTPUT"/*.jsonl
     slopes
     fleets
     today
