membership: put other options in force while running

Cause: the fleet file's heartbeat interval, monitored peers and suspicion timeout were read but never reached Membership, which took its options once.

Change: Membership.configure(options). All parts read the options in force. Bounds on acks, relays, news and entries count by the clock, as a daemon with a slow tick would leave the probes of quicker ones unanswered. updates_per_tick and sync_entries_per_tick are now updates_per_s and sync_entries_per_s. dead_keep_s, max_dead and max_contacts stay until restart.

--- a/libraries/membership/src/sardinepier/membership/internal/heartbeat.py
+++ b/libraries/membership/src/sardinepier/membership/internal/heartbeat.py
@@ -5,14 +5,14 @@
 from typing import Final
 
 from sardinepier.core import clock, ids
-from sardinepier.membership import kinds, marks, options
+from sardinepier.membership import kinds, marks
 from sardinepier.membership.internal import (
     doubt,
     evidence,
     indirect,
     knowledge,
+    pace,
     pending,
-    record,
     rings,
     watches,
 )
@@ -22,7 +22,6 @@
 _MAX_PENDING: Final = 512
 _PENDING_INTERVALS: Final = 8
 _ASKS_PER_INTERVAL: Final = 4
-_SPREAD: Final = (0.5, 1.5)
 _CONTACTS_WHEN_ALONE: Final = 3
 _UNNAMED: Final = ids.InstanceId('')
 
@@ -36,7 +35,6 @@
         peer_network: network.PeerNetwork,
         time_source: clock.Clock,
         random_source: random.Random,
-        bounds: options.MembershipOptions,
         mark_source: Callable[[], marks.ConfigurationMark],
     ) -> None:
         """Send over ``peer_network``; the owner subscribes the handlers."""
@@ -44,19 +42,20 @@
         self._network = peer_network
         self._clock = time_source
         self._random = random_source
-        self._bounds = bounds
+        self._bounds = known.bounds
         self._mark_source = mark_source
         self._doubt = doubt.SelfDoubt()
         self._watches = watches.Watches(_CHECKS_PER_TICK)
-        self._pending = pending.PendingProbes(
-            _PENDING_INTERVALS * bounds.heartbeat_interval_s,
-            _MAX_PENDING,
-        )
+        self._pending = pending.PendingProbes(_MAX_PENDING)
         self._doubted: dict[ids.InstanceId, kinds.MemberUpdate] = {}
         self.evidence = evidence.Evidence()
         self._choice = rings.Choice(known.table)
-        self._next_contact_s = time_source.monotonic_s()
-        self._next_ask_s = self._next_contact_s
+        self._contact_pace = pace.Pace(
+            lambda: self._bounds.current.lost_retry_s,
+            time_source,
+            random_source,
+        )
+        self._next_ask_s = time_source.monotonic_s()
 
     def wake(self) -> None:
         """Start anew after a pause: whatever was missed says nothing."""
@@ -66,7 +65,6 @@
 
     def tick(self) -> None:
         """Weigh the last interval's answers and send the next probes."""
-        self._known.news.budget.renew()
         self._pending.expire(self._clock.monotonic_s())
         self._weigh()
         self._known.expire()
@@ -82,14 +80,13 @@
         times an interval nothing is sent.
         """
         now_s = self._clock.monotonic_s()
-        if now_s < self._next_ask_s:
+        interval_s = self._bounds.current.heartbeat_interval_s
+        next_s = now_s + interval_s / _ASKS_PER_INTERVAL
+        if now_s < min(self._next_ask_s, next_s):
             return
-        interval_s = self._bounds.heartbeat_interval_s
-        self._next_ask_s = now_s + interval_s / _ASKS_PER_INTERVAL
+        self._next_ask_s = next_s
         for instance_id in self._watches.names():
-            held = self._known.table.get(instance_id)
-            if held is not None and not held.is_dead:
-                self._probe(held)
+            self._probe(instance_id)
 
     def check(self, claim: kinds.MemberUpdate) -> None:
         """Probe a member that another daemon holds for dead.
@@ -107,14 +104,15 @@
 
     def on_probe(self, sender: messages.Sender, probe: kinds.Probe) -> None:
         """Answer, with what the prober should know first."""
-        if not self._known.news.budget.take_ack():
+        meant = probe.target == self._known.table.own.instance_id
+        if not self._known.news.budget.take_ack(to_monitor=meant):
             return
         first = self._known.news.claims_about(sender.instance_id)
         stranger = self._known.table.get(sender.instance_id) is None
         if stranger:
             # A way in, should the seeds be busy with the whole fleet.
             self._known.contacts.remember(sender.address)
-        if probe.target != self._known.table.own.instance_id:
+        if not meant:
             first = (*self._known.news.own_update(), *first)
         self._network.send(
             sender.address,
@@ -207,7 +205,7 @@
         chosen = indirect.choose(
             self._known.table,
             instance_id,
-            self._bounds.indirect_peers,
+            self._bounds.current.indirect_peers,
             self._random,
         )
         for helper in chosen:
@@ -215,14 +213,17 @@
 
     def _probe_watched(self) -> None:
         for instance_id in self._watches.due():
-            held = self._known.table.get(instance_id)
-            if held is None or held.is_dead:
+            sequence = self._probe(instance_id)
+            if sequence is None:
                 self._watches.drop(instance_id)
                 self._doubted.pop(instance_id, None)
             else:
-                self._watches.sent(instance_id, self._probe(held))
+                self._watches.sent(instance_id, sequence)
 
-    def _probe(self, held: record.Record) -> int:
+    def _probe(self, instance_id: ids.InstanceId) -> int | None:
+        held = self._known.table.get(instance_id)
+        if held is None or held.is_dead:
+            return None
         claim = self._doubted.get(held.instance_id)
         first = (claim,) if claim else ()
         return self._send_probe(
@@ -232,13 +233,10 @@
         )
 
     def _probe_contacts(self) -> None:
-        now_s = self._clock.monotonic_s()
         alone = self._known.table.live_count == 1
-        if not alone and now_s < self._next_contact_s:
+        if not alone and not self._contact_pace.is_due():
             return
-        retry_s = self._bounds.lost_retry_s
-        spread = self._random.uniform(*_SPREAD)
-        self._next_contact_s = now_s + retry_s * spread
+        self._contact_pace.renew()
         count = _CONTACTS_WHEN_ALONE if alone else 1
         chosen = self._known.contacts.choose(count, self._known.table.live_at)
         for address in chosen:
@@ -252,11 +250,16 @@
         first: tuple[kinds.MemberUpdate, ...],
         requester: pending.Requester | None = None,
     ) -> int:
+        now_s = self._clock.monotonic_s()
+        interval_s = self._bounds.current.heartbeat_interval_s
         sequence = self._pending.open(
-            target,
-            address,
-            self._clock.monotonic_s(),
-            requester,
+            pending.PendingProbe(
+                target,
+                address,
+                sent_at_s=now_s,
+                deadline_s=now_s + _PENDING_INTERVALS * interval_s,
+                requester=requester,
+            ),
         )
         self._network.send(
             address,
--- a/libraries/membership/src/sardinepier/membership/internal/news.py
+++ b/libraries/membership/src/sardinepier/membership/internal/news.py
@@ -3,8 +3,14 @@
 from collections.abc import Iterable
 
 from sardinepier.core import clock, ids
-from sardinepier.membership import kinds, options
-from sardinepier.membership.internal import budget, record, rumors, table
+from sardinepier.membership import kinds
+from sardinepier.membership.internal import (
+    budget,
+    in_force,
+    record,
+    rumors,
+    table,
+)
 from sardinepier.wire import messages
 
 
@@ -14,21 +20,20 @@
     def __init__(
         self,
         records: table.Table,
-        bounds: options.MembershipOptions,
+        bounds: in_force.InForce,
         time_source: clock.Clock,
     ) -> None:
         """Start with this daemon itself as the only news."""
         self._table = records
         self._clock = time_source
-        self._per_message = bounds.updates_per_message
-        self.budget = budget.TickBudget(bounds.updates_per_tick)
-        # Heartbeats go to the monitored peers, acks to those that monitor.
-        self.rumors = rumors.Rumors(2 * bounds.monitored_peers)
+        self._bounds = bounds
+        self.budget = budget.Budget(bounds, time_source)
+        self.rumors = rumors.Rumors(bounds)
         self.introduce()
 
     def take(self) -> tuple[kinds.MemberUpdate, ...]:
         """Return updates for one message, and count them as sent."""
-        wanted = min(self._per_message, len(self.rumors))
+        wanted = min(self._bounds.current.updates_per_message, len(self.rumors))
         if not wanted:
             return ()
         allowed = self.budget.take_updates(wanted)
--- a/libraries/membership/src/sardinepier/membership/internal/pending.py
+++ b/libraries/membership/src/sardinepier/membership/internal/pending.py
@@ -29,31 +29,18 @@
 class PendingProbes:
     """All probes under way; the oldest comes first."""
 
-    def __init__(self, keep_s: float, max_pending: int) -> None:
-        """Await an ack for ``keep_s``, and at most ``max_pending`` of them."""
-        self._keep_s = keep_s
+    def __init__(self, max_pending: int) -> None:
+        """Await at most ``max_pending`` acks."""
         self._max_pending = max_pending
         self._probes: dict[int, PendingProbe] = {}
         self._sequence = itertools.count(1)
 
-    def open(
-        self,
-        target: ids.InstanceId,
-        address: messages.PeerAddress,
-        now_s: float,
-        requester: Requester | None = None,
-    ) -> int:
+    def open(self, probe: PendingProbe) -> int:
         """Return the sequence number of a new probe."""
         if len(self._probes) >= self._max_pending:
             self._probes.pop(next(iter(self._probes)))
         sequence = next(self._sequence)
-        self._probes[sequence] = PendingProbe(
-            target,
-            address,
-            now_s,
-            now_s + self._keep_s,
-            requester,
-        )
+        self._probes[sequence] = probe
         return sequence
 
     def find(self, sequence: int) -> PendingProbe | None:
@@ -66,10 +53,10 @@
 
     def expire(self, now_s: float) -> None:
         """Forget the probes whose deadline has passed."""
+        # A changed interval leaves later deadlines before earlier ones.
         for sequence, probe in tuple(self._probes.items()):
-            if probe.deadline_s > now_s:
-                return
-            self._probes.pop(sequence)
+            if probe.deadline_s <= now_s:
+                self._probes.pop(sequence)
 
     def clear(self) -> None:
         """Forget all probes."""
--- a/libraries/membership/src/sardinepier/membership/internal/rings.py
+++ b/libraries/membership/src/sardinepier/membership/internal/rings.py
@@ -46,20 +46,21 @@
 
 
 class Choice:
-    """The monitored peers, chosen anew only when the view has changed."""
+    """The monitored peers, chosen anew only when something changed."""
 
     def __init__(self, records: table.Table) -> None:
         """Choose from ``records``."""
         self._table = records
-        self._version = -1
+        self._chosen_for = (-1, 0)
         self._chosen: tuple[ids.InstanceId, ...] = ()
 
     def current(self) -> tuple[ids.InstanceId, ...]:
         """Return the peers to monitor now."""
-        if self._table.version != self._version:
-            own = self._table.entry(self._table.own.instance_id)
+        own = self._table.entry(self._table.own.instance_id)
+        choosing_for = (self._table.version, len(own.ring_points))
+        if choosing_for != self._chosen_for:
             self._chosen = monitored(own, self._table.entries())
-            self._version = self._table.version
+            self._chosen_for = choosing_for
         return self._chosen
 
 
--- a/libraries/membership/src/sardinepier/membership/internal/rumors.py
+++ b/libraries/membership/src/sardinepier/membership/internal/rumors.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from sardinepier.core import ids
+from sardinepier.membership.internal import in_force
 
 _REPEATS_PER_LOG: Final = 3
 _REPEATS_PER_HEARD: Final = 6
@@ -16,9 +17,9 @@
     Only names are queued, so that what is sent is always the newest record.
     """
 
-    def __init__(self, neighbours: int) -> None:
-        """Send each at least once to that many peers."""
-        self._neighbours = neighbours
+    def __init__(self, bounds: in_force.InForce) -> None:
+        """Start without news."""
+        self._bounds = bounds
         self._sent: dict[ids.InstanceId, int] = {}
 
     def __len__(self) -> int:
@@ -67,4 +68,6 @@
     def limit(self, member_count: int) -> int:
         """Return how often one piece of news is sent."""
         spread = _REPEATS_PER_LOG * math.log2(member_count + 1)
-        return max(self._neighbours, math.ceil(spread))
+        # Heartbeats go to the monitored peers, acks to those that monitor.
+        neighbours = 2 * self._bounds.current.monitored_peers
+        return max(neighbours, math.ceil(spread))
--- a/libraries/membership/src/sardinepier/membership/internal/sync.py
+++ b/libraries/membership/src/sardinepier/membership/internal/sync.py
@@ -6,14 +6,13 @@
 from typing import Final
 
 from sardinepier.core import clock
-from sardinepier.membership import kinds, options
-from sardinepier.membership.internal import knowledge, record
+from sardinepier.membership import kinds
+from sardinepier.membership.internal import knowledge, pace, record
 from sardinepier.wire import messages, network
 
 _MISMATCHES: Final = 2
 _MAX_MISMATCHED: Final = 64
 _UNANSWERED_ROUNDS: Final = 3
-_SPREAD: Final = (0.5, 1.5)
 
 
 class Sync:
@@ -31,36 +30,32 @@
         peer_network: network.PeerNetwork,
         time_source: clock.Clock,
         random_source: random.Random,
-        bounds: options.MembershipOptions,
         on_doubt: Callable[[kinds.MemberUpdate], None],
     ) -> None:
         """Hand doubts about living members to ``on_doubt``."""
         self._known = known
         self._network = peer_network
-        self._clock = time_source
         self._random = random_source
-        self._bounds = bounds
         self._on_doubt = on_doubt
-        self._left = bounds.sync_entries_per_tick
         self._rounds_left = _UNANSWERED_ROUNDS
         self._wanted: messages.PeerAddress | None = None
         self._mismatches: dict[messages.PeerAddress, int] = {}
-        self._next_s = time_source.monotonic_s()
+        self._pace = pace.Pace(
+            lambda: known.bounds.current.sync_interval_s,
+            time_source,
+            random_source,
+        )
 
     def tick(self) -> None:
         """Offer the digests if a difference is known or the time has come."""
-        self._left = self._bounds.sync_entries_per_tick
-        now_s = self._clock.monotonic_s()
-        if self._rounds_left <= 0 and now_s < self._next_s:
+        due = self._pace.is_due()
+        if self._rounds_left <= 0 and not due:
             return
         peer = self._wanted or self._any_peer()
         if peer is None:
             return
-        if now_s >= self._next_s:
-            interval_s = self._bounds.sync_interval_s
-            self._next_s = now_s + interval_s * self._random.uniform(
-                *_SPREAD,
-            )
+        if due:
+            self._pace.renew()
         self._rounds_left -= 1
         self._wanted = None
         self._network.send(
@@ -89,13 +84,13 @@
         sender: messages.Sender,
         offer: kinds.SyncOffer,
     ) -> None:
-        """Answer with entries that differ, within the bound of a tick."""
-        if self._left <= 0:
+        """Answer with entries that differ, within the bound of a second."""
+        if self._known.news.budget.entries_left() <= 0:
             return
         differing = self._known.table.digests.differing(offer.digests)
         chosen = self._choose_buckets(differing)
         entries = [held for bucket in chosen.values() for held in bucket]
-        self._left -= len(entries)
+        self._known.news.budget.spend_entries(len(entries))
         self._network.send(
             sender.address,
             kinds.SyncEntries(
@@ -152,7 +147,7 @@
         # In random order, so that many offers at once get different parts.
         self._random.shuffle(differing)
         chosen: dict[int, list[record.Record]] = {}
-        left = self._left
+        left = self._known.news.budget.entries_left()
         grouped = self._in_buckets(differing)
         for bucket in differing:
             entries = grouped[bucket]
@@ -198,9 +193,9 @@
             if theirs.get(held.instance_id, (-1, False))
             < (held.incarnation, held.leaving)
         )
-        allowed = max(self._left, 0)
+        allowed = self._known.news.budget.entries_left()
         updates = self._known.news.updates(itertools.islice(lacking, allowed))
-        self._left -= len(updates)
+        self._known.news.budget.spend_entries(len(updates))
         return updates
 
     def _doubts(
--- a/libraries/membership/src/sardinepier/membership/internal/table.py
+++ b/libraries/membership/src/sardinepier/membership/internal/table.py
@@ -5,8 +5,13 @@
 from typing import Final
 
 from sardinepier.core import ids, rendezvous
-from sardinepier.membership import kinds, members, options
-from sardinepier.membership.internal import dead_records, digests, record
+from sardinepier.membership import kinds, members
+from sardinepier.membership.internal import (
+    dead_records,
+    digests,
+    in_force,
+    record,
+)
 from sardinepier.wire import messages
 
 # Each repeat of known news tells the start anew, a little better or worse.
@@ -49,14 +54,14 @@
     def __init__(
         self,
         own: record.Record,
-        bounds: options.MembershipOptions,
+        bounds: in_force.InForce,
     ) -> None:
         """Start with the daemon's own record alone."""
         self.version = 0
         self.digests = digests.Digests()
         self.dead = dead_records.DeadRecords(
-            bounds.dead_keep_s,
-            bounds.max_dead,
+            bounds.current.dead_keep_s,
+            bounds.current.max_dead,
         )
         self._bounds = bounds
         self._own_id = own.instance_id
@@ -108,7 +113,10 @@
         """
         before = self.get(claim.instance_id)
         if before is None:
-            if claim.is_dead or self.live_count >= self._bounds.max_members:
+            if (
+                claim.is_dead
+                or self.live_count >= self._bounds.current.max_members
+            ):
                 return None
             self.put(claim, now_s)
             return Change(None, claim)
@@ -136,7 +144,10 @@
         prior: Entry | None,
         now_s: float,
     ) -> None:
-        entry = prior or _new_entry(after, self._bounds.monitored_peers)
+        entry = prior or _new_entry(
+            after,
+            self._bounds.current.monitored_peers,
+        )
         if entry.record.liveness is not after.liveness or prior is None:
             entry.deadline_s = None
             if after.liveness is kinds.Liveness.SUSPECT:
@@ -163,21 +174,24 @@
     ]
 
 
-def extend_suspicions(table: Table, deadline_s: float) -> None:
-    """Give all suspects until ``deadline_s`` to refute."""
-    for entry in table.entries():
-        if entry.deadline_s is not None:
-            entry.deadline_s = deadline_s
+def change_rings(entry: Entry, rings: int) -> None:
+    """Give an entry a point on each of ``rings`` rings."""
+    kept = entry.ring_points[:rings]
+    added = _points(entry.record.instance_id, range(len(kept), rings))
+    entry.ring_points = kept + added
 
 
 def _new_entry(after: record.Record, rings: int) -> Entry:
-    points = tuple(
-        rendezvous.score(f'ring-{ring}', after.instance_id)
-        for ring in range(rings)
-    )
+    points = _points(after.instance_id, range(rings))
     return Entry(after, digests.bucket_of(after.instance_id), points)
 
 
+def _points(instance_id: ids.InstanceId, rings: range) -> tuple[int, ...]:
+    return tuple(
+        rendezvous.score(f'ring-{ring}', instance_id) for ring in rings
+    )
+
+
 def _is_same(before: record.Record, after: record.Record) -> bool:
     gain_s = abs(before.started_at_s - after.started_at_s)
     return gain_s < _START_GAIN_S and record.standing(
--- a/libraries/membership/src/sardinepier/membership/membership.py
+++ b/libraries/membership/src/sardinepier/membership/membership.py
@@ -10,7 +10,6 @@
     await membership.run()
 """
 
-import asyncio
 import random
 from collections.abc import Callable, Iterable
 from typing import Final
@@ -23,13 +22,13 @@
     heartbeat,
     knowledge,
     record,
+    schedule,
     shown,
+    suspicions,
     sync,
-    table,
 )
 from sardinepier.wire import messages, network
 
-_JITTER: Final = 0.1
 _FEW_PEERS: Final = 3
 
 
@@ -57,8 +56,6 @@
         that of each heartbeat heard, and ``on_event`` each change.
         """
         self._clock = time_source
-        self._random = random_source
-        self._bounds = bounds
         self._on_mark = on_mark
         self._known = knowledge.Knowledge(
             record.from_member(own),
@@ -76,7 +73,6 @@
             peer_network,
             time_source,
             random_source,
-            bounds,
             mark_source,
         )
         self._sync = sync.Sync(
@@ -84,10 +80,10 @@
             peer_network,
             time_source,
             random_source,
-            bounds,
             self._heartbeat.check,
         )
-        self._last_tick_s = time_source.monotonic_s()
+        self._paused_after_s = time_source.monotonic_s() + bounds.pause_gap_s
+        self._schedule = schedule.Schedule(random_source)
         self._shown = shown.Shown(self._known.table)
         self._subscribe(peer_network)
 
@@ -114,6 +110,26 @@
         held = self._known.table.get(instance_id)
         return record.to_member(held) if held else None
 
+    def configure(self, bounds: options.MembershipOptions) -> None:
+        """Put other options in force at any moment, without losing state.
+
+        Daemons with different options may live side by side while a change
+        spreads. ``dead_keep_s``, ``max_dead`` and ``max_contacts`` stay as
+        they were given at the start. For example::
+
+            membership.configure(
+                options.MembershipOptions(heartbeat_interval_s=0.5),
+            )
+        """
+        former = self._known.bounds.current
+        if bounds == former:
+            return
+        suspicions.configure(self._known, bounds, self._clock)
+        # The gap that is under way may last until the former interval ends.
+        longer_s = bounds.pause_gap_s - former.pause_gap_s
+        self._paused_after_s += max(longer_s, 0)
+        self._schedule.bring_forward(bounds.heartbeat_interval_s)
+
     def seed(self, addresses: Iterable[messages.PeerAddress]) -> None:
         """Replace the addresses to try where no living member is known.
 
@@ -150,12 +166,11 @@
     def tick(self) -> None:
         """Do the work of one heartbeat interval."""
         now_s = self._clock.monotonic_s()
-        if now_s - self._last_tick_s > self._bounds.pause_gap_s:
+        if now_s > self._paused_after_s:
             # Whoever seems overdue may have answered while this slept.
-            deadline_s = now_s + self._bounds.suspicion_timeout_s
-            table.extend_suspicions(self._known.table, deadline_s)
+            suspicions.extend(self._known, self._clock)
             self._heartbeat.wake()
-        self._last_tick_s = now_s
+        self._paused_after_s = now_s + self._known.bounds.current.pause_gap_s
         self._heartbeat.tick()
         self._sync.tick()
 
@@ -165,12 +180,11 @@
         The first wait is random, so that daemons started together don't send
         together.
         """
-        interval_s = self._bounds.heartbeat_interval_s
-        await asyncio.sleep(self._random.uniform(0, interval_s))
+        self._schedule.start(self._known.bounds.current.heartbeat_interval_s)
         while True:
+            await self._schedule.wait()
             self.tick()
-            share = self._random.uniform(1 - _JITTER, 1 + _JITTER)
-            await asyncio.sleep(interval_s * share)
+            self._schedule.next(self._known.bounds.current.heartbeat_interval_s)
 
     def _subscribe(self, peer_network: network.PeerNetwork) -> None:
         beat = self._heartbeat
@@ -183,20 +197,21 @@
         peer_network.subscribe(kinds.SyncPatch, self._sync.on_patch)
 
     def _on_probe(self, sender: messages.Sender, probe: kinds.Probe) -> None:
-        self._learn(sender, probe.updates)
+        _learn(self._known, sender, probe.updates)
         self._heartbeat.on_probe(sender, probe)
         self._on_mark(sender, probe.mark)
 
     def _on_ack(self, sender: messages.Sender, ack: kinds.Ack) -> None:
-        self._learn(sender, ack.updates)
+        _learn(self._known, sender, ack.updates)
         self._heartbeat.on_ack(sender, ack)
         self._sync.observe(sender.address, ack.digest)
         self._on_mark(sender, ack.mark)
 
-    def _learn(
-        self,
-        sender: messages.Sender,
-        updates: tuple[kinds.MemberUpdate, ...],
-    ) -> None:
-        believed = self._known.heard_from(sender)
-        self._known.learn(updates, believed=believed)
+
+def _learn(
+    known: knowledge.Knowledge,
+    sender: messages.Sender,
+    updates: tuple[kinds.MemberUpdate, ...],
+) -> None:
+    believed = known.heard_from(sender)
+    known.learn(updates, believed=believed)
--- a/libraries/membership/src/sardinepier/membership/options.py
+++ b/libraries/membership/src/sardinepier/membership/options.py
@@ -12,8 +12,8 @@
 DEFAULT_INDIRECT_PEERS: Final = 3
 DEFAULT_UPDATES_PER_MESSAGE: Final = 8
 DEFAULT_SYNC_INTERVAL_S: Final = 10.0
-DEFAULT_SYNC_ENTRIES_PER_TICK: Final = 80
-DEFAULT_UPDATES_PER_TICK: Final = 80
+DEFAULT_SYNC_ENTRIES_PER_S: Final = 80
+DEFAULT_UPDATES_PER_S: Final = 80
 DEFAULT_LOST_RETRY_S: Final = 5.0
 DEFAULT_DEAD_KEEP_S: Final = 600.0
 DEFAULT_MAX_MEMBERS: Final = 4096
@@ -30,9 +30,9 @@
     ``suspicion_timeout_s`` to refute. A gap of ``pause_gap_s`` between two
     ticks means that this process was paused. ``indirect_peers`` are asked to
     probe in turn when a peer does not answer. ``updates_per_message`` bounds
-    the news on one heartbeat and ``updates_per_tick`` that on all of one
-    interval, ``sync_entries_per_tick`` the table entries given to others
-    between two ticks. One lost or seed address is tried each
+    the news on one heartbeat and ``updates_per_s`` that on all of one
+    second, ``sync_entries_per_s`` the table entries given to others
+    within one. One lost or seed address is tried each
     ``lost_retry_s``. The dead are remembered for ``dead_keep_s``, so that old
     news does not bring them back.
     """
@@ -43,9 +43,9 @@
     pause_gap_s: float = DEFAULT_PAUSE_GAP_S
     indirect_peers: int = DEFAULT_INDIRECT_PEERS
     updates_per_message: int = DEFAULT_UPDATES_PER_MESSAGE
-    updates_per_tick: int = DEFAULT_UPDATES_PER_TICK
+    updates_per_s: int = DEFAULT_UPDATES_PER_S
     sync_interval_s: float = DEFAULT_SYNC_INTERVAL_S
-    sync_entries_per_tick: int = DEFAULT_SYNC_ENTRIES_PER_TICK
+    sync_entries_per_s: int = DEFAULT_SYNC_ENTRIES_PER_S
     lost_retry_s: float = DEFAULT_LOST_RETRY_S
     dead_keep_s: float = DEFAULT_DEAD_KEEP_S
     max_members: int = DEFAULT_MAX_MEMBERS
