Put the fleet file's figures of membership in force

Cause: heartbeat_interval_ms, monitored_peers and suspicion_timeout_ms were read, checked and ignored: the daemon ran with the library's 1 s, 4 and 5 s. Change: they are followed at each configuration. Their defaults become those figures with which the fleet was measured (1,000 and 5,000 ms): at 500 ms a daemon sends 16.2 instead of 8.2 messages a second, half of what control may take at the target size; operators who want a dead daemon out of the addresses after 2 instead of 4 s can set it. The garbage collector runs more rarely after a start, as measured on the request path (longest pause 11 instead of 30 ms).

--- a/libraries/daemon/src/sardinepier/daemon/internal/configuration_follower.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/configuration_follower.py
@@ -1,12 +1,18 @@
 """Puts each new configuration in force in what was built before."""
 
 import dataclasses
+from typing import Final
 
 from sardinepier.daemon.internal import gateway_assembly
 from sardinepier.gateway import context as contexts
+from sardinepier.membership import membership as memberships
+from sardinepier.membership import options
 from sardinepier.platform import http_platform
 from sardinepier.settings import model
 
+_MS_PER_S: Final = 1000
+_PAUSE_INTERVALS: Final = 3
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigurationFollower:
@@ -14,6 +20,7 @@
 
     context: contexts.GatewayContext
     platform: http_platform.HttpPlatform
+    membership: memberships.Membership
 
     def follow(self, configuration: model.Configuration) -> None:
         """Take a new configuration."""
@@ -24,3 +31,16 @@
         )
         self.context.wake_guard.set_gap_ms(fleet.wake_gap_ms)
         self.platform.set_reads_per_s(fleet.platform_reads_per_s)
+        self.membership.configure(_membership_options(fleet))
+
+
+def _membership_options(
+    fleet: model.FleetSettings,
+) -> options.MembershipOptions:
+    interval_s = fleet.heartbeat_interval_ms / _MS_PER_S
+    return options.MembershipOptions(
+        heartbeat_interval_s=interval_s,
+        monitored_peers=fleet.monitored_peers,
+        suspicion_timeout_s=fleet.suspicion_timeout_ms / _MS_PER_S,
+        pause_gap_s=_PAUSE_INTERVALS * interval_s,
+    )
--- a/libraries/daemon/src/sardinepier/daemon/internal/upkeep.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/upkeep.py
@@ -12,6 +12,7 @@
 _TICK_S: Final = 0.1
 _EXPIRY_INTERVAL_S: Final = 5.0
 _SETTLED_AFTER_S: Final = 30.0
+_COLLECTION_THRESHOLDS: Final = (5000, 10, 100)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,8 +53,11 @@
 
     With the files of 340 services a full collection took 96 to 164 ms, in
     which no request moves. What is held by then mostly stays; what does not
-    is freed by its reference count all the same.
+    is freed by its reference count all the same. Rarer collections on top
+    cut the longest pause of 17,600 requests from 30 to 11 ms; rarer still
+    they grow long again.
     """
     await asyncio.sleep(_SETTLED_AFTER_S)
     gc.collect()
     gc.freeze()
+    gc.set_threshold(*_COLLECTION_THRESHOLDS)
--- a/libraries/daemon/src/sardinepier/daemon/process.py
+++ b/libraries/daemon/src/sardinepier/daemon/process.py
@@ -96,7 +96,11 @@
         context: contexts.GatewayContext,
         configuration: model.Configuration,
     ) -> None:
-        follower = followers.ConfigurationFollower(context, base.platform)
+        follower = followers.ConfigurationFollower(
+            context,
+            base.platform,
+            base.membership,
+        )
         base.store.on_change(follower.follow)
         follower.follow(configuration)
         exchange = exchange_assembly.build_exchange(base, context)
--- a/libraries/settings/src/sardinepier/settings/internal/schema.py
+++ b/libraries/settings/src/sardinepier/settings/internal/schema.py
@@ -55,13 +55,13 @@
     record_capacity_bytes: numbers.TableBytes = 33_554_432
     """How much memory their recorded answers take at most."""
 
-    heartbeat_interval_ms: numbers.Milliseconds = 500
+    heartbeat_interval_ms: numbers.Milliseconds = 1000
     """The time between two heartbeats to each monitored peer."""
 
     monitored_peers: numbers.SmallCount = 4
     """How many peers each daemon monitors, whatever the size of the fleet."""
 
-    suspicion_timeout_ms: numbers.Milliseconds = 2000
+    suspicion_timeout_ms: numbers.Milliseconds = 5000
     """How long a suspected daemon has to refute the suspicion."""
 
     wake_gap_ms: numbers.Milliseconds = 500
