--- a/libraries/daemon/src/sardinepier/daemon/internal/gateway_assembly.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/gateway_assembly.py
@@ -5,7 +5,7 @@
     activity,
     client,
     refusal_counts,
-    service_runtime,
+    service_runtimes,
     wake_guard,
 )
 from sardinepier.gateway import context as contexts
@@ -27,7 +27,7 @@
     """
     fleet = configuration.fleet
     own = base.instance_id
-    services = service_runtime.ServiceRuntimes(
+    services = service_runtimes.ServiceRuntimes(
         service_parts.runtime_parts(
             own,
             base.clock,
--- a/libraries/daemon/src/sardinepier/daemon/internal/groups.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/groups.py
@@ -13,7 +13,7 @@
     service_exchange,
     target_directory,
 )
-from sardinepier.gateway import service_runtime
+from sardinepier.gateway import service_runtime, service_runtimes
 from sardinepier.wire import messages, network
 
 _Exchanges = weakref.WeakKeyDictionary[
@@ -34,7 +34,7 @@
         self,
         owned: own_services.OwnServices,
         peer_network: network.PeerNetwork,
-        services: service_runtime.ServiceRuntimes,
+        services: service_runtimes.ServiceRuntimes,
         directory: target_directory.TargetDirectory,
         clock: clocks.Clock,
     ) -> None:
--- a/libraries/daemon/src/sardinepier/daemon/internal/own_services.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/own_services.py
@@ -8,7 +8,7 @@
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
 from sardinepier.daemon.internal import service_exchange, target_directory
-from sardinepier.gateway import refusals, service_runtime
+from sardinepier.gateway import refusals, service_runtime, service_runtimes
 from sardinepier.membership import groups
 from sardinepier.membership import view as views
 from sardinepier.settings import model
@@ -48,7 +48,7 @@
     def __init__(
         self,
         view: views.View,
-        services: service_runtime.ServiceRuntimes,
+        services: service_runtimes.ServiceRuntimes,
         directory: target_directory.TargetDirectory,
         configuration: Callable[[], model.Configuration | None],
         clock: clocks.Clock,
--- a/libraries/daemon/src/sardinepier/daemon/internal/quarantine_exchange.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/quarantine_exchange.py
@@ -8,7 +8,7 @@
     own_services,
     service_exchange,
 )
-from sardinepier.gateway import service_runtime
+from sardinepier.gateway import service_runtimes
 from sardinepier.once import quarantine as quarantines
 from sardinepier.wire import messages, network
 
@@ -26,7 +26,7 @@
         self,
         owned: own_services.OwnServices,
         peer_network: network.PeerNetwork,
-        services: service_runtime.ServiceRuntimes,
+        services: service_runtimes.ServiceRuntimes,
         quarantine: quarantines.Quarantine,
         clock: clocks.Clock,
     ) -> None:
--- a/libraries/daemon/src/sardinepier/daemon/internal/target_notices.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/target_notices.py
@@ -5,7 +5,7 @@
 
 from sardinepier.core import ids
 from sardinepier.daemon.internal import group_messages, target_directory
-from sardinepier.gateway import service_runtime
+from sardinepier.gateway import service_runtime, service_runtimes
 from sardinepier.membership import groups, members
 from sardinepier.membership import view as views
 from sardinepier.platform import interface
@@ -27,7 +27,7 @@
         self,
         view: views.View,
         peer_network: network.PeerNetwork,
-        services: service_runtime.ServiceRuntimes,
+        services: service_runtimes.ServiceRuntimes,
         directory: target_directory.TargetDirectory,
         configuration: Callable[[], model.Configuration | None],
     ) -> None:
--- a/libraries/daemon/tests/cover/test_daemon_groups.py
+++ b/libraries/daemon/tests/cover/test_daemon_groups.py
@@ -16,7 +16,7 @@
     target_directory,
     target_notices,
 )
-from sardinepier.gateway import service_runtime
+from sardinepier.gateway import service_runtimes
 from sardinepier.health import evidence, targets
 from sardinepier.membership import groups as membership_groups
 from sardinepier.membership import members
@@ -96,7 +96,7 @@
         self.own = own
         sender = messages.Sender(own.instance_id, own.peer_address)
         network = hub.network(sender)
-        self.services = service_runtime.ServiceRuntimes(
+        self.services = service_runtimes.ServiceRuntimes(
             service_parts.runtime_parts(
                 own.instance_id, clock, random.Random(1), lambda event: None
             ),
--- a/libraries/gateway/src/sardinepier/gateway/context.py
+++ b/libraries/gateway/src/sardinepier/gateway/context.py
@@ -10,7 +10,7 @@
     activity,
     client,
     refusal_counts,
-    service_runtime,
+    service_runtimes,
     wake_guard,
 )
 from sardinepier.membership import view as views
@@ -37,7 +37,7 @@
     view: views.View
     ledger: ledger.Ledger
     quarantine: quarantine.Quarantine
-    services: service_runtime.ServiceRuntimes
+    services: service_runtimes.ServiceRuntimes
     client: client.TargetClient
     wake_guard: wake_guard.WakeGuard
     activity: activity.Activity
--- a/libraries/gateway/tests/conftest.py
+++ b/libraries/gateway/tests/conftest.py
@@ -17,6 +17,7 @@
     refusal_counts,
     server,
     service_runtime,
+    service_runtimes,
     wake_guard,
 )
 from sardinepier.gateway import client as clients
@@ -288,7 +289,7 @@
         self.configuration = None
         source = random.Random(number)
         started_s = self.clock.monotonic_s()
-        self.runtimes = service_runtime.ServiceRuntimes(
+        self.runtimes = service_runtimes.ServiceRuntimes(
             service_runtime.RuntimeParts(
                 self.clock,
                 source,
