Tell a fault of the program in one line, too

Cause: the command caught only the project's own errors; any other ended in a traceback before the operator. Change: one log line with the type and the message, code 1; the traceback is within the line at level debug only.

--- a/libraries/daemon/src/sardinepier/daemon/main.py
+++ b/libraries/daemon/src/sardinepier/daemon/main.py
@@ -6,7 +6,6 @@
 
 import fire
 
-from sardinepier.core import errors
 from sardinepier.daemon import process
 from sardinepier.settings import model, parsing
 from sardinepier.telemetry import logs
@@ -24,7 +23,9 @@
     """
     try:
         _run(settings)
-    except errors.SardinepierError as error:
+    except Exception as error:  # noqa: BLE001 - a fault of the program, too
+        # An operator gets one line, not a traceback; at level debug the line
+        # has the traceback within it.
         logs.failure('daemon-failed', error, level=logs.Level.ERROR)
         sys.exit(_FAILED)
 
