Lose a zone and restart all daemons in the table of faults

Cause: neither was in the table of real processes. Change: two cases, a zone (one daemon and its two targets) killed and back, and all daemons killed at once and started anew.

--- a/libraries/workbench/src/sardinepier/workbench/faults/table.py
+++ b/libraries/workbench/src/sardinepier/workbench/faults/table.py
@@ -12,6 +12,8 @@
 _PEER: Final = 'd2'
 _LEAVING: Final = 'd3'
 _TARGET: Final = checks.LEAVING_TARGET
+_DAEMONS: Final = (_HOME, _PEER, _LEAVING)
+_ZONE: Final = (_PEER, 't2', 't5')
 _TARGETS: Final = ('t1', 't2', 't3', 't4', 't5', 't6')
 _POISON: Final = 'poison-pill'
 _ALL: Final = 100.0
@@ -200,6 +202,21 @@
         poison=_POISON,
         check=checks.poison_stops,
     ),
+    cases.FaultCase(
+        'zone lost and back',
+        actions.Together(
+            tuple(actions.End(name, signal.SIGKILL) for name in _ZONE),
+        ),
+        actions.Together(tuple(actions.Release(name) for name in _ZONE)),
+        restarts=_ZONE,
+    ),
+    cases.FaultCase(
+        'all daemons restarted together',
+        actions.Together(
+            tuple(actions.Signal(name, signal.SIGKILL) for name in _DAEMONS),
+        ),
+        restarts=_DAEMONS,
+    ),
     cases.FaultCase(
         'home killed, target slow',
         actions.Together((actions.End(_HOME, signal.SIGKILL), _SLOW)),
