--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 LIBRARIES := $(wildcard libraries/*)
+SOURCES := libraries platform scripts conftest.py
 INSTALL := $(foreach library,$(LIBRARIES),-e ./$(library))
 
 .PHONY: setup format lint types imports pytest test demo bench experiment experiment-full faults capacity clean
@@ -16,11 +17,11 @@
 setup: $(VENV)/.ready
 
 format: setup
-	$(BIN)/ruff format libraries scripts conftest.py
+	$(BIN)/ruff format $(SOURCES)
 
 lint: setup
-	$(BIN)/ruff format --check libraries scripts conftest.py
-	$(BIN)/flake8 libraries scripts conftest.py
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
 
 types: setup
 	$(BIN)/mypy
--- /dev/null
+++ b/libraries/daemon/src/sardinepier/daemon/entry_process.py
@@ -0,0 +1,326 @@
+"""The life of one entry instance, from its settings to its exit."""
+
+import asyncio
+import contextlib
+import dataclasses
+import gc
+import random
+import signal
+from collections.abc import Callable, Sequence
+from typing import Final
+
+from sardinepier.core import clock as clocks
+from sardinepier.core import ids
+from sardinepier.daemon import entry_settings, identity
+from sardinepier.daemon.internal import task_set
+from sardinepier.entry import (
+    activity,
+    caller_server,
+    context,
+    model,
+    pages,
+    pipeline,
+    published,
+    services,
+)
+from sardinepier.gateway import client
+from sardinepier.health import belief
+from sardinepier.membership import (
+    events,
+    kinds,
+    marks,
+    members,
+    membership,
+    options,
+)
+from sardinepier.once import quarantine
+from sardinepier.telemetry import logs
+from sardinepier.wire import messages, zmq_network
+from sardinepier.zones import carriers, lapses, reading, sharing
+from sardinepier.zones import messages as zone_messages
+
+_CARRIERS_A_ZONE: Final = 1
+"""More share the risk of a lost instance, fewer see more of each target."""
+
+_DIRECTORY_S: Final = 1.0
+"""How long callers are told to keep an answer: a lost carrier costs the
+requests of this time, and a shorter one costs the directory more answers."""
+
+_RETRY_MARGIN: Final = 0.9
+"""Share of the fleet's retry budget that is used, as windows slide."""
+
+_PERCENT: Final = 100
+_CLOSING_S: Final = 0.4
+"""What is left of the time to exit for closing connections."""
+
+_STALE_DIRECTORY_FACTOR: Final = 3
+"""Some callers keep a directory answer so many times longer."""
+
+_MARK: Final = marks.ConfigurationMark(0, 0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryPages:
+    """Where the pages beside the request path stand, and their form."""
+
+    directory_path: str = '/v1/addresses'
+    ready_path: str = '/v1/ready'
+    encode_addresses: Callable[[Sequence[str], float], bytes] = (
+        pages.plain_addresses
+    )
+
+
+class EntryDaemon:
+    """One entry instance.
+
+    For example::
+
+        daemon = EntryDaemon(settings, source, EntryPages())
+        await daemon.run()
+
+    ``run`` returns after a graceful exit, which SIGTERM begins.
+    """
+
+    def __init__(
+        self,
+        settings: entry_settings.EntrySettings,
+        source: published.PublishedState,
+        entry_pages: EntryPages,
+    ) -> None:
+        """Keep the settings; nothing is opened yet."""
+        self._settings = settings
+        self._source = source
+        self._pages = entry_pages
+        self._clock = clocks.SystemClock()
+        self._random = random.Random()
+        self._activity = activity.Activity()
+        self._stop = asyncio.Event()
+        self._tasks = task_set.TaskSet(self._part_failed)
+        self._services = services.Services(
+            settings.zone,
+            self._clock,
+            self._random,
+            _PERCENT * settings.bounds.retry_ratio * _RETRY_MARGIN,
+            belief.BeliefOptions(),
+        )
+        self._instance_id = identity.new_instance_id(
+            settings.daemon_id,
+            random.SystemRandom(),
+        )
+        self._network = self._make_network()
+        self._membership = self._make_membership()
+        self._carriers = carriers.Carriers(
+            self._membership,
+            self._clock,
+            _CARRIERS_A_ZONE,
+        )
+        self._guard = lapses.LapseGuard(self._clock)
+        self._sharing = sharing.ZoneSharing(
+            self._network,
+            self._carriers,
+            self._services,
+            self._guard,
+            self._clock,
+            _tell_configuration,
+        )
+
+    def stop(self) -> None:
+        """Begin the graceful exit; a second call changes nothing."""
+        self._stop.set()
+
+    def set_seeds(self, seeds: Sequence[messages.PeerAddress]) -> None:
+        """Replace the peer addresses to begin with."""
+        self._membership.seed(seeds)
+
+    async def run(self) -> None:
+        """Serve until stopped."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop)
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(self._tasks.cancel)
+            await self._serve(stack)
+        if self._tasks.failure is not None:
+            raise self._tasks.failure
+        logs.event('stopped')
+
+    async def _serve(self, stack: contextlib.AsyncExitStack) -> None:
+        self._network.open()
+        self._membership.seed(self._settings.seeds)
+        shared = self._context()
+        stack.push_async_callback(shared.client.close)
+        self._start_tasks()
+        front = caller_server.HttpServer(
+            pipeline.Pipeline(shared).handle,
+            self._bounds,
+        )
+        await self._listen(front, self._settings.front)
+        beside = await self._listen_beside()
+        logs.event('started', zone=self._settings.zone)
+        gc.collect()
+        gc.freeze()
+        await self._stop.wait()
+        await self._depart(front, beside)
+
+    def _start_tasks(self) -> None:
+        self._tasks.start(self._network.run())
+        self._tasks.start(self._membership.run())
+        self._tasks.start(self._sharing.run())
+        self._tasks.start(
+            reading.PlatformReading(
+                self._source,
+                self._services,
+                self._carriers,
+                self._guard,
+                self._sharing,
+                self._clock,
+                self._random,
+            ).run(),
+        )
+
+    async def _listen_beside(self) -> list[caller_server.HttpServer]:
+        places = (
+            (
+                self._settings.directory,
+                self._pages.directory_path,
+                pages.Directory(
+                    self._addresses,
+                    min(_DIRECTORY_S, self._settings.bounds.directory_s),
+                    self._pages.encode_addresses,
+                ).answer,
+            ),
+            (
+                self._settings.ready,
+                self._pages.ready_path,
+                pages.Readiness(self._is_ready).answer,
+            ),
+        )
+        servers = []
+        for address, path, answer in places:
+            if address is None:
+                continue
+            server = caller_server.HttpServer(
+                pages.Page(path, answer).handle,
+                self._bounds,
+            )
+            await self._listen(server, address)
+            servers.append(server)
+        return servers
+
+    async def _listen(
+        self,
+        server: caller_server.HttpServer,
+        address: messages.PeerAddress,
+    ) -> None:
+        await server.start(address.ip, address.port)
+
+    async def _depart(
+        self,
+        front: caller_server.HttpServer,
+        beside: list[caller_server.HttpServer],
+    ) -> None:
+        """Leave without cutting a request.
+
+        Answers of the directory name this instance for a while, so that it
+        still serves whoever comes, and asks them to close.
+        """
+        until_s = self._clock.monotonic_s() + self._settings.bounds.grace_s
+        logs.event('stopping', in_hand=self._activity.in_hand)
+        self._activity.is_draining = True
+        self._membership.announce_leaving()
+        notice_s = _STALE_DIRECTORY_FACTOR * _DIRECTORY_S
+        latest_s = self._settings.bounds.grace_s / 2
+        await asyncio.sleep(min(notice_s, latest_s))
+        front.stop_listening()
+        left_s = until_s - _CLOSING_S - self._clock.monotonic_s()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(0.0, left_s)):
+                await self._activity.idle()
+        left_s = until_s - self._clock.monotonic_s() - _CLOSING_S / 2
+        await front.close(max(0.0, left_s))
+        for server in beside:
+            await server.close(0)
+
+    def _addresses(self, zone: ids.ZoneName) -> Sequence[str]:
+        return [
+            f'{member.http_ip}:{member.http_port}'
+            for member in self._carriers.of_zone(zone)
+        ]
+
+    def _is_ready(self) -> bool:
+        if self._activity.is_draining or self._stop.is_set():
+            return False
+        held = self._services
+        return held.configuration is not None and held.targets is not None
+
+    def _bounds(self) -> model.CallerBounds:
+        configuration = self._services.configuration
+        return configuration.bounds if configuration else model.CallerBounds()
+
+    def _context(self) -> context.EntryContext:
+        return context.EntryContext(
+            zone=self._settings.zone,
+            clock=self._clock,
+            random_source=self._random,
+            names=self._settings.names,
+            client=client.TargetClient(),
+            services=self._services,
+            quarantine=quarantine.Quarantine(self._clock),
+            activity=self._activity,
+        )
+
+    def _make_network(self) -> zmq_network.ZmqNetwork:
+        return zmq_network.ZmqNetwork(
+            kinds.KINDS + zone_messages.KINDS,
+            messages.Sender(self._instance_id, self._settings.peer),
+            self._settings.peer,
+            self._clock,
+            source_ip=self._settings.peer.ip,
+        )
+
+    def _make_membership(self) -> membership.Membership:
+        own = members.Member(
+            instance_id=self._instance_id,
+            daemon_id=self._settings.daemon_id,
+            zone=self._settings.zone,
+            region=self._settings.region,
+            peer_address=self._settings.peer,
+            http_ip=self._settings.front.ip,
+            http_port=self._settings.front.port,
+            incarnation=0,
+            state=members.MemberState.ALIVE,
+            started_at_s=self._clock.monotonic_s(),
+        )
+        return membership.Membership(
+            own,
+            self._network,
+            self._clock,
+            self._random,
+            options.MembershipOptions(),
+            lambda: _MARK,
+            _ignore_mark,
+            _tell_member,
+        )
+
+    def _part_failed(self, failure: BaseException) -> None:
+        logs.failure('part-failed', failure, level=logs.Level.ERROR)
+        self.stop()
+
+
+def _tell_configuration(configuration: model.ServedConfiguration) -> None:
+    logs.event(
+        'configuration-in-force',
+        version=configuration.version,
+        routes=len(configuration.routes),
+    )
+
+
+def _tell_member(event: events.MemberEvent) -> None:
+    logs.event('member', str(event))
+
+
+def _ignore_mark(
+    sender: messages.Sender,
+    mark: marks.ConfigurationMark,
+) -> None:
+    """Do nothing: here configurations ride on the beats of a zone."""
--- /dev/null
+++ b/libraries/daemon/src/sardinepier/daemon/entry_settings.py
@@ -0,0 +1,45 @@
+"""What one entry instance has to know before it starts."""
+
+import dataclasses
+
+from sardinepier.core import ids
+from sardinepier.entry import dialect
+from sardinepier.wire import messages
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryBounds:
+    """The figures that an installation sets.
+
+    ``directory_s`` is how long callers may keep a directory answer at most.
+    ``grace_s`` is how long the process may live after SIGTERM.
+    ``retry_ratio`` bounds further attempts as a fraction of the requests of
+    a service, over the whole fleet.
+    """
+
+    directory_s: float = 5.0
+    grace_s: float = 6.0
+    retry_ratio: float = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Names and addresses of one entry instance.
+
+    ``front`` is where callers connect, ``peer`` where other daemons send,
+    ``directory`` where callers ask for addresses and ``ready`` where the
+    platform asks whether this instance is ready; the last two may be absent.
+    ``seeds`` are the peer addresses of daemons to begin with. ``names``
+    are the headers in use.
+    """
+
+    daemon_id: ids.DaemonId
+    zone: ids.ZoneName
+    region: ids.RegionName
+    front: messages.PeerAddress
+    peer: messages.PeerAddress
+    directory: messages.PeerAddress | None
+    ready: messages.PeerAddress | None
+    seeds: tuple[messages.PeerAddress, ...]
+    bounds: EntryBounds
+    names: dialect.HeaderNames
--- /dev/null
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -0,0 +1,134 @@
+"""One attempt at one target, from its first byte to the end of the answer."""
+
+import asyncio
+from typing import Final
+
+from aiohttp import client_reqrep
+
+from sardinepier.entry import answers, context, service_pool, target_record
+from sardinepier.entry import work as works
+from sardinepier.gateway import errors
+
+_CONNECT_S: Final = 0.35
+"""A connection within a region takes a few milliseconds. One that takes this
+long goes to a dead instance or over a link that loses packets, and nothing
+was sent, so that another target may get the request."""
+
+_MS_PER_S: Final = 1000
+
+_FAILURES: Final = (
+    errors.ConnectFailedError,
+    errors.ConnectionLostError,
+    errors.BadAnswerError,
+    errors.AnswerOverdueError,
+)
+
+
+class Attempt:
+    """One attempt of ``item`` at the target whose slot is reserved."""
+
+    def __init__(
+        self,
+        shared: context.EntryContext,
+        item: works.Work,
+        pool: service_pool.ServicePool,
+        record: target_record.TargetRecord,
+    ) -> None:
+        """Take over the reserved slot."""
+        self._shared = shared
+        self._item = item
+        self._pool = pool
+        self._record = record
+        self._number = pool.started(record)
+        self._started_s = shared.clock.monotonic_s()
+        self._is_sent = False
+
+    async def run(self) -> answers.Answer:
+        """Return the target's answer, and tell the pool how it went.
+
+        Raises a subclass of ``ProvedNotRunError`` or ``UnknownFateError``.
+        """
+        try:
+            answer = await self._within_deadline()
+        except (errors.ShedError, answers.OtherTargetError) as refusal:
+            self._refused(refusal)
+            raise
+        except _FAILURES:
+            self._pool.failed(self._record)
+            raise
+        finally:
+            self._pool.finished(self._record, self._number)
+        if answer.is_good:
+            taken_s = self._shared.clock.monotonic_s() - self._started_s
+            self._pool.answered(self._record, taken_s)
+        else:
+            self._pool.failed(self._record)
+        return answer
+
+    async def _within_deadline(self) -> answers.Answer:
+        try:
+            async with asyncio.timeout(self._item.left_s(self._shared.clock)):
+                return await self._exchange()
+        except TimeoutError as error:
+            if not self._is_sent:
+                self._item.require_time(self._shared.clock)
+            raise errors.AnswerOverdueError(
+                'The target did not answer before the time ran out',
+                'Find out whether the request ran before sending it anew',
+            ) from error
+
+    async def _exchange(self) -> answers.Answer:
+        response = await self._shared.client.open(
+            self._item.method,
+            self._record.url,
+            self._headers(),
+            self._item.body,
+            fresh=False,
+            connect_timeout_s=_CONNECT_S,
+            permit=self._permit,
+            path=self._item.path,
+            accepts=self._accepts,
+        )
+        self._note_load(response)
+        try:
+            return await answers.read(response, self._shared.names)
+        except BaseException:
+            response.close()
+            raise
+
+    def _headers(self) -> list[tuple[str, str]]:
+        names = self._shared.names
+        item = self._item
+        left_s = item.caller_deadline_s - self._shared.clock.monotonic_s()
+        return [
+            *item.headers,
+            (names.attempt_id, item.request_id),
+            (names.deadline_ms, str(max(1, int(left_s * _MS_PER_S)))),
+            (names.expected_target, self._record.listed.target_id),
+        ]
+
+    def _permit(self) -> None:
+        """Allow the first byte, unless the time ran out before."""
+        self._item.require_time(self._shared.clock)
+        self._is_sent = True
+        self._item.was_sent = True
+
+    def _accepts(self, headers: 'answers.Headers') -> bool:
+        """Tell whether an answer is the one to this request."""
+        echoed = headers.get(self._shared.names.attempt_id)
+        return echoed is None or echoed == self._item.request_id
+
+    def _note_load(self, response: client_reqrep.ClientResponse) -> None:
+        load = answers.load_of(response, self._shared.names)
+        if load is not None:
+            self._record.heard_load(
+                load.running,
+                load.waiting,
+                self._shared.clock.monotonic_s(),
+            )
+
+    def _refused(self, refusal: errors.ProvedNotRunError) -> None:
+        if isinstance(refusal, answers.OtherTargetError):
+            self._pool.drop(self._record.listed.target_id)
+        else:
+            self._pool.full(self._record)
--- /dev/null
+++ b/libraries/entry/src/sardinepier/entry/caller_server.py
@@ -0,0 +1,115 @@
+"""The HTTP servers of an entry instance: callers, directory, readiness."""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
+
+from aiohttp import (
+    http_exceptions,
+    web_protocol,
+    web_request,
+    web_response,
+    web_server,
+)
+
+from sardinepier.entry import model, refusals, replies
+from sardinepier.telemetry import logs
+
+Handler = Callable[
+    [web_request.BaseRequest],
+    Awaitable[web_response.StreamResponse],
+]
+BoundsSource = Callable[[], model.CallerBounds]
+
+_BACKLOG: Final = 512
+_LINGERING_S: Final = 2.0
+_MOST_HEADERS: Final = 100
+
+
+class CallerConnection(web_protocol.RequestHandler):
+    """One connection of a caller."""
+
+    def handle_error(
+        self,
+        request: web_request.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web_response.StreamResponse:
+        """Answer what can't be parsed; nothing of it was run."""
+        if request.writer.output_size > 0:
+            raise ConnectionResetError('The answer broke on its way')
+        if exc is not None and not isinstance(
+            exc,
+            http_exceptions.HttpProcessingError,
+        ):
+            logs.failure('request-failed', exc, level=logs.Level.ERROR)
+            error: refusals.EntryError = refusals.InternalError(
+                f'The daemon failed: {type(exc).__name__}',
+                'Find out whether the request ran before sending it anew',
+            )
+        else:
+            error = refusals.BadRequestError(
+                f'The request is not valid HTTP: {message}',
+                'Send a valid HTTP/1.1 request',
+            )
+        response = replies.of_error(error)
+        response.force_close()
+        return response
+
+
+class HttpServer(web_server.Server):
+    """Listens at one address and answers by one handler.
+
+    For example::
+
+        server = HttpServer(pipeline.handle, lambda: bounds)
+        await server.start('10.0.0.7', 8080)
+    """
+
+    def __init__(self, handler: Any, bounds: BoundsSource) -> None:
+        """Answer requests by ``handler``, which is cancelled on a hang-up."""
+        super().__init__(handler, handler_cancellation=True)
+        self._bounds = bounds
+        self._listener: asyncio.Server | None = None
+
+    def __call__(self) -> CallerConnection:
+        """Make the protocol of a new connection."""
+        bounds = self._bounds()
+        return CallerConnection(
+            self,
+            loop=asyncio.get_running_loop(),
+            access_log=None,  # type: ignore[arg-type]  # aiohttp allows None
+            keepalive_timeout=bounds.idle_timeout_s,
+            lingering_time=_LINGERING_S,
+            max_line_size=bounds.header_bytes,
+            max_field_size=bounds.header_bytes,
+            max_headers=_MOST_HEADERS,
+            auto_decompress=False,
+        )
+
+    async def start(self, ip: str, port: int) -> int:
+        """Listen, and return the port, which the system chose for 0."""
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            self,
+            ip,
+            port,
+            backlog=_BACKLOG,
+        )
+        bound: int = self._listener.sockets[0].getsockname()[1]
+        return bound
+
+    def stop_listening(self) -> None:
+        """Take no new connections; those that are open are served."""
+        if self._listener is not None:
+            self._listener.close()
+
+    async def close(self, within_s: float) -> None:
+        """Close all connections, after answers in hand went out."""
+        self.stop_listening()
+        self.pre_shutdown()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(within_s):
+                await self.shutdown(within_s)
--- /dev/null
+++ b/libraries/entry/src/sardinepier/entry/context.py
@@ -0,0 +1,28 @@
+"""What the parts of one daemon's request path share."""
+
+import dataclasses
+import random
+
+from sardinepier.core import clock as clocks
+from sardinepier.core import ids
+from sardinepier.entry import activity, dialect, services
+from sardinepier.gateway import client
+from sardinepier.once import quarantine
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryContext:
+    """The collaborators of the request path.
+
+    ``zone`` is where the daemon runs. ``services`` holds the newest
+    configuration with the targets in use.
+    """
+
+    zone: ids.ZoneName
+    clock: clocks.Clock
+    random_source: random.Random
+    names: dialect.HeaderNames
+    client: client.TargetClient
+    services: services.Services
+    quarantine: quarantine.Quarantine
+    activity: activity.Activity
--- /dev/null
+++ b/libraries/entry/src/sardinepier/entry/intake.py
@@ -0,0 +1,120 @@
+"""Reading a caller's request and finding its route."""
+
+import math
+from typing import Final
+
+import xxhash
+from aiohttp import web_request
+
+from sardinepier.entry import context, model, refusals
+from sardinepier.entry import work as works
+from sardinepier.gateway import body, headers
+from sardinepier.gateway import refusals as gateway_refusals
+
+_MS_PER_S: Final = 1000
+_HOST: Final = 'Host'
+_BODY_S: Final = 30.0
+"""A body may take this long where the caller states no deadline."""
+
+
+class Intake:
+    """Makes work of requests."""
+
+    def __init__(self, shared: context.EntryContext) -> None:
+        """Work with the daemon's collaborators."""
+        self._shared = shared
+        names = shared.names
+        self._own = frozenset(
+            name.lower()
+            for name in (
+                names.attempt_id,
+                names.deadline_ms,
+                names.expected_target,
+            )
+        )
+
+    async def read(self, request: web_request.BaseRequest) -> works.Work:
+        """Return the whole request with its route.
+
+        Raises ``NotConfiguredError``, ``UnknownRouteError``,
+        ``BodyTooLargeError`` and ``BadRequestError``.
+        """
+        arrived_s = self._shared.clock.monotonic_s()
+        routes = self._shared.services.routes()
+        host = request.headers.get(_HOST, '')
+        route = routes.find(host, request.raw_path)
+        if route is None:
+            raise refusals.UnknownRouteError(
+                'No route of this host begins the path',
+                'Use a path that the configuration in force names',
+            )
+        caller_deadline_s = arrived_s + self._patience_s(request)
+        content = await self._body(request, caller_deadline_s)
+        return works.Work(
+            request_id=request.headers.get(self._shared.names.attempt_id, ''),
+            method=request.method,
+            path=request.raw_path,
+            headers=self._headers(request),
+            body=content,
+            route=route,
+            service=routes.service_for(route),
+            arrived_s=arrived_s,
+            caller_deadline_s=caller_deadline_s,
+            deadline_s=min(caller_deadline_s, arrived_s + route.timeout_s),
+            fingerprint=_fingerprint(request, content),
+        )
+
+    def _patience_s(self, request: web_request.BaseRequest) -> float:
+        """Return how long the caller waits, from its header."""
+        text = request.headers.get(self._shared.names.deadline_ms, '')
+        try:
+            stated_ms = float(text) if text else math.inf
+        except ValueError as error:
+            raise refusals.BadRequestError(
+                f'The deadline {text!r} is not a number of milliseconds',
+                'Send a number, or leave the header out',
+            ) from error
+        return min(_BODY_S, stated_ms / _MS_PER_S)
+
+    async def _body(
+        self,
+        request: web_request.BaseRequest,
+        deadline_s: float,
+    ) -> bytes:
+        if not request.body_exists:
+            return b''
+        configuration = self._shared.services.configuration
+        bounds = configuration.bounds if configuration else model.CallerBounds()
+        try:
+            return await body.read(
+                request,
+                bounds.body_bytes,
+                self._shared.clock,
+                deadline_s,
+            )
+        except gateway_refusals.BodyTooLargeError as error:
+            raise refusals.BodyTooLargeError(
+                error.what,
+                error.remedy,
+            ) from error
+        except gateway_refusals.BodyIncompleteError as error:
+            raise refusals.BadRequestError(error.what, error.remedy) from error
+
+    def _headers(
+        self,
+        request: web_request.BaseRequest,
+    ) -> list[tuple[str, str]]:
+        """Return what goes on to the target as the caller sent it."""
+        return [
+            pair
+            for pair in headers.for_target(request.headers)
+            if pair[0].lower() not in self._own
+        ]
+
+
+def _fingerprint(request: web_request.BaseRequest, content: bytes) -> int:
+    """Return the same number for each sending of the same request."""
+    digest = xxhash.xxh3_64(request.method.encode())
+    digest.update(request.raw_path.encode())
+    digest.update(content)
+    return int(digest.intdigest())
--- /dev/null
+++ b/libraries/entry/src/sardinepier/entry/model.py
@@ -0,0 +1,115 @@
+"""What an entry instance serves: one whole configuration across services.
+
+A configuration is a value. It is taken whole or not at all, and a request
+keeps the one it started with.
+"""
+
+import enum
+
+import msgspec
+
+from sardinepier.core import ids
+
+
+class RouteKind(enum.Enum):
+    """What may be repeated of a route's requests."""
+
+    IDEMPOTENT = 'idempotent'
+    NON_IDEMPOTENT = 'non_idempotent'
+
+
+class ServiceShare(msgspec.Struct, frozen=True, array_like=True):
+    """The part of a route's requests that one service gets.
+
+    ``weight`` is relative to the sum of the weights of the route.
+    """
+
+    service: ids.ServiceName
+    weight: float
+
+
+class Route(msgspec.Struct, frozen=True, array_like=True):
+    """One prefix of one host.
+
+    ``prefix`` begins and ends with a slash. ``shares`` has one entry for a
+    plain route and several for a split one. ``timeout_s`` bounds how long a
+    request is kept waiting, ``target_latency_s`` is within which an answer
+    is worth most. The lower ``priority``, the more urgent. ``max_attempts``
+    bounds the targets that run one request.
+    """
+
+    name: ids.RouteName
+    host: str
+    prefix: str
+    kind: RouteKind
+    shares: tuple[ServiceShare, ...]
+    timeout_s: float
+    target_latency_s: float
+    priority: int
+    max_attempts: int
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Tell whether a request may run more than once."""
+        return self.kind is RouteKind.IDEMPOTENT
+
+
+class Service(msgspec.Struct, frozen=True, array_like=True):
+    """A service, and what its targets take.
+
+    ``health_path`` is asked by health checks. ``max_connections`` bounds the
+    connections of all callers together to one target.
+    """
+
+    name: ids.ServiceName
+    health_path: str
+    max_connections: int
+
+
+class CallerBounds(msgspec.Struct, frozen=True, array_like=True):
+    """What one caller may send, and how long it may take."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 1048576
+    header_timeout_s: float = 5.0
+    idle_timeout_s: float = 60.0
+
+
+class ServedConfiguration(msgspec.Struct, frozen=True, array_like=True):
+    """All routes and services at one version. Versions only grow."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    bounds: CallerBounds = CallerBounds()
+
+
+class TargetState(enum.Enum):
+    """What a target says of itself where targets are listed."""
+
+    READY = 'ready'
+    DRAINING = 'draining'
+
+
+class ListedTarget(msgspec.Struct, frozen=True, array_like=True):
+    """One start of one target, as the platform lists it.
+
+    ``target_id`` names this start only. ``warm_in_s`` is how much longer the
+    target is slow after its start, counted from the reading of the list.
+    """
+
+    target_id: ids.TargetId
+    service: ids.ServiceName
+    ip: str
+    port: int
+    zone: ids.ZoneName
+    slots: int
+    state: TargetState
+    warm_in_s: float = 0.0
+
+
+class TargetList(msgspec.Struct, frozen=True, array_like=True):
+    """All targets at one revision of the platform. Revisions only grow."""
+
+    revision: int
+    targets: tuple[ListedTarget, ...]
--- /dev/null
+++ b/libraries/entry/src/sardinepier/entry/pipeline.py
@@ -0,0 +1,98 @@
+"""The way of each request through the daemon, from head to answer."""
+
+import asyncio
+
+from aiohttp import web_request, web_response
+
+from sardinepier.core import errors as core_errors
+from sardinepier.entry import (
+    answers,
+    context,
+    forwarding,
+    intake,
+    refusals,
+    replies,
+)
+from sardinepier.entry import work as works
+from sardinepier.telemetry import logs
+
+
+class Pipeline:
+    """Answers the requests of callers."""
+
+    def __init__(self, shared: context.EntryContext) -> None:
+        """Work with the daemon's collaborators."""
+        self._shared = shared
+        self._intake = intake.Intake(shared)
+        self._forwarding = forwarding.Forwarding(shared)
+        self._abandoned: set[asyncio.Task[answers.Answer]] = set()
+
+    async def handle(
+        self,
+        request: web_request.BaseRequest,
+    ) -> web_response.StreamResponse:
+        """Return the answer to a request."""
+        with self._shared.activity:
+            response = await self._answer(request)
+        if self._shared.activity.is_draining:
+            response.force_close()
+        return response
+
+    async def _answer(
+        self,
+        request: web_request.BaseRequest,
+    ) -> web_response.Response:
+        item: works.Work | None = None
+        try:
+            item = await self._intake.read(request)
+            answer = await self._forward(item)
+        except core_errors.SardinepierError as error:
+            self._tell(item, error)
+            return replies.of_error(error)
+        except Exception as error:  # noqa: BLE001 - the last resort
+            logs.failure('request-failed', error, level=logs.Level.ERROR)
+            return replies.of_error(
+                refusals.InternalError(
+                    f'The daemon failed: {type(error).__name__}',
+                    'Find out whether the request ran before sending it anew',
+                ),
+            )
+        return replies.of_target(answer)
+
+    async def _forward(self, item: works.Work) -> answers.Answer:
+        """Forward a request; a hang-up ends what may be ended.
+
+        An idempotent request ends with its caller. One that isn't goes on
+        once a target has it: to cut it would leave its fate unknown.
+        """
+        if item.route.is_idempotent:
+            return await self._forwarding.forward(item)
+        task = asyncio.create_task(self._forwarding.forward(item))
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            item.is_abandoned = True
+            if item.was_sent:
+                self._abandoned.add(task)
+                task.add_done_callback(self._abandoned_ended)
+            else:
+                task.cancel()
+            raise
+
+    def _abandoned_ended(self, task: 'asyncio.Task[answers.Answer]') -> None:
+        self._abandoned.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logs.event('abandoned-failed', str(task.exception()))
+
+    def _tell(
+        self,
+        item: works.Work | None,
+        error: core_errors.SardinepierError,
+    ) -> None:
+        logs.event(
+            'request-refused',
+            error.what,
+            error=type(error).__name__,
+            request_id=item.request_id if item else '',
+            service=item.service if item else '',
+        )
--- /dev/null
+++ b/libraries/entry/src/sardinepier/entry/refusals.py
@@ -0,0 +1,81 @@
+"""What the daemon answers itself, each reason with its status.
+
+A status among 408, 421, 429 and 503 tells the caller that nothing ran and
+nothing will. The types under :class:`NotRunError` are therefore raised only
+while that is proved.
+"""
+
+import http
+from typing import ClassVar
+
+from sardinepier.core import errors
+
+
+class EntryError(errors.SardinepierError):
+    """Root of what a caller can be told; ``status`` is what it gets."""
+
+    status: ClassVar[http.HTTPStatus] = http.HTTPStatus.BAD_GATEWAY
+
+
+class NotRunError(EntryError):
+    """Nothing ran. ``retry_after_s`` says when a new try makes sense."""
+
+    status = http.HTTPStatus.SERVICE_UNAVAILABLE
+
+    def __init__(
+        self,
+        what: str,
+        remedy: str,
+        retry_after_s: float,
+    ) -> None:
+        """Keep in how many seconds a new try makes sense."""
+        super().__init__(what, remedy)
+        self.retry_after_s = retry_after_s
+
+
+class NotConfiguredError(NotRunError):
+    """This daemon knows no configuration yet."""
+
+
+class NoTargetError(NotRunError):
+    """No target of the service may get the request."""
+
+
+class HeldBackError(NotRunError):
+    """The request crashed the targets that ran it."""
+
+
+class TimeUpError(NotRunError):
+    """The time ran out before anything was sent."""
+
+
+class UnknownRouteError(EntryError):
+    """No route of the host begins the path."""
+
+    status = http.HTTPStatus.NOT_FOUND
+
+
+class BodyTooLargeError(EntryError):
+    """The body is larger than the configuration allows."""
+
+    status = http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+
+
+class BadRequestError(EntryError):
+    """The request can't be read as HTTP."""
+
+    status = http.HTTPStatus.BAD_REQUEST
+
+
+class UnknownFateError(EntryError):
+    """The request may have run, and there is no answer of a target."""
+
+
+class OverdueError(UnknownFateError):
+    """The time ran out while a target had the request."""
+
+    status = http.HTTPStatus.GATEWAY_TIMEOUT
+
+
+class InternalError(UnknownFateError):
+    """A fault of this program."""
--- /dev/null
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -0,0 +1,223 @@
+"""The targets of one service, as one daemon sees and uses them."""
+
+import random
+from collections.abc import Collection, Iterable
+from typing import Final
+
+import yarl
+from sardinepier.core import clock as clocks
+from sardinepier.core import ids
+from sardinepier.entry import model, preference, refusals, target_record
+from sardinepier.health import belief
+from sardinepier.routing import admission, budget
+
+_QUEUE_LENGTH: Final = 256
+"""Requests that may wait for a slot: two seconds of a busy service."""
+
+_USUAL_SMOOTHING: Final = 0.05
+_FULL_S: Final = 0.1
+"""How long a target that refused is left alone: about half of the usual
+work, after which a slot has come free."""
+
+_UNUSED_AFTER_S: Final = 2.0
+"""A target that got nothing for so long after it came is tried next."""
+
+_RETRY_AFTER_S: Final = 0.2
+
+
+class ServicePool:
+    """Chooses targets of one service and learns from what they answer.
+
+    For example::
+
+        record = await pool.acquire(work, tried=())
+        number = pool.started(record)
+        ...
+        pool.finished(record, number)
+        pool.answered(record, latency_s)
+    """
+
+    def __init__(
+        self,
+        name: ids.ServiceName,
+        zone: ids.ZoneName,
+        clock: clocks.Clock,
+        random_source: random.Random,
+        retry_percent: float,
+        options: belief.BeliefOptions,
+    ) -> None:
+        """Start without targets."""
+        self.name = name
+        self.usual_s = 0.0
+        self.retry_budget = budget.RetryBudget(clock, retry_percent)
+        self._zone = zone
+        self._clock = clock
+        self._random = random_source
+        self._options = options
+        self._records: dict[ids.TargetId, target_record.TargetRecord] = {}
+        self._attempts = 0
+        self._queue = admission.SlotQueue(
+            clock,
+            _QUEUE_LENGTH,
+            random_source,
+            self._give_back,
+        )
+
+    def set_targets(self, listed: Iterable[model.ListedTarget]) -> None:
+        """Replace the targets; those that stay keep what is known of them.
+
+        Targets that drain are left out: they get nothing new.
+        """
+        now_s = self._clock.monotonic_s()
+        is_first = not self._records
+        kept: dict[ids.TargetId, target_record.TargetRecord] = {}
+        for one in listed:
+            if one.state is model.TargetState.READY:
+                record = self._record(one, now_s)
+                record.was_used |= is_first
+                kept[one.target_id] = record
+        self._records = kept
+        self._queue.wake()
+
+    def find(self, target_id: ids.TargetId) -> target_record.TargetRecord | None:
+        """Return what is known of a target that is in use."""
+        return self._records.get(target_id)
+
+    def records(self) -> Collection[target_record.TargetRecord]:
+        """Return all targets in use."""
+        return self._records.values()
+
+    async def acquire(
+        self,
+        work: admission.Work,
+        tried: Collection[ids.TargetId],
+    ) -> target_record.TargetRecord:
+        """Wait for a slot at a target that was not tried yet.
+
+        Raises ``NoTargetError`` at once without any such target, and the
+        refusals of :mod:`sardinepier.routing.errors` when the wait would be
+        too long. The slot is reserved until ``started``, which must follow
+        before anything else is awaited.
+        """
+        self._require_target(tried)
+        target_id = await self._queue.acquire(
+            work,
+            lambda: self._choose(tried),
+        )
+        record = self._records.get(target_id)
+        if record is None:
+            raise _no_target(self.name)
+        return record
+
+    def try_acquire(
+        self,
+        tried: Collection[ids.TargetId],
+    ) -> target_record.TargetRecord | None:
+        """Return a target with a free slot, None when a wait is needed."""
+        target_id = self._choose(tried)
+        return None if target_id is None else self._records[target_id]
+
+    def started(self, record: target_record.TargetRecord) -> int:
+        """Take a slot of the target and return the attempt's number."""
+        self._attempts += 1
+        record.reserved -= 1
+        record.started_s[self._attempts] = self._clock.monotonic_s()
+        record.was_used = True
+        return self._attempts
+
+    def finished(self, record: target_record.TargetRecord, number: int) -> None:
+        """Give the slot back."""
+        record.started_s.pop(number, None)
+        self._queue.wake()
+
+    def answered(
+        self,
+        record: target_record.TargetRecord,
+        latency_s: float,
+    ) -> None:
+        """Take in a good answer."""
+        record.belief.answered(self._clock.monotonic_s())
+        record.took(latency_s, self.usual_s)
+        self._queue.observe_service(latency_s)
+        if self.usual_s:
+            self.usual_s += _USUAL_SMOOTHING * (latency_s - self.usual_s)
+        else:
+            self.usual_s = latency_s
+
+    def failed(self, record: target_record.TargetRecord) -> None:
+        """Take in that the target failed a request."""
+        record.belief.failed(self._clock.monotonic_s())
+
+    def full(self, record: target_record.TargetRecord) -> None:
+        """Take in that the target had no room for a request."""
+        record.full_until_s = self._clock.monotonic_s() + _FULL_S
+
+    def drop(self, target_id: ids.TargetId) -> None:
+        """Give nothing more to a target that is leaving or gone."""
+        self._records.pop(target_id, None)
+
+    def _record(
+        self,
+        listed: model.ListedTarget,
+        now_s: float,
+    ) -> target_record.TargetRecord:
+        record = self._records.get(listed.target_id)
+        if record is not None:
+            record.listed = listed
+            return record
+        return target_record.TargetRecord(
+            listed,
+            belief.TargetBelief(self._options, now_s),
+            now_s,
+            yarl.URL.build(scheme='http', host=listed.ip, port=listed.port),
+        )
+
+    def _require_target(self, tried: Collection[ids.TargetId]) -> None:
+        if all(target_id in tried for target_id in self._records):
+            raise _no_target(self.name)
+
+    def _choose(self, tried: Collection[ids.TargetId]) -> ids.TargetId | None:
+        now_s = self._clock.monotonic_s()
+        free = [
+            record
+            for target_id, record in self._records.items()
+            if target_id not in tried and record.has_room(now_s)
+        ]
+        chosen = self._unused(free, now_s) or preference.surest(
+            free,
+            self._zone,
+            now_s,
+            self.usual_s,
+            self._random,
+        )
+        if chosen is None:
+            return None
+        chosen.reserved += 1
+        return chosen.listed.target_id
+
+    def _unused(
+        self,
+        free: Iterable[target_record.TargetRecord],
+        now_s: float,
+    ) -> target_record.TargetRecord | None:
+        """Return a target that has waited long for its first request."""
+        for record in free:
+            if record.was_used or record.listed.zone != self._zone:
+                continue
+            due_s = record.added_s + record.listed.warm_in_s + _UNUSED_AFTER_S
+            if now_s > due_s:
+                return record
+        return None
+
+    def _give_back(self, target_id: ids.TargetId) -> None:
+        record = self._records.get(target_id)
+        if record is not None:
+            record.reserved -= 1
+
+
+def _no_target(name: ids.ServiceName) -> refusals.NoTargetError:
+    return refusals.NoTargetError(
+        f'Service {name} has no target that may take this request',
+        'Send it again after the stated time',
+        _RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/libraries/entry/src/sardinepier/entry/services.py
@@ -0,0 +1,88 @@
+"""The configuration in force, and the targets of its services."""
+
+import random
+from collections.abc import Iterable
+from typing import Final
+
+from sardinepier.core import clock as clocks
+from sardinepier.core import ids
+from sardinepier.entry import model, refusals, route_table, service_pool
+from sardinepier.health import belief
+
+_RETRY_AFTER_S: Final = 0.5
+
+
+class Services:
+    """Takes newer configurations and target lists, and never older ones."""
+
+    def __init__(
+        self,
+        zone: ids.ZoneName,
+        clock: clocks.Clock,
+        random_source: random.Random,
+        retry_percent: float,
+        options: belief.BeliefOptions,
+    ) -> None:
+        """Start without a configuration and without targets."""
+        self.configuration: model.ServedConfiguration | None = None
+        self.targets: model.TargetList | None = None
+        self._zone = zone
+        self._clock = clock
+        self._random = random_source
+        self._retry_percent = retry_percent
+        self._options = options
+        self._table: route_table.RouteTable | None = None
+        self._pools: dict[ids.ServiceName, service_pool.ServicePool] = {}
+
+    def offer_configuration(self, offered: model.ServedConfiguration) -> bool:
+        """Put a configuration in force if it is newer; tell whether it was."""
+        held = self.configuration
+        if held is not None and offered.version <= held.version:
+            return False
+        self.configuration = offered
+        self._table = route_table.RouteTable(offered, self._random)
+        return True
+
+    def offer_targets(self, offered: model.TargetList) -> bool:
+        """Use a target list if it is newer; tell whether it was."""
+        held = self.targets
+        if held is not None and offered.revision <= held.revision:
+            return False
+        self.targets = offered
+        by_service: dict[ids.ServiceName, list[model.ListedTarget]] = {
+            name: [] for name in self._pools
+        }
+        for target in offered.targets:
+            by_service.setdefault(target.service, []).append(target)
+        for name, listed in by_service.items():
+            self.pool(name).set_targets(listed)
+        return True
+
+    def pool(self, name: ids.ServiceName) -> service_pool.ServicePool:
+        """Return the targets of a service, which may be none."""
+        pool = self._pools.get(name)
+        if pool is None:
+            pool = service_pool.ServicePool(
+                name,
+                self._zone,
+                self._clock,
+                self._random,
+                self._retry_percent,
+                self._options,
+            )
+            self._pools[name] = pool
+        return pool
+
+    def pools(self) -> Iterable[service_pool.ServicePool]:
+        """Return the targets of all services."""
+        return self._pools.values()
+
+    def routes(self) -> route_table.RouteTable:
+        """Return the routes in force; raise ``NotConfiguredError``."""
+        if self._table is None:
+            raise refusals.NotConfiguredError(
+                'This daemon knows no configuration yet',
+                'Ask again after the stated time, or ask another daemon',
+                _RETRY_AFTER_S,
+            )
+        return self._table
--- /dev/null
+++ b/libraries/entry/src/sardinepier/entry/target_record.py
@@ -0,0 +1,72 @@
+"""What one daemon knows of one target."""
+
+import dataclasses
+from typing import Final
+
+import yarl
+
+from sardinepier.entry import model
+from sardinepier.health import belief
+
+_SMOOTHING: Final = 0.2
+"""Weight of the newest latency; about the last five decide."""
+
+_OVERDUE_FACTOR: Final = 4.0
+"""Work that takes so many times the usual is more likely hung than long:
+measured work lies below three times its mean in 99 of 100 requests."""
+
+_LEAST_OVERDUE_S: Final = 0.5
+_LOAD_KEPT_S: Final = 0.4
+"""How long a target's own count of its load is believed."""
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class TargetRecord:
+    """One target with its belief, its open attempts and its pace.
+
+    ``started_s`` holds when each open attempt began, oldest first.
+    ``pace`` is how slow it is against the service's usual, 1.0 for equal.
+    ``full_until_s`` is until when it asked for no more work. ``reserved``
+    counts slots that were given to requests which have not begun yet.
+    """
+
+    listed: model.ListedTarget
+    belief: belief.TargetBelief
+    added_s: float
+    url: yarl.URL
+    started_s: dict[int, float] = dataclasses.field(default_factory=dict)
+    pace: float = 1.0
+    full_until_s: float = 0.0
+    others_load: int = 0
+    others_load_until_s: float = 0.0
+    reserved: int = 0
+    was_used: bool = False
+
+    def in_flight(self, now_s: float) -> int:
+        """Return the requests it has: our own, and others' where known."""
+        own = len(self.started_s) + self.reserved
+        if now_s < self.others_load_until_s:
+            return own + self.others_load
+        return own
+
+    def has_room(self, now_s: float) -> bool:
+        """Tell whether one more request would be worked on at once."""
+        if now_s < self.full_until_s:
+            return False
+        return self.in_flight(now_s) < self.listed.slots
+
+    def is_overdue(self, now_s: float, usual_s: float) -> bool:
+        """Tell whether an open attempt takes far longer than usual."""
+        oldest_s = next(iter(self.started_s.values()), now_s)
+        patience_s = max(_LEAST_OVERDUE_S, _OVERDUE_FACTOR * usual_s)
+        return now_s - oldest_s > patience_s
+
+    def heard_load(self, running: int, waiting: int, now_s: float) -> None:
+        """Take in the target's own count, which includes our requests."""
+        self.others_load = max(0, running + waiting - len(self.started_s))
+        self.others_load_until_s = now_s + _LOAD_KEPT_S
+
+    def took(self, latency_s: float, usual_s: float) -> None:
+        """Take in how long one answer took against the usual."""
+        if usual_s > 0:
+            self.pace += _SMOOTHING * (latency_s / usual_s - self.pace)
--- a/libraries/gateway/src/sardinepier/gateway/client.py
+++ b/libraries/gateway/src/sardinepier/gateway/client.py
@@ -45,12 +45,14 @@
         connect_timeout_s: float,
         permit: Callable[[], None],
         path: str | None = None,
+        accepts: connections.Accepts | None = None,
     ) -> client_reqrep.ClientResponse:
         """Send a request and return the answer once its headers are there.
 
         ``path`` goes out byte for byte as the request's path and query; by
-        default it is that of ``url``. ``fresh`` takes a new connection that is not kept. ``permit`` is
-        called right before the first byte. Raises ``ConnectFailedError`` if
+        default it is that of ``url``. ``fresh`` takes a new connection that
+        is not kept. ``permit`` is called right before the first byte. Answers
+        that ``accepts`` turns down are passed over. Raises ``ConnectFailedError`` if
         nothing was sent, ``ConnectionLostError`` or ``BadAnswerError`` if
         something was, and what ``permit`` raises.
         """
@@ -65,6 +67,7 @@
             )
             request.path = path or url.raw_path_qs
             request.content = body
+            request.accepts = accepts
             with contextlib.suppress(errors.StaleConnectionError):
                 return await outgoing.Exchange(request, permit).run(
                     pool,
--- a/libraries/gateway/src/sardinepier/gateway/outgoing.py
+++ b/libraries/gateway/src/sardinepier/gateway/outgoing.py
@@ -33,12 +33,14 @@
     """A request that asks for permission right before its first byte.
 
     ``path`` goes out as it is; yarl's URLs drop a question mark with nothing
-    behind it. ``content`` is the body.
+    behind it. ``content`` is the body. ``accepts`` tells the answer of this
+    request from one that comes late to an earlier one.
     """
 
     exchange: 'Exchange'
     path: str
     content: bytes
+    accepts: connections.Accepts | None = None
     _skip_auto_headers = _NO_DEFAULTS
 
     def update_auto_headers(self, skip_auto_headers: Any) -> None:
@@ -57,6 +59,7 @@
         writer = await self._writer_to(conn, protocol)
         self.exchange.about_to_write()
         protocol.is_idle = False
+        protocol.accepts = self.accepts
         conn.add_callback(protocol.pooled)
         task: asyncio.Task[None] | None = None
         if len(self.content) > _AT_ONCE_BYTES or protocol.writing_paused:
--- /dev/null
+++ b/libraries/health/src/sardinepier/health/belief.py
@@ -0,0 +1,103 @@
+"""How likely a target is failing right now, from its own outcomes.
+
+Targets change between a sound and a failing state by themselves. One failure
+of a target that answered a moment ago may be chance; one of a target that was
+not asked for seconds more likely shows that it is failing. The belief is the
+filter of a hidden Markov model with two states: it is updated by each outcome
+and drifts back to the long-run share of failing time while nothing is heard.
+"""
+
+import dataclasses
+import math
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BeliefOptions:
+    """What is assumed of the targets of a fleet.
+
+    ``failing_share`` is the long-run share of time in which a target fails,
+    ``memory_s`` the time in which what was seen loses two thirds of its
+    weight. A failing target fails ``failing_failure_share`` of its requests,
+    a sound one ``sound_failure_share``. The defaults are those measured on
+    fleets where a third of the targets fails for some seconds each ten.
+    """
+
+    failing_share: float = 0.25
+    memory_s: float = 5.0
+    failing_failure_share: float = 0.8
+    sound_failure_share: float = 0.015
+
+
+class TargetBelief:
+    """The belief about one target.
+
+    For example::
+
+        belief = TargetBelief(BeliefOptions(), now_s=0.0)
+        belief.failed(1.0)
+        belief.failure_chance(1.0)   # about 0.77
+        belief.failure_chance(30.0)  # about 0.21, the long-run share
+    """
+
+    __slots__ = ('_failing', '_options', '_updated_s')
+
+    def __init__(self, options: BeliefOptions, now_s: float) -> None:
+        """Start with the long-run share."""
+        self._options = options
+        self._failing = options.failing_share
+        self._updated_s = now_s
+
+    def failing(self, now_s: float) -> float:
+        """Return the chance, 0 to 1, that the target is failing now."""
+        options = self._options
+        kept = math.exp(-max(0.0, now_s - self._updated_s) / options.memory_s)
+        drift = options.failing_share * (1 - kept)
+        return drift + self._failing * kept
+
+    def failure_chance(self, now_s: float) -> float:
+        """Return the chance, 0 to 1, that a request sent now fails."""
+        failing = self.failing(now_s)
+        options = self._options
+        return (
+            failing * options.failing_failure_share
+            + (1 - failing) * options.sound_failure_share
+        )
+
+    def answered(self, now_s: float) -> None:
+        """Take in a good answer."""
+        options = self._options
+        self._update(
+            now_s,
+            1 - options.failing_failure_share,
+            1 - options.sound_failure_share,
+        )
+
+    def failed(self, now_s: float) -> None:
+        """Take in a failed request."""
+        options = self._options
+        self._update(
+            now_s,
+            options.failing_failure_share,
+            options.sound_failure_share,
+        )
+
+    def take(self, failing: float, now_s: float) -> None:
+        """Replace the belief by one that another daemon holds."""
+        self._failing = failing
+        self._updated_s = now_s
+
+    @property
+    def updated_s(self) -> float:
+        """When the newest outcome was taken in."""
+        return self._updated_s
+
+    def _update(
+        self,
+        now_s: float,
+        if_failing: float,
+        if_sound: float,
+    ) -> None:
+        failing = self.failing(now_s)
+        weighed = failing * if_failing
+        self._failing = weighed / (weighed + (1 - failing) * if_sound)
+        self._updated_s = now_s
--- a/libraries/telemetry/src/sardinepier/telemetry/logs.py
+++ b/libraries/telemetry/src/sardinepier/telemetry/logs.py
@@ -1,4 +1,4 @@
-"""JSON lines on standard error, one compact object a line.
+"""JSON lines on standard error or output, one compact object a line.
 
 For example::
 
@@ -11,10 +11,11 @@
 """
 
 import enum
+import functools
 import logging
 import sys
 from collections.abc import Callable, Sequence
-from typing import Final
+from typing import Final, TextIO
 
 import loguru
 from sardinepier.core import errors as core_errors
@@ -55,8 +56,15 @@
         ) from problem
 
 
-def configure(level: str, instance_id: str) -> None:
-    """Send all log lines of this process to standard error as JSON.
+def configure(
+    level: str,
+    instance_id: str,
+    *,
+    stream: TextIO | None = None,
+) -> None:
+    """Send all log lines of this process to ``stream`` as JSON.
+
+    The default stream is standard error.
 
     Lines of libraries that use the standard ``logging`` module are taken in
     as event ``library`` from level warning up: they would otherwise print
@@ -66,7 +74,7 @@
     chosen = parse_level(level)
     writer = log_lines.Writer(
         instance_id,
-        _write_line,
+        functools.partial(_write_line, stream),
         with_traceback=chosen is Level.DEBUG,
     )
     loguru.logger.remove()
@@ -129,9 +137,10 @@
     ).log(level.name, '')
 
 
-def _write_line(line: str) -> None:
-    sys.stderr.write(f'{line}\n')
-    sys.stderr.flush()
+def _write_line(stream: TextIO | None, line: str) -> None:
+    chosen = sys.stderr if stream is None else stream
+    chosen.write(f'{line}\n')
+    chosen.flush()
 
 
 class _LibraryHandler(logging.Handler):
--- /dev/null
+++ b/libraries/zones/src/sardinepier/zones/carriers.py
@@ -0,0 +1,134 @@
+"""Which daemons of a zone carry its traffic.
+
+Few daemons carry a zone, so that each sees enough requests to tell a failing
+target from bad luck. They are the first by rendezvous hashing among the
+living, so that all daemons name the same ones without agreement, and others
+take over when one goes. A carrier beats; one that falls silent is passed over
+at once, long before membership gives it up.
+"""
+
+from typing import Final
+
+from sardinepier.core import clock as clocks
+from sardinepier.core import ids, rendezvous
+from sardinepier.membership import members, view
+
+BEAT_INTERVAL_S: Final = 0.25
+SILENT_AFTER_S: Final = 0.9
+"""Three missed beats: two may be lost or late on a busy instance."""
+
+_KEY: Final = 'carrier/{0}'
+
+
+class Carriers:
+    """Names the carriers of each zone, from the view of one daemon."""
+
+    def __init__(
+        self,
+        fleet: view.View,
+        clock: clocks.Clock,
+        count: int,
+    ) -> None:
+        """Name ``count`` carriers a zone."""
+        self._fleet = fleet
+        self._clock = clock
+        self._count = count
+        self._heard_s: dict[ids.InstanceId, float] = {}
+        self._expected_s: dict[ids.InstanceId, float] = {}
+        self._ranked: dict[ids.ZoneName, tuple[members.Member, ...]] = {}
+        self._ranked_version = -1
+
+    def heard(self, sender: ids.InstanceId) -> None:
+        """Note a beat of ``sender``."""
+        self._heard_s[sender] = self._clock.monotonic_s()
+
+    def of_zone(self, zone: ids.ZoneName) -> tuple[members.Member, ...]:
+        """Return the carriers of ``zone``, best first.
+
+        Without living daemons there, those of all other zones are returned.
+        """
+        ranked = self._rank().get(zone)
+        if not ranked:
+            return tuple(
+                member
+                for name in sorted(self._ranked)
+                for member in self._ranked[name][: self._count]
+            )
+        if zone != self._fleet.own.zone:
+            return ranked[: self._count]
+        return self._beating(ranked)
+
+    def own_rank(self) -> int:
+        """Return this daemon's place among the carriers of its zone.
+
+        0 is the first; the number of carriers and more mean that it is none.
+        """
+        carriers = self.of_zone(self._fleet.own.zone)
+        own = self._fleet.own.instance_id
+        for place, member in enumerate(carriers):
+            if member.instance_id == own:
+                return place
+        return self._count
+
+    def is_carrier(self) -> bool:
+        """Tell whether this daemon is one of its zone's carriers."""
+        return self.own_rank() < self._count
+
+    def neighbours(self) -> tuple[members.Member, ...]:
+        """Return the other living daemons of the own zone."""
+        own = self._fleet.own
+        return tuple(
+            member
+            for member in self._fleet.members()
+            if member.zone == own.zone
+            and member.instance_id != own.instance_id
+        )
+
+    def _beating(
+        self,
+        ranked: tuple[members.Member, ...],
+    ) -> tuple[members.Member, ...]:
+        """Return the first that are not silent; the first ones if all are."""
+        now_s = self._clock.monotonic_s()
+        chosen: list[members.Member] = []
+        for member in ranked:
+            if len(chosen) == self._count:
+                break
+            if not self._is_silent(member.instance_id, now_s):
+                chosen.append(member)
+        return tuple(chosen) or ranked[: self._count]
+
+    def _is_silent(self, instance_id: ids.InstanceId, now_s: float) -> bool:
+        if instance_id == self._fleet.own.instance_id:
+            return False
+        expected_s = self._expected_s.setdefault(instance_id, now_s)
+        heard_s = max(expected_s, self._heard_s.get(instance_id, expected_s))
+        return now_s - heard_s > SILENT_AFTER_S
+
+    def _rank(self) -> dict[ids.ZoneName, tuple[members.Member, ...]]:
+        if self._ranked_version == self._fleet.version:
+            return self._ranked
+        self._ranked_version = self._fleet.version
+        by_zone: dict[ids.ZoneName, list[members.Member]] = {}
+        for member in self._fleet.serving():
+            by_zone.setdefault(member.zone, []).append(member)
+        self._ranked = {
+            zone: _in_order(zone, found) for zone, found in by_zone.items()
+        }
+        self._forget_gone()
+        return self._ranked
+
+    def _forget_gone(self) -> None:
+        living = {member.instance_id for member in self._fleet.members()}
+        for kept in (self._heard_s, self._expected_s):
+            for instance_id in kept.keys() - living:
+                del kept[instance_id]
+
+
+def _in_order(
+    zone: ids.ZoneName,
+    found: list[members.Member],
+) -> tuple[members.Member, ...]:
+    by_name = {str(member.instance_id): member for member in found}
+    order = rendezvous.first(_KEY.format(zone), by_name, len(found))
+    return tuple(by_name[name] for name in order)
--- /dev/null
+++ b/libraries/zones/src/sardinepier/zones/messages.py
@@ -0,0 +1,57 @@
+"""What the daemons of one zone tell each other."""
+
+import msgspec
+
+from sardinepier.core import ids
+from sardinepier.entry import model
+from sardinepier.wire import messages
+
+
+class BeliefNews(msgspec.Struct, frozen=True, array_like=True):
+    """What the sender believes of one target.
+
+    ``failing`` is the chance, 0 to 1, that it fails now, ``age_ms`` how long
+    ago its newest outcome was seen.
+    """
+
+    target_id: ids.TargetId
+    failing: float
+    age_ms: int
+
+
+class ZoneBeat(messages.Message, frozen=True):
+    """Sent by those who carry the zone, at least once an interval.
+
+    ``configuration_version`` and ``targets_revision`` are what the sender
+    holds, -1 for nothing. ``targets_age_ms`` is how long ago the platform
+    confirmed its target list, -1 for never. ``beliefs`` are those that
+    changed since its last beat.
+    """
+
+    configuration_version: int
+    targets_revision: int
+    targets_age_ms: int
+    beliefs: tuple[BeliefNews, ...] = ()
+
+
+class NewsRequest(messages.Message, frozen=True):
+    """Asks for what is newer than the sender's own."""
+
+    configuration_version: int
+    targets_revision: int
+
+
+class ConfigurationNews(messages.Message, frozen=True):
+    """A whole configuration, packed by :mod:`sardinepier.zones.packing`."""
+
+    packed: bytes
+
+
+class TargetsNews(messages.Message, frozen=True):
+    """A whole target list, and how long ago the platform confirmed it."""
+
+    targets: model.TargetList
+    age_ms: int
+
+
+KINDS = (ZoneBeat, NewsRequest, ConfigurationNews, TargetsNews)
--- /dev/null
+++ b/libraries/zones/src/sardinepier/zones/packing.py
@@ -0,0 +1,30 @@
+"""A configuration in few bytes: large ones repeat themselves a lot."""
+
+import zlib
+from typing import Final
+
+import msgspec
+
+from sardinepier.entry import model
+
+_LEVEL: Final = 1
+_MOST_BYTES: Final = 16_777_216
+"""Bounds what a damaged message may unpack to: the platform's values have a
+megabyte at most."""
+
+_encoder: Final = msgspec.msgpack.Encoder()
+_decoder: Final = msgspec.msgpack.Decoder(model.ServedConfiguration)
+
+
+def pack(configuration: model.ServedConfiguration) -> bytes:
+    """Return the configuration as compressed MessagePack."""
+    return zlib.compress(_encoder.encode(configuration), _LEVEL)
+
+
+def unpack(packed: bytes) -> model.ServedConfiguration:
+    """Return the configuration.
+
+    Raises ``zlib.error`` and ``msgspec.DecodeError`` for damaged bytes.
+    """
+    unpacker = zlib.decompressobj()
+    return _decoder.decode(unpacker.decompress(packed, _MOST_BYTES))
--- /dev/null
+++ b/libraries/zones/src/sardinepier/zones/sharing.py
@@ -0,0 +1,207 @@
+"""Passing configuration, target lists and beliefs on within a zone.
+
+Carriers beat to all daemons of their zone. Whoever sees in a beat that it is
+behind asks its sender, and a carrier that takes in something newer sends it
+to all at once. Everything has a version that only grows, so that loss,
+repeats and reordering do no harm.
+"""
+
+import asyncio
+import zlib
+from collections.abc import Callable
+
+import msgspec
+
+from sardinepier.core import clock as clocks
+from sardinepier.core import ids
+from sardinepier.entry import model, services
+from sardinepier.telemetry import logs
+from sardinepier.wire import messages as wire_messages
+from sardinepier.wire import network
+from sardinepier.zones import carriers, lapses, messages, packing
+
+_MS_PER_S = 1000
+_NOTHING = -1
+
+
+class ZoneSharing:
+    """Exchanges news between one daemon and its zone.
+
+    ``on_configuration`` is told of each configuration that came into force.
+    """
+
+    def __init__(
+        self,
+        peer_network: network.PeerNetwork,
+        chosen: carriers.Carriers,
+        held: services.Services,
+        guard: lapses.LapseGuard,
+        clock: clocks.Clock,
+        on_configuration: Callable[[model.ServedConfiguration], None],
+    ) -> None:
+        """Listen on ``peer_network``; nothing is sent yet."""
+        self._network = peer_network
+        self._carriers = chosen
+        self._held = held
+        self._guard = guard
+        self._clock = clock
+        self._on_configuration = on_configuration
+        self._told_until_s = clock.monotonic_s()
+        self._stirred = asyncio.Event()
+        peer_network.subscribe(messages.ZoneBeat, self._on_beat)
+        peer_network.subscribe(messages.NewsRequest, self._on_request)
+        peer_network.subscribe(messages.ConfigurationNews, self._on_news)
+        peer_network.subscribe(messages.TargetsNews, self._on_targets)
+
+    def take_configuration(self, fresh: model.ServedConfiguration) -> None:
+        """Put a configuration that was read in force, and pass it on."""
+        if self._take(fresh):
+            self._to_all(messages.ConfigurationNews(packing.pack(fresh)))
+
+    def take_targets(self, fresh: model.TargetList) -> None:
+        """Use a target list that was read, and pass it on if it differs."""
+        before = self._held.targets
+        complete = self._guard.complete(before, fresh)
+        if not self._held.offer_targets(complete):
+            return
+        if before is None or before.targets != complete.targets:
+            self._to_all(messages.TargetsNews(complete, 0))
+
+    def stir(self) -> None:
+        """Beat soon: a target has just failed."""
+        self._stirred.set()
+
+    async def run(self) -> None:
+        """Beat while this daemon is a carrier, until cancelled."""
+        while True:
+            if self._carriers.is_carrier():
+                self._to_all(self._beat())
+            self._stirred.clear()
+            await self._wait()
+
+    async def _wait(self) -> None:
+        try:
+            async with asyncio.timeout(carriers.BEAT_INTERVAL_S):
+                await self._stirred.wait()
+        except TimeoutError:
+            return
+
+    def _beat(self) -> messages.ZoneBeat:
+        age_s = self._guard.age_s()
+        return messages.ZoneBeat(
+            *self._versions(),
+            targets_age_ms=_NOTHING if age_s is None else _ms(age_s),
+            beliefs=self._new_beliefs(),
+        )
+
+    def _versions(self) -> tuple[int, int]:
+        configuration = self._held.configuration
+        targets = self._held.targets
+        return (
+            configuration.version if configuration else _NOTHING,
+            targets.revision if targets else _NOTHING,
+        )
+
+    def _new_beliefs(self) -> tuple[messages.BeliefNews, ...]:
+        now_s = self._clock.monotonic_s()
+        since_s = self._told_until_s
+        self._told_until_s = now_s
+        return tuple(
+            messages.BeliefNews(
+                record.listed.target_id,
+                round(record.belief.failing(now_s), 3),
+                _ms(now_s - record.belief.updated_s),
+            )
+            for pool in self._held.pools()
+            for record in pool.records()
+            if record.belief.updated_s >= since_s
+        )
+
+    def _to_all(self, message: wire_messages.Message) -> None:
+        for member in self._carriers.neighbours():
+            self._network.send(member.peer_address, message)
+
+    def _on_beat(
+        self,
+        sender: wire_messages.Sender,
+        beat: messages.ZoneBeat,
+    ) -> None:
+        self._carriers.heard(sender.instance_id)
+        version, revision = self._versions()
+        is_behind = beat.configuration_version > version
+        if is_behind or self._lacks_targets(beat, revision):
+            self._network.send(
+                sender.address,
+                messages.NewsRequest(version, revision),
+            )
+        elif beat.targets_age_ms != _NOTHING:
+            self._guard.confirmed(beat.targets_age_ms / _MS_PER_S)
+        self._take_beliefs(beat.beliefs)
+
+    def _lacks_targets(self, beat: messages.ZoneBeat, revision: int) -> bool:
+        # Revisions grow with each heartbeat of a target; lists that differ
+        # are sent to all, so that only the first one has to be asked for.
+        return revision == _NOTHING and beat.targets_revision != _NOTHING
+
+    def _take_beliefs(self, news: tuple[messages.BeliefNews, ...]) -> None:
+        now_s = self._clock.monotonic_s()
+        by_target = {
+            record.listed.target_id: record
+            for pool in self._held.pools()
+            for record in pool.records()
+        }
+        for one in news:
+            record = by_target.get(one.target_id)
+            seen_s = now_s - one.age_ms / _MS_PER_S
+            if record is not None and seen_s > record.belief.updated_s:
+                record.belief.take(one.failing, seen_s)
+
+    def _on_request(
+        self,
+        sender: wire_messages.Sender,
+        request: messages.NewsRequest,
+    ) -> None:
+        version, revision = self._versions()
+        configuration = self._held.configuration
+        targets = self._held.targets
+        if configuration and version > request.configuration_version:
+            self._network.send(
+                sender.address,
+                messages.ConfigurationNews(packing.pack(configuration)),
+            )
+        if targets and revision > request.targets_revision:
+            age_s = self._guard.age_s() or 0
+            self._network.send(
+                sender.address,
+                messages.TargetsNews(targets, _ms(age_s)),
+            )
+
+    def _on_news(
+        self,
+        sender: wire_messages.Sender,
+        news: messages.ConfigurationNews,
+    ) -> None:
+        try:
+            configuration = packing.unpack(news.packed)
+        except (zlib.error, msgspec.DecodeError) as error:
+            logs.failure('news-damaged', error, sender=sender.instance_id)
+            return
+        self._take(configuration)
+
+    def _on_targets(
+        self,
+        sender: wire_messages.Sender,
+        news: messages.TargetsNews,
+    ) -> None:
+        if self._held.offer_targets(news.targets):
+            self._guard.confirmed(news.age_ms / _MS_PER_S)
+
+    def _take(self, configuration: model.ServedConfiguration) -> bool:
+        if not self._held.offer_configuration(configuration):
+            return False
+        self._on_configuration(configuration)
+        return True
+
+
+def _ms(seconds: float) -> int:
+    return round(seconds * _MS_PER_S)
