Share beliefs within and between zones, and read the platform by few

Cause: own_rank counted every daemon as a second watcher, so all 48 watched the configuration; requests that outlast their route's timeout counted as failures of their target; what daemons beside the carriers saw was lost. Change: ranks pass over silent carriers only, timeouts blame a target only when overlong, beliefs are told to carriers and to other zones, membership prefers peers of the own zone.

--- a/libraries/daemon/src/sardinepier/daemon/entry_process.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_process.py
@@ -12,7 +12,7 @@
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
 from sardinepier.daemon import entry_settings, identity
-from sardinepier.daemon.internal import task_set
+from sardinepier.daemon.internal import entry_parts, task_set
 from sardinepier.entry import (
     activity,
     caller_server,
@@ -25,19 +25,10 @@
 )
 from sardinepier.gateway import client
 from sardinepier.health import belief
-from sardinepier.membership import (
-    events,
-    kinds,
-    marks,
-    members,
-    membership,
-    options,
-)
 from sardinepier.once import quarantine
 from sardinepier.telemetry import logs
-from sardinepier.wire import messages, zmq_network
+from sardinepier.wire import messages
 from sardinepier.zones import carriers, lapses, reading, sharing
-from sardinepier.zones import messages as zone_messages
 
 _CARRIERS_A_ZONE: Final = 1
 """More share the risk of a lost instance, fewer see more of each target."""
@@ -56,8 +47,6 @@
 _STALE_DIRECTORY_FACTOR: Final = 3
 """Some callers keep a directory answer so many times longer."""
 
-_MARK: Final = marks.ConfigurationMark(0, 0)
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntryPages:
@@ -107,8 +96,17 @@
             settings.daemon_id,
             random.SystemRandom(),
         )
-        self._network = self._make_network()
-        self._membership = self._make_membership()
+        self._network = entry_parts.build_network(
+            settings,
+            self._instance_id,
+            self._clock,
+        )
+        self._membership = entry_parts.build_membership(
+            settings,
+            self._network,
+            self._clock,
+            self._random,
+        )
         self._carriers = carriers.Carriers(
             self._membership,
             self._clock,
@@ -123,6 +121,7 @@
             self._clock,
             _tell_configuration,
         )
+        self._services.on_outcome = self._outcome_seen
 
     def stop(self) -> None:
         """Begin the graceful exit; a second call changes nothing."""
@@ -147,7 +146,16 @@
     async def _serve(self, stack: contextlib.AsyncExitStack) -> None:
         self._network.open()
         self._membership.seed(self._settings.seeds)
-        shared = self._context()
+        shared = context.EntryContext(
+            zone=self._settings.zone,
+            clock=self._clock,
+            random_source=self._random,
+            names=self._settings.names,
+            client=client.TargetClient(),
+            services=self._services,
+            quarantine=quarantine.Quarantine(self._clock),
+            activity=self._activity,
+        )
         stack.push_async_callback(shared.client.close)
         self._start_tasks()
         front = caller_server.HttpServer(
@@ -241,6 +249,10 @@
         for server in beside:
             await server.close(0)
 
+    def _outcome_seen(self, is_good: bool) -> None:
+        if not is_good:
+            self._sharing.stir()
+
     def _addresses(self, zone: ids.ZoneName) -> Sequence[str]:
         return [
             f'{member.http_ip}:{member.http_port}'
@@ -257,51 +269,6 @@
         configuration = self._services.configuration
         return configuration.bounds if configuration else model.CallerBounds()
 
-    def _context(self) -> context.EntryContext:
-        return context.EntryContext(
-            zone=self._settings.zone,
-            clock=self._clock,
-            random_source=self._random,
-            names=self._settings.names,
-            client=client.TargetClient(),
-            services=self._services,
-            quarantine=quarantine.Quarantine(self._clock),
-            activity=self._activity,
-        )
-
-    def _make_network(self) -> zmq_network.ZmqNetwork:
-        return zmq_network.ZmqNetwork(
-            kinds.KINDS + zone_messages.KINDS,
-            messages.Sender(self._instance_id, self._settings.peer),
-            self._settings.peer,
-            self._clock,
-            source_ip=self._settings.peer.ip,
-        )
-
-    def _make_membership(self) -> membership.Membership:
-        own = members.Member(
-            instance_id=self._instance_id,
-            daemon_id=self._settings.daemon_id,
-            zone=self._settings.zone,
-            region=self._settings.region,
-            peer_address=self._settings.peer,
-            http_ip=self._settings.front.ip,
-            http_port=self._settings.front.port,
-            incarnation=0,
-            state=members.MemberState.ALIVE,
-            started_at_s=self._clock.monotonic_s(),
-        )
-        return membership.Membership(
-            own,
-            self._network,
-            self._clock,
-            self._random,
-            options.MembershipOptions(),
-            lambda: _MARK,
-            _ignore_mark,
-            _tell_member,
-        )
-
     def _part_failed(self, failure: BaseException) -> None:
         logs.failure('part-failed', failure, level=logs.Level.ERROR)
         self.stop()
@@ -313,14 +280,3 @@
         version=configuration.version,
         routes=len(configuration.routes),
     )
-
-
-def _tell_member(event: events.MemberEvent) -> None:
-    logs.event('member', str(event))
-
-
-def _ignore_mark(
-    sender: messages.Sender,
-    mark: marks.ConfigurationMark,
-) -> None:
-    """Do nothing: here configurations ride on the beats of a zone."""
--- /dev/null
+++ b/libraries/daemon/src/sardinepier/daemon/internal/entry_parts.py
@@ -0,0 +1,87 @@
+"""Builds the parts with which an entry instance knows its peers."""
+
+import random
+from typing import Final
+
+from sardinepier.core import clock as clocks
+from sardinepier.core import ids
+from sardinepier.daemon import entry_settings
+from sardinepier.membership import (
+    events,
+    kinds,
+    marks,
+    members,
+    membership,
+    options,
+)
+from sardinepier.telemetry import logs
+from sardinepier.wire import messages, zmq_network
+from sardinepier.zones import messages as zone_messages
+
+_ZONE_PEERS: Final = 3
+"""Of the four peers that each daemon monitors, those in its own zone."""
+
+_MARK: Final = marks.ConfigurationMark(0, 0)
+_Kinds = tuple[type[messages.Message], ...]
+_KINDS: Final[_Kinds] = (*kinds.KINDS, *zone_messages.KINDS)
+
+
+def build_network(
+    settings: entry_settings.EntrySettings,
+    instance_id: ids.InstanceId,
+    clock: clocks.Clock,
+) -> zmq_network.ZmqNetwork:
+    """Return the network between daemons; nothing is bound yet."""
+    return zmq_network.ZmqNetwork(
+        _KINDS,
+        messages.Sender(instance_id, settings.peer),
+        settings.peer,
+        clock,
+        source_ip=settings.peer.ip,
+    )
+
+
+def build_membership(
+    settings: entry_settings.EntrySettings,
+    network: zmq_network.ZmqNetwork,
+    clock: clocks.Clock,
+    random_source: random.Random,
+) -> membership.Membership:
+    """Return a membership that knows only this daemon."""
+    own = members.Member(
+        instance_id=network.sender.instance_id,
+        daemon_id=settings.daemon_id,
+        zone=settings.zone,
+        region=settings.region,
+        peer_address=settings.peer,
+        http_ip=settings.front.ip,
+        http_port=settings.front.port,
+        incarnation=0,
+        state=members.MemberState.ALIVE,
+        started_at_s=clock.monotonic_s(),
+    )
+    return membership.Membership(
+        own,
+        network,
+        clock,
+        random_source,
+        options.MembershipOptions(zone_peers=_ZONE_PEERS),
+        lambda: _MARK,
+        _ignore_mark,
+        _tell,
+    )
+
+
+def _tell(event: events.MemberEvent) -> None:
+    logs.event(
+        'member-changed',
+        change=type(event).__name__,
+        member=event.instance_id,
+    )
+
+
+def _ignore_mark(
+    sender: messages.Sender,
+    mark: marks.ConfigurationMark,
+) -> None:
+    """Do nothing: here configurations ride on the beats of a zone."""
--- a/libraries/entry/src/sardinepier/entry/answers.py
+++ b/libraries/entry/src/sardinepier/entry/answers.py
@@ -87,7 +87,9 @@
     if text is None:
         return None
     parts = text.split(',')
-    if len(parts) != _LOAD_PARTS or not all(part.strip().isdigit() for part in parts):
+    if len(parts) != _LOAD_PARTS or not all(
+        part.strip().isdigit() for part in parts
+    ):
         return None
     running, waiting, slots = (int(part) for part in parts)
     return Load(running, waiting, slots)
--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -20,7 +20,6 @@
     errors.ConnectFailedError,
     errors.ConnectionLostError,
     errors.BadAnswerError,
-    errors.AnswerOverdueError,
 )
 
 
@@ -53,14 +52,20 @@
         except (errors.ShedError, answers.OtherTargetError) as refusal:
             self._refused(refusal)
             raise
+        except errors.AnswerOverdueError:
+            self._overdue()
+            raise
         except _FAILURES:
             self._pool.failed(self._record)
             raise
         finally:
             self._pool.finished(self._record, self._number)
         if answer.is_good:
-            taken_s = self._shared.clock.monotonic_s() - self._started_s
-            self._pool.answered(self._record, taken_s)
+            self._pool.answered(
+                self._record,
+                self._taken_s(),
+                len(answer.body),
+            )
         else:
             self._pool.failed(self._record)
         return answer
@@ -127,6 +132,18 @@
                 self._shared.clock.monotonic_s(),
             )
 
+    def _overdue(self) -> None:
+        """Blame the target for a timeout only when it took overlong.
+
+        A route may allow less time than its work usually takes.
+        """
+        taken_s = self._taken_s()
+        if target_record.is_overlong(taken_s, self._pool.usual_s):
+            self._pool.failed(self._record)
+
+    def _taken_s(self) -> float:
+        return self._shared.clock.monotonic_s() - self._started_s
+
     def _refused(self, refusal: errors.ProvedNotRunError) -> None:
         if isinstance(refusal, answers.OtherTargetError):
             self._pool.drop(self._record.listed.target_id)
--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -109,6 +109,7 @@
                     takes_any=not history.tried,
                 ),
                 history.tried,
+                len(item.body),
             )
         except BaseException:
             self._shared.quarantine.released(item.fingerprint)
--- a/libraries/entry/src/sardinepier/entry/preference.py
+++ b/libraries/entry/src/sardinepier/entry/preference.py
@@ -7,6 +7,7 @@
 hits few of them.
 """
 
+import dataclasses
 import random
 from collections.abc import Iterable
 from typing import Final
@@ -14,14 +15,16 @@
 from sardinepier.core import ids
 from sardinepier.entry import target_record
 
-_ZONE_COST: Final = 0.02
-"""What sending a request to another zone is worth avoiding: its bytes cost
-as much as about one failed request in fifty."""
+_CROSSING_COST: Final = 0.004
+"""What the headers of a request and its answer are worth keeping within a
+zone, from the users' price of a byte between zones against that of a failed
+request."""
 
+_CROSSING_COST_PER_BYTE: Final = 5e-6
 _SLOW_COST: Final = 0.06
 """Worth of each doubling of the usual latency."""
 
-_BUSY_COST: Final = 0.01
+_BUSY_COST: Final = 0.004
 """Worth of an idle target against one with all slots but one in use."""
 
 _OVERDUE_CHANCE: Final = 0.6
@@ -33,38 +36,50 @@
 _TIE_SPREAD: Final = 0.002
 
 
-def cost(
-    record: target_record.TargetRecord,
-    zone: ids.ZoneName,
-    now_s: float,
-    usual_s: float,
-) -> float:
-    """Return what sending a request from ``zone`` now costs, 0 to about 1."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class Situation:
+    """Where and when a request is sent.
+
+    ``zone`` is the sender's, ``usual_s`` the usual latency of the service
+    and ``zone_cost`` what sending this request to another zone costs.
+    """
+
+    zone: ids.ZoneName
+    now_s: float
+    usual_s: float
+    zone_cost: float
+
+
+def zone_cost(passed_bytes: float) -> float:
+    """Return what passing so many bytes to another zone and back costs."""
+    return _CROSSING_COST + _CROSSING_COST_PER_BYTE * passed_bytes
+
+
+def cost(record: target_record.TargetRecord, situation: Situation) -> float:
+    """Return what sending a request to the target costs, 0 to about 1."""
+    now_s = situation.now_s
     chance = record.belief.failure_chance(now_s)
-    if record.is_overdue(now_s, usual_s):
+    if record.is_overdue(now_s, situation.usual_s):
         chance = max(chance, _OVERDUE_CHANCE)
     total = chance + _SLOW_COST * max(0.0, record.pace - 1)
     total += _BUSY_COST * record.in_flight(now_s) / record.listed.slots
-    if record.listed.zone != zone:
-        total += _ZONE_COST
-    if now_s < record.added_s + record.listed.warm_in_s:
+    if record.listed.zone != situation.zone:
+        total += situation.zone_cost
+    if now_s < record.warm_at_s:
         total += _COLD_COST
     return total
 
 
 def surest(
     candidates: Iterable[target_record.TargetRecord],
-    zone: ids.ZoneName,
-    now_s: float,
-    usual_s: float,
+    situation: Situation,
     random_source: random.Random,
 ) -> target_record.TargetRecord | None:
     """Return the candidate with the least cost, None without any."""
     return min(
         candidates,
         key=lambda record: (
-            cost(record, zone, now_s, usual_s)
-            + random_source.uniform(0, _TIE_SPREAD)
+            cost(record, situation) + random_source.uniform(0, _TIE_SPREAD)
         ),
         default=None,
     )
--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -1,13 +1,18 @@
 """The targets of one service, as one daemon sees and uses them."""
 
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import Final
 
-import yarl
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
-from sardinepier.entry import model, preference, refusals, target_record
+from sardinepier.entry import (
+    model,
+    preference,
+    refusals,
+    target_record,
+    target_table,
+)
 from sardinepier.health import belief
 from sardinepier.routing import admission, budget
 
@@ -49,12 +54,13 @@
         """Start without targets."""
         self.name = name
         self.usual_s = 0.0
+        self.on_outcome: Callable[[bool], None] = _tell_nobody
+        self._usual_bytes = 0.0
         self.retry_budget = budget.RetryBudget(clock, retry_percent)
         self._zone = zone
         self._clock = clock
         self._random = random_source
-        self._options = options
-        self._records: dict[ids.TargetId, target_record.TargetRecord] = {}
+        self._table = target_table.TargetTable(clock, options)
         self._attempts = 0
         self._queue = admission.SlotQueue(
             clock,
@@ -64,33 +70,19 @@
         )
 
     def set_targets(self, listed: Iterable[model.ListedTarget]) -> None:
-        """Replace the targets; those that stay keep what is known of them.
-
-        Targets that drain are left out: they get nothing new.
-        """
-        now_s = self._clock.monotonic_s()
-        is_first = not self._records
-        kept: dict[ids.TargetId, target_record.TargetRecord] = {}
-        for one in listed:
-            if one.state is model.TargetState.READY:
-                record = self._record(one, now_s)
-                record.was_used |= is_first
-                kept[one.target_id] = record
-        self._records = kept
+        """Replace the targets; those that stay keep what is known of them."""
+        self._table.set(listed)
         self._queue.wake()
 
-    def find(self, target_id: ids.TargetId) -> target_record.TargetRecord | None:
-        """Return what is known of a target that is in use."""
-        return self._records.get(target_id)
-
     def records(self) -> Collection[target_record.TargetRecord]:
         """Return all targets in use."""
-        return self._records.values()
+        return self._table.records()
 
     async def acquire(
         self,
         work: admission.Work,
         tried: Collection[ids.TargetId],
+        body_bytes: int = 0,
     ) -> target_record.TargetRecord:
         """Wait for a slot at a target that was not tried yet.
 
@@ -102,9 +94,9 @@
         self._require_target(tried)
         target_id = await self._queue.acquire(
             work,
-            lambda: self._choose(tried),
+            lambda: self._choose(tried, body_bytes),
         )
-        record = self._records.get(target_id)
+        record = self._table.find(target_id)
         if record is None:
             raise _no_target(self.name)
         return record
@@ -112,10 +104,11 @@
     def try_acquire(
         self,
         tried: Collection[ids.TargetId],
+        body_bytes: int = 0,
     ) -> target_record.TargetRecord | None:
         """Return a target with a free slot, None when a wait is needed."""
-        target_id = self._choose(tried)
-        return None if target_id is None else self._records[target_id]
+        target_id = self._choose(tried, body_bytes)
+        return None if target_id is None else self._table.find(target_id)
 
     def started(self, record: target_record.TargetRecord) -> int:
         """Take a slot of the target and return the attempt's number."""
@@ -134,9 +127,13 @@
         self,
         record: target_record.TargetRecord,
         latency_s: float,
+        answer_bytes: int = 0,
     ) -> None:
         """Take in a good answer."""
+        grown_bytes = answer_bytes - self._usual_bytes
+        self._usual_bytes += _USUAL_SMOOTHING * grown_bytes
         record.belief.answered(self._clock.monotonic_s())
+        self.on_outcome(True)
         record.took(latency_s, self.usual_s)
         self._queue.observe_service(latency_s)
         if self.usual_s:
@@ -147,6 +144,7 @@
     def failed(self, record: target_record.TargetRecord) -> None:
         """Take in that the target failed a request."""
         record.belief.failed(self._clock.monotonic_s())
+        self.on_outcome(False)
 
     def full(self, record: target_record.TargetRecord) -> None:
         """Take in that the target had no room for a request."""
@@ -154,40 +152,33 @@
 
     def drop(self, target_id: ids.TargetId) -> None:
         """Give nothing more to a target that is leaving or gone."""
-        self._records.pop(target_id, None)
-
-    def _record(
-        self,
-        listed: model.ListedTarget,
-        now_s: float,
-    ) -> target_record.TargetRecord:
-        record = self._records.get(listed.target_id)
-        if record is not None:
-            record.listed = listed
-            return record
-        return target_record.TargetRecord(
-            listed,
-            belief.TargetBelief(self._options, now_s),
-            now_s,
-            yarl.URL.build(scheme='http', host=listed.ip, port=listed.port),
-        )
+        self._table.drop(target_id)
 
     def _require_target(self, tried: Collection[ids.TargetId]) -> None:
-        if all(target_id in tried for target_id in self._records):
+        if all(
+            record.listed.target_id in tried for record in self._table.records()
+        ):
             raise _no_target(self.name)
 
-    def _choose(self, tried: Collection[ids.TargetId]) -> ids.TargetId | None:
+    def _choose(
+        self,
+        tried: Collection[ids.TargetId],
+        body_bytes: int,
+    ) -> ids.TargetId | None:
         now_s = self._clock.monotonic_s()
         free = [
             record
-            for target_id, record in self._records.items()
-            if target_id not in tried and record.has_room(now_s)
+            for record in self._table.records()
+            if record.listed.target_id not in tried and record.has_room(now_s)
         ]
         chosen = self._unused(free, now_s) or preference.surest(
             free,
-            self._zone,
-            now_s,
-            self.usual_s,
+            preference.Situation(
+                self._zone,
+                now_s,
+                self.usual_s,
+                preference.zone_cost(body_bytes + self._usual_bytes),
+            ),
             self._random,
         )
         if chosen is None:
@@ -204,13 +195,12 @@
         for record in free:
             if record.was_used or record.listed.zone != self._zone:
                 continue
-            due_s = record.added_s + record.listed.warm_in_s + _UNUSED_AFTER_S
-            if now_s > due_s:
+            if now_s > record.warm_at_s + _UNUSED_AFTER_S:
                 return record
         return None
 
     def _give_back(self, target_id: ids.TargetId) -> None:
-        record = self._records.get(target_id)
+        record = self._table.find(target_id)
         if record is not None:
             record.reserved -= 1
 
@@ -221,3 +211,7 @@
         'Send it again after the stated time',
         _RETRY_AFTER_S,
     )
+
+
+def _tell_nobody(is_good: bool) -> None:
+    """Stand in for ``on_outcome`` while nobody listens."""
--- a/libraries/entry/src/sardinepier/entry/services.py
+++ b/libraries/entry/src/sardinepier/entry/services.py
@@ -1,7 +1,7 @@
 """The configuration in force, and the targets of its services."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from sardinepier.core import clock as clocks
@@ -26,6 +26,7 @@
         """Start without a configuration and without targets."""
         self.configuration: model.ServedConfiguration | None = None
         self.targets: model.TargetList | None = None
+        self.on_outcome: Callable[[bool], None] = _tell_nobody
         self._zone = zone
         self._clock = clock
         self._random = random_source
@@ -70,6 +71,7 @@
                 self._retry_percent,
                 self._options,
             )
+            pool.on_outcome = self.on_outcome
             self._pools[name] = pool
         return pool
 
@@ -86,3 +88,7 @@
                 _RETRY_AFTER_S,
             )
         return self._table
+
+
+def _tell_nobody(is_good: bool) -> None:
+    """Stand in for ``on_outcome`` while nobody listens."""
--- a/libraries/entry/src/sardinepier/entry/target_record.py
+++ b/libraries/entry/src/sardinepier/entry/target_record.py
@@ -25,7 +25,7 @@
     """One target with its belief, its open attempts and its pace.
 
     ``started_s`` holds when each open attempt began, oldest first.
-    ``pace`` is how slow it is against the service's usual, 1.0 for equal.
+    ``warm_at_s`` is until when it is slow after its start, and ``pace`` how slow it is against the service's usual, 1.0 for equal.
     ``full_until_s`` is until when it asked for no more work. ``reserved``
     counts slots that were given to requests which have not begun yet.
     """
@@ -36,6 +36,7 @@
     url: yarl.URL
     started_s: dict[int, float] = dataclasses.field(default_factory=dict)
     pace: float = 1.0
+    warm_at_s: float = 0.0
     full_until_s: float = 0.0
     others_load: int = 0
     others_load_until_s: float = 0.0
@@ -58,8 +59,7 @@
     def is_overdue(self, now_s: float, usual_s: float) -> bool:
         """Tell whether an open attempt takes far longer than usual."""
         oldest_s = next(iter(self.started_s.values()), now_s)
-        patience_s = max(_LEAST_OVERDUE_S, _OVERDUE_FACTOR * usual_s)
-        return now_s - oldest_s > patience_s
+        return is_overlong(now_s - oldest_s, usual_s)
 
     def heard_load(self, running: int, waiting: int, now_s: float) -> None:
         """Take in the target's own count, which includes our requests."""
@@ -70,3 +70,8 @@
         """Take in how long one answer took against the usual."""
         if usual_s > 0:
             self.pace += _SMOOTHING * (latency_s / usual_s - self.pace)
+
+
+def is_overlong(taken_s: float, usual_s: float) -> bool:
+    """Tell whether ``taken_s`` shows a hang rather than long work."""
+    return taken_s > max(_LEAST_OVERDUE_S, _OVERDUE_FACTOR * usual_s)
--- /dev/null
+++ b/libraries/entry/src/sardinepier/entry/target_table.py
@@ -0,0 +1,72 @@
+"""The targets of one service that may get work, by their names."""
+
+from collections.abc import Collection, Iterable
+
+import yarl
+
+from sardinepier.core import clock as clocks
+from sardinepier.core import ids
+from sardinepier.entry import model, target_record
+from sardinepier.health import belief
+
+
+class TargetTable:
+    """Keeps what is known of each target while it is listed."""
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        options: belief.BeliefOptions,
+    ) -> None:
+        """Start without targets."""
+        self._clock = clock
+        self._options = options
+        self._records: dict[ids.TargetId, target_record.TargetRecord] = {}
+
+    def set(self, listed: Iterable[model.ListedTarget]) -> None:
+        """Replace the targets; those that stay keep what is known of them.
+
+        Targets that drain are left out: they get nothing new. Of the first
+        list none has to be tried just because it is new.
+        """
+        now_s = self._clock.monotonic_s()
+        is_first = not self._records
+        kept: dict[ids.TargetId, target_record.TargetRecord] = {}
+        for one in listed:
+            if one.state is model.TargetState.READY:
+                record = self._record(one, now_s)
+                record.warm_at_s = now_s + one.warm_in_s
+                record.was_used |= is_first
+                kept[one.target_id] = record
+        self._records = kept
+
+    def find(
+        self,
+        target_id: ids.TargetId,
+    ) -> target_record.TargetRecord | None:
+        """Return what is known of a target that is in use."""
+        return self._records.get(target_id)
+
+    def records(self) -> Collection[target_record.TargetRecord]:
+        """Return all targets in use."""
+        return self._records.values()
+
+    def drop(self, target_id: ids.TargetId) -> None:
+        """Give nothing more to a target that is leaving or gone."""
+        self._records.pop(target_id, None)
+
+    def _record(
+        self,
+        listed: model.ListedTarget,
+        now_s: float,
+    ) -> target_record.TargetRecord:
+        record = self._records.get(listed.target_id)
+        if record is not None:
+            record.listed = listed
+            return record
+        return target_record.TargetRecord(
+            listed,
+            belief.TargetBelief(self._options, now_s),
+            now_s,
+            yarl.URL.build(scheme='http', host=listed.ip, port=listed.port),
+        )
--- a/libraries/gateway/src/sardinepier/gateway/connections.py
+++ b/libraries/gateway/src/sardinepier/gateway/connections.py
@@ -22,7 +22,7 @@
     tracing,
 )
 
-Accepts = Callable[['multidict.CIMultiDictProxy[str]'], bool]
+Accepts = Callable[[multidict.CIMultiDictProxy[str]], bool]
 """Tells by an answer's headers whether it belongs to the exchange."""
 
 _HTTP_PORT: Final = 80
--- a/libraries/health/src/sardinepier/health/belief.py
+++ b/libraries/health/src/sardinepier/health/belief.py
@@ -19,11 +19,12 @@
     ``memory_s`` the time in which what was seen loses two thirds of its
     weight. A failing target fails ``failing_failure_share`` of its requests,
     a sound one ``sound_failure_share``. The defaults are those measured on
-    fleets where a third of the targets fails for some seconds each ten.
+    fleets where a third of the targets fails at any time, for some ten
+    seconds each.
     """
 
-    failing_share: float = 0.25
-    memory_s: float = 5.0
+    failing_share: float = 0.3
+    memory_s: float = 10.0
     failing_failure_share: float = 0.8
     sound_failure_share: float = 0.015
 
@@ -36,7 +37,7 @@
         belief = TargetBelief(BeliefOptions(), now_s=0.0)
         belief.failed(1.0)
         belief.failure_chance(1.0)   # about 0.77
-        belief.failure_chance(30.0)  # about 0.21, the long-run share
+        belief.failure_chance(60.0)  # about 0.25, the long-run share
     """
 
     __slots__ = ('_failing', '_options', '_updated_s')
--- a/libraries/membership/src/sardinepier/membership/internal/heartbeat.py
+++ b/libraries/membership/src/sardinepier/membership/internal/heartbeat.py
@@ -68,7 +68,9 @@
         self._pending.expire(self._clock.monotonic_s())
         self._weigh()
         self._known.expire()
-        self._watches.monitor(self._choice.current())
+        self._watches.monitor(
+            self._choice.current(self._bounds.current.zone_peers)
+        )
         self._probe_watched()
         self._probe_contacts()
 
--- a/libraries/membership/src/sardinepier/membership/internal/rings.py
+++ b/libraries/membership/src/sardinepier/membership/internal/rings.py
@@ -22,21 +22,25 @@
 def monitored(
     own: table.Entry,
     entries: Iterable[table.Entry],
+    zone_rings: int = 0,
 ) -> tuple[ids.InstanceId, ...]:
     """Return the next member after ``own`` on each ring.
 
     A member that is next on two rings makes room for the one after it, so
-    that small fleets are monitored as densely as large ones.
+    that small fleets are monitored as densely as large ones. On the first
+    ``zone_rings`` rings only members of the own zone stand, if there are any
+    left.
     """
     chosen: dict[ids.InstanceId, None] = {}
-    candidates = tuple(entry for entry in entries if entry is not own)
+    others = tuple(entry for entry in entries if entry is not own)
     for ring, start in enumerate(own.ring_points):
+        free = [
+            entry for entry in others if entry.record.instance_id not in chosen
+        ]
+        if ring < zone_rings:
+            free = _of_zone(own, free) or free
         nearest = min(
-            (
-                entry
-                for entry in candidates
-                if entry.record.instance_id not in chosen
-            ),
+            free,
             key=functools.partial(_distance, ring, start),
             default=None,
         )
@@ -51,19 +55,27 @@
     def __init__(self, records: table.Table) -> None:
         """Choose from ``records``."""
         self._table = records
-        self._chosen_for = (-1, 0)
+        self._chosen_for = (-1, 0, 0)
         self._chosen: tuple[ids.InstanceId, ...] = ()
 
-    def current(self) -> tuple[ids.InstanceId, ...]:
+    def current(self, zone_rings: int = 0) -> tuple[ids.InstanceId, ...]:
         """Return the peers to monitor now."""
         own = self._table.entry(self._table.own.instance_id)
-        choosing_for = (self._table.version, len(own.ring_points))
+        choosing_for = (self._table.version, len(own.ring_points), zone_rings)
         if choosing_for != self._chosen_for:
-            self._chosen = monitored(own, self._table.entries())
+            self._chosen = monitored(own, self._table.entries(), zone_rings)
             self._chosen_for = choosing_for
         return self._chosen
 
 
+def _of_zone(
+    own: table.Entry,
+    entries: Iterable[table.Entry],
+) -> list[table.Entry]:
+    zone = own.record.identity.zone
+    return [entry for entry in entries if entry.record.identity.zone == zone]
+
+
 def _distance(
     ring: int,
     start: int,
--- a/libraries/membership/src/sardinepier/membership/options.py
+++ b/libraries/membership/src/sardinepier/membership/options.py
@@ -7,6 +7,7 @@
 
 DEFAULT_HEARTBEAT_INTERVAL_S: Final = 1.0
 DEFAULT_MONITORED_PEERS: Final = 4
+DEFAULT_ZONE_PEERS: Final = 0
 DEFAULT_SUSPICION_TIMEOUT_S: Final = 5.0
 DEFAULT_PAUSE_GAP_S: Final = 3.0
 DEFAULT_INDIRECT_PEERS: Final = 3
@@ -20,13 +21,17 @@
 DEFAULT_MAX_DEAD: Final = 1024
 DEFAULT_MAX_CONTACTS: Final = 2048
 
+_MAY_BE_ZERO: Final = 'zone_peers'
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MembershipOptions:
     """How often membership works, and how much at most.
 
     ``heartbeat_interval_s`` lies between two heartbeats to each of
-    ``monitored_peers`` peers. A suspected member has
+    ``monitored_peers`` peers, of which ``zone_peers`` are taken from the own
+    zone while there are any: bytes between zones are dear, and the others
+    still tell of a zone that is cut off. A suspected member has
     ``suspicion_timeout_s`` to refute. A gap of ``pause_gap_s`` between two
     ticks means that this process was paused. ``indirect_peers`` are asked to
     probe in turn when a peer does not answer. ``updates_per_message`` bounds
@@ -39,6 +44,7 @@
 
     heartbeat_interval_s: float = DEFAULT_HEARTBEAT_INTERVAL_S
     monitored_peers: int = DEFAULT_MONITORED_PEERS
+    zone_peers: int = DEFAULT_ZONE_PEERS
     suspicion_timeout_s: float = DEFAULT_SUSPICION_TIMEOUT_S
     pause_gap_s: float = DEFAULT_PAUSE_GAP_S
     indirect_peers: int = DEFAULT_INDIRECT_PEERS
@@ -55,7 +61,8 @@
     def __post_init__(self) -> None:
         """Raise ``InvalidArgumentError`` for what cannot work."""
         for field in dataclasses.fields(self):
-            _check_positive(field.name, getattr(self, field.name))
+            if field.name != _MAY_BE_ZERO:
+                _check_positive(field.name, getattr(self, field.name))
         if self.pause_gap_s <= self.heartbeat_interval_s:
             raise errors.InvalidArgumentError(
                 f'pause_gap_s is {self.pause_gap_s}, not above the interval'
--- /dev/null
+++ b/libraries/zones/src/sardinepier/zones/belief_telling.py
@@ -0,0 +1,60 @@
+"""Beliefs on their way to carriers: of the own zone, and of the others."""
+
+from typing import Final
+
+from sardinepier.core import clock as clocks
+from sardinepier.entry import services
+from sardinepier.wire import messages as wire_messages
+from sardinepier.wire import network
+from sardinepier.zones import beliefs, carriers, messages
+
+_OTHER_ZONES_S: Final = 0.5
+"""Pace of news to other zones, where bytes are dear."""
+
+
+class BeliefTelling:
+    """Sends beliefs to carriers, and takes in what is sent to this daemon."""
+
+    def __init__(
+        self,
+        peer_network: network.PeerNetwork,
+        chosen: carriers.Carriers,
+        held: services.Services,
+        clock: clocks.Clock,
+    ) -> None:
+        """Listen on ``peer_network``; nothing is sent yet."""
+        self._network = peer_network
+        self._carriers = chosen
+        self._held = held
+        self._clock = clock
+        self._other_news = beliefs.for_other_zones(held, clock)
+        self._other_news_due_s = clock.monotonic_s()
+        peer_network.subscribe(messages.BeliefReport, self._on_report)
+
+    def to_carriers(self, news: tuple[messages.BeliefNews, ...]) -> None:
+        """Tell the carriers of the own zone."""
+        if not news:
+            return
+        report = messages.BeliefReport(news)
+        for member in self._carriers.of_own_zone():
+            self._network.send(member.peer_address, report)
+
+    def to_other_zones(self) -> None:
+        """Tell the carriers of the other zones, if it is time and worth it."""
+        now_s = self._clock.monotonic_s()
+        if now_s < self._other_news_due_s:
+            return
+        self._other_news_due_s = now_s + _OTHER_ZONES_S
+        news = self._other_news.take()
+        if not news:
+            return
+        report = messages.BeliefReport(news)
+        for member in self._carriers.of_other_zones():
+            self._network.send(member.peer_address, report)
+
+    def _on_report(
+        self,
+        sender: wire_messages.Sender,
+        report: messages.BeliefReport,
+    ) -> None:
+        beliefs.take_in(self._held, self._clock, report.beliefs)
--- /dev/null
+++ b/libraries/zones/src/sardinepier/zones/beliefs.py
@@ -0,0 +1,85 @@
+"""Which beliefs about targets are worth telling, and taking in others'."""
+
+from typing import Final
+
+from sardinepier.core import clock as clocks
+from sardinepier.core import ids
+from sardinepier.entry import services
+from sardinepier.zones import messages
+
+_MS_PER_S: Final = 1000
+_WORTH_TELLING: Final = 0.1
+"""Change of the chance that a target fails which other zones are told of:
+less would not change their choice, and bytes between zones are dear."""
+
+_OLDEST_NEWS_S: Final = 5.0
+
+
+class BeliefNews:
+    """Tells what this daemon saw since it last told, to one audience."""
+
+    def __init__(
+        self,
+        held: services.Services,
+        clock: clocks.Clock,
+        least_change: float = 0.0,
+    ) -> None:
+        """Tell of changes by ``least_change`` and more."""
+        self._held = held
+        self._clock = clock
+        self._least_change = least_change
+        self._told_until_s = clock.monotonic_s()
+        self._told: dict[ids.TargetId, float] = {}
+
+    def take(self) -> tuple[messages.BeliefNews, ...]:
+        """Return the news; each is returned once."""
+        now_s = self._clock.monotonic_s()
+        since_s = self._told_until_s
+        self._told_until_s = now_s
+        news = tuple(
+            messages.BeliefNews(
+                record.listed.target_id,
+                round(record.belief.failing(now_s), 3),
+                round((now_s - record.belief.updated_s) * _MS_PER_S),
+            )
+            for pool in self._held.pools()
+            for record in pool.records()
+            if record.belief.updated_s >= since_s
+        )
+        return tuple(one for one in news if self._is_new(one))
+
+    def _is_new(self, news: messages.BeliefNews) -> bool:
+        told = self._told.get(news.target_id)
+        if told is not None and abs(told - news.failing) < self._least_change:
+            return False
+        self._told[news.target_id] = news.failing
+        return True
+
+
+def for_other_zones(
+    held: services.Services,
+    clock: clocks.Clock,
+) -> BeliefNews:
+    """Return news that only has what matters to other zones."""
+    return BeliefNews(held, clock, _WORTH_TELLING)
+
+
+def take_in(
+    held: services.Services,
+    clock: clocks.Clock,
+    news: tuple[messages.BeliefNews, ...],
+) -> None:
+    """Believe what others saw later than this daemon."""
+    now_s = clock.monotonic_s()
+    by_target = {
+        record.listed.target_id: record
+        for pool in held.pools()
+        for record in pool.records()
+    }
+    for one in news:
+        record = by_target.get(one.target_id)
+        seen_s = now_s - one.age_ms / _MS_PER_S
+        if record is None or now_s - seen_s > _OLDEST_NEWS_S:
+            continue
+        if seen_s > record.belief.updated_s:
+            record.belief.take(one.failing, seen_s)
--- a/libraries/zones/src/sardinepier/zones/carriers.py
+++ b/libraries/zones/src/sardinepier/zones/carriers.py
@@ -56,52 +56,79 @@
             )
         if zone != self._fleet.own.zone:
             return ranked[: self._count]
-        return self._beating(ranked)
+        return self._order(zone)[: self._count]
 
     def own_rank(self) -> int:
-        """Return this daemon's place among the carriers of its zone.
+        """Return this daemon's place in its zone, 0 for the first.
 
-        0 is the first; the number of carriers and more mean that it is none.
+        Those that fell silent are passed over. Places below the number of
+        carriers are theirs.
         """
-        carriers = self.of_zone(self._fleet.own.zone)
         own = self._fleet.own.instance_id
-        for place, member in enumerate(carriers):
+        for place, member in enumerate(self._order(self._fleet.own.zone)):
             if member.instance_id == own:
                 return place
-        return self._count
+        return len(self._fleet.members())
 
     def is_carrier(self) -> bool:
         """Tell whether this daemon is one of its zone's carriers."""
         return self.own_rank() < self._count
 
+    def of_own_zone(self) -> tuple[members.Member, ...]:
+        """Return the carriers of this daemon's zone."""
+        return self.of_zone(self._fleet.own.zone)
+
+    def of_other_zones(self) -> tuple[members.Member, ...]:
+        """Return the carriers of all zones but the own."""
+        own = self._fleet.own.zone
+        return tuple(
+            member
+            for zone, ranked in self._rank().items()
+            if zone != own
+            for member in ranked[: self._count]
+        )
+
     def neighbours(self) -> tuple[members.Member, ...]:
         """Return the other living daemons of the own zone."""
         own = self._fleet.own
         return tuple(
             member
             for member in self._fleet.members()
-            if member.zone == own.zone
-            and member.instance_id != own.instance_id
+            if member.zone == own.zone and member.instance_id != own.instance_id
         )
 
-    def _beating(
-        self,
-        ranked: tuple[members.Member, ...],
-    ) -> tuple[members.Member, ...]:
-        """Return the first that are not silent; the first ones if all are."""
+    def _order(self, zone: ids.ZoneName) -> tuple[members.Member, ...]:
+        """Return the own zone's members, silent carriers last.
+
+        Only carriers beat, so that only they can be silent; a daemon that
+        has just become one is given time to begin.
+        """
         now_s = self._clock.monotonic_s()
-        chosen: list[members.Member] = []
-        for member in ranked:
-            if len(chosen) == self._count:
-                break
-            if not self._is_silent(member.instance_id, now_s):
-                chosen.append(member)
-        return tuple(chosen) or ranked[: self._count]
-
-    def _is_silent(self, instance_id: ids.InstanceId, now_s: float) -> bool:
+        carrying: list[members.Member] = []
+        others: list[members.Member] = []
+        silent: list[members.Member] = []
+        expected_s: dict[ids.InstanceId, float] = {}
+        for member in self._rank().get(zone, ()):
+            if len(carrying) == self._count:
+                others.append(member)
+                continue
+            name = member.instance_id
+            expected_s[name] = self._expected_s.get(name, now_s)
+            if self._is_silent(name, expected_s[name], now_s):
+                silent.append(member)
+            else:
+                carrying.append(member)
+        self._expected_s = expected_s
+        return (*carrying, *others, *silent)
+
+    def _is_silent(
+        self,
+        instance_id: ids.InstanceId,
+        expected_s: float,
+        now_s: float,
+    ) -> bool:
         if instance_id == self._fleet.own.instance_id:
             return False
-        expected_s = self._expected_s.setdefault(instance_id, now_s)
         heard_s = max(expected_s, self._heard_s.get(instance_id, expected_s))
         return now_s - heard_s > SILENT_AFTER_S
 
@@ -120,9 +147,8 @@
 
     def _forget_gone(self) -> None:
         living = {member.instance_id for member in self._fleet.members()}
-        for kept in (self._heard_s, self._expected_s):
-            for instance_id in kept.keys() - living:
-                del kept[instance_id]
+        for instance_id in self._heard_s.keys() - living:
+            del self._heard_s[instance_id]
 
 
 def _in_order(
--- a/libraries/zones/src/sardinepier/zones/messages.py
+++ b/libraries/zones/src/sardinepier/zones/messages.py
@@ -34,6 +34,16 @@
     beliefs: tuple[BeliefNews, ...] = ()
 
 
+class BeliefReport(messages.Message, frozen=True):
+    """Beliefs that changed, from a daemon that does not beat to the reader.
+
+    Daemons beside the carriers report what they saw to the carriers of their
+    zone, and carriers report to those of other zones.
+    """
+
+    beliefs: tuple[BeliefNews, ...]
+
+
 class NewsRequest(messages.Message, frozen=True):
     """Asks for what is newer than the sender's own."""
 
@@ -54,4 +64,4 @@
     age_ms: int
 
 
-KINDS = (ZoneBeat, NewsRequest, ConfigurationNews, TargetsNews)
+KINDS = (ZoneBeat, BeliefReport, NewsRequest, ConfigurationNews, TargetsNews)
--- a/libraries/zones/src/sardinepier/zones/sharing.py
+++ b/libraries/zones/src/sardinepier/zones/sharing.py
@@ -9,19 +9,28 @@
 import asyncio
 import zlib
 from collections.abc import Callable
+from typing import Final
 
 import msgspec
 
 from sardinepier.core import clock as clocks
-from sardinepier.core import ids
 from sardinepier.entry import model, services
 from sardinepier.telemetry import logs
 from sardinepier.wire import messages as wire_messages
 from sardinepier.wire import network
-from sardinepier.zones import carriers, lapses, messages, packing
+from sardinepier.zones import (
+    belief_telling,
+    beliefs,
+    carriers,
+    lapses,
+    messages,
+    packing,
+)
 
-_MS_PER_S = 1000
-_NOTHING = -1
+_MS_PER_S: Final = 1000
+_NOTHING: Final = -1
+_LEAST_INTERVAL_S: Final = 0.02
+"""Beats that failures bring about are so far apart at least."""
 
 
 class ZoneSharing:
@@ -46,7 +55,13 @@
         self._guard = guard
         self._clock = clock
         self._on_configuration = on_configuration
-        self._told_until_s = clock.monotonic_s()
+        self._zone_news = beliefs.BeliefNews(held, clock)
+        self._telling = belief_telling.BeliefTelling(
+            peer_network,
+            chosen,
+            held,
+            clock,
+        )
         self._stirred = asyncio.Event()
         peer_network.subscribe(messages.ZoneBeat, self._on_beat)
         peer_network.subscribe(messages.NewsRequest, self._on_request)
@@ -72,16 +87,24 @@
         self._stirred.set()
 
     async def run(self) -> None:
-        """Beat while this daemon is a carrier, until cancelled."""
+        """Beat while this daemon is a carrier, until cancelled.
+
+        Others tell the carriers what they see.
+        """
         while True:
+            self._stirred.clear()
             if self._carriers.is_carrier():
                 self._to_all(self._beat())
-            self._stirred.clear()
+                self._telling.to_other_zones()
+            else:
+                self._telling.to_carriers(self._zone_news.take())
+            await asyncio.sleep(_LEAST_INTERVAL_S)
             await self._wait()
 
     async def _wait(self) -> None:
+        left_s = carriers.BEAT_INTERVAL_S - _LEAST_INTERVAL_S
         try:
-            async with asyncio.timeout(carriers.BEAT_INTERVAL_S):
+            async with asyncio.timeout(left_s):
                 await self._stirred.wait()
         except TimeoutError:
             return
@@ -91,7 +114,7 @@
         return messages.ZoneBeat(
             *self._versions(),
             targets_age_ms=_NOTHING if age_s is None else _ms(age_s),
-            beliefs=self._new_beliefs(),
+            beliefs=self._zone_news.take(),
         )
 
     def _versions(self) -> tuple[int, int]:
@@ -102,21 +125,6 @@
             targets.revision if targets else _NOTHING,
         )
 
-    def _new_beliefs(self) -> tuple[messages.BeliefNews, ...]:
-        now_s = self._clock.monotonic_s()
-        since_s = self._told_until_s
-        self._told_until_s = now_s
-        return tuple(
-            messages.BeliefNews(
-                record.listed.target_id,
-                round(record.belief.failing(now_s), 3),
-                _ms(now_s - record.belief.updated_s),
-            )
-            for pool in self._held.pools()
-            for record in pool.records()
-            if record.belief.updated_s >= since_s
-        )
-
     def _to_all(self, message: wire_messages.Message) -> None:
         for member in self._carriers.neighbours():
             self._network.send(member.peer_address, message)
@@ -136,26 +144,13 @@
             )
         elif beat.targets_age_ms != _NOTHING:
             self._guard.confirmed(beat.targets_age_ms / _MS_PER_S)
-        self._take_beliefs(beat.beliefs)
+        beliefs.take_in(self._held, self._clock, beat.beliefs)
 
     def _lacks_targets(self, beat: messages.ZoneBeat, revision: int) -> bool:
         # Revisions grow with each heartbeat of a target; lists that differ
         # are sent to all, so that only the first one has to be asked for.
         return revision == _NOTHING and beat.targets_revision != _NOTHING
 
-    def _take_beliefs(self, news: tuple[messages.BeliefNews, ...]) -> None:
-        now_s = self._clock.monotonic_s()
-        by_target = {
-            record.listed.target_id: record
-            for pool in self._held.pools()
-            for record in pool.records()
-        }
-        for one in news:
-            record = by_target.get(one.target_id)
-            seen_s = now_s - one.age_ms / _MS_PER_S
-            if record is not None and seen_s > record.belief.updated_s:
-                record.belief.take(one.failing, seen_s)
-
     def _on_request(
         self,
         sender: wire_messages.Sender,
