Wait for a sure target, begin pipelined requests early, hedge slow ones

Change: a doubtful target is taken only after a wait, early failures weigh more than late ones, an open attempt that has not failed at once speaks for its target, idempotent requests are begun while others are answered, and a second attempt begins after the usual time.

--- a/libraries/daemon/src/sardinepier/daemon/entry_process.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_process.py
@@ -159,9 +159,11 @@
         )
         stack.push_async_callback(shared.client.close)
         self._start_tasks()
+        answering = pipeline.Pipeline(shared)
         front = caller_server.HttpServer(
-            pipeline.Pipeline(shared).handle,
+            answering.handle,
             self._bounds,
+            answering.begin_early,
         )
         await self._listen(front, self._settings.front)
         beside = await self._listen_beside()
--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -5,7 +5,13 @@
 
 from aiohttp import client_reqrep
 
-from sardinepier.entry import answers, context, service_pool, target_record
+from sardinepier.entry import (
+    answers,
+    context,
+    decisions,
+    service_pool,
+    target_record,
+)
 from sardinepier.entry import work as works
 from sardinepier.gateway import errors
 
@@ -41,6 +47,11 @@
         self._number = pool.started(record)
         self._started_s = shared.clock.monotonic_s()
         self._is_sent = False
+        self._grounds = decisions.Grounds(
+            record,
+            self._started_s,
+            pool.usual_s,
+        )
 
     async def run(self) -> answers.Answer:
         """Return the target's answer, and tell the pool how it went.
@@ -51,12 +62,15 @@
             answer = await self._within_deadline()
         except (errors.ShedError, answers.OtherTargetError) as refusal:
             self._refused(refusal)
+            self._tell(type(refusal).__name__)
             raise
-        except errors.AnswerOverdueError:
+        except errors.AnswerOverdueError as overdue:
             self._overdue()
+            self._tell(type(overdue).__name__)
             raise
-        except _FAILURES:
-            self._pool.failed(self._record)
+        except _FAILURES as failure:
+            self._pool.failed(self._record, self._taken_s())
+            self._tell(f'{type(failure).__name__}: {failure.what}')
             raise
         finally:
             self._pool.finished(self._record, self._number)
@@ -67,7 +81,8 @@
                 len(answer.body),
             )
         else:
-            self._pool.failed(self._record)
+            self._pool.failed(self._record, self._taken_s())
+            self._tell(f'answered {answer.status}')
         return answer
 
     async def _within_deadline(self) -> answers.Answer:
@@ -139,13 +154,16 @@
         """
         taken_s = self._taken_s()
         if target_record.is_overlong(taken_s, self._pool.usual_s):
-            self._pool.failed(self._record)
+            self._pool.failed(self._record, 0)
+
+    def _tell(self, what: str) -> None:
+        self._grounds.attempt_failed(self._item, what, self._taken_s())
 
     def _taken_s(self) -> float:
         return self._shared.clock.monotonic_s() - self._started_s
 
     def _refused(self, refusal: errors.ProvedNotRunError) -> None:
         if isinstance(refusal, answers.OtherTargetError):
-            self._pool.drop(self._record.listed.target_id)
+            self._pool.targets.drop(self._record.listed.target_id)
         else:
             self._pool.full(self._record)
--- a/libraries/entry/src/sardinepier/entry/caller_server.py
+++ b/libraries/entry/src/sardinepier/entry/caller_server.py
@@ -3,10 +3,12 @@
 import asyncio
 import contextlib
 from collections.abc import Awaitable, Callable
-from typing import Any, Final
+from typing import Any, Final, cast
 
 from aiohttp import (
     http_exceptions,
+    http_parser,
+    http_writer,
     web_protocol,
     web_request,
     web_response,
@@ -20,6 +22,10 @@
     [web_request.BaseRequest],
     Awaitable[web_response.StreamResponse],
 ]
+BeginEarly = Callable[
+    [web_request.BaseRequest],
+    'asyncio.Task[web_response.StreamResponse] | None',
+]
 BoundsSource = Callable[[], model.CallerBounds]
 
 _BACKLOG: Final = 512
@@ -28,7 +34,41 @@
 
 
 class CallerConnection(web_protocol.RequestHandler):
-    """One connection of a caller."""
+    """One connection of a caller.
+
+    Requests that a caller sends before it has the answer to an earlier one
+    are begun at once where ``begin_early`` takes them; answers still go out
+    in the order of the requests.
+    """
+
+    def __init__(self, server: 'HttpServer', **options: Any) -> None:
+        """Answer by the handler of ``server``."""
+        super().__init__(server, **options)
+        self._begin_early = server.begin_early
+        self._early: dict[int, asyncio.Task[web_response.StreamResponse]] = {}
+
+    def data_received(self, data: bytes) -> None:
+        """Take in bytes, and begin what is queued behind other requests."""
+        super().data_received(data)
+        if self._begin_early is None or not self._messages:
+            return
+        if len(self._messages) > 1 or self._request_in_progress:
+            for message, payload in self._messages:
+                self._begin(message, payload)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End what was begun for a caller that is gone."""
+        super().connection_lost(exc)
+        for task in self._early.values():
+            task.cancel()
+        self._early.clear()
+
+    def early_answer(
+        self,
+        request: web_request.BaseRequest,
+    ) -> 'asyncio.Task[web_response.StreamResponse] | None':
+        """Return the answer that was begun for ``request``, if any."""
+        return self._early.pop(id(request._message), None)  # noqa: SLF001
 
     def handle_error(
         self,
@@ -58,6 +98,24 @@
         response.force_close()
         return response
 
+    def _begin(self, message: Any, payload: Any) -> None:
+        is_parsed = isinstance(message, http_parser.RawRequestMessage)
+        if not is_parsed or id(message) in self._early:
+            return
+        if self._begin_early is None or not payload.is_eof():
+            return
+        request = web_request.BaseRequest(
+            message,
+            payload,
+            self,
+            http_writer.StreamWriter(self, self._loop),
+            cast(Any, self._task_handler),
+            self._loop,
+        )
+        task = self._begin_early(request)
+        if task is not None:
+            self._early[id(message)] = task
+
 
 class HttpServer(web_server.Server):
     """Listens at one address and answers by one handler.
@@ -68,9 +126,19 @@
         await server.start('10.0.0.7', 8080)
     """
 
-    def __init__(self, handler: Any, bounds: BoundsSource) -> None:
-        """Answer requests by ``handler``, which is cancelled on a hang-up."""
+    def __init__(
+        self,
+        handler: Any,
+        bounds: BoundsSource,
+        begin_early: BeginEarly | None = None,
+    ) -> None:
+        """Answer requests by ``handler``, which is cancelled on a hang-up.
+
+        ``begin_early`` may begin the answer to a request whose turn has not
+        come, and returns None for one that has to wait.
+        """
         super().__init__(handler, handler_cancellation=True)
+        self.begin_early = begin_early
         self._bounds = bounds
         self._listener: asyncio.Server | None = None
 
@@ -80,7 +148,7 @@
         return CallerConnection(
             self,
             loop=asyncio.get_running_loop(),
-            access_log=None,  # type: ignore[arg-type]  # aiohttp allows None
+            access_log=None,
             keepalive_timeout=bounds.idle_timeout_s,
             lingering_time=_LINGERING_S,
             max_line_size=bounds.header_bytes,
@@ -113,3 +181,13 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(within_s):
                 await self.shutdown(within_s)
+
+
+def early_answer(
+    request: web_request.BaseRequest,
+) -> 'asyncio.Task[web_response.StreamResponse] | None':
+    """Return the answer that was begun before its turn, if there is one."""
+    connection = request.protocol
+    if isinstance(connection, CallerConnection):
+        return connection.early_answer(request)
+    return None
--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -14,6 +14,7 @@
     answers,
     attempt,
     context,
+    racing,
     refusals,
     service_pool,
     target_record,
@@ -32,6 +33,10 @@
 _MOST_LOST: Final = 2
 """Lost connections after which a request is taken for the cause."""
 
+_PATIENCE: Final = 0.3
+"""Part of the latency that a route aims at, after which any target will do:
+the rest still holds the work itself."""
+
 _DOUBTFUL: Final = 0.5
 """Above this chance that the target fails by itself, a lost connection says
 nothing about the request."""
@@ -82,7 +87,7 @@
             record = await self._admit(item, pool, history)
             history.tried.add(record.listed.target_id)
             try:
-                answer = await self._attempt(item, pool, record)
+                answer = await self._run(item, pool, record, history)
             except errors.GatewayError as error:
                 _note(history, error)
                 if not _may_go_on(item, pool, history, error):
@@ -108,13 +113,51 @@
                     item.deadline_s,
                     takes_any=not history.tried,
                 ),
-                history.tried,
-                len(item.body),
+                _wish(item, history),
             )
         except BaseException:
             self._shared.quarantine.released(item.fingerprint)
             raise
 
+    async def _run(
+        self,
+        item: works.Work,
+        pool: service_pool.ServicePool,
+        record: target_record.TargetRecord,
+        history: _History,
+    ) -> answers.Answer:
+        """Run one attempt, and a second beside it when it is slow."""
+        first = self._attempt(item, pool, record)
+        delay_s = pool.hedge_delay_s()
+        if delay_s is None or not item.route.is_idempotent:
+            return await first
+        return await racing.first_good(
+            first,
+            delay_s,
+            lambda: self._hedge(item, pool, history),
+        )
+
+    def _hedge(
+        self,
+        item: works.Work,
+        pool: service_pool.ServicePool,
+        history: _History,
+    ) -> racing.Run | None:
+        """Return a second attempt, None where it may not or can't begin."""
+        if history.ran + 1 >= item.route.max_attempts:
+            return None
+        if item.left_s(self._shared.clock) <= pool.usual_s:
+            return None
+        record = pool.try_acquire(_wish(item, history))
+        if record is None:
+            return None
+        if not pool.retry_budget.try_spend():
+            pool.release(record)
+            return None
+        history.tried.add(record.listed.target_id)
+        history.ran += 1
+        return self._attempt(item, pool, record)
+
     async def _attempt(
         self,
         item: works.Work,
@@ -145,6 +188,16 @@
         return answer
 
 
+def _wish(item: works.Work, history: _History) -> service_pool.Wish:
+    patience_s = _PATIENCE * item.route.target_latency_s
+    return service_pool.Wish(
+        history.tried,
+        len(item.body),
+        item.arrived_s,
+        item.arrived_s + patience_s,
+    )
+
+
 def _note(history: _History, error: errors.GatewayError) -> None:
     if isinstance(error, errors.UnknownFateError):
         history.failure = error
--- a/libraries/entry/src/sardinepier/entry/intake.py
+++ b/libraries/entry/src/sardinepier/entry/intake.py
@@ -64,6 +64,15 @@
             fingerprint=_fingerprint(request, content),
         )
 
+    def is_idempotent(self, request: web_request.BaseRequest) -> bool:
+        """Tell whether the request has a route that may be repeated."""
+        if self._shared.services.configuration is None:
+            return False
+        routes = self._shared.services.routes()
+        host = request.headers.get(_HOST, '')
+        route = routes.find(host, request.raw_path)
+        return route is not None and route.is_idempotent
+
     def _patience_s(self, request: web_request.BaseRequest) -> float:
         """Return how long the caller waits, from its header."""
         text = request.headers.get(self._shared.names.deadline_ms, '')
--- a/libraries/entry/src/sardinepier/entry/pipeline.py
+++ b/libraries/entry/src/sardinepier/entry/pipeline.py
@@ -7,6 +7,7 @@
 from sardinepier.core import errors as core_errors
 from sardinepier.entry import (
     answers,
+    caller_server,
     context,
     forwarding,
     intake,
@@ -32,12 +33,35 @@
         request: web_request.BaseRequest,
     ) -> web_response.StreamResponse:
         """Return the answer to a request."""
-        with self._shared.activity:
-            response = await self._answer(request)
+        early = caller_server.early_answer(request)
+        if early is None:
+            response = await self._counted(request)
+        else:
+            response = await early
         if self._shared.activity.is_draining:
             response.force_close()
         return response
 
+    def begin_early(
+        self,
+        request: web_request.BaseRequest,
+    ) -> 'asyncio.Task[web_response.StreamResponse] | None':
+        """Begin an idempotent request that waits behind others.
+
+        One that isn't idempotent has to wait: if its connection closes
+        before its turn, its caller takes it for one that was never read.
+        """
+        if not self._intake.is_idempotent(request):
+            return None
+        return asyncio.create_task(self._counted(request))
+
+    async def _counted(
+        self,
+        request: web_request.BaseRequest,
+    ) -> web_response.StreamResponse:
+        with self._shared.activity:
+            return await self._answer(request)
+
     async def _answer(
         self,
         request: web_request.BaseRequest,
--- a/libraries/entry/src/sardinepier/entry/preference.py
+++ b/libraries/entry/src/sardinepier/entry/preference.py
@@ -1,13 +1,14 @@
 """Which target gets a request: the one that most likely answers it well.
 
-Everything is counted in chances of a failed request. Crossing zones, a slow
-target or a busy one is worth avoiding as much as a small chance of failure.
+Everything is counted in chances of a failed request. Crossing zones or a slow
+target is worth avoiding as much as a small chance of failure.
 As a target that answered a moment ago is the surest one, requests gather on
 few targets while there is little to do, and a target that starts to fail
 hits few of them.
 """
 
 import dataclasses
+import math
 import random
 from collections.abc import Iterable
 from typing import Final
@@ -24,12 +25,6 @@
 _SLOW_COST: Final = 0.06
 """Worth of each doubling of the usual latency."""
 
-_BUSY_COST: Final = 0.004
-"""Worth of an idle target against one with all slots but one in use."""
-
-_OVERDUE_CHANCE: Final = 0.6
-"""Chance of failure at a target with an attempt that is long overdue."""
-
 _COLD_COST: Final = 0.08
 """Worth of a warm target against one that has just started."""
 
@@ -58,11 +53,8 @@
 def cost(record: target_record.TargetRecord, situation: Situation) -> float:
     """Return what sending a request to the target costs, 0 to about 1."""
     now_s = situation.now_s
-    chance = record.belief.failure_chance(now_s)
-    if record.is_overdue(now_s, situation.usual_s):
-        chance = max(chance, _OVERDUE_CHANCE)
-    total = chance + _SLOW_COST * max(0.0, record.pace - 1)
-    total += _BUSY_COST * record.in_flight(now_s) / record.listed.slots
+    total = record.failure_chance(now_s, situation.usual_s)
+    total += _SLOW_COST * max(0.0, record.pace - 1)
     if record.listed.zone != situation.zone:
         total += situation.zone_cost
     if now_s < record.warm_at_s:
@@ -70,16 +62,34 @@
     return total
 
 
+def least_cost(
+    candidates: Iterable[target_record.TargetRecord],
+    situation: Situation,
+) -> float:
+    """Return the cost of the best candidate, infinite without any."""
+    return min(
+        (cost(record, situation) for record in candidates),
+        default=math.inf,
+    )
+
+
 def surest(
     candidates: Iterable[target_record.TargetRecord],
+    most_cost: float,
     situation: Situation,
     random_source: random.Random,
 ) -> target_record.TargetRecord | None:
-    """Return the candidate with the least cost, None without any."""
-    return min(
-        candidates,
-        key=lambda record: (
-            cost(record, situation) + random_source.uniform(0, _TIE_SPREAD)
-        ),
-        default=None,
-    )
+    """Return the candidate with the least cost, at most ``most_cost``."""
+    costs = [
+        (
+            cost(record, situation) + random_source.uniform(0, _TIE_SPREAD),
+            record,
+        )
+        for record in candidates
+    ]
+    least, chosen = min(costs, key=_first_of, default=(math.inf, None))
+    return chosen if least <= most_cost + _TIE_SPREAD else None
+
+
+def _first_of(pair: tuple[float, target_record.TargetRecord]) -> float:
+    return pair[0]
--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -1,5 +1,6 @@
 """The targets of one service, as one daemon sees and uses them."""
 
+import dataclasses
 import random
 from collections.abc import Callable, Collection, Iterable
 from typing import Final
@@ -14,22 +15,61 @@
     target_table,
 )
 from sardinepier.health import belief
-from sardinepier.routing import admission, budget
+from sardinepier.routing import admission, budget, hedging
 
 _QUEUE_LENGTH: Final = 256
 """Requests that may wait for a slot: two seconds of a busy service."""
 
+_HEDGE_PERCENTILE: Final = 95
+"""Share of the answers that come before a second attempt begins; the others
+would otherwise decide the slowest answers of all callers."""
+
+_MS_PER_S: Final = 1000
 _USUAL_SMOOTHING: Final = 0.05
 _FULL_S: Final = 0.1
 """How long a target that refused is left alone: about half of the usual
 work, after which a slot has come free."""
 
+_EARLY_FACTOR: Final = 0.25
+"""A failure within this part of the usual latency came before the work could
+be done. Measured, failing targets answer in a fiftieth of it."""
+
 _UNUSED_AFTER_S: Final = 2.0
 """A target that got nothing for so long after it came is tried next."""
 
+_TOLERANCE: Final = 0.06
+"""Additional chance of failure that is accepted without any wait: a slot of
+the best target comes free within a tenth of a second."""
+
+_DOUBTFUL: Final = 0.1
+"""Chance of failure above which a target gets one request at a time until it
+is seen how that one goes."""
+
+_LEAST_PATIENCE_S: Final = 0.01
 _RETRY_AFTER_S: Final = 0.2
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wish:
+    """What a request wants of its target.
+
+    ``tried`` had it already. It is worth a wait until ``patient_until_s``,
+    counted from ``since_s``, to get a target that is surer than those with a
+    free slot.
+    """
+
+    tried: Collection[ids.TargetId]
+    body_bytes: int
+    since_s: float
+    patient_until_s: float
+
+    def tolerance(self, now_s: float) -> float:
+        """Return by how much the target may be worse than the best one."""
+        patience_s = max(_LEAST_PATIENCE_S, self.patient_until_s - self.since_s)
+        waited = (now_s - self.since_s) / patience_s
+        return _TOLERANCE + max(0.0, waited)
+
+
 class ServicePool:
     """Chooses targets of one service and learns from what they answer.
 
@@ -56,11 +96,12 @@
         self.usual_s = 0.0
         self.on_outcome: Callable[[bool], None] = _tell_nobody
         self._usual_bytes = 0.0
+        self._hedge_delay = hedging.HedgeDelay(_HEDGE_PERCENTILE)
         self.retry_budget = budget.RetryBudget(clock, retry_percent)
         self._zone = zone
         self._clock = clock
         self._random = random_source
-        self._table = target_table.TargetTable(clock, options)
+        self.targets = target_table.TargetTable(clock, options)
         self._attempts = 0
         self._queue = admission.SlotQueue(
             clock,
@@ -71,44 +112,38 @@
 
     def set_targets(self, listed: Iterable[model.ListedTarget]) -> None:
         """Replace the targets; those that stay keep what is known of them."""
-        self._table.set(listed)
+        self.targets.set(listed)
         self._queue.wake()
 
-    def records(self) -> Collection[target_record.TargetRecord]:
-        """Return all targets in use."""
-        return self._table.records()
-
     async def acquire(
         self,
         work: admission.Work,
-        tried: Collection[ids.TargetId],
-        body_bytes: int = 0,
+        wish: Wish,
     ) -> target_record.TargetRecord:
         """Wait for a slot at a target that was not tried yet.
 
+        A doubtful target is only taken once the request has waited for a
+        better one.
+
         Raises ``NoTargetError`` at once without any such target, and the
         refusals of :mod:`sardinepier.routing.errors` when the wait would be
         too long. The slot is reserved until ``started``, which must follow
         before anything else is awaited.
         """
-        self._require_target(tried)
+        self._require_target(wish.tried)
         target_id = await self._queue.acquire(
             work,
-            lambda: self._choose(tried, body_bytes),
+            lambda: self._choose(wish),
         )
-        record = self._table.find(target_id)
+        record = self.targets.find(target_id)
         if record is None:
             raise _no_target(self.name)
         return record
 
-    def try_acquire(
-        self,
-        tried: Collection[ids.TargetId],
-        body_bytes: int = 0,
-    ) -> target_record.TargetRecord | None:
+    def try_acquire(self, wish: Wish) -> target_record.TargetRecord | None:
         """Return a target with a free slot, None when a wait is needed."""
-        target_id = self._choose(tried, body_bytes)
-        return None if target_id is None else self._table.find(target_id)
+        target_id = self._choose(wish)
+        return None if target_id is None else self.targets.find(target_id)
 
     def started(self, record: target_record.TargetRecord) -> int:
         """Take a slot of the target and return the attempt's number."""
@@ -118,6 +153,11 @@
         record.was_used = True
         return self._attempts
 
+    def release(self, record: target_record.TargetRecord) -> None:
+        """Give back a slot that was reserved and not used."""
+        record.reserved -= 1
+        self._queue.wake()
+
     def finished(self, record: target_record.TargetRecord, number: int) -> None:
         """Give the slot back."""
         record.started_s.pop(number, None)
@@ -136,49 +176,65 @@
         self.on_outcome(True)
         record.took(latency_s, self.usual_s)
         self._queue.observe_service(latency_s)
+        self._hedge_delay.observe(latency_s * _MS_PER_S)
         if self.usual_s:
             self.usual_s += _USUAL_SMOOTHING * (latency_s - self.usual_s)
         else:
             self.usual_s = latency_s
 
-    def failed(self, record: target_record.TargetRecord) -> None:
-        """Take in that the target failed a request."""
-        record.belief.failed(self._clock.monotonic_s())
+    def failed(
+        self,
+        record: target_record.TargetRecord,
+        taken_s: float,
+    ) -> None:
+        """Take in that the target failed a request after ``taken_s``."""
+        record.belief.failed(
+            self._clock.monotonic_s(),
+            is_early=taken_s < _EARLY_FACTOR * self.usual_s,
+        )
         self.on_outcome(False)
 
     def full(self, record: target_record.TargetRecord) -> None:
         """Take in that the target had no room for a request."""
         record.full_until_s = self._clock.monotonic_s() + _FULL_S
 
-    def drop(self, target_id: ids.TargetId) -> None:
-        """Give nothing more to a target that is leaving or gone."""
-        self._table.drop(target_id)
+    def hedge_delay_s(self) -> float | None:
+        """Return after how long a second attempt is worth its cost.
+
+        None until enough answers were seen.
+        """
+        delay_ms = self._hedge_delay.delay_ms()
+        return None if delay_ms is None else delay_ms / _MS_PER_S
 
     def _require_target(self, tried: Collection[ids.TargetId]) -> None:
         if all(
-            record.listed.target_id in tried for record in self._table.records()
+            record.listed.target_id in tried
+            for record in self.targets.records()
         ):
             raise _no_target(self.name)
 
-    def _choose(
-        self,
-        tried: Collection[ids.TargetId],
-        body_bytes: int,
-    ) -> ids.TargetId | None:
+    def _choose(self, wish: Wish) -> ids.TargetId | None:
         now_s = self._clock.monotonic_s()
+        wanted = [
+            record
+            for record in self.targets.records()
+            if record.listed.target_id not in wish.tried
+        ]
         free = [
             record
-            for record in self._table.records()
-            if record.listed.target_id not in tried and record.has_room(now_s)
+            for record in wanted
+            if record.has_room(now_s) and not self._is_on_trial(record, now_s)
         ]
+        situation = preference.Situation(
+            self._zone,
+            now_s,
+            self.usual_s,
+            preference.zone_cost(wish.body_bytes + self._usual_bytes),
+        )
         chosen = self._unused(free, now_s) or preference.surest(
             free,
-            preference.Situation(
-                self._zone,
-                now_s,
-                self.usual_s,
-                preference.zone_cost(body_bytes + self._usual_bytes),
-            ),
+            preference.least_cost(wanted, situation) + wish.tolerance(now_s),
+            situation,
             self._random,
         )
         if chosen is None:
@@ -186,6 +242,18 @@
         chosen.reserved += 1
         return chosen.listed.target_id
 
+    def _is_on_trial(
+        self,
+        record: target_record.TargetRecord,
+        now_s: float,
+    ) -> bool:
+        """Tell whether a doubtful target has a request it may yet fail.
+
+        Others wait for what becomes of that one, which shows in a moment.
+        """
+        chance = record.failure_chance(now_s, self.usual_s)
+        return chance > _DOUBTFUL and record.is_unsettled(now_s)
+
     def _unused(
         self,
         free: Iterable[target_record.TargetRecord],
@@ -200,7 +268,7 @@
         return None
 
     def _give_back(self, target_id: ids.TargetId) -> None:
-        record = self._table.find(target_id)
+        record = self.targets.find(target_id)
         if record is not None:
             record.reserved -= 1
 
--- a/libraries/entry/src/sardinepier/entry/target_record.py
+++ b/libraries/entry/src/sardinepier/entry/target_record.py
@@ -16,6 +16,13 @@
 measured work lies below three times its mean in 99 of 100 requests."""
 
 _LEAST_OVERDUE_S: Final = 0.5
+_OVERDUE_CHANCE: Final = 0.6
+"""Chance of failure at a target with an attempt that is long overdue."""
+
+_SETTLED_S: Final = 0.03
+"""An attempt that has not failed for so long most likely won't: measured
+failures of failing targets come within a few milliseconds."""
+
 _LOAD_KEPT_S: Final = 0.4
 """How long a target's own count of its load is believed."""
 
@@ -61,6 +68,29 @@
         oldest_s = next(iter(self.started_s.values()), now_s)
         return is_overlong(now_s - oldest_s, usual_s)
 
+    def failure_chance(self, now_s: float, usual_s: float) -> float:
+        """Return the chance that a request sent now fails.
+
+        Targets that fail mostly do so at once, so that an attempt which has
+        been open for a moment already speaks for its target, and one that is
+        long overdue speaks against it.
+        """
+        if self.is_overdue(now_s, usual_s):
+            return max(_OVERDUE_CHANCE, self.belief.failure_chance(now_s))
+        since_s = self.belief.updated_s
+        settled = any(
+            since_s < began_s < now_s - _SETTLED_S
+            for began_s in self.started_s.values()
+        )
+        if settled:
+            return self.belief.chance_if_answered(now_s)
+        return self.belief.failure_chance(now_s)
+
+    def is_unsettled(self, now_s: float) -> bool:
+        """Tell whether a request was sent a moment ago, or is about to be."""
+        newest_s = next(reversed(self.started_s.values()), 0.0)
+        return self.reserved > 0 or now_s - newest_s < _SETTLED_S
+
     def heard_load(self, running: int, waiting: int, now_s: float) -> None:
         """Take in the target's own count, which includes our requests."""
         self.others_load = max(0, running + waiting - len(self.started_s))
--- a/libraries/health/src/sardinepier/health/belief.py
+++ b/libraries/health/src/sardinepier/health/belief.py
@@ -18,7 +18,9 @@
     ``failing_share`` is the long-run share of time in which a target fails,
     ``memory_s`` the time in which what was seen loses two thirds of its
     weight. A failing target fails ``failing_failure_share`` of its requests,
-    a sound one ``sound_failure_share``. The defaults are those measured on
+    a sound one ``sound_failure_share``. A failing target mostly fails at
+    once: of all its requests ``failing_late_share`` fail only after the usual
+    time, and of those of a sound one ``sound_early_share`` at once. The defaults are those measured on
     fleets where a third of the targets fails at any time, for some ten
     seconds each.
     """
@@ -27,6 +29,8 @@
     memory_s: float = 10.0
     failing_failure_share: float = 0.8
     sound_failure_share: float = 0.015
+    failing_late_share: float = 0.04
+    sound_early_share: float = 0.001
 
 
 class TargetBelief:
@@ -36,8 +40,8 @@
 
         belief = TargetBelief(BeliefOptions(), now_s=0.0)
         belief.failed(1.0)
-        belief.failure_chance(1.0)   # about 0.77
-        belief.failure_chance(60.0)  # about 0.25, the long-run share
+        belief.failure_chance(1.0)   # about 0.80
+        belief.failure_chance(60.0)  # about 0.25, the long-run figure
     """
 
     __slots__ = ('_failing', '_options', '_updated_s')
@@ -57,12 +61,17 @@
 
     def failure_chance(self, now_s: float) -> float:
         """Return the chance, 0 to 1, that a request sent now fails."""
-        failing = self.failing(now_s)
+        return self._chance(self.failing(now_s))
+
+    def chance_if_answered(self, now_s: float) -> float:
+        """Return the chance of failure, had it just given a good answer."""
         options = self._options
-        return (
-            failing * options.failing_failure_share
-            + (1 - failing) * options.sound_failure_share
+        failing = self._weighed(
+            now_s,
+            1 - options.failing_failure_share,
+            1 - options.sound_failure_share,
         )
+        return self._chance(failing)
 
     def answered(self, now_s: float) -> None:
         """Take in a good answer."""
@@ -73,14 +82,25 @@
             1 - options.sound_failure_share,
         )
 
-    def failed(self, now_s: float) -> None:
-        """Take in a failed request."""
+    def failed(self, now_s: float, *, is_early: bool = True) -> None:
+        """Take in a failed request.
+
+        ``is_early`` says that it failed long before its work could be done,
+        as requests do at targets that fail all or most of them.
+        """
         options = self._options
-        self._update(
-            now_s,
-            options.failing_failure_share,
-            options.sound_failure_share,
-        )
+        if is_early:
+            self._update(
+                now_s,
+                options.failing_failure_share,
+                options.sound_early_share,
+            )
+        else:
+            self._update(
+                now_s,
+                options.failing_late_share,
+                options.sound_failure_share,
+            )
 
     def take(self, failing: float, now_s: float) -> None:
         """Replace the belief by one that another daemon holds."""
@@ -98,7 +118,23 @@
         if_failing: float,
         if_sound: float,
     ) -> None:
+        self._failing = self._weighed(now_s, if_failing, if_sound)
+        self._updated_s = now_s
+
+    def _weighed(
+        self,
+        now_s: float,
+        if_failing: float,
+        if_sound: float,
+    ) -> float:
+        """Return the chance of failing after an outcome, by Bayes' rule."""
         failing = self.failing(now_s)
         weighed = failing * if_failing
-        self._failing = weighed / (weighed + (1 - failing) * if_sound)
-        self._updated_s = now_s
+        return weighed / (weighed + (1 - failing) * if_sound)
+
+    def _chance(self, failing: float) -> float:
+        options = self._options
+        return (
+            failing * options.failing_failure_share
+            + (1 - failing) * options.sound_failure_share
+        )
--- a/libraries/zones/src/sardinepier/zones/beliefs.py
+++ b/libraries/zones/src/sardinepier/zones/beliefs.py
@@ -43,7 +43,7 @@
                 round((now_s - record.belief.updated_s) * _MS_PER_S),
             )
             for pool in self._held.pools()
-            for record in pool.records()
+            for record in pool.targets.records()
             if record.belief.updated_s >= since_s
         )
         return tuple(one for one in news if self._is_new(one))
@@ -74,7 +74,7 @@
     by_target = {
         record.listed.target_id: record
         for pool in held.pools()
-        for record in pool.records()
+        for record in pool.targets.records()
     }
     for one in news:
         record = by_target.get(one.target_id)
