Use the burst of the fleet's retry budget, shared between the zones

Cause: while all targets of a service turned away half of what they got, 20% of further attempts did not suffice, and the burst that the installation grants was never used. Tried and taken back: bounding the chance of failure that is accepted after a wait (0.4, or 0.6 before a further attempt) and waiting for slots only within the aimed latency. Change: half of the burst, an equal part for each zone's carriers.

--- a/libraries/daemon/src/sardinepier/daemon/entry_process.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_process.py
@@ -40,6 +40,12 @@
 _RETRY_MARGIN: Final = 0.9
 """Share of the fleet's retry budget that is used, as windows slide."""
 
+_BURST_MARGIN: Final = 0.5
+"""Share of the fleet's burst that the carriers use together. Another carrier
+may take over within a window, and those before it have used their part."""
+
+_UPKEEP_S: Final = 0.5
+
 _PERCENT: Final = 100
 _CLOSING_S: Final = 0.8
 """What is left of the time to exit for closing connections: on a busy
@@ -177,6 +183,7 @@
         self._tasks.start(self._network.run())
         self._tasks.start(self._membership.run())
         self._tasks.start(self._sharing.run())
+        self._tasks.start(self._share_burst())
         self._tasks.start(
             reading.PlatformReading(
                 self._source,
@@ -252,6 +259,16 @@
         for server in beside:
             await server.close(0)
 
+    async def _share_burst(self) -> None:
+        """Use the zone's part of the burst while this daemon carries it."""
+        bounds = self._settings.bounds
+        shared = _BURST_MARGIN * bounds.retry_burst
+        part = int(shared / (bounds.zones * _CARRIERS_A_ZONE))
+        while True:
+            is_carrier = self._carriers.is_carrier()
+            self._services.set_retry_burst(part if is_carrier else 0)
+            await asyncio.sleep(_UPKEEP_S)
+
     def _outcome_seen(self, is_good: bool) -> None:
         if not is_good:
             self._sharing.stir()
--- a/libraries/daemon/src/sardinepier/daemon/entry_settings.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_settings.py
@@ -14,12 +14,15 @@
     ``directory_s`` is how long callers may keep a directory answer at most.
     ``grace_s`` is how long the process may live after SIGTERM.
     ``retry_ratio`` bounds further attempts as a fraction of the requests of
-    a service, over the whole fleet.
+    a service over the whole fleet, and ``retry_burst`` what may come on top
+    within ten seconds. ``zones`` is how many share that.
     """
 
     directory_s: float = 5.0
     grace_s: float = 6.0
     retry_ratio: float = 0.2
+    retry_burst: int = 0
+    zones: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libraries/entry/src/sardinepier/entry/services.py
+++ b/libraries/entry/src/sardinepier/entry/services.py
@@ -39,6 +39,7 @@
         self._random = random_source
         self._retry_percent = retry_percent
         self._options = options
+        self._retry_burst = 0
         self._table: route_table.RouteTable | None = None
         self._pools: dict[ids.ServiceName, service_pool.ServicePool] = {}
 
@@ -87,10 +88,17 @@
                 self._retry_percent,
                 self._options,
             )
+            pool.retry_budget.set_burst(self._retry_burst)
             pool.on_outcome = self.on_outcome
             self._pools[name] = pool
         return pool
 
+    def set_retry_burst(self, attempts: int) -> None:
+        """Grant attempts beyond the percentage, for each service."""
+        self._retry_burst = attempts
+        for pool in self._pools.values():
+            pool.retry_budget.set_burst(attempts)
+
     def pools(self) -> Iterable[service_pool.ServicePool]:
         """Return the targets of all services."""
         return self._pools.values()
--- a/libraries/routing/src/sardinepier/routing/budget.py
+++ b/libraries/routing/src/sardinepier/routing/budget.py
@@ -52,11 +52,22 @@
         self._clock = local_clock
         self._fraction = percent / _PERCENT
         self._floor = floor
+        self._burst = 0
         self._part_s = window_s / _PARTS
         self._parts: deque[_Part] = deque()
         self._requests = 0
         self._spent = 0
 
+    def set_burst(self, attempts: int) -> None:
+        """Grant so many attempts a window beside those of its requests.
+
+        For those who share a bound over a whole fleet: each gets a part of
+        what is granted beyond the percentage. Raises
+        ``RoutingOptionError`` when it is negative.
+        """
+        checks.not_negative('attempts', attempts)
+        self._burst = attempts
+
     def record_request(self) -> None:
         """Count a new request. Its further attempts don't count again."""
         self._current().requests += 1
@@ -66,7 +77,7 @@
         """Tell whether :meth:`try_spend` would grant an attempt now."""
         self._current()
         allowed = max(self._floor, self._fraction * self._requests)
-        return self._spent + 1 <= allowed
+        return self._spent + 1 <= allowed + self._burst
 
     def try_spend(self) -> bool:
         """Take one further attempt from the budget, if there is one."""
