--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 LIBRARIES := $(wildcard libraries/*)
-SOURCES := libraries platform scripts conftest.py
+SOURCES := libraries platform tests scripts conftest.py
 INSTALL := $(foreach library,$(LIBRARIES),-e ./$(library))
 
 .PHONY: setup format lint types imports pytest test demo bench experiment experiment-full faults capacity clean
--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -216,6 +216,8 @@
     """Decide on a further attempt after one without an answer."""
     if item.is_abandoned:
         return False
+    if isinstance(error, errors.AnswerOverdueError):
+        return False
     if isinstance(error, errors.ConnectFailedError):
         # Nothing arrived anywhere, so that this costs no other target
         # anything and needs no budget.
--- /dev/null
+++ b/libraries/entry/tests/conftest.py
@@ -0,0 +1,54 @@
+"""A daemon's request path, before the targets that a test starts."""
+
+import random
+
+import entry_support as given
+import pytest
+
+from sardinepier.core import clock as clocks
+from sardinepier.entry import (
+    activity,
+    caller_server,
+    context,
+    pipeline,
+    services,
+)
+from sardinepier.gateway import client as clients
+from sardinepier.health import belief
+from sardinepier.once import quarantine
+
+
+@pytest.fixture
+async def entry():
+    clock = clocks.SystemClock()
+    shared = context.EntryContext(
+        zone=given.ZONE,
+        clock=clock,
+        random_source=random.Random(7),
+        names=given.NAMES,
+        client=clients.TargetClient(),
+        services=services.Services(
+            given.ZONE,
+            clock,
+            random.Random(7),
+            50.0,
+            belief.BeliefOptions(),
+        ),
+        quarantine=quarantine.Quarantine(clock),
+        activity=activity.Activity(),
+    )
+    shared.services.set_retry_burst(10)
+    shared.services.offer_configuration(given.configuration())
+    answering = pipeline.Pipeline(shared)
+    server = caller_server.HttpServer(
+        answering.handle,
+        lambda: shared.services.configuration.bounds,
+        answering.begin_early,
+    )
+    port = await server.start(given.LOOPBACK, 0)
+    made = given.Entry(shared, server, port)
+    yield made
+    await server.close(0.1)
+    await shared.client.close()
+    for target in made.targets:
+        target.server.close()
--- /dev/null
+++ b/libraries/entry/tests/cover/test_entry_callers.py
@@ -0,0 +1,133 @@
+"""What callers do, and what becomes of their requests."""
+
+import asyncio
+
+import entry_support as given
+import pytest
+from sardinepier.entry import model
+
+CHUNKED = {'Transfer-Encoding': 'chunked'}
+
+
+async def test_answers_to_pipelined_requests_come_in_their_order(entry):
+    await entry.use(given.RawTarget('t1', ['slow', 'ok']))
+    reader, writer = await asyncio.open_connection(given.LOOPBACK, entry.port)
+    names = [f'id-{number}' for number in range(4)]
+    for name in names:
+        writer.write(given.request(**{given.NAMES.attempt_id: name}))
+    answers = [await given.read_answer(reader) for _ in names]
+    echoed = [headers[given.NAMES.attempt_id] for _, headers, _ in answers]
+    assert echoed == names
+    writer.close()
+
+
+async def test_pipelined_idempotent_requests_run_side_by_side(entry):
+    await entry.use(given.RawTarget('t1', ['slow']))
+    reader, writer = await asyncio.open_connection(given.LOOPBACK, entry.port)
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    for number in range(3):
+        writer.write(given.request(**{given.NAMES.attempt_id: str(number)}))
+    for _ in range(3):
+        await given.read_answer(reader)
+    # One after the other they take 1.8 s.
+    assert loop.time() - began_s < 1.5
+    writer.close()
+
+
+async def test_one_that_may_not_run_twice_waits_for_its_turn(entry):
+    target = given.RawTarget('t1', ['slow', 'ok'])
+    await entry.use(target)
+    reader, writer = await asyncio.open_connection(given.LOOPBACK, entry.port)
+    writer.write(given.request())
+    writer.write(given.request('/once/1', 'POST'))
+    await asyncio.sleep(0.3)
+    assert len(target.seen) == 1
+    await given.read_answer(reader)
+    await given.read_answer(reader)
+    assert len(target.seen) == 2
+    writer.close()
+
+
+@pytest.mark.parametrize(
+    ('path', 'is_cut'),
+    [('/books/1', True), ('/once/1', False)],
+)
+async def test_a_hang_up_ends_only_what_may_be_ended(entry, path, is_cut):
+    target = given.RawTarget('t1', ['hang'])
+    await entry.use(target)
+    _, writer = await asyncio.open_connection(given.LOOPBACK, entry.port)
+    writer.write(given.request(path))
+    await asyncio.sleep(0.2)
+    writer.close()
+    await asyncio.sleep(0.3)
+    assert target.ran == 1
+    assert bool(target.cut_while_running) is is_cut
+
+
+async def test_a_request_that_waits_is_dropped_with_its_caller(entry):
+    target = given.RawTarget('t1', ['hang'])
+    await entry.use(target)
+    writers = []
+    for _ in range(4):
+        _, writer = await asyncio.open_connection(given.LOOPBACK, entry.port)
+        writer.write(given.request('/once/1', 'POST'))
+        writers.append(writer)
+        await asyncio.sleep(0.05)
+    assert target.ran == 3
+    writers[-1].close()
+    await asyncio.sleep(0.1)
+    target.behaviours = ['ok']
+    writers[0].close()
+    await asyncio.sleep(0.3)
+    assert target.ran == 3
+
+
+async def test_an_unknown_route_is_not_found(entry):
+    await entry.use(given.RawTarget('t1'))
+    status, _, _ = await entry.ask('/other/1')
+    assert status == 404
+
+
+async def test_a_daemon_without_a_configuration_asks_to_come_back(entry):
+    entry.shared.services._table = None
+    status, headers, _ = await entry.ask()
+    assert status == 503
+    assert 'Retry-After' in headers
+
+
+async def test_a_body_above_the_bound_is_refused(entry):
+    await entry.use(given.RawTarget('t1'))
+    entry.shared.services.offer_configuration(
+        given.configuration(2, bounds=model.CallerBounds(body_bytes=10)),
+    )
+    status, _, _ = await entry.ask('/once/1', 'POST', b'x' * 11)
+    assert (status, entry.ran) == (413, 0)
+
+
+async def test_a_draining_daemon_serves_and_asks_to_close(entry):
+    await entry.use(given.RawTarget('t1'))
+    entry.shared.activity.is_draining = True
+    status, headers, _ = await entry.ask()
+    assert status == 200
+    assert headers['Connection'] == 'close'
+
+
+async def test_a_body_in_chunks_is_passed_on_whole(entry):
+    target = given.RawTarget('t1')
+    await entry.use(target)
+    reader, writer = await asyncio.open_connection(given.LOOPBACK, entry.port)
+    writer.write(given.request('/once/1', 'POST', **CHUNKED))
+    writer.write(b'3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n')
+    status, _, _ = await given.read_answer(reader)
+    assert status == 200
+    assert target.seen[0][2] == b'abcde'
+    writer.close()
+
+
+async def test_a_request_that_crashes_targets_is_held_back(entry):
+    targets = [given.RawTarget(f't{one}', ['reset']) for one in range(5)]
+    await entry.use(*targets)
+    statuses = [(await entry.ask('/once/7', 'POST'))[0] for _ in range(6)]
+    assert entry.ran <= 3
+    assert statuses[-1] == 503
--- /dev/null
+++ b/libraries/entry/tests/cover/test_entry_choice.py
@@ -0,0 +1,164 @@
+"""Which target a request gets, under time that the test moves."""
+
+import asyncio
+import random
+
+import entry_support as given
+import pytest
+from sardinepier.core import clock as clocks
+from sardinepier.core import ids
+from sardinepier.entry import refusals, service_pool
+from sardinepier.health import belief
+from sardinepier.routing import admission
+
+
+class Bench:
+    """A pool of three targets here and one in another zone."""
+
+    def __init__(self):
+        self.clock = clocks.ManualClock(100.0)
+        self.pool = service_pool.ServicePool(
+            given.SERVICE,
+            given.ZONE,
+            self.clock,
+            random.Random(3),
+            20.0,
+            belief.BeliefOptions(),
+        )
+        self.pool.targets.set(
+            [
+                *(given.listed(name) for name in ('t1', 't2', 't3')),
+                given.listed('far', zone=ids.ZoneName('z2')),
+            ],
+        )
+
+    def wish(self, tried=(), since_s=None):
+        now_s = self.clock.monotonic_s() if since_s is None else since_s
+        return service_pool.Wish(tried, 0, now_s, now_s + 0.3)
+
+    def take(self, **wished):
+        record = self.pool.try_acquire(self.wish(**wished))
+        if record is None:
+            return None
+        self.pool.started(record)
+        return record.listed.target_id
+
+    def record(self, name):
+        return self.pool.targets.find(ids.TargetId(name))
+
+    def good(self, *names):
+        for name in names:
+            self.record(name).belief.answered(self.clock.monotonic_s())
+
+
+@pytest.fixture
+def bench():
+    return Bench()
+
+
+def test_the_target_that_answered_a_moment_ago_is_the_surest(bench):
+    bench.good('t2')
+    assert bench.take() == 't2'
+
+
+def test_the_own_zone_comes_first_among_equals(bench):
+    bench.good('t1', 't2', 't3', 'far')
+    taken = [bench.take() for _ in range(9)]
+    assert 'far' not in taken
+    assert bench.take() == 'far'
+
+
+def test_a_sure_target_elsewhere_beats_a_failing_one_here(bench):
+    bench.good('far')
+    for name in ('t1', 't2', 't3'):
+        bench.record(name).belief.failed(bench.clock.monotonic_s())
+    assert bench.take() == 'far'
+
+
+def test_a_failing_target_is_no_way_out_while_a_sure_one_is_busy(bench):
+    bench.good('t1')
+    for name in ('t2', 't3', 'far'):
+        bench.record(name).belief.failed(bench.clock.monotonic_s())
+    assert [bench.take() for _ in range(3)] == ['t1', 't1', 't1']
+    assert bench.take() is None
+
+
+def test_after_a_wait_a_doubtful_target_is_taken(bench):
+    bench.good('t1')
+    for name in ('t2', 't3', 'far'):
+        bench.record(name).belief.failed(bench.clock.monotonic_s())
+    since_s = bench.clock.monotonic_s()
+    for _ in range(3):
+        bench.take()
+    bench.clock.advance(0.3)
+    assert bench.take(since_s=since_s) in {'t2', 't3', 'far'}
+
+
+def test_a_doubtful_target_gets_one_request_until_that_shows(bench):
+    first = bench.take()
+    second = bench.take()
+    assert second != first
+    bench.clock.advance(0.05)
+    # They have not failed at once, so that they are the surest by now.
+    assert bench.take() in {first, second}
+
+
+def test_no_target_gets_the_same_request_twice(bench):
+    tried = {'t1', 't2', 't3', 'far'}
+    assert bench.take(tried=tried) is None
+
+
+def test_a_target_is_never_given_more_than_its_slots(bench):
+    bench.good('t1', 't2', 't3', 'far')
+    taken = [bench.take() for _ in range(20)]
+    assert all(taken.count(name) <= 3 for name in ('t1', 't2', 't3', 'far'))
+    assert taken.count(None) == 8
+
+
+def test_a_target_that_joined_later_is_tried(bench):
+    bench.good('t1', 't2', 't3')
+    bench.pool.targets.set(
+        [
+            *(record.listed for record in bench.pool.targets.records()),
+            given.listed('new', warm_in_s=3.0),
+        ],
+    )
+    assert bench.take() != 'new'
+    bench.clock.advance(6.0)
+    bench.good('t1', 't2', 't3')
+    assert bench.take() == 'new'
+
+
+def test_an_attempt_long_overdue_speaks_against_its_target(bench):
+    bench.good('t1', 't2')
+    bench.pool.usual_s = 0.2
+    first = bench.take()
+    bench.clock.advance(1.5)
+    bench.good('t1', 't2')
+    assert bench.take() not in {first, None}
+
+
+async def test_a_wait_ends_when_a_slot_comes_free(bench):
+    for name in ('t2', 't3', 'far'):
+        bench.pool.targets.drop(ids.TargetId(name))
+    bench.good('t1')
+    record = bench.record('t1')
+    bench.clock.advance(1.0)
+    numbers = []
+    for _ in range(3):
+        bench.pool.try_acquire(bench.wish())
+        numbers.append(bench.pool.started(record))
+    work = admission.Work(1, bench.clock.monotonic_s() + 5.0, takes_any=True)
+    waiting = asyncio.create_task(bench.pool.acquire(work, bench.wish()))
+    await asyncio.sleep(0)
+    assert not waiting.done()
+    bench.pool.finished(record, numbers[0])
+    assert (await waiting) is record
+
+
+async def test_without_targets_a_request_is_refused_at_once(bench):
+    bench.pool.set_targets([])
+    work = admission.Work(1, bench.clock.monotonic_s() + 5.0)
+    with pytest.raises(refusals.NoTargetError) as caught:
+        await bench.pool.acquire(work, bench.wish())
+    assert caught.value.retry_after_s > 0
--- /dev/null
+++ b/libraries/entry/tests/cover/test_entry_routes.py
@@ -0,0 +1,116 @@
+"""Routes by host and prefix, splits, and versions that only grow."""
+
+import collections
+import random
+
+import entry_support as given
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+from sardinepier.core import clock as clocks
+from sardinepier.core import ids
+from sardinepier.entry import model, refusals, route_table, services
+from sardinepier.health import belief
+
+LONGER = given.route('/books/new/')
+ELSEWHERE = model.Route(
+    name=ids.RouteName('elsewhere'),
+    host='b.example',
+    prefix='/',
+    kind=model.RouteKind.IDEMPOTENT,
+    shares=given.SAFE.shares,
+    timeout_s=1.0,
+    target_latency_s=1.0,
+    priority=0,
+    max_attempts=1,
+)
+
+PLACES = (
+    ('a.example', '/books/1', given.SAFE),
+    ('a.example', '/books/', given.SAFE),
+    ('a.example', '/books/new/1', LONGER),
+    ('a.example', '/books/newer/1', given.SAFE),
+    ('a.example', '/books/new', given.SAFE),
+    ('a.example', '/books', None),
+    ('a.example', '/1?at=/books/1', None),
+    ('A.Example:8080', '/books/1?x=/books/new/', given.SAFE),
+    ('b.example', '/books/1', ELSEWHERE),
+    ('c.example', '/books/1', None),
+    ('', '/books/1', None),
+)
+
+
+@pytest.mark.parametrize(('host', 'path', 'expected'), PLACES)
+def test_the_longest_prefix_of_the_host_decides(host, path, expected):
+    table = route_table.RouteTable(
+        given.configuration(1, [given.SAFE, LONGER, ELSEWHERE]),
+        random.Random(1),
+    )
+    assert table.find(host, path) == expected
+
+
+@hypothesis.given(
+    st.lists(st.integers(1, 100), min_size=2, max_size=5),
+    st.integers(1, 400),
+    st.integers(0, 1000),
+)
+def test_a_split_holds_within_one_request_a_service(weights, count, seed):
+    shares = tuple(
+        model.ServiceShare(ids.ServiceName(str(place)), float(weight))
+        for place, weight in enumerate(weights)
+    )
+    rotation = route_table.SplitRotation(shares, random.Random(seed))
+    taken = collections.Counter(rotation.take() for _ in range(count))
+    for share in shares:
+        expected = count * share.weight / sum(weights)
+        # The random start moves each by less than one more.
+        assert abs(taken[share.service] - expected) < len(shares)
+
+
+def make_services():
+    return services.Services(
+        given.ZONE,
+        clocks.ManualClock(),
+        random.Random(1),
+        20.0,
+        belief.BeliefOptions(),
+    )
+
+
+@hypothesis.given(st.lists(st.integers(1, 9), max_size=20))
+def test_a_configuration_never_goes_back(versions):
+    held = make_services()
+    newest = 0
+    for version in versions:
+        is_taken = held.offer_configuration(given.configuration(version))
+        assert is_taken is (version > newest)
+        newest = max(newest, version)
+        assert held.configuration.version == newest
+
+
+@hypothesis.given(st.lists(st.integers(1, 9), max_size=20))
+def test_a_target_list_never_goes_back(revisions):
+    held = make_services()
+    newest = 0
+    for revision in revisions:
+        name = f't{revision}'
+        held.offer_targets(
+            model.TargetList(revision, (given.listed(name),)),
+        )
+        newest = max(newest, revision)
+        assert held.targets.revision == newest
+        pool = held.pool(given.SERVICE)
+        names = [one.listed.target_id for one in pool.targets.records()]
+        assert names == [f't{newest}']
+
+
+def test_without_a_configuration_there_are_no_routes():
+    with pytest.raises(refusals.NotConfiguredError):
+        make_services().routes()
+
+
+def test_a_service_without_entries_loses_its_targets():
+    held = make_services()
+    held.offer_targets(model.TargetList(1, (given.listed('t1'),)))
+    held.offer_targets(model.TargetList(2, ()))
+    assert not held.pool(given.SERVICE).targets.records()
--- /dev/null
+++ b/libraries/entry/tests/cover/test_entry_targets.py
@@ -0,0 +1,153 @@
+"""What targets may do wrong, and what the caller then gets."""
+
+import asyncio
+
+import entry_support as given
+import pytest
+from sardinepier.entry import model
+
+ONCE = '/once/1'
+SAFE = '/books/1'
+
+# What one target does first, the request's path, what the caller gets, and
+# how often the request ran on both targets together. A second target is well.
+CASES = (
+    ('ok', SAFE, 200, 1),
+    ('ok', ONCE, 200, 1),
+    ('fail', SAFE, 200, 2),
+    ('fail', ONCE, 500, 1),
+    ('shed', SAFE, 200, 1),
+    ('shed', ONCE, 200, 1),
+    ('other', SAFE, 200, 1),
+    ('other', ONCE, 200, 1),
+    ('unsigned', SAFE, 200, 2),
+    ('unsigned', ONCE, 502, 1),
+    ('short', SAFE, 200, 2),
+    ('short', ONCE, 502, 1),
+    ('garbage', SAFE, 200, 2),
+    ('garbage', ONCE, 502, 1),
+    ('reset', SAFE, 200, 2),
+    ('reset', ONCE, 502, 1),
+    ('until-end', SAFE, 200, 1),
+    ('until-end', ONCE, 200, 1),
+    ('until-reset', SAFE, 200, 2),
+    ('until-reset', ONCE, 502, 1),
+    ('late-extra', SAFE, 200, 1),
+    ('late-extra', ONCE, 200, 1),
+    ('extra-after', SAFE, 200, 1),
+    ('closing', ONCE, 200, 1),
+)
+
+
+@pytest.mark.parametrize(('behaviour', 'path', 'status', 'ran'), CASES)
+async def test_the_caller_gets_a_whole_answer_of_its_own_or_a_failure(
+    entry,
+    behaviour,
+    path,
+    status,
+    ran,
+):
+    bad = given.RawTarget('bad', [behaviour, 'ok'])
+    await entry.use(bad, given.RawTarget('good'))
+    # The one that has a good answer behind it would be preferred.
+    entry.shared.services.pool(given.SERVICE).targets.find(
+        'good',
+    ).belief.failed(entry.shared.clock.monotonic_s(), is_early=False)
+    got, headers, body = await entry.ask(path, 'POST', b'payload')
+    assert (got, entry.ran) == (status, ran)
+    if got == 200:
+        assert body == given.BODY
+        assert headers[given.NAMES.signature] == 'proof-of-id-1'
+    if got == 502:
+        assert given.NAMES.signature not in headers
+
+
+async def test_an_extra_answer_is_not_the_next_request_s(entry):
+    target = given.RawTarget('t1', ['extra-after', 'ok'])
+    await entry.use(target)
+    for number in range(4):
+        name = f'id-{number}'
+        _, headers, body = await entry.ask(
+            **{given.NAMES.attempt_id: name},
+        )
+        assert headers[given.NAMES.attempt_id] == name
+        assert body == given.BODY
+
+
+async def test_the_request_arrives_as_it_was_sent(entry):
+    target = given.RawTarget('t1')
+    await entry.use(target)
+    await entry.ask('/once/a%20b?x=1', 'DELETE', b'\x00body', Extra='kept')
+    line, headers, body = target.seen[0]
+    assert line == b'DELETE /once/a%20b?x=1 HTTP/1.1'
+    assert body == b'\x00body'
+    assert headers['Extra'] == 'kept'
+    assert headers['Host'] == 'a.example'
+    assert headers[given.NAMES.expected_target] == 't1'
+    assert 1500 < int(headers[given.NAMES.deadline_ms]) <= 2000
+
+
+async def test_a_failure_is_passed_on_with_its_proof(entry):
+    await entry.use(given.RawTarget('t1', ['fail']))
+    status, headers, body = await entry.ask('/once/1', 'POST')
+    assert (status, body) == (500, b'broken')
+    assert headers[given.NAMES.signature] == 'proof-of-id-1'
+
+
+async def test_a_refusal_says_when_to_come_back(entry):
+    await entry.use(given.RawTarget('t1', ['shed']))
+    status, headers, _ = await entry.ask('/once/1', 'POST')
+    assert status == 503
+    assert float(headers['Retry-After']) > 0
+    assert entry.ran == 0
+
+
+async def test_nothing_goes_to_a_target_that_drains(entry):
+    target = given.RawTarget('t1')
+    await entry.use(target)
+    entry.shared.services.offer_targets(
+        model.TargetList(
+            2,
+            (
+                given.listed(
+                    't1',
+                    target.port,
+                    state=model.TargetState.DRAINING,
+                ),
+            ),
+        ),
+    )
+    status, _, _ = await entry.ask()
+    assert (status, entry.ran) == (503, 0)
+
+
+async def test_a_target_out_of_reach_is_gone_past(entry):
+    gone = given.RawTarget('gone')
+    await entry.use(gone, given.RawTarget('good'))
+    gone.server.close()
+    for _ in range(6):
+        status, _, _ = await entry.ask('/once/1', 'POST')
+        assert status == 200
+
+
+async def test_a_route_s_timeout_ends_a_request_in_time(entry):
+    entry.shared.services.offer_configuration(
+        given.configuration(2, [given.route(timeout_s=0.3)]),
+    )
+    await entry.use(given.RawTarget('t1', ['hang']))
+    status, _, _ = await asyncio.wait_for(entry.ask(), 0.8)
+    assert status == 504
+
+
+async def test_a_slow_idempotent_request_gets_a_second_target(entry):
+    slow = given.RawTarget('slow', ['ok'])
+    await entry.use(slow, given.RawTarget('good'))
+    for _ in range(120):
+        await entry.ask()
+    entry.targets[1].behaviours = ['ok']
+    slow.behaviours = ['hang']
+    pool = entry.shared.services.pool(given.SERVICE)
+    now_s = entry.shared.clock.monotonic_s()
+    pool.targets.find('good').belief.failed(now_s, is_early=False)
+    status, _, _ = await asyncio.wait_for(entry.ask(), 1.0)
+    assert status == 200
--- /dev/null
+++ b/libraries/entry/tests/entry_support.py
@@ -0,0 +1,226 @@
+"""Targets on raw sockets that misbehave on demand, and what they answer."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+
+from sardinepier.core import ids
+from sardinepier.entry import (
+    dialect,
+    model,
+)
+
+LOOPBACK = '127.0.0.1'
+SERVICE = ids.ServiceName('books')
+ZONE = ids.ZoneName('z1')
+NAMES = dialect.HeaderNames()
+BODY = b'the whole answer'
+
+
+def route(prefix='/books/', kind=model.RouteKind.IDEMPOTENT, **changed):
+    figures = {
+        'timeout_s': 5.0,
+        'target_latency_s': 1.0,
+        'priority': 1,
+        'max_attempts': 2,
+        'shares': (model.ServiceShare(SERVICE, 1.0),),
+        **changed,
+    }
+    return model.Route(
+        name=ids.RouteName(prefix),
+        host='a.example',
+        prefix=prefix,
+        kind=kind,
+        **figures,
+    )
+
+
+ONCE = route('/once/', model.RouteKind.NON_IDEMPOTENT)
+SAFE = route()
+
+
+def configuration(version=1, routes=(SAFE, ONCE), **changed):
+    return model.ServedConfiguration(
+        version,
+        tuple(routes),
+        (model.Service(SERVICE, '/health', 100),),
+        **changed,
+    )
+
+
+def listed(name, port=1, **changed):
+    figures = {
+        'service': SERVICE,
+        'ip': LOOPBACK,
+        'port': port,
+        'zone': ZONE,
+        'slots': 3,
+        'state': model.TargetState.READY,
+        **changed,
+    }
+    return model.ListedTarget(target_id=ids.TargetId(name), **figures)
+
+
+class RawTarget:
+    """A target whose next answers are scripted, ``behaviours`` in turn.
+
+    The last one stays in force. Each request that it reads is kept, and
+    those that it works on are counted as run.
+    """
+
+    def __init__(self, name, behaviours=('ok',)):
+        self.name = name
+        self.behaviours = list(behaviours)
+        self.seen = []
+        self.ran = 0
+        self.connections = 0
+        self.cut_while_running = 0
+        self.server = None
+
+    @property
+    def port(self):
+        return self.server.sockets[0].getsockname()[1]
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._serve, LOOPBACK, 0)
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                headers = dict(
+                    line.split(': ', 1)
+                    for line in head.decode().split('\r\n')[1:-2]
+                )
+                length = int(headers.get('Content-Length', 0))
+                body = await reader.readexactly(length)
+                self.seen.append((head.split(b'\r\n')[0], headers, body))
+                behaviour = self.behaviours[0]
+                if len(self.behaviours) > 1:
+                    self.behaviours.pop(0)
+                if not await self._answer(behaviour, headers, reader, writer):
+                    break
+        writer.close()
+
+    async def _answer(self, behaviour, headers, reader, writer):
+        """Do as ``behaviour`` says; True when the connection stays open."""
+        self.ran += behaviour not in {'shed', 'other'}
+        echo = headers.get(NAMES.attempt_id, '')
+        if behaviour == 'hang':
+            self.cut_while_running += not await reader.read(1)
+            return False
+        if behaviour == 'slow':
+            await asyncio.sleep(0.6)
+        if behaviour == 'reset':
+            writer.transport.abort()
+            return False
+        writer.write(ANSWERS[behaviour](echo))
+        if behaviour == 'until-reset':
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            linger_off(writer)
+        return behaviour not in ENDING
+
+
+def linger_off(writer):
+    """Close so that the peer sees a reset instead of an end."""
+    sock = writer.get_extra_info('socket')
+    sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+    writer.transport.abort()
+
+
+def answer(echo, status='200 OK', body=BODY, **options):
+    lines = [f'HTTP/1.1 {status}', f'{NAMES.attempt_id}: {echo}']
+    if options.get('signed', True):
+        lines.append(f'{NAMES.signature}: proof-of-{echo}')
+    if options.get('framed', True):
+        lines.append(f'Content-Length: {len(body)}')
+    if 'extra' in options:
+        lines.append(options.get('extra'))
+    head = '\r\n'.join(lines).encode()
+    return b'\r\n\r\n'.join((head, body))
+
+
+ANSWERS = {
+    'ok': answer,
+    'slow': answer,
+    'fail': lambda echo: answer(echo, status='500 Bad', body=b'broken'),
+    'shed': lambda echo: answer(echo, '503 Full', extra=f'{NAMES.not_run}: 1'),
+    'other': lambda echo: answer(echo, status='421 Misdirected Request'),
+    'unsigned': lambda echo: answer(echo, signed=False),
+    'short': lambda echo: answer(echo)[:-4],
+    'garbage': lambda echo: b'\x00\x01 no answer at all\r\n\r\n',
+    'until-end': lambda echo: answer(echo, framed=False),
+    'until-reset': lambda echo: answer(echo, framed=False)[:-4],
+    'late-extra': lambda echo: b''.join(
+        (answer('another', body=b'of another'), answer(echo)),
+    ),
+    'extra-after': lambda echo: b''.join(
+        (answer(echo), answer(echo, body=b'a second one')),
+    ),
+    'closing': lambda echo: answer(echo, extra='Connection: close'),
+}
+"""What a target writes, by its behaviour."""
+
+ENDING = frozenset(('short', 'garbage', 'until-end', 'until-reset', 'closing'))
+"""Behaviours after which the target ends the connection."""
+
+
+class Entry:
+    """One daemon's request path, with targets started by the test."""
+
+    def __init__(self, shared, server, port):
+        self.shared = shared
+        self.server = server
+        self.port = port
+        self.targets = []
+
+    async def use(self, *targets):
+        for target in targets:
+            await target.start()
+        self.targets = list(targets)
+        self.shared.services.offer_targets(
+            model.TargetList(
+                1,
+                tuple(listed(one.name, one.port) for one in targets),
+            ),
+        )
+
+    async def ask(self, path='/books/1', method='GET', body=b'', **headers):
+        """Return status, headers and body of one request, read raw."""
+        reader, writer = await asyncio.open_connection(LOOPBACK, self.port)
+        writer.write(request(path, method, body, **headers))
+        reply = await read_answer(reader)
+        writer.close()
+        return reply
+
+    @property
+    def ran(self):
+        return sum(target.ran for target in self.targets)
+
+
+def request(path='/books/1', method='GET', body=b'', **headers):
+    named = {
+        'Host': 'a.example',
+        NAMES.attempt_id: 'id-1',
+        NAMES.deadline_ms: '2000',
+        **headers,
+    }
+    if body:
+        named['Content-Length'] = str(len(body))
+    lines = [f'{method} {path} HTTP/1.1']
+    lines.extend(f'{name}: {text}' for name, text in named.items())
+    head = '\r\n'.join(lines).encode()
+    return b'\r\n\r\n'.join((head, body))
+
+
+async def read_answer(reader):
+    head = (await reader.readuntil(b'\r\n\r\n')).decode().split('\r\n')
+    headers = dict(line.split(': ', 1) for line in head[1:-2])
+    body = await reader.readexactly(int(headers.get('Content-Length', 0)))
+    return int(head[0].split()[1]), headers, body
--- a/libraries/zones/src/sardinepier/zones/reading.py
+++ b/libraries/zones/src/sardinepier/zones/reading.py
@@ -63,12 +63,16 @@
     async def run(self) -> None:
         """Read until cancelled."""
         while True:
-            if self._lacks_first():
-                await self._read(allow_stale=True)
-            elif self._is_due():
-                await self._read(allow_stale=False)
+            await self.step()
             await asyncio.sleep(_IDLE_S)
 
+    async def step(self) -> None:
+        """Read once if this daemon has to read now."""
+        if self._lacks_first():
+            await self._read(allow_stale=True)
+        elif self._is_due():
+            await self._read(allow_stale=False)
+
     def _lacks_first(self) -> bool:
         """Tell whether to ask for what there is, old or not.
 
--- a/libraries/zones/src/sardinepier/zones/sharing.py
+++ b/libraries/zones/src/sardinepier/zones/sharing.py
@@ -104,14 +104,18 @@
         """
         while True:
             self._stirred.clear()
-            if self._carriers.is_carrier():
-                self._to_all(self._beat())
-                self._telling.to_other_zones()
-            else:
-                self._telling.to_carriers(self._zone_news.take())
+            self.step()
             await asyncio.sleep(_LEAST_INTERVAL_S)
             await self._wait()
 
+    def step(self) -> None:
+        """Beat or report once, by what this daemon is now."""
+        if self._carriers.is_carrier():
+            self._to_all(self._beat())
+            self._telling.to_other_zones()
+        else:
+            self._telling.to_carriers(self._zone_news.take())
+
     async def _wait(self) -> None:
         left_s = carriers.BEAT_INTERVAL_S - _LEAST_INTERVAL_S
         try:
--- /dev/null
+++ b/libraries/zones/tests/cover/test_zones_carriers.py
@@ -0,0 +1,126 @@
+"""Which daemons carry a zone, and what they tell of targets."""
+
+import pytest
+import zones_support as given
+
+
+@pytest.fixture
+def zone():
+    return given.Zone(count=6)
+
+
+async def test_all_name_the_same_carrier(zone):
+    await zone.run(2.0)
+    named = {one.carriers.of_own_zone() for one in zone.daemons}
+    assert len(named) == 1
+    assert [one.carriers.is_carrier() for one in zone.daemons].count(True) == 1
+
+
+async def test_places_are_all_different(zone):
+    await zone.run(2.0)
+    places = sorted(one.carriers.own_rank() for one in zone.daemons)
+    assert places == list(range(6))
+
+
+async def test_a_carrier_that_falls_silent_is_passed_over(zone):
+    await zone.run(2.0)
+    gone = zone.carrier()
+    zone.stop(gone)
+    await zone.run(1.2)
+    for one in zone.living():
+        assert gone.own not in one.carriers.of_own_zone()
+        assert one.carriers.own_rank() < 5
+
+
+async def test_one_takes_over_and_keeps_it_while_it_beats(zone):
+    await zone.run(2.0)
+    zone.stop(zone.carrier())
+    await zone.run(2.5)
+    first = {one.carriers.of_own_zone() for one in zone.living()}
+    await zone.run(3.0)
+    later = {one.carriers.of_own_zone() for one in zone.living()}
+    assert first == later
+    assert len(later) == 1
+
+
+async def test_two_that_fall_silent_together_are_passed_over(zone):
+    await zone.run(2.0)
+    order = zone.carrier().carriers._order(zone.carrier().own.zone)
+    for gone in order[:2]:
+        zone.stop(zone.find(gone))
+    await zone.run(2.5)
+    for one in zone.living():
+        assert one.carriers.of_own_zone()[0] not in order[:2]
+
+
+async def test_a_carrier_that_comes_back_carries_again(zone):
+    await zone.run(2.0)
+    gone = zone.carrier()
+    zone.stop(gone)
+    await zone.run(2.0)
+    zone.stopped.clear()
+    await zone.run(1.0)
+    assert {one.carriers.of_own_zone()[0] for one in zone.daemons} == {gone.own}
+
+
+async def test_a_zone_without_daemons_is_carried_by_the_others():
+    zone = given.Zone(count=3, zones=('z1', 'zone2'))
+    gone = tuple(own for own in zone.fleet.known if own.zone == 'zone2')
+    for one in gone:
+        zone.fleet.drop(one)
+    found = zone.daemons[0].carriers.of_zone('zone2')
+    assert found == zone.daemons[0].carriers.of_zone('z1')
+    assert found
+
+
+async def test_a_failure_seen_beside_the_carrier_reaches_it(zone):
+    await with_targets(zone)
+    beside = next(one for one in zone.daemons if not one.carriers.is_carrier())
+    fail(beside, 't1')
+    await zone.run(0.5)
+    assert failing(zone.carrier(), 't1') > 0.5
+
+
+async def test_a_failure_seen_by_the_carrier_reaches_its_zone(zone):
+    await with_targets(zone)
+    fail(zone.carrier(), 't1')
+    await zone.run(0.5)
+    assert all(failing(one, 't1') > 0.5 for one in zone.daemons)
+
+
+async def test_a_failure_reaches_the_carriers_of_other_zones():
+    zone = given.Zone(count=3, zones=('z1', 'zone2'))
+    await with_targets(zone)
+    fail(zone.carrier(), 't1')
+    await zone.run(1.0)
+    other = zone.find(zone.daemons[-1].carriers.of_own_zone()[0])
+    assert failing(other, 't1') > 0.5
+
+
+async def test_what_was_seen_later_is_believed(zone):
+    await with_targets(zone)
+    carrier = zone.carrier()
+    beside = next(one for one in zone.daemons if one is not carrier)
+    fail(beside, 't1')
+    zone.clock.advance(0.01)
+    record = carrier.held.pool(given.SERVICE).targets.find('t1')
+    record.belief.answered(zone.clock.monotonic_s())
+    told = record.belief.failing(zone.clock.monotonic_s())
+    await zone.run(0.5)
+    assert failing(carrier, 't1') == pytest.approx(told, abs=0.05)
+
+
+async def with_targets(zone):
+    zone.platform.configuration = given.configuration(1)
+    zone.platform.targets = given.target_list(1, 't1', 't2')
+    await zone.run(2.0)
+
+
+def fail(daemon, name):
+    record = daemon.held.pool(given.SERVICE).targets.find(name)
+    record.belief.failed(daemon.clock.monotonic_s())
+
+
+def failing(daemon, name):
+    record = daemon.held.pool(given.SERVICE).targets.find(name)
+    return record.belief.failing(daemon.clock.monotonic_s())
--- /dev/null
+++ b/libraries/zones/tests/cover/test_zones_reading.py
@@ -0,0 +1,129 @@
+"""How a zone keeps up with the platform, under failures of either."""
+
+import pytest
+import zones_support as given
+from sardinepier.entry import model
+
+ONLY_T1 = frozenset((frozenset(('t1',)),))
+APPLY_S = 2.0
+"""Within this time a change has to be known everywhere."""
+
+
+@pytest.fixture
+async def zone():
+    made = given.Zone()
+    made.platform.configuration = given.configuration(1)
+    made.platform.targets = given.target_list(1, 't1', 't2')
+    await made.run(3.0)
+    return made
+
+
+def change(zone, version=2):
+    zone.platform.configuration = given.configuration(version)
+    zone.platform.targets = given.target_list(version, 't1')
+
+
+async def test_all_know_what_is_published_within_the_bound(zone):
+    change(zone)
+    await zone.run(APPLY_S)
+    for one in zone.daemons:
+        assert one.version == 2
+        assert one.target_names == {'t1'}
+
+
+async def test_readings_are_those_of_one_daemon(zone):
+    before = zone.platform.calls
+    await zone.run(20.0)
+    assert zone.platform.calls - before <= 24
+
+
+@pytest.mark.parametrize('turned_away', [1, 2, 3])
+async def test_others_read_when_the_platform_turns_the_reader_away(
+    zone,
+    turned_away,
+):
+    order = zone.carrier().carriers._order(zone.carrier().own.zone)
+    zone.platform.refused = {one.daemon_id for one in order[:turned_away]}
+    change(zone)
+    await zone.run(APPLY_S)
+    assert {one.version for one in zone.daemons} == {2}
+
+
+async def test_others_read_when_the_reader_dies(zone):
+    zone.stop(zone.carrier())
+    change(zone)
+    await zone.run(APPLY_S)
+    assert {one.version for one in zone.living()} == {2}
+
+
+async def test_a_platform_that_is_away_is_asked_seldom(zone):
+    zone.platform.refused = {one.own.daemon_id for one in zone.daemons}
+    before = zone.platform.calls
+    await zone.run(30.0)
+    assert zone.platform.calls - before <= 100
+
+
+async def test_what_was_known_stays_in_force_while_the_platform_is_away(zone):
+    zone.platform.refused = {one.own.daemon_id for one in zone.daemons}
+    await zone.run(20.0)
+    for one in zone.daemons:
+        assert one.version == 1
+        assert one.target_names == {'t1', 't2'}
+
+
+async def test_an_entry_that_lapsed_meanwhile_is_kept_for_a_moment(zone):
+    zone.platform.refused = {one.own.daemon_id for one in zone.daemons}
+    await zone.run(6.0)
+    zone.platform.targets = given.target_list(2, 't1')
+    zone.platform.refused = set()
+    await zone.run(1.0, step_s=0.02)
+    reader = next(one for one in zone.daemons if one.guard.is_own)
+    # Retries are up to four seconds apart, the first one ends the outage.
+    while not reader.guard.is_own or reader.held.targets.revision != 2:
+        await zone.run(0.1)
+    assert reader.target_names == {'t1', 't2'}
+    zone.platform.targets = given.target_list(3, 't1')
+    await zone.run(4.0)
+    assert {frozenset(one.target_names) for one in zone.daemons} == ONLY_T1
+
+
+async def test_a_daemon_that_starts_keeps_no_target_that_is_gone(zone):
+    """Its first reading may be old, and is no sign of an outage."""
+    change(zone)
+    await zone.run(APPLY_S)
+    newcomer = given.Daemon(zone, given.member(77))
+    newcomer.held.offer_targets(given.target_list(1, 't1', 't2'))
+    fresh = zone.platform.targets
+    newcomer.sharing.take_targets(fresh, after_failures=False)
+    assert newcomer.target_names == {'t1'}
+
+
+async def test_an_older_reading_changes_nothing(zone):
+    change(zone, version=5)
+    await zone.run(APPLY_S)
+    change(zone, version=3)
+    await zone.run(APPLY_S)
+    assert {one.version for one in zone.daemons} == {5}
+    assert {one.held.targets.revision for one in zone.daemons} == {5}
+
+
+async def test_lost_messages_delay_but_don_t_prevent(zone):
+    zone.hub.faults = given.memory_network.LinkFaults(loss=0.3)
+    change(zone)
+    await zone.run(4.0)
+    assert {one.version for one in zone.daemons} == {2}
+    assert {frozenset(one.target_names) for one in zone.daemons} == ONLY_T1
+
+
+async def test_a_draining_target_is_known_within_the_bound(zone):
+    zone.platform.targets = model.TargetList(
+        2,
+        (
+            given.target('t1'),
+            given.target('t2', model.TargetState.DRAINING),
+        ),
+    )
+    await zone.run(APPLY_S)
+    for one in zone.daemons:
+        records = one.held.pool(given.SERVICE).targets.records()
+        assert [record.listed.target_id for record in records] == ['t1']
--- /dev/null
+++ b/libraries/zones/tests/zones_support.py
@@ -0,0 +1,218 @@
+"""A zone of daemons in one process, on a network that the test cuts."""
+
+import random
+
+from sardinepier.core import clock as clocks
+from sardinepier.core import ids
+from sardinepier.entry import model, published, services
+from sardinepier.health import belief
+from sardinepier.membership import members
+from sardinepier.platform import errors
+from sardinepier.wire import memory_network, messages
+from sardinepier.zones import carriers, lapses, reading, sharing
+from sardinepier.zones import messages as zone_messages
+
+SERVICE = ids.ServiceName('books')
+
+
+def target(name, state=model.TargetState.READY):
+    return model.ListedTarget(
+        target_id=ids.TargetId(name),
+        service=SERVICE,
+        ip='127.0.0.1',
+        port=1,
+        zone=ids.ZoneName('z1'),
+        slots=3,
+        state=state,
+    )
+
+
+def target_list(revision, *names):
+    return model.TargetList(revision, tuple(target(name) for name in names))
+
+
+def configuration(version):
+    return model.ServedConfiguration(version, (), ())
+
+
+def member(number, zone='z1'):
+    name = f'{zone}-{number}'
+    return members.Member(
+        instance_id=ids.InstanceId(f'{name}~{number:016x}'),
+        daemon_id=ids.DaemonId(name),
+        zone=ids.ZoneName(zone),
+        region=ids.RegionName('r'),
+        peer_address=messages.PeerAddress(f'10.0.{len(zone)}.{number}', 7000),
+        http_ip=f'10.0.{len(zone)}.{number}',
+        http_port=8000,
+        incarnation=0,
+        state=members.MemberState.ALIVE,
+        started_at_s=0.0,
+    )
+
+
+class Fleet:
+    """The members that all daemons of a test know, changed by the test."""
+
+    def __init__(self, *known):
+        self.known = list(known)
+        self.version = 1
+
+    def drop(self, gone):
+        self.known = [one for one in self.known if one is not gone]
+        self.version += 1
+
+
+class View:
+    """The fleet as one of its daemons sees it."""
+
+    def __init__(self, fleet, own):
+        self._fleet = fleet
+        self.own = own
+
+    @property
+    def version(self):
+        return self._fleet.version
+
+    def members(self):
+        return tuple(self._fleet.known)
+
+    serving = members
+
+    def find(self, instance_id):
+        for one in self._fleet.known:
+            if one.instance_id == instance_id:
+                return one
+        return None
+
+
+class Platform:
+    """A platform that the test fills, and takes away from some daemons."""
+
+    def __init__(self):
+        self.configuration = None
+        self.targets = model.TargetList(0, ())
+        self.refused = set()
+        self.calls = 0
+
+    def for_daemon(self, name):
+        return _Client(self, name)
+
+
+class _Client:
+    def __init__(self, platform, name):
+        self._platform = platform
+        self._name = name
+
+    async def read(self, *, allow_stale):
+        self._platform.calls += 1
+        if self._name in self._platform.refused:
+            raise errors.PlatformUnavailableError('turned away', 'wait')
+        return published.Reading(
+            self._platform.configuration,
+            self._platform.targets,
+        )
+
+
+class Daemon:
+    """One daemon's part in the zone."""
+
+    def __init__(self, zone, own):
+        self.own = own
+        self.clock = zone.clock
+        self.held = services.Services(
+            own.zone,
+            zone.clock,
+            random.Random(1),
+            20.0,
+            belief.BeliefOptions(),
+        )
+        self.network = zone.hub.network(
+            messages.Sender(own.instance_id, own.peer_address),
+        )
+        self.carriers = carriers.Carriers(
+            View(zone.fleet, own),
+            zone.clock,
+            1,
+        )
+        self.guard = lapses.LapseGuard(zone.clock)
+        self.sharing = sharing.ZoneSharing(
+            self.network,
+            self.carriers,
+            self.held,
+            self.guard,
+            zone.clock,
+            lambda taken: None,
+        )
+        self.reading = reading.PlatformReading(
+            zone.platform.for_daemon(own.daemon_id),
+            self.held,
+            self.carriers,
+            self.guard,
+            self.sharing,
+            zone.clock,
+            random.Random(1),
+        )
+
+    @property
+    def version(self):
+        held = self.held.configuration
+        return held.version if held else None
+
+    @property
+    def target_names(self):
+        listed = self.held.targets
+        return {one.target_id for one in listed.targets} if listed else set()
+
+
+class Zone:
+    """Daemons that take turns in steps of time which the test makes."""
+
+    def __init__(self, count=6, zones=('z1',)):
+        self.clock = clocks.ManualClock(1000.0)
+        self.hub = memory_network.MemoryHub(
+            zone_messages.KINDS,
+            self.clock,
+            random.Random(5),
+        )
+        self.platform = Platform()
+        self.fleet = Fleet(
+            *(
+                member(number, zone)
+                for zone in zones
+                for number in range(count)
+            ),
+        )
+        self.daemons = [Daemon(self, own) for own in self.fleet.known]
+        self.stopped = set()
+
+    def carrier(self):
+        first = self.daemons[0].carriers.of_own_zone()[0]
+        return self.find(first)
+
+    def find(self, wanted):
+        for one in self.daemons:
+            if one.own is wanted:
+                return one
+        raise LookupError(wanted)
+
+    def stop(self, daemon):
+        """Take a daemon's power; membership has not noticed yet."""
+        self.stopped.add(daemon.own.instance_id)
+
+    def living(self):
+        return [
+            one
+            for one in self.daemons
+            if one.own.instance_id not in self.stopped
+        ]
+
+    async def run(self, seconds, step_s=0.05):
+        """Let all daemons do what they do within so many seconds."""
+        for step in range(round(seconds / step_s)):
+            for one in self.living():
+                await one.reading.step()
+                if step % 5 == 0:
+                    one.sharing.step()
+            self.hub.deliver()
+            self.clock.advance(step_s)
--- /dev/null
+++ b/tests/adapter/test_adapter_settings.py
@@ -0,0 +1,96 @@
+"""The platform's settings file, and what is wrong with bad ones."""
+
+import pytest
+from sardinepier.wire import messages
+from sardinepier_adapter import errors, settings_file
+
+TEXT = """\
+node_name=edge-a-1
+role=entry
+machine_class=edge
+ip=10.1.0.18
+zone=a
+region=r
+zones.a=r
+zones.b=r
+zones.c=r
+listen.front=10.1.0.18:8381
+listen.ready=10.1.0.18:8388
+listen.control=10.1.0.18:8382
+listen.directory=10.1.0.18:8383
+seeds=10.1.0.18:8382,10.2.0.34:8382
+bounds=drain_s=2,grace_s=5,retry_budget_ratio=0.3,retry_budget_burst=64,ttl_max_s=4
+provider.address=10.200.1.7:8384
+a.field.nobody.knows=x=y
+"""
+
+
+def read(tmp_path, text):
+    path = tmp_path / 'node.conf'
+    path.write_text(text)
+    return settings_file.read(str(path))
+
+
+def test_each_field_has_its_meaning(tmp_path):
+    fields = read(tmp_path, TEXT)
+    found = settings_file.entry_settings_of(fields)
+    assert found.daemon_id == 'edge-a-1'
+    assert (found.zone, found.region) == ('a', 'r')
+    assert found.front == messages.PeerAddress('10.1.0.18', 8381)
+    assert found.peer == messages.PeerAddress('10.1.0.18', 8382)
+    assert found.directory == messages.PeerAddress('10.1.0.18', 8383)
+    assert found.ready == messages.PeerAddress('10.1.0.18', 8388)
+    assert found.seeds[1] == messages.PeerAddress('10.2.0.34', 8382)
+    assert settings_file.store_address(fields) == '10.200.1.7:8384'
+
+
+def test_each_bound_has_its_meaning(tmp_path):
+    found = settings_file.entry_settings_of(read(tmp_path, TEXT))
+    assert found.bounds.grace_s == 5
+    assert found.bounds.directory_s == 4
+    assert found.bounds.retry_ratio == 0.3
+    assert found.bounds.retry_burst == 64
+    assert found.bounds.zones == 3
+
+
+def test_what_is_optional_may_be_absent(tmp_path):
+    text = '\n'.join(
+        line
+        for line in TEXT.splitlines()
+        if not line.startswith(('seeds', 'bounds', 'listen.dir', 'listen.re'))
+    )
+    found = settings_file.entry_settings_of(read(tmp_path, text))
+    assert found.directory is None
+    assert found.ready is None
+    assert found.seeds == ()
+    assert found.bounds.retry_burst == 0
+
+
+@pytest.mark.parametrize(
+    'name',
+    ['node_name', 'zone', 'listen.front', 'listen.control'],
+)
+def test_a_missing_field_is_named(tmp_path, name):
+    text = TEXT.replace(f'\n{name}=', '\nx=').removeprefix(f'{name}=')
+    with pytest.raises(errors.SettingsFileError, match=name):
+        settings_file.entry_settings_of(read(tmp_path, text))
+
+
+@pytest.mark.parametrize(
+    ('before', 'after', 'named'),
+    [
+        ('listen.front=10.1.0.18:8381', 'listen.front=here', 'listen.front'),
+        ('grace_s=5', 'grace_s=long', 'grace_s'),
+        ('seeds=10.1.0.18:8382', 'seeds=10.1.0.18', 'seeds'),
+    ],
+)
+def test_a_wrong_field_is_named(tmp_path, before, after, named):
+    with pytest.raises(errors.SettingsFileError, match=named):
+        settings_file.entry_settings_of(
+            read(tmp_path, TEXT.replace(before, after)),
+        )
+
+
+def test_a_file_that_is_not_there_is_said_to_be():
+    with pytest.raises(errors.SettingsFileError, match='SARDINEPIER_BOOT'):
+        settings_file.read('/nowhere/node.conf')
