--- a/libraries/daemon/src/sardinepier/daemon/entry_process.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_process.py
@@ -148,7 +148,12 @@
             await self._serve(stack)
         if self._tasks.failure is not None:
             raise self._tasks.failure
-        logs.event('stopped')
+        counted = self._network.counters()
+        logs.event(
+            'stopped',
+            peer_messages_sent=counted.messages_sent,
+            peer_bytes_sent=counted.bytes_sent,
+        )
 
     async def _serve(self, stack: contextlib.AsyncExitStack) -> None:
         self._network.open()
--- a/libraries/entry/src/sardinepier/entry/intake.py
+++ b/libraries/entry/src/sardinepier/entry/intake.py
@@ -13,6 +13,10 @@
 
 _MS_PER_S: Final = 1000
 _HOST: Final = 'Host'
+_FIRST_S: Final = 0.3
+"""How long a request waits for the first configuration of a daemon that has
+just started: reading it takes a few hundredths of a second."""
+
 _BODY_S: Final = 30.0
 """A body may take this long where the caller states no deadline."""
 
@@ -40,6 +44,7 @@
         ``BodyTooLargeError`` and ``BadRequestError``.
         """
         arrived_s = self._shared.clock.monotonic_s()
+        await self._shared.services.configured(_FIRST_S)
         routes = self._shared.services.routes()
         host = request.headers.get(_HOST, '')
         route = routes.find(host, request.raw_path)
--- a/libraries/entry/src/sardinepier/entry/services.py
+++ b/libraries/entry/src/sardinepier/entry/services.py
@@ -1,5 +1,7 @@
 """The configuration in force, and the targets of its services."""
 
+import asyncio
+import contextlib
 import random
 from collections.abc import Callable, Iterable
 from typing import Final
@@ -15,7 +17,7 @@
 _MOST_NAMED: Final = 16
 """Targets that one log line names: it must stay short in a large fleet."""
 
-_RETRY_AFTER_S: Final = 0.5
+_RETRY_AFTER_S: Final = 0.2
 
 
 class Services:
@@ -40,6 +42,7 @@
         self._retry_percent = retry_percent
         self._options = options
         self._retry_burst = 0
+        self._has_table = asyncio.Event()
         self._table: route_table.RouteTable | None = None
         self._pools: dict[ids.ServiceName, service_pool.ServicePool] = {}
 
@@ -50,6 +53,7 @@
             return False
         self.configuration = offered
         self._table = route_table.RouteTable(offered, self._random)
+        self._has_table.set()
         return True
 
     def offer_targets(self, offered: model.TargetList) -> bool:
@@ -103,6 +107,14 @@
         """Return the targets of all services."""
         return self._pools.values()
 
+    async def configured(self, within_s: float) -> None:
+        """Wait until there is a configuration, ``within_s`` at most."""
+        if self._table is not None:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(within_s):
+                await self._has_table.wait()
+
     def routes(self) -> route_table.RouteTable:
         """Return the routes in force; raise ``NotConfiguredError``."""
         if self._table is None:
