Hold back requests that crash targets when several come one after another

Cause: targets lost to one request that crashes targets counted, for a minute, as an outage which excuses the next such request, and a target struck once within ten seconds counted as one that keeps falling over even when it had answered since. Change: targets lost to requests that are held back are accounted for, and a good answer ends a target's event.

--- a/libraries/gateway/src/sardinepier/gateway/exchange.py
+++ b/libraries/gateway/src/sardinepier/gateway/exchange.py
@@ -110,6 +110,7 @@
             self._context.quarantine.released(self._item.fingerprint)
             self._end(evidence.AttemptEnd.FAILED, None)
             return
+        runtime.losses.answered(self._target_id)
         runtime.hedge_delay(self._item.route.name).observe(latency_ms)
         self._context.quarantine.answered(self._item.fingerprint)
         self._end(evidence.AttemptEnd.ANSWERED, latency_ms)
--- a/libraries/gateway/src/sardinepier/gateway/losses.py
+++ b/libraries/gateway/src/sardinepier/gateway/losses.py
@@ -23,7 +23,9 @@
     """When each target of a service last lost its connections.
 
     One crash cuts all connections of a target within moments, and in no
-    certain order. They count as one event.
+    certain order. They count as one event. A target that answers after an
+    event has come back, so that its next loss stands for itself: several
+    requests that each crash targets may come one after the other.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
@@ -45,6 +47,12 @@
         )
         return not recent
 
+    def answered(self, target_id: ids.TargetId) -> None:
+        """Note a good answer; an event that has ended is forgotten."""
+        last = self._events.get(target_id)
+        if last is not None and self._clock.monotonic_s() > last.ends_at_s:
+            del self._events[target_id]
+
     def keep(self, targets: frozenset[ids.TargetId]) -> None:
         """Forget the targets that are not among ``targets``."""
         self._events = {
--- a/libraries/once/src/sardinepier/once/quarantine.py
+++ b/libraries/once/src/sardinepier/once/quarantine.py
@@ -12,7 +12,7 @@
 """
 
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from sardinepier.core import clock as clocks
@@ -236,10 +236,11 @@
         self._good_turn_s = self._clock.monotonic_s() + self._options.mark_s
 
     def _is_outage(self, own: set[ids.TargetId], now_s: float) -> bool:
+        known = own | _accounted_for(self._entries.values(), now_s)
         others = [
             target
             for target, until_s in self._lost_until_s.items()
-            if until_s > now_s and target not in own
+            if until_s > now_s and target not in known
         ]
         return len(others) > self._options.outage_targets
 
@@ -288,5 +289,17 @@
     }
 
 
+def _accounted_for(
+    entries: Iterable[_Entry],
+    now_s: float,
+) -> set[ids.TargetId]:
+    """Return the targets lost to requests that are held back."""
+    found: set[ids.TargetId] = set()
+    for entry in entries:
+        if entry.held_until_s > now_s:
+            found |= entry.targets(now_s)
+    return found
+
+
 def _tell_nobody() -> None:
     """Stand in for ``on_marked`` while nobody listens."""
--- a/libraries/once/tests/cover/test_once_quarantine.py
+++ b/libraries/once/tests/cover/test_once_quarantine.py
@@ -92,6 +92,13 @@
             held.released(POPULAR)
 
 
+def test_several_that_crash_targets_are_no_outage(held, clock):
+    """Targets lost to requests that are held back are accounted for."""
+    for fingerprint, lost in ((21, 'ab'), (22, 'cd'), (23, 'ef'), (24, 'ac')):
+        assert lose(held, fingerprint, *lost) == [False, True]
+        clock.advance(1.0)
+
+
 def test_a_target_that_is_sick_anyway_tells_nothing(held):
     assert not any(lose(held, POISON, 'a', 'b', 'c', healthy=False))
     assert not is_held(held, POISON)
