--- a/libraries/routing/tests/cover/test_routing_budgets.py
+++ b/libraries/routing/tests/cover/test_routing_budgets.py
@@ -39,6 +39,87 @@
         assert spent <= percent / 100 * requests + _FLOOR * (windows + 1)
 
 
+_FLEET = 5
+_BURST = 4
+_FLEET_STEPS = st.lists(
+    st.tuples(
+        st.sampled_from([0.0, 0.0, 0.2, 0.9, 4.0]),
+        st.integers(0, _FLEET - 1),
+        st.sampled_from(['requests', 'tries', 'restart', 'carry', 'rest']),
+        st.integers(1, 20),
+    ),
+    max_size=80,
+)
+
+
+class _Fleet:
+    """Daemons that each hold a budget of their own, and what they did when."""
+
+    def __init__(self):
+        self.clock = clock.ManualClock()
+        self.daemons = [self._fresh() for _ in range(_FLEET)]
+        self.requested, self.spent, self.started, self.carried = [], [], [], []
+
+    def requests(self, place, count):
+        for _ in range(count):
+            self.daemons[place].record_request()
+            self.requested.append(self.clock.monotonic_s())
+
+    def tries(self, place, count):
+        for _ in range(count):
+            if self.daemons[place].try_spend():
+                self.spent.append(self.clock.monotonic_s())
+
+    def restart(self, place, count):
+        self.daemons[place] = self._fresh()
+        self.started.append(self.clock.monotonic_s())
+
+    def carry(self, place, count):
+        self.daemons[place].set_burst(_BURST)
+        self.carried.append(self.clock.monotonic_s())
+
+    def rest(self, place, count):
+        self.daemons[place].set_burst(0)
+
+    def within(self, moments, span_s):
+        since_s = self.clock.monotonic_s() - span_s
+        return sum(one > since_s for one in moments)
+
+    def _fresh(self):
+        return budget.RetryBudget(self.clock, 18)
+
+
+@given(_FLEET_STEPS)
+def test_the_sum_over_a_fleet_holds_without_anybody_asking(steps):
+    """Whatever is restarted, cut off, or takes itself for a carrier.
+
+    In any window each start of a daemon adds one attempt at most, and each
+    that carries its part of the burst, to the percentage of all requests.
+    """
+    fleet = _Fleet()
+    for gap_s, place, what, count in steps:
+        fleet.clock.advance(gap_s)
+        getattr(fleet, what)(place, count)
+        # What was requested up to a window earlier may still count.
+        bound = 0.18 * fleet.within(fleet.requested, 2 * _WINDOW_S)
+        bound += _FLEET + fleet.within(fleet.started, 2 * _WINDOW_S)
+        bound += _BURST * len(fleet.carried)
+        assert fleet.within(fleet.spent, _WINDOW_S) <= bound
+
+
+def test_a_burst_comes_on_top_of_the_percentage():
+    retries = budget.RetryBudget(clock.ManualClock(), 10)
+    retries.set_burst(3)
+    for _ in range(100):
+        retries.record_request()
+    assert sum(retries.try_spend() for _ in range(50)) == 13
+
+
+def test_a_burst_below_zero_is_refused():
+    with pytest.raises(errors.RoutingOptionError):
+        budget.RetryBudget(clock.ManualClock(), 10).set_burst(-1)
+
+
 def test_a_storm_is_amplified_by_a_tenth_at_most():
     manual = clock.ManualClock()
     retries = budget.RetryBudget(manual, 10)
