--- a/libraries/routing/tests/cover/test_routing_budgets.py
+++ b/libraries/routing/tests/cover/test_routing_budgets.py
@@ -58,7 +58,10 @@
     def __init__(self):
         self.clock = clock.ManualClock()
         self.daemons = [self._fresh() for _ in range(_FLEET)]
-        self.requested, self.spent, self.started, self.carried = [], [], [], []
+        self.requested = []
+        self.spent = []
+        self.started = []
+        self.carried = []
 
     def requests(self, place, count):
         for _ in range(count):
