Take back the rule for idle targets while many requests fail

The rule looked at targets that are idle while others fail, which was not what happened. Conclusion: taken back; a carrier that is cut off from targets has to hand over its zone, which is open.

--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -9,7 +9,6 @@
 from sardinepier.core import ids
 from sardinepier.entry import (
     model,
-    overlooked,
     preference,
     refusals,
     target_record,
@@ -38,6 +37,9 @@
 """A failure within this part of the usual latency came before the work could
 be done. Measured, failing targets answer in a fiftieth of it."""
 
+_UNUSED_AFTER_S: Final = 2.0
+"""A target that got nothing for so long after it came is tried next."""
+
 _TOLERANCE: Final = 0.06
 """Additional chance of failure that is accepted without any wait: a slot of
 the best target comes free within a tenth of a second."""
@@ -96,7 +98,6 @@
         self.name = name
         self.usual_s = 0.0
         self.on_outcome: Callable[[bool], None] = _tell_nobody
-        self._recent = overlooked.RecentFailures(clock)
         self._usual_bytes = 0.0
         self._hedge_delay = hedging.HedgeDelay(_HEDGE_PERCENTILE)
         self.retry_budget = budget.RetryBudget(clock, retry_percent)
@@ -153,7 +154,6 @@
         record.reserved -= 1
         record.started_s[self._attempts] = self._clock.monotonic_s()
         record.was_used = True
-        record.last_used_s = self._clock.monotonic_s()
         return self._attempts
 
     def release(self, record: target_record.TargetRecord) -> None:
@@ -176,7 +176,6 @@
         grown_bytes = answer_bytes - self._usual_bytes
         self._usual_bytes += _USUAL_SMOOTHING * grown_bytes
         record.belief.answered(self._clock.monotonic_s())
-        self._recent.note(is_failure=False)
         self.on_outcome(True)
         record.took(latency_s, self.usual_s)
         self._queue.observe_service(latency_s)
@@ -196,7 +195,6 @@
             self._clock.monotonic_s(),
             is_early=taken_s < _EARLY_FACTOR * self.usual_s,
         )
-        self._recent.note(is_failure=True)
         self.on_outcome(False)
 
     def full(self, record: target_record.TargetRecord) -> None:
@@ -239,7 +237,7 @@
             self.usual_s,
             preference.zone_cost(wish.body_bytes + self._usual_bytes),
         )
-        chosen = self._overlooked(free, now_s) or preference.surest(
+        chosen = self._unused(free, now_s) or preference.surest(
             free,
             preference.least_cost(wanted, situation) + wish.tolerance(now_s),
             situation,
@@ -250,22 +248,6 @@
         chosen.reserved += 1
         return chosen.listed.target_id
 
-    def _overlooked(
-        self,
-        free: list[target_record.TargetRecord],
-        now_s: float,
-    ) -> target_record.TargetRecord | None:
-        """Return a target that has its turn whoever is surest."""
-        found = overlooked.unused(free, self._zone, now_s)
-        if found is None and self._recent.are_many():
-            return overlooked.neglected(
-                free,
-                self._zone,
-                now_s,
-                self.usual_s,
-            )
-        return found
-
     def _is_on_trial(
         self,
         record: target_record.TargetRecord,
@@ -278,6 +260,19 @@
         chance = record.failure_chance(now_s, self.usual_s)
         return chance > _DOUBTFUL and record.is_unsettled(now_s)
 
+    def _unused(
+        self,
+        free: Iterable[target_record.TargetRecord],
+        now_s: float,
+    ) -> target_record.TargetRecord | None:
+        """Return a target that has waited long for its first request."""
+        for record in free:
+            if record.was_used or record.listed.zone != self._zone:
+                continue
+            if now_s > record.warm_at_s + _UNUSED_AFTER_S:
+                return record
+        return None
+
     def _give_back(self, target_id: ids.TargetId) -> None:
         record = self.targets.find(target_id)
         if record is not None:
--- a/libraries/entry/src/sardinepier/entry/target_record.py
+++ b/libraries/entry/src/sardinepier/entry/target_record.py
@@ -33,8 +33,7 @@
 
     ``started_s`` holds when each open attempt began, oldest first.
     ``warm_at_s`` is until when it is slow after its start, and ``pace`` how slow it is against the service's usual, 1.0 for equal.
-    ``last_used_s`` is when it last got a request from here, and
-    ``full_until_s`` until when it asked for no more work. ``reserved``
+    ``full_until_s`` is until when it asked for no more work. ``reserved``
     counts slots that were given to requests which have not begun yet.
     """
 
@@ -50,7 +49,6 @@
     others_load_until_s: float = 0.0
     reserved: int = 0
     was_used: bool = False
-    last_used_s: float = 0.0
 
     def in_flight(self, now_s: float) -> int:
         """Return the requests it has: our own, and others' where known."""
