Hand a zone over when its carrier loses the way to targets

The carriers of two zones went on: connections timed out after 351 ms, one target after the other, each counted as a failure of the target and told to the others.

Change: a connection that times out keeps this daemon off the target for 1, 2, 4 s and is no evidence that is told; a refused one still is. A carrier that lost two targets of a service which are not known to fail stands down for ten seconds, and one daemon of a zone at a time does.

--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -22,12 +22,6 @@
 
 _MS_PER_S: Final = 1000
 
-_FAILURES: Final = (
-    errors.ConnectFailedError,
-    errors.ConnectionLostError,
-    errors.BadAnswerError,
-)
-
 
 class Attempt:
     """One attempt of ``item`` at the target whose slot is reserved."""
@@ -60,17 +54,9 @@
         """
         try:
             answer = await self._within_deadline()
-        except (errors.ShedError, answers.OtherTargetError) as refusal:
-            self._refused(refusal)
-            self._tell(type(refusal).__name__)
-            raise
-        except errors.AnswerOverdueError as overdue:
-            self._overdue()
-            self._tell(type(overdue).__name__)
-            raise
-        except _FAILURES as failure:
-            self._pool.failed(self._record, self._taken_s())
-            self._tell(f'{type(failure).__name__}: {failure.what}')
+        except errors.GatewayError as error:
+            self._blame(error)
+            self._tell(f'{type(error).__name__}: {error.what}')
             raise
         finally:
             self._pool.finished(self._record, self._number)
@@ -109,6 +95,7 @@
             path=self._item.path,
             accepts=self._accepts,
         )
+        self._record.reached()
         self._note_load(response)
         try:
             return await answers.read(response, self._shared.names)
@@ -147,6 +134,23 @@
                 self._shared.clock.monotonic_s(),
             )
 
+    def _blame(self, error: errors.GatewayError) -> None:
+        """Take in what an attempt without an answer says of the target."""
+        if isinstance(error, answers.OtherTargetError):
+            self._pool.targets.drop(self._record.listed.target_id)
+        elif isinstance(error, errors.ShedError):
+            self._pool.full(self._record)
+        elif isinstance(error, errors.AnswerOverdueError):
+            self._overdue()
+        else:
+            self._failed(error)
+
+    def _failed(self, error: errors.GatewayError) -> None:
+        if isinstance(error, errors.ConnectTimeoutError):
+            self._record.not_reached(self._shared.clock.monotonic_s())
+        else:
+            self._pool.failed(self._record, self._taken_s())
+
     def _overdue(self) -> None:
         """Blame the target for a timeout only when it took overlong.
 
@@ -161,9 +165,3 @@
 
     def _taken_s(self) -> float:
         return self._shared.clock.monotonic_s() - self._started_s
-
-    def _refused(self, refusal: errors.ProvedNotRunError) -> None:
-        if isinstance(refusal, answers.OtherTargetError):
-            self._pool.targets.drop(self._record.listed.target_id)
-        else:
-            self._pool.full(self._record)
--- a/libraries/entry/src/sardinepier/entry/target_record.py
+++ b/libraries/entry/src/sardinepier/entry/target_record.py
@@ -23,6 +23,14 @@
 """An attempt that has not failed for so long most likely won't: measured
 failures of failing targets come within a few milliseconds."""
 
+_AVOIDED_S: Final = 1.0
+"""How long a target is avoided after a connection to it timed out; longer after
+each further one. A try costs a request the time to connect, a third of a
+second, and nothing else."""
+
+_LONGEST_AVOIDED_S: Final = 4.0
+_OUT_OF_REACH_CHANCE: Final = 0.9
+
 _LOAD_KEPT_S: Final = 0.4
 """How long a target's own count of its load is believed."""
 
@@ -35,6 +43,8 @@
     ``warm_at_s`` is until when it is slow after its start, and ``pace`` how slow it is against the service's usual, 1.0 for equal.
     ``full_until_s`` is until when it asked for no more work. ``reserved``
     counts slots that were given to requests which have not begun yet.
+    ``failed_connects`` counts the connections that timed out since it was
+    last heard, and ``avoided_until_s`` is what came of them.
     """
 
     listed: model.ListedTarget
@@ -48,6 +58,8 @@
     others_load_until_s: float = 0.0
     reserved: int = 0
     was_used: bool = False
+    failed_connects: int = 0
+    avoided_until_s: float = 0.0
 
     def in_flight(self, now_s: float) -> int:
         """Return the requests it has: our own, and others' where known."""
@@ -74,6 +86,8 @@
         been open for a moment already speaks for its target, and one that is
         long overdue speaks against it.
         """
+        if now_s < self.avoided_until_s:
+            return _OUT_OF_REACH_CHANCE
         if self.is_overdue(now_s, usual_s):
             return max(_OVERDUE_CHANCE, self.belief.failure_chance(now_s))
         since_s = self.belief.updated_s
@@ -90,6 +104,21 @@
         newest_s = next(reversed(self.started_s.values()), 0.0)
         return self.reserved > 0 or now_s - newest_s < _SETTLED_S
 
+    def not_reached(self, now_s: float) -> None:
+        """Take in that a connection timed out.
+
+        That speaks of the way from here, and of no failure of the target:
+        other daemons may reach it, and are not told.
+        """
+        avoided_s = _AVOIDED_S * 2**self.failed_connects
+        self.failed_connects += 1
+        self.avoided_until_s = now_s + min(_LONGEST_AVOIDED_S, avoided_s)
+
+    def reached(self) -> None:
+        """Take in that the target was heard."""
+        self.failed_connects = 0
+        self.avoided_until_s = 0.0
+
     def heard_load(self, running: int, waiting: int, now_s: float) -> None:
         """Take in the target's own count, which includes our requests."""
         self.others_load = max(0, running + waiting - len(self.started_s))
--- a/libraries/entry/tests/cover/test_entry_choice.py
+++ b/libraries/entry/tests/cover/test_entry_choice.py
@@ -138,6 +138,28 @@
     assert bench.take() not in {first, None}
 
 
+def test_a_target_out_of_reach_is_avoided_and_not_blamed(bench):
+    bench.good('t1', 'far')
+    record = bench.record('t1')
+    believed = record.belief.failing(bench.clock.monotonic_s())
+    record.not_reached(bench.clock.monotonic_s())
+    assert record.belief.failing(bench.clock.monotonic_s()) == believed
+    assert bench.take() == 'far'
+
+
+def test_a_target_out_of_reach_is_tried_again_ever_more_seldom(bench):
+    record = bench.record('t1')
+    pauses_s = []
+    for _ in range(4):
+        now_s = bench.clock.monotonic_s()
+        record.not_reached(now_s)
+        pauses_s.append(record.avoided_until_s - now_s)
+    assert pauses_s == [1.0, 2.0, 4.0, 4.0]
+    record.reached()
+    bench.good('t1')
+    assert bench.take() == 't1'
+
+
 async def test_a_wait_ends_when_a_slot_comes_free(bench):
     for name in ('t2', 't3', 'far'):
         bench.pool.targets.drop(ids.TargetId(name))
--- a/libraries/gateway/src/sardinepier/gateway/errors.py
+++ b/libraries/gateway/src/sardinepier/gateway/errors.py
@@ -31,6 +31,13 @@
     """No connection to the target came about, so nothing was sent."""
 
 
+class ConnectTimeoutError(ConnectFailedError):
+    """The target said nothing, not even that nobody listens there.
+
+    It may be gone, or only the way to it.
+    """
+
+
 class StaleConnectionError(ProvedNotRunError):
     """A pooled connection was closed or spoken on before it was used."""
 
--- a/libraries/gateway/src/sardinepier/gateway/outgoing.py
+++ b/libraries/gateway/src/sardinepier/gateway/outgoing.py
@@ -167,7 +167,12 @@
                 f'The target ended the connection without an answer ({name})',
                 'Find out whether the request ran before sending it anew',
             )
-        return errors.ConnectFailedError(
+        kind = (
+            errors.ConnectTimeoutError
+            if isinstance(error, TimeoutError)
+            else errors.ConnectFailedError
+        )
+        return kind(
             f'No connection to the target came about ({name})',
             'Send the request again',
             _RETRY_AFTER_S,
--- a/libraries/zones/src/sardinepier/zones/carriers.py
+++ b/libraries/zones/src/sardinepier/zones/carriers.py
@@ -4,7 +4,8 @@
 target from bad luck. They are the first by rendezvous hashing among the
 living, so that all daemons name the same ones without agreement, and others
 take over when one goes. A carrier beats; one that falls silent is passed over
-at once, long before membership gives it up.
+at once, long before membership gives it up, and one that can't do its work
+hands it over.
 """
 
 from typing import Final
@@ -17,6 +18,11 @@
 SILENT_AFTER_S: Final = 0.9
 """Three missed beats: two may be lost or late on a busy instance."""
 
+STANDS_DOWN_S: Final = 10.0
+"""How long a carrier that handed its zone over is passed over: longer than
+most losses of a link, and short enough that a zone which hands over in vain,
+since nobody reaches what is lost, does so seldom."""
+
 _KEY: Final = 'carrier/{0}'
 
 
@@ -35,6 +41,7 @@
         self._count = count
         self._heard_s: dict[ids.InstanceId, float] = {}
         self._expected_s: dict[ids.InstanceId, float] = {}
+        self._back_at_s: dict[ids.InstanceId, float] = {}
         self._ranked: dict[ids.ZoneName, tuple[members.Member, ...]] = {}
         self._ranked_version = -1
 
@@ -42,6 +49,27 @@
         """Note a beat of ``sender``."""
         self._heard_s[sender] = self._clock.monotonic_s()
 
+    def stands_down(self, sender: ids.InstanceId) -> None:
+        """Pass ``sender`` over for a while: it handed its zone over."""
+        back_at_s = self._clock.monotonic_s() + STANDS_DOWN_S
+        self._back_at_s[sender] = back_at_s
+
+    def stand_down(self) -> None:
+        """Pass this daemon itself over for a while."""
+        self.stands_down(self._fleet.own.instance_id)
+
+    def may_stand_down(self) -> bool:
+        """Tell whether this daemon carries its zone and another could.
+
+        One handover at a time: where the next one fares no better, a further
+        one would not help.
+        """
+        now_s = self._clock.monotonic_s()
+        own_zone = self._rank().get(self._fleet.own.zone, ())
+        if any(self._is_down(member, now_s) for member in own_zone):
+            return False
+        return self.is_carrier() and len(own_zone) > self._count
+
     def of_zone(self, zone: ids.ZoneName) -> tuple[members.Member, ...]:
         """Return the carriers of ``zone``, best first.
 
@@ -100,15 +128,21 @@
     def _order(self, zone: ids.ZoneName) -> tuple[members.Member, ...]:
         """Return the own zone's members, silent carriers last.
 
+        Those that handed the zone over come before the silent ones.
+
         Only carriers beat, so that only they can be silent; a daemon that
         has just become one is given time to begin.
         """
         now_s = self._clock.monotonic_s()
         carrying: list[members.Member] = []
         others: list[members.Member] = []
+        down: list[members.Member] = []
         silent: list[members.Member] = []
         expected_s: dict[ids.InstanceId, float] = {}
         for member in self._rank().get(zone, ()):
+            if self._is_down(member, now_s):
+                down.append(member)
+                continue
             if len(carrying) == self._count:
                 others.append(member)
                 continue
@@ -119,7 +153,10 @@
             else:
                 carrying.append(member)
         self._expected_s = expected_s
-        return (*carrying, *others, *silent)
+        return (*carrying, *others, *down, *silent)
+
+    def _is_down(self, member: members.Member, now_s: float) -> bool:
+        return now_s < self._back_at_s.get(member.instance_id, now_s)
 
     def _is_silent(
         self,
@@ -147,8 +184,9 @@
 
     def _forget_gone(self) -> None:
         living = {member.instance_id for member in self._fleet.members()}
-        for instance_id in self._heard_s.keys() - living:
-            del self._heard_s[instance_id]
+        for known in (self._heard_s, self._back_at_s):
+            for instance_id in known.keys() - living:
+                del known[instance_id]
 
 
 def _in_order(
--- a/libraries/zones/src/sardinepier/zones/messages.py
+++ b/libraries/zones/src/sardinepier/zones/messages.py
@@ -26,6 +26,8 @@
     holds, -1 for nothing, and ``targets_digest`` tells lists with other
     targets apart. ``is_reading`` says that the sender has just read the
     platform. ``beliefs`` are those that changed since its last beat.
+    ``hands_over`` says that the sender can't reach targets and that another
+    daemon shall carry the zone for a while.
     """
 
     configuration_version: int
@@ -33,6 +35,7 @@
     targets_digest: int
     is_reading: bool = False
     beliefs: tuple[BeliefNews, ...] = ()
+    hands_over: bool = False
 
 
 class BeliefReport(messages.Message, frozen=True):
--- a/libraries/zones/src/sardinepier/zones/sharing.py
+++ b/libraries/zones/src/sardinepier/zones/sharing.py
@@ -22,6 +22,7 @@
     belief_telling,
     beliefs,
     carriers,
+    handover,
     lapses,
     messages,
     packing,
@@ -61,6 +62,11 @@
             held,
             clock,
         )
+        self._handover = handover.Handover(
+            held,
+            chosen,
+            clock,
+        )
         self._stirred = asyncio.Event()
         peer_network.subscribe(messages.ZoneBeat, self._on_beat)
         peer_network.subscribe(messages.NewsRequest, self._on_request)
@@ -110,7 +116,9 @@
 
     def step(self) -> None:
         """Beat or report once, by what this daemon is now."""
-        if self._carriers.is_carrier():
+        if self._handover.begin():
+            self._to_all(self._beat(hands_over=True))
+        elif self._carriers.is_carrier():
             self._to_all(self._beat())
             self._telling.to_other_zones()
         else:
@@ -124,12 +132,18 @@
         except TimeoutError:
             return
 
-    def _beat(self, *, is_reading: bool = False) -> messages.ZoneBeat:
+    def _beat(
+        self,
+        *,
+        is_reading: bool = False,
+        hands_over: bool = False,
+    ) -> messages.ZoneBeat:
         return messages.ZoneBeat(
             *self._versions(),
             targets_digest=self._held.targets_digest,
             is_reading=is_reading,
             beliefs=self._zone_news.take(),
+            hands_over=hands_over,
         )
 
     def _versions(self) -> tuple[int, int]:
@@ -150,6 +164,8 @@
         beat: messages.ZoneBeat,
     ) -> None:
         self._carriers.heard(sender.instance_id)
+        if beat.hands_over:
+            self._carriers.stands_down(sender.instance_id)
         version, revision = self._versions()
         is_behind = beat.configuration_version > version
         lacks_targets = (
--- a/libraries/zones/tests/cover/test_zones_carriers.py
+++ b/libraries/zones/tests/cover/test_zones_carriers.py
@@ -2,6 +2,7 @@
 
 import pytest
 import zones_support as given
+from sardinepier.zones import carriers
 
 
 @pytest.fixture
@@ -110,6 +111,72 @@
     assert failing(carrier, 't1') == pytest.approx(told, abs=0.05)
 
 
+async def test_a_carrier_cut_off_from_targets_hands_its_zone_over(zone):
+    await with_targets(zone)
+    cut_off = zone.carrier()
+    lose_way(cut_off, 't1', 't2')
+    await zone.run(0.5)
+    named = {one.carriers.of_own_zone() for one in zone.daemons}
+    assert len(named) == 1
+    assert cut_off.own not in named.pop()
+    assert not cut_off.carriers.is_carrier()
+
+
+async def test_what_a_carrier_cannot_reach_is_no_evidence_for_others(zone):
+    await with_targets(zone)
+    before = failing(zone.daemons[0], 't1')
+    lose_way(zone.carrier(), 't1', 't2')
+    await zone.run(0.5)
+    for one in zone.daemons:
+        assert failing(one, 't1') <= before
+
+
+async def test_a_carrier_that_handed_over_comes_back(zone):
+    await with_targets(zone)
+    cut_off = zone.carrier()
+    lose_way(cut_off, 't1', 't2')
+    await zone.run(0.5)
+    find_way(cut_off, 't1', 't2')
+    await zone.run(carriers.STANDS_DOWN_S + 1)
+    for one in zone.daemons:
+        assert one.carriers.of_own_zone() == (cut_off.own,)
+
+
+async def test_a_zone_that_nobody_serves_better_hands_over_seldom(zone):
+    """Such as when the targets themselves are gone."""
+    await with_targets(zone)
+    first = zone.carrier()
+    for daemon in zone.daemons:
+        lose_way(daemon, 't1', 't2')
+    named = set()
+    for _ in range(16):
+        await zone.run(0.5)
+        named |= {one.carriers.of_own_zone() for one in zone.daemons}
+    assert len(named) == 1
+    assert first.own not in named.pop()
+
+
+async def test_one_target_out_of_reach_is_no_reason(zone):
+    await with_targets(zone)
+    first = zone.carrier()
+    lose_way(first, 't1')
+    await zone.run(0.5)
+    named = {one.carriers.of_own_zone() for one in zone.daemons}
+    assert named == {(first.own,)}
+
+
+async def test_a_lost_notice_of_a_handover_is_made_up_for(zone):
+    """The others miss the beats of the one that handed over."""
+    await with_targets(zone)
+    cut_off = zone.carrier()
+    lose_way(cut_off, 't1', 't2')
+    for one in zone.daemons:
+        zone.hub.cut(cut_off.own.peer_address, one.own.peer_address)
+    await zone.run(1.5)
+    for one in zone.daemons:
+        assert one.carriers.of_own_zone()[0] is not cut_off.own
+
+
 async def with_targets(zone):
     zone.platform.configuration = given.configuration(1)
     zone.platform.targets = given.target_list(1, 't1', 't2')
@@ -124,3 +191,15 @@
 def failing(daemon, name):
     record = daemon.held.pool(given.SERVICE).targets.find(name)
     return record.belief.failing(daemon.clock.monotonic_s())
+
+
+def lose_way(daemon, *names):
+    for name in names:
+        record = daemon.held.pool(given.SERVICE).targets.find(name)
+        for _ in range(2):
+            record.not_reached(daemon.clock.monotonic_s())
+
+
+def find_way(daemon, *names):
+    for name in names:
+        daemon.held.pool(given.SERVICE).targets.find(name).reached()
