--- a/libraries/cli/src/sardinepier/cli/commands.py
+++ b/libraries/cli/src/sardinepier/cli/commands.py
@@ -10,6 +10,7 @@
     addresses,
     check,
     endpoints,
+    explain,
     invocations,
     request,
     status,
@@ -26,8 +27,8 @@
 class Commands:
     """Check settings files and watch a fleet of sardinepier daemons.
 
-    Commands: check, addresses, status, timeline, request. Each has a help of
-    its own, for example sardinepier check --help.
+    Commands: check, addresses, status, timeline, explain, request. Each has a
+    help of its own, for example sardinepier check --help.
 
     No command changes any state of the fleet. Daemons are named by IP:PORT.
     Exit codes: 0 good, 1 a clear negative result, 2 wrong usage, 3 a daemon
@@ -137,6 +138,19 @@
             )
         return self._invocation(execute)
 
+    def explain(self, request_id: str, *files: str) -> invocations.Invocation:
+        """Tell what became of one request, and why, from log files.
+
+        Merges the lines of all daemons. Exit code 1 when no line has the id.
+
+        Args:
+            request_id: The id that the caller sent with the request.
+            files: Paths of log files, of as many daemons as there are.
+        """
+        return self._invocation(
+            functools.partial(explain.report, request_id, files),
+        )
+
     def request(
         self,
         method: str,
--- a/libraries/cli/src/sardinepier/cli/main.py
+++ b/libraries/cli/src/sardinepier/cli/main.py
@@ -93,6 +93,7 @@
         shared.addresses,
         shared.status,
         shared.timeline,
+        shared.explain,
         shared.request,
     ):
         fire.decorators.SetParseFn(str)(command)
--- a/libraries/daemon/src/sardinepier/daemon/entry_process.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_process.py
@@ -11,27 +11,28 @@
 
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
-from sardinepier.daemon import entry_settings, identity
-from sardinepier.daemon.internal import entry_parts, task_set
+from sardinepier.daemon import entry_events, entry_settings, identity
+from sardinepier.daemon.internal import entry_figures, entry_parts, task_set
 from sardinepier.entry import (
     activity,
     caller_server,
-    context,
+    decisions,
     model,
     pages,
     pipeline,
     published,
     services,
 )
-from sardinepier.gateway import client
 from sardinepier.health import belief
-from sardinepier.once import quarantine
 from sardinepier.telemetry import logs
 from sardinepier.wire import messages
-from sardinepier.zones import carriers, lapses, reading, sharing
-
-_CARRIERS_A_ZONE: Final = 1
-"""More share the risk of a lost instance, fewer see more of each target."""
+from sardinepier.zones import (
+    carriers,
+    lapses,
+    reading,
+    sharing,
+    zone_load,
+)
 
 _DIRECTORY_S: Final = 1.0
 """How long callers are told to keep an answer: a lost carrier costs the
@@ -40,9 +41,10 @@
 _RETRY_MARGIN: Final = 0.9
 """Share of the fleet's retry budget that is used, as windows slide."""
 
-_BURST_MARGIN: Final = 0.5
+_BURST_MARGIN: Final = 0.35
 """Share of the fleet's burst that the carriers use together. Another carrier
-may take over within a window, and those before it have used their part."""
+may take over within a window, and those before it have used their part; while
+a zone goes from one carrier to nine, they use 2.8 times its part."""
 
 _UPKEEP_S: Final = 0.5
 
@@ -61,6 +63,7 @@
 
     directory_path: str = '/v1/addresses'
     ready_path: str = '/v1/ready'
+    metrics_path: str = '/metrics'
     encode_addresses: Callable[[Sequence[str], float], bytes] = (
         pages.plain_addresses
     )
@@ -117,7 +120,6 @@
         self._carriers = carriers.Carriers(
             self._membership,
             self._clock,
-            _CARRIERS_A_ZONE,
         )
         self._guard = lapses.LapseGuard(self._clock)
         self._sharing = sharing.ZoneSharing(
@@ -125,6 +127,7 @@
             self._carriers,
             self._services,
             self._guard,
+            zone_load.ZoneLoad(self._clock, lambda: self._activity.begun),
             self._clock,
             _tell_configuration,
         )
@@ -149,44 +152,52 @@
         if self._tasks.failure is not None:
             raise self._tasks.failure
         counted = self._network.counters()
-        logs.event(
-            'stopped',
-            peer_messages_sent=counted.messages_sent,
-            peer_bytes_sent=counted.bytes_sent,
+        logs.tell(
+            entry_events.Stopped(
+                in_hand=self._activity.in_hand,
+                peer_messages_sent=counted.messages_sent,
+                peer_bytes_sent=counted.bytes_sent,
+            ),
         )
 
     async def _serve(self, stack: contextlib.AsyncExitStack) -> None:
         self._network.open()
         self._membership.seed(self._settings.seeds)
-        shared = context.EntryContext(
-            clock=self._clock,
-            names=self._settings.names,
-            client=client.TargetClient(),
-            services=self._services,
-            quarantine=quarantine.Quarantine(self._clock),
-            activity=self._activity,
+        shared = entry_parts.build_context(
+            self._settings.names,
+            self._services,
+            self._activity,
+            self._clock,
         )
         stack.push_async_callback(shared.client.close)
-        self._start_tasks()
+        self._start_tasks(shared.decisions)
         answering = pipeline.Pipeline(shared)
         front = caller_server.HttpServer(
             answering.handle,
             self._bounds,
             answering.begin_early,
         )
-        await self._listen(front, self._settings.front)
-        beside = await self._listen_beside()
-        logs.event('started', zone=self._settings.zone)
+        await front.start(self._settings.front.ip, self._settings.front.port)
+        figures = entry_figures.EntryFigures(
+            shared.measures,
+            self._services,
+            self._activity,
+            self._guard,
+            self._carriers,
+            self._membership,
+        )
+        beside = await self._listen_beside(figures)
+        logs.tell(entry_parts.started(self._settings))
         gc.collect()
         gc.freeze()
         await self._stop.wait()
         await self._depart(front, beside)
 
-    def _start_tasks(self) -> None:
+    def _start_tasks(self, told: decisions.Decisions) -> None:
         self._tasks.start(self._network.run())
         self._tasks.start(self._membership.run())
         self._tasks.start(self._sharing.run())
-        self._tasks.start(self._share_burst())
+        self._tasks.start(self._upkeep(told))
         self._tasks.start(
             reading.PlatformReading(
                 self._source,
@@ -199,7 +210,10 @@
             ).run(),
         )
 
-    async def _listen_beside(self) -> list[caller_server.HttpServer]:
+    async def _listen_beside(
+        self,
+        figures: entry_figures.EntryFigures,
+    ) -> list[caller_server.HttpServer]:
         places = (
             (
                 self._settings.directory,
@@ -215,6 +229,11 @@
                 self._pages.ready_path,
                 pages.Readiness(self._is_ready).answer,
             ),
+            (
+                self._settings.metrics,
+                self._pages.metrics_path,
+                pages.Figures(figures.text).answer,
+            ),
         )
         servers = []
         for address, path, answer in places:
@@ -224,17 +243,10 @@
                 pages.Page(path, answer).handle,
                 self._bounds,
             )
-            await self._listen(server, address)
+            await server.start(address.ip, address.port)
             servers.append(server)
         return servers
 
-    async def _listen(
-        self,
-        server: caller_server.HttpServer,
-        address: messages.PeerAddress,
-    ) -> None:
-        await server.start(address.ip, address.port)
-
     async def _depart(
         self,
         front: caller_server.HttpServer,
@@ -246,7 +258,12 @@
         still serves whoever comes, and asks them to close.
         """
         until_s = self._clock.monotonic_s() + self._settings.bounds.grace_s
-        logs.event('stopping', in_hand=self._activity.in_hand)
+        logs.tell(
+            entry_events.Stopping(
+                in_hand=self._activity.in_hand,
+                grace_s=self._settings.bounds.grace_s,
+            ),
+        )
         self._activity.is_draining = True
         self._membership.announce_leaving()
         notice_s = _STALE_DIRECTORY_FACTOR * _DIRECTORY_S
@@ -262,15 +279,22 @@
         for server in beside:
             await server.close(0)
 
-    async def _share_burst(self) -> None:
+    async def _upkeep(self, told: decisions.Decisions) -> None:
+        while True:
+            self._share_burst()
+            self._services.set_shares_zone(
+                shares_zone=self._carriers.count > 1,
+            )
+            told.tell_dropped()
+            await asyncio.sleep(_UPKEEP_S)
+
+    def _share_burst(self) -> None:
         """Use the zone's part of the burst while this daemon carries it."""
         bounds = self._settings.bounds
         shared = _BURST_MARGIN * bounds.retry_burst
-        part = int(shared / (bounds.zones * _CARRIERS_A_ZONE))
-        while True:
-            is_carrier = self._carriers.is_carrier()
-            self._services.set_retry_burst(part if is_carrier else 0)
-            await asyncio.sleep(_UPKEEP_S)
+        part = int(shared / (bounds.zones * self._carriers.count))
+        is_carrier = self._carriers.is_carrier()
+        self._services.set_retry_burst(part if is_carrier else 0)
 
     def _outcome_seen(self, is_good: bool) -> None:
         if not is_good:
@@ -298,8 +322,9 @@
 
 
 def _tell_configuration(configuration: model.ServedConfiguration) -> None:
-    logs.event(
-        'configuration-in-force',
-        version=configuration.version,
-        routes=len(configuration.routes),
+    logs.tell(
+        entry_events.ConfigurationInForce(
+            version=configuration.version,
+            routes=len(configuration.routes),
+        ),
     )
--- a/libraries/daemon/src/sardinepier/daemon/entry_settings.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_settings.py
@@ -31,7 +31,8 @@
 
     ``front`` is where callers connect, ``peer`` where other daemons send,
     ``directory`` where callers ask for addresses and ``ready`` where the
-    platform asks whether this instance is ready; the last two may be absent.
+    platform asks whether this instance is ready, and ``metrics`` where its
+    figures are read; the last three may be absent.
     ``seeds`` are the peer addresses of daemons to begin with. ``names``
     are the headers in use.
     """
@@ -43,6 +44,7 @@
     peer: messages.PeerAddress
     directory: messages.PeerAddress | None
     ready: messages.PeerAddress | None
+    metrics: messages.PeerAddress | None
     seeds: tuple[messages.PeerAddress, ...]
     bounds: EntryBounds
     names: dialect.HeaderNames
--- /dev/null
+++ b/libraries/daemon/src/sardinepier/daemon/internal/entry_figures.py
@@ -0,0 +1,38 @@
+"""The figures that one entry instance shows, from all who know some."""
+
+import dataclasses
+import math
+
+from sardinepier.entry import activity, measures, services
+from sardinepier.membership import membership
+from sardinepier.telemetry import exposition
+from sardinepier.zones import carriers, lapses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryFigures:
+    """Where the figures come from."""
+
+    measures: measures.Measures
+    services: services.Services
+    activity: activity.Activity
+    guard: lapses.LapseGuard
+    carriers: carriers.Carriers
+    membership: membership.Membership
+
+    async def text(self) -> str:
+        """Return all figures as they are now."""
+        age_s = self.guard.age_s()
+        gauges = (
+            exposition.Gauge('requests_in_hand', self.activity.in_hand),
+            exposition.Gauge(
+                'targets_age_s',
+                math.inf if age_s is None else age_s,
+            ),
+            exposition.Gauge('carriers', self.carriers.count),
+            exposition.Gauge('is_carrier', self.carriers.is_carrier()),
+            exposition.Gauge('members', len(self.membership.members())),
+        )
+        return await self.measures.text(
+            (*measures.of_services(self.services), *gauges),
+        )
--- a/libraries/daemon/src/sardinepier/daemon/internal/entry_parts.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/entry_parts.py
@@ -5,7 +5,16 @@
 
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
-from sardinepier.daemon import entry_settings
+from sardinepier.daemon import entry_events, entry_settings
+from sardinepier.entry import (
+    activity,
+    context,
+    decisions,
+    dialect,
+    measures,
+    services,
+)
+from sardinepier.gateway import client
 from sardinepier.membership import (
     events,
     kinds,
@@ -14,6 +23,7 @@
     membership,
     options,
 )
+from sardinepier.once import quarantine
 from sardinepier.telemetry import logs
 from sardinepier.wire import messages, zmq_network
 from sardinepier.zones import messages as zone_messages
@@ -41,6 +51,34 @@
     )
 
 
+def started(settings: entry_settings.EntrySettings) -> entry_events.Started:
+    """Return what is told when the instance takes connections."""
+    return entry_events.Started(
+        zone=settings.zone,
+        front=f'{settings.front.ip}:{settings.front.port}',
+        peer=f'{settings.peer.ip}:{settings.peer.port}',
+    )
+
+
+def build_context(
+    names: dialect.HeaderNames,
+    held: services.Services,
+    counted: activity.Activity,
+    clock: clocks.Clock,
+) -> context.EntryContext:
+    """Return what the request path works with, on a running event loop."""
+    return context.EntryContext(
+        clock=clock,
+        names=names,
+        client=client.TargetClient(),
+        services=held,
+        quarantine=quarantine.Quarantine(clock),
+        activity=counted,
+        decisions=decisions.Decisions(held, clock),
+        measures=measures.Measures(),
+    )
+
+
 def build_membership(
     settings: entry_settings.EntrySettings,
     network: zmq_network.ZmqNetwork,
@@ -74,11 +112,12 @@
 
 def _tell(event: events.MemberEvent) -> None:
     # At debug: each daemon hears of each other one, all over the fleet.
-    logs.event(
-        'member-changed',
-        change=type(event).__name__,
+    logs.tell(
+        entry_events.MemberChanged(
+            change=type(event).__name__,
+            member=event.instance_id,
+        ),
         level=logs.Level.DEBUG,
-        member=event.instance_id,
     )
 
 
--- /dev/null
+++ b/libraries/entry/src/sardinepier/entry/accounts.py
@@ -0,0 +1,75 @@
+"""What is written and counted when a request ends."""
+
+from typing import Final
+
+from aiohttp import web_request
+
+from sardinepier.core import errors as core_errors
+from sardinepier.entry import (
+    answers,
+    context,
+    decisions,
+    events,
+    refusals,
+)
+from sardinepier.entry import work as works
+
+_NO_STATUS: Final = 0
+
+
+class Account:
+    """Follows one request to its end, which is told once.
+
+    ``item`` is set as soon as the request was read.
+    """
+
+    def __init__(
+        self,
+        shared: context.EntryContext,
+        request: web_request.BaseRequest,
+    ) -> None:
+        """Begin with a request that was not read yet."""
+        self.item: works.Work | None = None
+        self._shared = shared
+        self._request = request
+        self._began_s = shared.clock.monotonic_s()
+
+    def answered(self, answer: answers.Answer) -> None:
+        """Tell that a target's answer is passed on."""
+        outcome = (
+            events.Outcome.ANSWERED
+            if answer.is_good
+            else events.Outcome.TARGET_FAILED
+        )
+        self._end(decisions.End(outcome, answer.status))
+
+    def refused(self, error: core_errors.SardinepierError) -> None:
+        """Tell that the daemon answers itself."""
+        is_unknown = isinstance(error, refusals.UnknownFateError)
+        status = refusals.InternalError.status
+        if isinstance(error, refusals.EntryError):
+            status = error.status
+        self._end(
+            decisions.End(
+                events.Outcome.UNKNOWN
+                if is_unknown
+                else events.Outcome.REFUSED,
+                int(status),
+                type(error).__name__,
+                error.what,
+            ),
+        )
+
+    def abandoned(self) -> None:
+        """Tell that the caller left."""
+        self._end(decisions.End(events.Outcome.ABANDONED, _NO_STATUS))
+
+    def _end(self, end: decisions.End) -> None:
+        names = self._shared.names
+        request_id = self._request.headers.get(names.attempt_id, '')
+        self._shared.decisions.ended(request_id, self.item, end)
+        self._shared.measures.request_ended(
+            self.item.service if self.item else '',
+            end.outcome,
+            self._shared.clock.monotonic_s() - self._began_s,
+        )
--- a/libraries/entry/src/sardinepier/entry/activity.py
+++ b/libraries/entry/src/sardinepier/entry/activity.py
@@ -5,7 +5,7 @@
 
 
 class Activity:
-    """Counts the requests in hand while they are served.
+    """Counts the requests in hand, and all that were begun.
 
     For example::
 
@@ -17,6 +17,7 @@
     def __init__(self) -> None:
         """Start without requests."""
         self.in_hand = 0
+        self.begun = 0
         self.is_draining = False
         self._idle = asyncio.Event()
         self._idle.set()
@@ -24,6 +25,7 @@
     def __enter__(self) -> None:
         """Count one more request."""
         self.in_hand += 1
+        self.begun += 1
         self._idle.clear()
 
     def __exit__(
--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -8,7 +8,7 @@
 from sardinepier.entry import (
     answers,
     context,
-    decisions,
+    events,
     service_pool,
     target_record,
 )
@@ -21,6 +21,8 @@
 was sent, so that another target may get the request."""
 
 _MS_PER_S: Final = 1000
+_OK: Final = 'ok'
+_FAILURE: Final = 'target_failed'
 
 
 class Attempt:
@@ -32,6 +34,7 @@
         item: works.Work,
         pool: service_pool.ServicePool,
         record: target_record.TargetRecord,
+        reason: events.Reason,
     ) -> None:
         """Take over the reserved slot."""
         self._shared = shared
@@ -41,9 +44,11 @@
         self._number = pool.started(record)
         self._started_s = shared.clock.monotonic_s()
         self._is_sent = False
-        self._grounds = decisions.Grounds(
+        item.attempts += 1
+        self._choice = shared.decisions.sent(
+            item,
             record,
-            self._started_s,
+            reason,
             pool.usual_s,
         )
 
@@ -56,20 +61,25 @@
             answer = await self._within_deadline()
         except errors.GatewayError as error:
             self._blame(error)
-            self._tell(f'{type(error).__name__}: {error.what}')
+            self._failed_by(type(error).__name__, error.what)
             raise
         finally:
             self._pool.finished(self._record, self._number)
+        self._judge(answer)
+        return answer
+
+    def _judge(self, answer: answers.Answer) -> None:
+        taken_s = self._taken_s()
         if answer.is_good:
-            self._pool.answered(
-                self._record,
-                self._taken_s(),
-                len(answer.body),
+            self._pool.answered(self._record, taken_s, len(answer.body))
+            self._shared.measures.attempt_ended(
+                self._item.service,
+                _OK,
+                taken_s,
             )
         else:
-            self._pool.failed(self._record, self._taken_s())
-            self._tell(f'answered {answer.status}')
-        return answer
+            self._pool.failed(self._record, taken_s)
+            self._failed_by(_FAILURE, f'answered {answer.status}')
 
     async def _within_deadline(self) -> answers.Answer:
         try:
@@ -160,8 +170,15 @@
         if target_record.is_overlong(taken_s, self._pool.usual_s):
             self._pool.failed(self._record, 0)
 
-    def _tell(self, what: str) -> None:
-        self._grounds.attempt_failed(self._item, what, self._taken_s())
+    def _failed_by(self, how: str, what: str) -> None:
+        taken_s = self._taken_s()
+        self._shared.measures.attempt_ended(self._item.service, how, taken_s)
+        self._shared.decisions.attempt_failed(
+            self._item,
+            self._choice,
+            f'{how}: {what}',
+            taken_s,
+        )
 
     def _taken_s(self) -> float:
         return self._shared.clock.monotonic_s() - self._started_s
--- a/libraries/entry/src/sardinepier/entry/context.py
+++ b/libraries/entry/src/sardinepier/entry/context.py
@@ -3,7 +3,13 @@
 import dataclasses
 
 from sardinepier.core import clock as clocks
-from sardinepier.entry import activity, dialect, services
+from sardinepier.entry import (
+    activity,
+    decisions,
+    dialect,
+    measures,
+    services,
+)
 from sardinepier.gateway import client
 from sardinepier.once import quarantine
 
@@ -12,8 +18,8 @@
 class EntryContext:
     """The collaborators of the request path.
 
-    ``services`` holds the newest
-    configuration with the targets in use.
+    ``services`` holds the newest configuration with the targets in use,
+    ``decisions`` writes the log lines and ``measures`` keeps the numbers.
     """
 
     clock: clocks.Clock
@@ -22,3 +28,5 @@
     services: services.Services
     quarantine: quarantine.Quarantine
     activity: activity.Activity
+    decisions: decisions.Decisions
+    measures: measures.Measures
--- a/libraries/entry/src/sardinepier/entry/decisions.py
+++ b/libraries/entry/src/sardinepier/entry/decisions.py
@@ -1,53 +1,180 @@
 """Log lines about what was decided for a request, and on what grounds.
 
-Failures and refusals are always told: they are what somebody asks about
-afterwards. Good answers are counted elsewhere.
+Attempts are told when they begin, failures and refusals when they come.
+Requests that are answered at the first attempt are only counted.
 """
 
+import dataclasses
 from typing import Final
 
-from sardinepier.entry import target_record
+from sardinepier.core import clock as clocks
+from sardinepier.entry import events, services, target_record
 from sardinepier.entry import work as works
-from sardinepier.telemetry import logs
+from sardinepier.telemetry import line_budget, logs
 
 _MS_PER_S: Final = 1000
+_SENT_PER_S: Final = 60.0
+"""Lines about attempts: a carrier's usual traffic and half as much again. At
+forty microseconds each that is a quarter of a hundredth of a processor."""
 
+_FAILED_PER_S: Final = 120.0
+_BURST_S: Final = 2.0
+"""How long twice as many lines may come as on average."""
 
-class Grounds:
-    """What was known of a target when it was chosen."""
+_NOTHING: Final = -1
 
-    __slots__ = ('_age_s', '_chance', '_in_flight', '_record')
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class End:
+    """How a request ended."""
+
+    outcome: events.Outcome
+    status: int
+    error: str = ''
+    what: str = ''
+
+
+class Decisions:
+    """Writes the lines of one daemon, within bounds."""
 
     def __init__(
         self,
+        held: services.Services,
+        clock: clocks.Clock,
+    ) -> None:
+        """Tell versions and targets from ``held``."""
+        self._held = held
+        self._clock = clock
+        self._sent = _budget(clock, _SENT_PER_S)
+        self._failed = _budget(clock, _FAILED_PER_S)
+
+    def sent(
+        self,
+        item: works.Work,
         record: target_record.TargetRecord,
-        now_s: float,
+        reason: events.Reason,
         usual_s: float,
-    ) -> None:
-        """Keep what the choice went by."""
-        self._record = record
-        self._chance = record.failure_chance(now_s, usual_s)
-        self._age_s = now_s - record.belief.updated_s
-        self._in_flight = record.in_flight(now_s)
+    ) -> events.Choice:
+        """Tell that an attempt begins, and return what it rests on."""
+        now_s = self._clock.monotonic_s()
+        choice = events.Choice(
+            attempt=item.attempts,
+            reason=reason,
+            target=record.listed.target_id,
+            target_zone=record.listed.zone,
+            chance=round(record.failure_chance(now_s, usual_s), 3),
+            belief_age_ms=_ms(now_s - record.belief.updated_s),
+            belief_source=record.belief_source,
+            in_flight=record.in_flight(now_s),
+        )
+        if self._sent.allows():
+            logs.tell(self._sent_line(item, choice, now_s))
+        return choice
 
     def attempt_failed(
         self,
         item: works.Work,
+        choice: events.Choice,
         what: str,
         taken_s: float,
     ) -> None:
-        """Tell that an attempt failed, and why this target had it."""
-        logs.event(
-            'attempt-failed',
+        """Tell that an attempt failed."""
+        if not self._failed.allows():
+            return
+        logs.tell(
+            events.AttemptFailed(
+                request_id=item.request_id,
+                route=item.route.name,
+                service=item.service,
+                repeatable=item.route.is_idempotent,
+                choice=choice,
+                what=what,
+                taken_ms=_ms(taken_s),
+            ),
+        )
+
+    def ended(
+        self,
+        request_id: str,
+        item: works.Work | None,
+        end: End,
+    ) -> None:
+        """Tell how a request ended, unless it was simply answered."""
+        is_plain = end.outcome is events.Outcome.ANSWERED
+        if item is not None and is_plain and item.attempts == 1:
+            return
+        if self._failed.allows():
+            logs.tell(self._ended_line(request_id, item, end))
+
+    def tell_dropped(self) -> None:
+        """Tell how many lines were left out since the last call, if any."""
+        sent = self._sent.take_dropped()
+        failed = self._failed.take_dropped()
+        if sent or failed:
+            logs.tell(events.LinesDropped(sent=sent, failed=failed))
+
+    def _sent_line(
+        self,
+        item: works.Work,
+        choice: events.Choice,
+        now_s: float,
+    ) -> events.RequestSent:
+        version, revision = self._versions()
+        return events.RequestSent(
             request_id=item.request_id,
             route=item.route.name,
             service=item.service,
             repeatable=item.route.is_idempotent,
-            target=self._record.listed.target_id,
-            target_zone=self._record.listed.zone,
-            what=what,
-            taken_ms=round(taken_s * _MS_PER_S),
-            chance=round(self._chance, 3),
-            belief_age_ms=round(self._age_s * _MS_PER_S),
-            in_flight=self._in_flight,
+            choice=choice,
+            waited_ms=_ms(now_s - item.arrived_s),
+            left_ms=_ms(item.left_s(self._clock)),
+            configuration_version=version,
+            targets_revision=revision,
+        )
+
+    def _ended_line(
+        self,
+        request_id: str,
+        item: works.Work | None,
+        end: End,
+    ) -> events.RequestEnded:
+        now_s = self._clock.monotonic_s()
+        version, revision = self._versions()
+        targets, with_room = self._room(item, now_s)
+        return events.RequestEnded(
+            request_id=request_id,
+            route=item.route.name if item else '',
+            service=item.service if item else '',
+            outcome=end.outcome,
+            status=end.status,
+            error=end.error,
+            what=end.what,
+            attempts=item.attempts if item else 0,
+            taken_ms=_ms(now_s - item.arrived_s) if item else 0,
+            targets=targets,
+            with_room=with_room,
+            configuration_version=version,
+            targets_revision=revision,
         )
+
+    def _room(self, item: works.Work | None, now_s: float) -> tuple[int, int]:
+        if item is None:
+            return 0, 0
+        records = self._held.pool(item.service).targets.records()
+        return len(records), sum(one.has_room(now_s) for one in records)
+
+    def _versions(self) -> tuple[int, int]:
+        configuration = self._held.configuration
+        targets = self._held.targets
+        return (
+            configuration.version if configuration else _NOTHING,
+            targets.revision if targets else _NOTHING,
+        )
+
+
+def _budget(clock: clocks.Clock, per_s: float) -> line_budget.LineBudget:
+    return line_budget.LineBudget(clock, per_s, int(per_s * _BURST_S))
+
+
+def _ms(seconds: float) -> int:
+    return round(seconds * _MS_PER_S)
--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -14,6 +14,7 @@
     answers,
     attempt,
     context,
+    events,
     racing,
     refusals,
     service_pool,
@@ -127,7 +128,8 @@
         history: _History,
     ) -> answers.Answer:
         """Run one attempt, and a second beside it when it is slow."""
-        first = self._attempt(item, pool, record)
+        reason = events.Reason.AGAIN if item.attempts else events.Reason.FIRST
+        first = self._attempt(item, pool, record, reason)
         delay_s = pool.hedge_delay_s()
         if delay_s is None or not item.route.is_idempotent:
             return await first
@@ -156,13 +158,14 @@
             return None
         history.tried.add(record.listed.target_id)
         history.ran += 1
-        return self._attempt(item, pool, record)
+        return self._attempt(item, pool, record, events.Reason.BESIDE)
 
     async def _attempt(
         self,
         item: works.Work,
         pool: service_pool.ServicePool,
         record: target_record.TargetRecord,
+        reason: events.Reason,
     ) -> answers.Answer:
         quarantine = self._shared.quarantine
         now_s = self._shared.clock.monotonic_s()
@@ -173,6 +176,7 @@
                 item,
                 pool,
                 record,
+                reason,
             ).run()
         except errors.ConnectionLostError:
             quarantine.crashed(
--- /dev/null
+++ b/libraries/entry/src/sardinepier/entry/measures.py
@@ -0,0 +1,83 @@
+"""The numbers that one daemon keeps of its requests."""
+
+from collections.abc import Mapping
+from typing import Final
+
+from sardinepier.entry import events, services
+from sardinepier.telemetry import exposition, metrics
+
+HELP_TEXTS: Final[Mapping[str, str]] = {
+    'requests': 'Requests by service and by what became of them.',
+    'attempts': 'Attempts at targets by service and by how they ended.',
+    'request_duration_ms': 'From a request read to its answer, in ms.',
+    'attempt_duration_ms': 'From an attempt begun to its answer, in ms.',
+    'requests_in_hand': 'Requests that this daemon has right now.',
+    'configuration_version': 'Version of the configuration in force.',
+    'targets': 'Targets in use, of all services.',
+    'targets_age_s': 'Since the target list was last read by anybody, in s.',
+    'carriers': 'Daemons that shall carry the own zone.',
+    'is_carrier': 'Whether this daemon is one of them, 1 or 0.',
+    'members': 'Daemons that this one knows to live, itself included.',
+}
+
+_MOST_SERVICES: Final = 400
+"""Services with figures of their own; the others share one label."""
+
+_MS_PER_S: Final = 1000
+_NO_SERVICE: Final = ''
+
+
+class Measures:
+    """Counts requests and attempts as they end.
+
+    For example::
+
+        measures.request_ended('books', events.Outcome.ANSWERED, 0.25)
+        text = await measures.text(gauges)
+    """
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self._metrics = metrics.Metrics(_MOST_SERVICES * len(events.Outcome))
+
+    def request_ended(
+        self,
+        service: str,
+        outcome: events.Outcome,
+        taken_s: float,
+    ) -> None:
+        """Count a request."""
+        self._metrics.counter(
+            'requests',
+            service=service,
+            outcome=outcome.value,
+        ).add()
+        if service != _NO_SERVICE:
+            self._metrics.histogram(
+                'request_duration_ms',
+                service=service,
+            ).record(taken_s * _MS_PER_S)
+
+    def attempt_ended(self, service: str, how: str, taken_s: float) -> None:
+        """Count an attempt; ``how`` is the type of its failure, or ``ok``."""
+        self._metrics.counter('attempts', service=service, how=how).add()
+        self._metrics.histogram(
+            'attempt_duration_ms',
+            service=service,
+        ).record(taken_s * _MS_PER_S)
+
+    async def text(self, gauges: tuple[exposition.Gauge, ...]) -> str:
+        """Return all figures, with ``gauges`` that others know."""
+        snapshot = await self._metrics.snapshot_in_steps()
+        return exposition.text(snapshot, gauges, HELP_TEXTS)
+
+
+def of_services(held: services.Services) -> tuple[exposition.Gauge, ...]:
+    """Return what is known of the configuration and the targets."""
+    configuration = held.configuration
+    version = configuration.version if configuration else 0
+    targets = sum(len(pool.targets.records()) for pool in held.pools())
+    return (
+        exposition.Gauge('configuration_version', version),
+        exposition.Gauge('targets', targets),
+    )
--- a/libraries/entry/src/sardinepier/entry/pages.py
+++ b/libraries/entry/src/sardinepier/entry/pages.py
@@ -1,12 +1,13 @@
 """Small answers beside the request path: where to connect, and readiness."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Final
 
 import msgspec
 from aiohttp import web_request, web_response
 
 from sardinepier.core import ids
+from sardinepier.telemetry import exposition
 
 _JSON: Final = 'application/json'
 _OK: Final = 200
@@ -20,7 +21,10 @@
     def __init__(
         self,
         path: str,
-        answer: Callable[[web_request.BaseRequest], web_response.Response],
+        answer: Callable[
+            [web_request.BaseRequest],
+            web_response.Response | Awaitable[web_response.Response],
+        ],
     ) -> None:
         """Answer other paths with 404."""
         self._path = path
@@ -33,7 +37,10 @@
         """Return the answer to one request."""
         if request.path != self._path:
             return web_response.Response(status=_NOT_FOUND)
-        return self._answer(request)
+        answer = self._answer(request)
+        if isinstance(answer, web_response.Response):
+            return answer
+        return await answer
 
 
 class Directory:
@@ -84,6 +91,24 @@
         return web_response.Response(status=status)
 
 
+class Figures:
+    """Shows the numbers that this daemon keeps, as text."""
+
+    def __init__(self, text: Callable[[], Awaitable[str]]) -> None:
+        """Make the text by ``text`` at each request."""
+        self._text = text
+
+    async def answer(
+        self,
+        request: web_request.BaseRequest,
+    ) -> web_response.Response:
+        """Return the figures as they are now."""
+        return web_response.Response(
+            headers={'Content-Type': exposition.CONTENT_TYPE},
+            body=(await self._text()).encode(),
+        )
+
+
 def plain_addresses(addresses: Sequence[str], good_for_s: float) -> bytes:
     """Return the project's own form of a directory answer.
 
--- a/libraries/entry/src/sardinepier/entry/pipeline.py
+++ b/libraries/entry/src/sardinepier/entry/pipeline.py
@@ -6,6 +6,7 @@
 
 from sardinepier.core import errors as core_errors
 from sardinepier.entry import (
+    accounts,
     answers,
     caller_server,
     context,
@@ -66,21 +67,25 @@
         self,
         request: web_request.BaseRequest,
     ) -> web_response.Response:
-        item: works.Work | None = None
+        account = accounts.Account(self._shared, request)
         try:
-            item = await self._intake.read(request)
-            answer = await self._forward(item)
+            account.item = await self._intake.read(request)
+            answer = await self._forward(account.item)
         except core_errors.SardinepierError as error:
-            self._tell(item, error)
+            account.refused(error)
             return replies.of_error(error)
+        except asyncio.CancelledError:
+            account.abandoned()
+            raise
         except Exception as error:  # noqa: BLE001 - the last resort
             logs.failure('request-failed', error, level=logs.Level.ERROR)
-            return replies.of_error(
-                refusals.InternalError(
-                    f'The daemon failed: {type(error).__name__}',
-                    'Find out whether the request ran before sending it anew',
-                ),
+            internal = refusals.InternalError(
+                f'The daemon failed: {type(error).__name__}',
+                'Find out whether the request ran before sending it anew',
             )
+            account.refused(internal)
+            return replies.of_error(internal)
+        account.answered(answer)
         return replies.of_target(answer)
 
     async def _forward(self, item: works.Work) -> answers.Answer:
@@ -107,16 +112,3 @@
         self._abandoned.discard(task)
         if not task.cancelled() and task.exception() is not None:
             logs.event('abandoned-failed', str(task.exception()))
-
-    def _tell(
-        self,
-        item: works.Work | None,
-        error: core_errors.SardinepierError,
-    ) -> None:
-        logs.event(
-            'request-refused',
-            error.what,
-            error=type(error).__name__,
-            request_id=item.request_id if item else '',
-            service=item.service if item else '',
-        )
--- a/libraries/entry/src/sardinepier/entry/preference.py
+++ b/libraries/entry/src/sardinepier/entry/preference.py
@@ -28,6 +28,12 @@
 _COLD_COST: Final = 0.08
 """Worth of a warm target against one that has just started."""
 
+_DISTANCE_COST: Final = 0.04
+"""Spread by which daemons that carry a zone together keep apart. Each would
+else send to the same surest targets at the same moment, whose few slots are
+then full. It is more than what a target that answered a second ago is surer
+by, and less than what one is worse by that may be failing."""
+
 _TIE_SPREAD: Final = 0.002
 
 
@@ -37,12 +43,14 @@
 
     ``zone`` is the sender's, ``usual_s`` the usual latency of the service
     and ``zone_cost`` what sending this request to another zone costs.
+    ``shares_zone`` says that other daemons carry the zone, too.
     """
 
     zone: ids.ZoneName
     now_s: float
     usual_s: float
     zone_cost: float
+    shares_zone: bool = False
 
 
 def zone_cost(passed_bytes: float) -> float:
@@ -57,6 +65,8 @@
     total += _SLOW_COST * max(0.0, record.pace - 1)
     if record.listed.zone != situation.zone:
         total += situation.zone_cost
+    if situation.shares_zone:
+        total += _DISTANCE_COST * record.distance
     if now_s < record.warm_at_s:
         total += _COLD_COST
     return total
--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -98,13 +98,18 @@
         self.name = name
         self.usual_s = 0.0
         self.on_outcome: Callable[[bool], None] = _tell_nobody
+        self.shares_zone = False
         self._usual_bytes = 0.0
         self._hedge_delay = hedging.HedgeDelay(_HEDGE_PERCENTILE)
         self.retry_budget = budget.RetryBudget(clock, retry_percent)
         self._zone = zone
         self._clock = clock
         self._random = random_source
-        self.targets = target_table.TargetTable(clock, options)
+        self.targets = target_table.TargetTable(
+            clock,
+            random_source,
+            options,
+        )
         self._attempts = 0
         self._queue = admission.SlotQueue(
             clock,
@@ -176,6 +181,7 @@
         grown_bytes = answer_bytes - self._usual_bytes
         self._usual_bytes += _USUAL_SMOOTHING * grown_bytes
         record.belief.answered(self._clock.monotonic_s())
+        record.belief_source = target_record.BeliefSource.OWN
         self.on_outcome(True)
         record.took(latency_s, self.usual_s)
         self._queue.observe_service(latency_s)
@@ -195,6 +201,7 @@
             self._clock.monotonic_s(),
             is_early=taken_s < _EARLY_FACTOR * self.usual_s,
         )
+        record.belief_source = target_record.BeliefSource.OWN
         self.on_outcome(False)
 
     def full(self, record: target_record.TargetRecord) -> None:
@@ -236,6 +243,7 @@
             now_s,
             self.usual_s,
             preference.zone_cost(wish.body_bytes + self._usual_bytes),
+            shares_zone=self.shares_zone,
         )
         chosen = self._unused(free, now_s) or preference.surest(
             free,
--- a/libraries/entry/src/sardinepier/entry/services.py
+++ b/libraries/entry/src/sardinepier/entry/services.py
@@ -10,7 +10,13 @@
 
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
-from sardinepier.entry import model, refusals, route_table, service_pool
+from sardinepier.entry import (
+    events,
+    model,
+    refusals,
+    route_table,
+    service_pool,
+)
 from sardinepier.health import belief
 from sardinepier.telemetry import logs
 
@@ -42,6 +48,7 @@
         self._retry_percent = retry_percent
         self._options = options
         self._retry_burst = 0
+        self._shares_zone = False
         self._has_table = asyncio.Event()
         self._table: route_table.RouteTable | None = None
         self._pools: dict[ids.ServiceName, service_pool.ServicePool] = {}
@@ -93,6 +100,7 @@
                 self._options,
             )
             pool.retry_budget.set_burst(self._retry_burst)
+            pool.shares_zone = self._shares_zone
             pool.on_outcome = self.on_outcome
             self._pools[name] = pool
         return pool
@@ -103,6 +111,12 @@
         for pool in self._pools.values():
             pool.retry_budget.set_burst(attempts)
 
+    def set_shares_zone(self, *, shares_zone: bool) -> None:
+        """Keep apart from other daemons that carry the zone, or not."""
+        self._shares_zone = shares_zone
+        for pool in self._pools.values():
+            pool.shares_zone = shares_zone
+
     def pools(self) -> Iterable[service_pool.ServicePool]:
         """Return the targets of all services."""
         return self._pools.values()
@@ -136,16 +150,17 @@
     if before == after:
         return
     draining = model.TargetState.DRAINING
-    logs.event(
-        'targets-changed',
-        revision=offered.revision,
-        added=sorted(after.keys() - before.keys())[:_MOST_NAMED],
-        gone=sorted(before.keys() - after.keys())[:_MOST_NAMED],
-        draining=sorted(
-            target_id
-            for target_id, state in after.items()
-            if state is draining and before.get(target_id) is not draining
-        )[:_MOST_NAMED],
+    logs.tell(
+        events.TargetsChanged(
+            revision=offered.revision,
+            added=sorted(after.keys() - before.keys())[:_MOST_NAMED],
+            gone=sorted(before.keys() - after.keys())[:_MOST_NAMED],
+            draining=sorted(
+                target_id
+                for target_id, state in after.items()
+                if state is draining and before.get(target_id) is not draining
+            )[:_MOST_NAMED],
+        ),
     )
 
 
--- a/libraries/entry/src/sardinepier/entry/target_record.py
+++ b/libraries/entry/src/sardinepier/entry/target_record.py
@@ -1,6 +1,7 @@
 """What one daemon knows of one target."""
 
 import dataclasses
+import enum
 from typing import Final
 
 import yarl
@@ -35,10 +36,26 @@
 """How long a target's own count of its load is believed."""
 
 
+class BeliefSource(enum.Enum):
+    """Who saw the newest outcome that a belief rests on."""
+
+    NOBODY = 'nobody'
+    """No outcome is known: the belief is what holds of targets in general."""
+
+    OWN = 'own'
+    ZONE = 'zone'
+    """Another daemon of the own zone."""
+
+    OTHER_ZONE = 'other_zone'
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class TargetRecord:
     """One target with its belief, its open attempts and its pace.
 
+    ``distance``, 0 to 1, is drawn by this daemon, so that daemons which share
+    a zone prefer different targets among equals.
+    ``belief_source`` says whose outcome the belief rests on.
     ``started_s`` holds when each open attempt began, oldest first.
     ``warm_at_s`` is until when it is slow after its start, and ``pace`` how slow it is against the service's usual, 1.0 for equal.
     ``full_until_s`` is until when it asked for no more work. ``reserved``
@@ -50,6 +67,8 @@
     listed: model.ListedTarget
     belief: belief.TargetBelief
     url: yarl.URL
+    distance: float = 0.0
+    belief_source: BeliefSource = BeliefSource.NOBODY
     started_s: dict[int, float] = dataclasses.field(default_factory=dict)
     pace: float = 1.0
     warm_at_s: float = 0.0
--- a/libraries/entry/src/sardinepier/entry/target_table.py
+++ b/libraries/entry/src/sardinepier/entry/target_table.py
@@ -1,5 +1,6 @@
 """The targets of one service that may get work, by their names."""
 
+import random
 from collections.abc import Collection, Iterable
 
 import yarl
@@ -16,10 +17,12 @@
     def __init__(
         self,
         clock: clocks.Clock,
+        random_source: random.Random,
         options: belief.BeliefOptions,
     ) -> None:
         """Start without targets."""
         self._clock = clock
+        self._random = random_source
         self._options = options
         self._records: dict[ids.TargetId, target_record.TargetRecord] = {}
 
@@ -68,4 +71,5 @@
             listed,
             belief.TargetBelief(self._options, now_s),
             yarl.URL.build(scheme='http', host=listed.ip, port=listed.port),
+            distance=self._random.random(),
         )
--- a/libraries/entry/src/sardinepier/entry/work.py
+++ b/libraries/entry/src/sardinepier/entry/work.py
@@ -16,7 +16,7 @@
 
     ``caller_deadline_s`` is until when the caller waits, ``deadline_s`` the
     sooner of that and the route's own bound. ``headers`` go on to the target
-    as they are. ``was_sent`` tells that a first byte went to a target, and
+    as they are. ``attempts`` counts those begun, ``was_sent`` tells that a first byte went to a target, and
     ``is_abandoned`` that the caller has left, after which nothing new starts.
     """
 
@@ -31,6 +31,7 @@
     caller_deadline_s: float
     deadline_s: float
     fingerprint: int
+    attempts: int = 0
     was_sent: bool = False
     is_abandoned: bool = False
 
--- a/libraries/entry/tests/conftest.py
+++ b/libraries/entry/tests/conftest.py
@@ -10,6 +10,8 @@
     activity,
     caller_server,
     context,
+    decisions,
+    measures,
     pipeline,
     services,
 )
@@ -21,19 +23,22 @@
 @pytest.fixture
 async def entry():
     clock = clocks.SystemClock()
+    held = services.Services(
+        given.ZONE,
+        clock,
+        random.Random(7),
+        50.0,
+        belief.BeliefOptions(),
+    )
     shared = context.EntryContext(
         clock=clock,
         names=given.NAMES,
         client=clients.TargetClient(),
-        services=services.Services(
-            given.ZONE,
-            clock,
-            random.Random(7),
-            50.0,
-            belief.BeliefOptions(),
-        ),
+        services=held,
         quarantine=quarantine.Quarantine(clock),
         activity=activity.Activity(),
+        decisions=decisions.Decisions(held, clock),
+        measures=measures.Measures(),
     )
     shared.services.set_retry_burst(10)
     shared.services.offer_configuration(given.configuration())
--- a/libraries/entry/tests/cover/test_entry_choice.py
+++ b/libraries/entry/tests/cover/test_entry_choice.py
@@ -95,6 +95,8 @@
 
 
 def test_a_doubtful_target_gets_one_request_until_that_shows(bench):
+    # Only what began after the belief speaks for a target.
+    bench.clock.advance(0.01)
     first = bench.take()
     second = bench.take()
     assert second != first
@@ -138,6 +140,25 @@
     assert bench.take() not in {first, None}
 
 
+def test_daemons_that_share_a_zone_keep_apart(bench):
+    """Among equals each prefers its own."""
+    first = [bench.record(name) for name in ('t1', 't2', 't3')]
+    for record, distance in zip(first, (0.9, 0.1, 0.5), strict=True):
+        record.distance = distance
+    bench.good('t1', 't2', 't3')
+    bench.pool.shares_zone = True
+    assert bench.take() == 't2'
+
+
+def test_a_daemon_that_shares_its_zone_still_avoids_failing_targets(bench):
+    bench.record('t1').distance = 0.0
+    bench.record('t2').distance = 1.0
+    bench.good('t2')
+    bench.pool.shares_zone = True
+    bench.pool.failed(bench.record('t1'), 0)
+    assert bench.take() == 't2'
+
+
 def test_a_target_out_of_reach_is_avoided_and_not_blamed(bench):
     bench.good('t1', 'far')
     record = bench.record('t1')
--- /dev/null
+++ b/libraries/entry/tests/cover/test_entry_lines.py
@@ -0,0 +1,132 @@
+"""What is written and counted about requests, by what became of them."""
+
+import asyncio
+import io
+
+import entry_support as given
+import msgspec
+import pytest
+from sardinepier.entry import decisions, events
+from sardinepier.telemetry import logs
+
+
+class Lines:
+    """The log of the daemon under test."""
+
+    def __init__(self):
+        self.out = io.StringIO()
+        logs.configure('info', 'd1', stream=self.out)
+
+    def of(self, event):
+        decoded = map(msgspec.json.decode, self.out.getvalue().splitlines())
+        return [one['fields'] for one in decoded if one['event'] == event]
+
+
+@pytest.fixture
+def lines():
+    return Lines()
+
+
+async def test_each_attempt_is_told_when_it_begins(entry, lines):
+    await entry.use(given.RawTarget('t1'))
+    await entry.ask()
+    sent = lines.of('request-sent')
+    assert [one['request_id'] for one in sent] == ['id-1']
+    choice = sent[0]['choice']
+    assert (choice['target'], choice['reason']) == ('t1', 'first')
+    assert choice['belief_source'] == 'nobody'
+    assert sent[0]['configuration_version'] == 1
+    assert 0 < sent[0]['left_ms'] <= 2000
+    assert not lines.of('request-ended')
+
+
+async def test_a_request_in_a_target_s_hands_has_its_line_already(
+    entry,
+    lines,
+):
+    """If the daemon dies now, its line is what is left."""
+    target = given.RawTarget('t1', ['gated'])
+    await entry.use(target)
+    asking = asyncio.create_task(entry.ask())
+    await given.until(lambda: target.ran)
+    assert len(lines.of('request-sent')) == 1
+    target.gate.set()
+    await asking
+
+
+async def test_a_target_s_failure_has_the_grounds_of_the_choice(entry, lines):
+    await entry.use(given.RawTarget('t1', ['fail']))
+    await entry.ask('/once/1', 'POST')
+    failed = lines.of('attempt-failed')[0]
+    assert failed['what'] == 'target_failed: answered 500'
+    assert failed['choice']['target'] == 't1'
+    ended = lines.of('request-ended')[0]
+    assert (ended['outcome'], ended['status']) == ('target_failed', 500)
+
+
+async def test_a_repeat_says_that_it_is_one(entry, lines):
+    await entry.use(
+        given.RawTarget('t1', ['fail']),
+        given.RawTarget('t2', ['fail']),
+    )
+    await entry.ask()
+    reasons = [one['choice']['reason'] for one in lines.of('request-sent')]
+    assert reasons == ['first', 'again']
+    assert lines.of('request-ended')[0]['attempts'] == 2
+
+
+async def test_a_refusal_says_why(entry, lines):
+    await entry.use()
+    await entry.ask()
+    ended = lines.of('request-ended')[0]
+    assert (ended['outcome'], ended['status']) == ('refused', 503)
+    assert ended['error'] == 'NoTargetError'
+    assert ended['targets'] == 0
+
+
+async def test_a_request_without_a_route_has_its_id_too(entry, lines):
+    await entry.ask('/nowhere/1')
+    ended = lines.of('request-ended')[0]
+    assert (ended['request_id'], ended['status']) == ('id-1', 404)
+
+
+async def test_a_caller_that_leaves_is_told_of(entry, lines):
+    target = given.RawTarget('t1', ['hang'])
+    await entry.use(target)
+    reader, writer = await asyncio.open_connection(
+        given.LOOPBACK,
+        entry.port,
+    )
+    writer.write(given.request())
+    await given.until(lambda: target.ran)
+    writer.close()
+    await given.until(lambda: lines.of('request-ended'))
+    assert lines.of('request-ended')[0]['outcome'] == 'abandoned'
+
+
+async def test_requests_are_counted_by_outcome(entry):
+    await entry.use(given.RawTarget('t1', ['ok', 'fail', 'ok']))
+    await entry.ask('/once/1', 'POST')
+    await entry.ask('/once/1', 'POST')
+    text = await entry.shared.measures.text(())
+    for outcome in ('answered', 'target_failed'):
+        counted = f'{{outcome="{outcome}",service="books"}} 1'
+        assert f'sardinepier_requests_total{counted}' in text
+    assert 'how="ok",service="books"} 1' in text
+    assert 'sardinepier_request_duration_ms_count{service="books"} 2' in text
+
+
+async def test_failures_are_told_while_lines_of_attempts_are_dropped(
+    entry,
+    lines,
+):
+    told = decisions.Decisions(entry.shared.services, entry.shared.clock)
+    end = decisions.End(events.Outcome.REFUSED, 503, 'NoTargetError', 'none')
+    allowed = [told._sent.allows() for _ in range(121)]
+    assert not allowed[-1]
+    told.ended('id-2', None, end)
+    assert lines.of('request-ended')[0]['request_id'] == 'id-2'
+    told.tell_dropped()
+    assert lines.of('lines-dropped') == [{'sent': 1, 'failed': 0}]
+    told.tell_dropped()
+    assert len(lines.of('lines-dropped')) == 1
--- /dev/null
+++ b/libraries/telemetry/src/sardinepier/telemetry/exposition.py
@@ -0,0 +1,106 @@
+"""Metrics in the text format that monitoring systems read.
+
+For example::
+
+    # HELP sardinepier_requests_total Requests by what became of them.
+    # TYPE sardinepier_requests_total counter
+    sardinepier_requests_total{outcome="answered"} 1234
+
+The format is that of Prometheus. Its client library is not used, since its
+import alone takes a quarter of a second of a processor, during which a daemon
+would serve nobody; the tests read what is written here by that library.
+"""
+
+import itertools
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Final
+
+import msgspec
+from sardinepier.telemetry import metrics
+
+CONTENT_TYPE: Final = 'text/plain; version=0.0.4; charset=utf-8'
+
+_PREFIX: Final = 'sardinepier'
+_ESCAPES: Final = str.maketrans({'\\': r'\\', '"': r'\"', '\n': r'\n'})
+
+
+class Gauge(msgspec.Struct, frozen=True):
+    """A number that goes up and down, as it is now."""
+
+    name: str
+    value: float
+
+
+def text(
+    snapshot: metrics.MetricsSnapshot,
+    gauges: Iterable[Gauge],
+    help_texts: Mapping[str, str],
+) -> str:
+    """Return all of it, with a help line for each name.
+
+    Raises ``KeyError`` for a name without an entry in ``help_texts``.
+    """
+    lines = itertools.chain(
+        _counters(snapshot.counters, help_texts),
+        _summaries(snapshot.histograms, help_texts),
+        _gauges(gauges, help_texts),
+    )
+    return ''.join(f'{line}\n' for line in lines)
+
+
+def _counters(
+    counters: Iterable[metrics.CounterValue],
+    help_texts: Mapping[str, str],
+) -> Iterator[str]:
+    for name, found in itertools.groupby(counters, key=_name_of):
+        total = f'{name}_total'
+        yield from _head(total, 'counter', help_texts[name])
+        for one in found:
+            yield f'{_PREFIX}_{total}{_labels(one.labels)} {one.count}'
+
+
+def _summaries(
+    histograms: Iterable[metrics.HistogramValue],
+    help_texts: Mapping[str, str],
+) -> Iterator[str]:
+    for name, found in itertools.groupby(histograms, key=_name_of):
+        yield from _head(name, 'summary', help_texts[name])
+        for one in found:
+            quantiles = (
+                ('0.5', one.p50),
+                ('0.99', one.p99),
+                ('1', one.highest),
+            )
+            for quantile, figure in quantiles:
+                label = metrics.Label('quantile', quantile)
+                labels = _labels((*one.labels, label))
+                yield f'{_PREFIX}_{name}{labels} {figure:g}'
+            labels = _labels(one.labels)
+            yield f'{_PREFIX}_{name}_count{labels} {one.count}'
+
+
+def _gauges(
+    gauges: Iterable[Gauge],
+    help_texts: Mapping[str, str],
+) -> Iterator[str]:
+    for gauge in gauges:
+        yield from _head(gauge.name, 'gauge', help_texts[gauge.name])
+        yield f'{_PREFIX}_{gauge.name} {gauge.value:g}'
+
+
+def _head(name: str, kind: str, help_text: str) -> Iterator[str]:
+    yield f'# HELP {_PREFIX}_{name} {help_text}'
+    yield f'# TYPE {_PREFIX}_{name} {kind}'
+
+
+def _labels(labels: Iterable[metrics.Label]) -> str:
+    pairs = ','.join(
+        f'{label.name}="{label.value.translate(_ESCAPES)}"' for label in labels
+    )
+    return f'{{{pairs}}}' if pairs else ''
+
+
+def _name_of(
+    measured: metrics.CounterValue | metrics.HistogramValue,
+) -> str:
+    return measured.name
--- a/libraries/telemetry/src/sardinepier/telemetry/logs.py
+++ b/libraries/telemetry/src/sardinepier/telemetry/logs.py
@@ -19,7 +19,13 @@
 
 import loguru
 from sardinepier.core import errors as core_errors
-from sardinepier.telemetry import errors, events, stamps, timeline
+from sardinepier.telemetry import (
+    errors,
+    events,
+    line_events,
+    stamps,
+    timeline,
+)
 from sardinepier.telemetry.internal import log_lines
 
 Plain = str | int | float | bool | None
@@ -103,6 +109,19 @@
     loguru.logger.bind(event=kind, fields=fields).log(level.name, message)
 
 
+def tell(
+    told: line_events.LineEvent,
+    message: str = '',
+    *,
+    level: Level = Level.INFO,
+) -> None:
+    """Write one line about a typed event."""
+    loguru.logger.bind(
+        event=line_events.name_of(type(told)),
+        fields=line_events.fields_of(told),
+    ).log(level.name, message)
+
+
 def failure(
     kind: str,
     problem: BaseException,
--- a/libraries/zones/src/sardinepier/zones/belief_telling.py
+++ b/libraries/zones/src/sardinepier/zones/belief_telling.py
@@ -1,9 +1,13 @@
-"""Beliefs on their way to carriers: of the own zone, and of the others."""
+"""Beliefs on their way to carriers: of the own zone, and of the others.
+
+Between zones only the first carriers exchange them, and pass them on to the
+others of their zone with their beats.
+"""
 
 from typing import Final
 
 from sardinepier.core import clock as clocks
-from sardinepier.entry import services
+from sardinepier.entry import services, target_record
 from sardinepier.wire import messages as wire_messages
 from sardinepier.wire import network
 from sardinepier.zones import beliefs, carriers, messages
@@ -27,12 +31,27 @@
         self._carriers = chosen
         self._held = held
         self._clock = clock
+        self._zone_news = beliefs.for_own_zone(held, clock)
         self._other_news = beliefs.for_other_zones(held, clock)
         self._other_news_due_s = clock.monotonic_s()
         peer_network.subscribe(messages.BeliefReport, self._on_report)
 
-    def to_carriers(self, news: tuple[messages.BeliefNews, ...]) -> None:
-        """Tell the carriers of the own zone."""
+    def for_own_zone(self) -> tuple[messages.BeliefNews, ...]:
+        """Return what is new for the own zone; each is returned once."""
+        return self._zone_news.take()
+
+    def take_from_zone(self, news: tuple[messages.BeliefNews, ...]) -> None:
+        """Take in what another daemon of the zone saw."""
+        beliefs.take_in(
+            self._held,
+            self._clock,
+            news,
+            target_record.BeliefSource.ZONE,
+        )
+
+    def to_carriers(self) -> None:
+        """Tell the carriers of the own zone what is new, if anything is."""
+        news = self._zone_news.take()
         if not news:
             return
         report = messages.BeliefReport(news)
@@ -40,7 +59,7 @@
             self._network.send(member.peer_address, report)
 
     def to_other_zones(self) -> None:
-        """Tell the carriers of the other zones, if it is time and worth it."""
+        """Tell the first carriers of the other zones, if it is time and worth it."""
         now_s = self._clock.monotonic_s()
         if now_s < self._other_news_due_s:
             return
@@ -57,4 +76,9 @@
         sender: wire_messages.Sender,
         report: messages.BeliefReport,
     ) -> None:
-        beliefs.take_in(self._held, self._clock, report.beliefs)
+        source = (
+            target_record.BeliefSource.ZONE
+            if self._carriers.is_neighbour(sender.instance_id)
+            else target_record.BeliefSource.OTHER_ZONE
+        )
+        beliefs.take_in(self._held, self._clock, report.beliefs, source)
--- a/libraries/zones/src/sardinepier/zones/beliefs.py
+++ b/libraries/zones/src/sardinepier/zones/beliefs.py
@@ -4,9 +4,10 @@
 
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
-from sardinepier.entry import services
+from sardinepier.entry import services, target_record
 from sardinepier.zones import messages
 
+_Source = target_record.BeliefSource
 _MS_PER_S: Final = 1000
 _WORTH_TELLING: Final = 0.1
 """Change of the chance that a target fails which other zones are told of:
@@ -16,36 +17,42 @@
 
 
 class BeliefNews:
-    """Tells what this daemon saw since it last told, to one audience."""
+    """Tells what became known since it last told, to one audience.
+
+    What comes from some of the ``sources`` only is told, so that nothing goes
+    round in circles: on its way news seems ever younger.
+    """
 
     def __init__(
         self,
         held: services.Services,
         clock: clocks.Clock,
+        sources: frozenset[target_record.BeliefSource],
         least_change: float = 0.0,
     ) -> None:
         """Tell of changes by ``least_change`` and more."""
         self._held = held
         self._clock = clock
+        self._sources = sources
         self._least_change = least_change
-        self._told_until_s = clock.monotonic_s()
+        self._began_s = clock.monotonic_s()
+        self._told_s: dict[ids.TargetId, float] = {}
         self._told: dict[ids.TargetId, float] = {}
 
     def take(self) -> tuple[messages.BeliefNews, ...]:
         """Return the news; each is returned once."""
         now_s = self._clock.monotonic_s()
-        since_s = self._told_until_s
-        self._told_until_s = now_s
-        news = tuple(
-            messages.BeliefNews(
-                record.listed.target_id,
-                round(record.belief.failing(now_s), 3),
-                round((now_s - record.belief.updated_s) * _MS_PER_S),
-            )
-            for pool in self._held.pools()
-            for record in pool.targets.records()
-            if record.belief.updated_s >= since_s
-        )
+        told_before_s = self._told_s
+        self._told_s = {}
+        news = []
+        for pool in self._held.pools():
+            for record in pool.targets.records():
+                target_id = record.listed.target_id
+                seen_s = record.belief.updated_s
+                before_s = told_before_s.get(target_id, self._began_s)
+                self._told_s[target_id] = max(before_s, seen_s)
+                if seen_s > before_s and record.belief_source in self._sources:
+                    news.append(_news_of(record, now_s))
         return tuple(one for one in news if self._is_new(one))
 
     def _is_new(self, news: messages.BeliefNews) -> bool:
@@ -56,18 +63,36 @@
         return True
 
 
+def for_own_zone(
+    held: services.Services,
+    clock: clocks.Clock,
+) -> BeliefNews:
+    """Return news for the own zone, also what other zones reported here."""
+    return BeliefNews(
+        held,
+        clock,
+        frozenset((_Source.OWN, _Source.OTHER_ZONE)),
+    )
+
+
 def for_other_zones(
     held: services.Services,
     clock: clocks.Clock,
 ) -> BeliefNews:
     """Return news that only has what matters to other zones."""
-    return BeliefNews(held, clock, _WORTH_TELLING)
+    return BeliefNews(
+        held,
+        clock,
+        frozenset((_Source.OWN, _Source.ZONE)),
+        _WORTH_TELLING,
+    )
 
 
 def take_in(
     held: services.Services,
     clock: clocks.Clock,
     news: tuple[messages.BeliefNews, ...],
+    source: target_record.BeliefSource,
 ) -> None:
     """Believe what others saw later than this daemon."""
     now_s = clock.monotonic_s()
@@ -83,3 +108,15 @@
             continue
         if seen_s > record.belief.updated_s:
             record.belief.take(one.failing, seen_s)
+            record.belief_source = source
+
+
+def _news_of(
+    record: target_record.TargetRecord,
+    now_s: float,
+) -> messages.BeliefNews:
+    return messages.BeliefNews(
+        record.listed.target_id,
+        round(record.belief.failing(now_s), 3),
+        round((now_s - record.belief.updated_s) * _MS_PER_S),
+    )
--- /dev/null
+++ b/libraries/zones/src/sardinepier/zones/events.py
@@ -0,0 +1,47 @@
+"""What the daemons of a zone write to the log about their part in it."""
+
+from collections.abc import Sequence
+
+from sardinepier.telemetry import line_events
+
+
+class ZoneHandedOver(line_events.LineEvent, frozen=True):
+    """This carrier lost the way to targets and stands down for a while."""
+
+    out_of_reach: Sequence[str]
+
+
+class CarriersWanted(line_events.LineEvent, frozen=True):
+    """This daemon, the first carrier, decided on another number of them."""
+
+    count: int
+    before: int
+
+
+class CarrierChanged(line_events.LineEvent, frozen=True):
+    """This daemon began or ceased to be one of its zone's ``count`` carriers.
+
+    ``rank`` is its place in the order, 0 for the first.
+    """
+
+    is_carrier: bool
+    rank: int
+    count: int
+
+
+class PlatformRegained(line_events.LineEvent, frozen=True):
+    """The platform answers this daemon again, after so many failures."""
+
+    failures: int
+
+
+class PlatformLost(line_events.LineEvent, frozen=True):
+    """The platform did not answer this daemon.
+
+    ``age_ms`` is how old the target list was that stays in use, -1 without
+    one.
+    """
+
+    error: str
+    what: str
+    age_ms: int
--- a/libraries/zones/src/sardinepier/zones/handover.py
+++ b/libraries/zones/src/sardinepier/zones/handover.py
@@ -11,7 +11,7 @@
 from sardinepier.core import ids
 from sardinepier.entry import services, target_record
 from sardinepier.telemetry import logs
-from sardinepier.zones import carriers
+from sardinepier.zones import carriers, events
 
 _LEAST_TARGETS: Final = 2
 """Targets of one service out of reach at once: a single one may be gone."""
@@ -47,10 +47,9 @@
     def begin(self) -> bool:
         """Stand down if that is due; tell whether this daemon now does."""
         lost = self._lost()
-        if not lost or not self._carriers.may_stand_down():
+        if not lost or not self._carriers.stand_down():
             return False
-        self._carriers.stand_down()
-        logs.event('zone-handed-over', out_of_reach=lost)
+        logs.tell(events.ZoneHandedOver(out_of_reach=lost))
         return True
 
     def _lost(self) -> list[ids.TargetId]:
--- a/libraries/zones/src/sardinepier/zones/messages.py
+++ b/libraries/zones/src/sardinepier/zones/messages.py
@@ -19,6 +19,17 @@
     age_ms: int
 
 
+class Load(msgspec.Struct, frozen=True, array_like=True):
+    """What a carrier has to do.
+
+    ``late_ms`` is how late its timers are, which grows when its processor
+    has no time left.
+    """
+
+    requests_per_s: int = 0
+    late_ms: int = 0
+
+
 class ZoneBeat(messages.Message, frozen=True):
     """Sent by those who carry the zone, at least once an interval.
 
@@ -27,7 +38,8 @@
     targets apart. ``is_reading`` says that the sender has just read the
     platform. ``beliefs`` are those that changed since its last beat.
     ``hands_over`` says that the sender can't reach targets and that another
-    daemon shall carry the zone for a while.
+    daemon shall carry the zone for a while. ``carriers`` is how many there
+    shall be, which counts when it comes from the first of them.
     """
 
     configuration_version: int
@@ -36,6 +48,8 @@
     is_reading: bool = False
     beliefs: tuple[BeliefNews, ...] = ()
     hands_over: bool = False
+    load: Load = Load()
+    carriers: int = 1
 
 
 class BeliefReport(messages.Message, frozen=True):
--- a/libraries/zones/src/sardinepier/zones/reading.py
+++ b/libraries/zones/src/sardinepier/zones/reading.py
@@ -14,7 +14,7 @@
 from sardinepier.entry import published, services
 from sardinepier.platform import errors
 from sardinepier.telemetry import logs
-from sardinepier.zones import carriers, lapses, sharing
+from sardinepier.zones import carriers, events, lapses, sharing
 
 _INTERVAL_S: Final = 0.9
 """Pace of readings. A target that leaves and a new configuration have to be
@@ -33,6 +33,8 @@
 _LONGEST_RETRY_S: Final = 3.0
 _RETRY_SPREAD: Final = (0.75, 1.25)
 _FIRST_AGAIN_S: Final = 1.0
+_MS_PER_S: Final = 1000
+_NO_AGE: Final = -1
 
 
 class PlatformReading:
@@ -117,7 +119,15 @@
 
     def _lost(self, error: errors.PlatformError) -> None:
         if not self._failures:
-            logs.failure('platform-lost', error)
+            age_s = self._guard.age_s()
+            logs.tell(
+                events.PlatformLost(
+                    error=type(error).__name__,
+                    what=error.what,
+                    age_ms=_NO_AGE if age_s is None else int(age_s * _MS_PER_S),
+                ),
+                level=logs.Level.WARNING,
+            )
         retry_s = min(_LONGEST_RETRY_S, _FIRST_RETRY_S * 2**self._failures)
         self._failures += 1
         spread = self._random.uniform(*_RETRY_SPREAD)
@@ -125,5 +135,5 @@
 
     def _regained(self) -> None:
         if self._failures:
-            logs.event('platform-regained', failures=self._failures)
+            logs.tell(events.PlatformRegained(failures=self._failures))
         self._failures = 0
--- /dev/null
+++ b/libraries/zones/src/sardinepier/zones/role.py
@@ -0,0 +1,55 @@
+"""The part that one daemon has in carrying its zone, decided beat by beat."""
+
+from sardinepier.core import clock as clocks
+from sardinepier.entry import services
+from sardinepier.telemetry import logs
+from sardinepier.zones import carriers, events, handover, zone_load
+
+
+class Role:
+    """Takes up and gives up the role of a carrier.
+
+    ``load`` is what is known of the load of the zone's carriers.
+    """
+
+    def __init__(
+        self,
+        held: services.Services,
+        chosen: carriers.Carriers,
+        load: zone_load.ZoneLoad,
+        clock: clocks.Clock,
+    ) -> None:
+        """Start without the role."""
+        self.load = load
+        self._carriers = chosen
+        self._handover = handover.Handover(held, chosen, clock)
+        self._was_carrier = False
+
+    def step(self) -> bool:
+        """Decide once; return whether this daemon now hands its zone over."""
+        if self._carriers.is_first():
+            self._decide_number()
+        hands_over = self._handover.begin()
+        self._tell_change()
+        return hands_over
+
+    def _decide_number(self) -> None:
+        """Let as many carry the zone as its traffic needs."""
+        held = self._carriers.count
+        wanted = self.load.wanted(held, self._carriers.most())
+        if wanted != held:
+            self._carriers.set_count(wanted)
+            logs.tell(events.CarriersWanted(count=wanted, before=held))
+
+    def _tell_change(self) -> None:
+        is_carrier = self._carriers.is_carrier()
+        if is_carrier == self._was_carrier:
+            return
+        self._was_carrier = is_carrier
+        logs.tell(
+            events.CarrierChanged(
+                is_carrier=is_carrier,
+                rank=self._carriers.own_rank(),
+                count=self._carriers.count,
+            ),
+        )
--- a/libraries/zones/src/sardinepier/zones/sharing.py
+++ b/libraries/zones/src/sardinepier/zones/sharing.py
@@ -20,12 +20,13 @@
 from sardinepier.wire import network
 from sardinepier.zones import (
     belief_telling,
-    beliefs,
     carriers,
-    handover,
+    fitness,
     lapses,
     messages,
     packing,
+    role,
+    zone_load,
 )
 
 _NOTHING: Final = -1
@@ -45,6 +46,7 @@
         chosen: carriers.Carriers,
         held: services.Services,
         guard: lapses.LapseGuard,
+        load: zone_load.ZoneLoad,
         clock: clocks.Clock,
         on_configuration: Callable[[model.ServedConfiguration], None],
     ) -> None:
@@ -55,18 +57,13 @@
         self._guard = guard
         self._clock = clock
         self._on_configuration = on_configuration
-        self._zone_news = beliefs.BeliefNews(held, clock)
         self._telling = belief_telling.BeliefTelling(
             peer_network,
             chosen,
             held,
             clock,
         )
-        self._handover = handover.Handover(
-            held,
-            chosen,
-            clock,
-        )
+        self._role = role.Role(held, chosen, load, clock)
         self._stirred = asyncio.Event()
         peer_network.subscribe(messages.ZoneBeat, self._on_beat)
         peer_network.subscribe(messages.NewsRequest, self._on_request)
@@ -111,21 +108,25 @@
         while True:
             self._stirred.clear()
             self.step()
+            began_s = self._clock.monotonic_s()
             await asyncio.sleep(_LEAST_INTERVAL_S)
+            slept_s = self._clock.monotonic_s() - began_s
+            self._role.load.woke(slept_s - _LEAST_INTERVAL_S)
             await self._wait()
 
     def step(self) -> None:
         """Beat or report once, by what this daemon is now."""
-        if self._handover.begin():
+        if self._role.step():
             self._to_all(self._beat(hands_over=True))
         elif self._carriers.is_carrier():
             self._to_all(self._beat())
-            self._telling.to_other_zones()
         else:
-            self._telling.to_carriers(self._zone_news.take())
+            self._telling.to_carriers()
+        if self._carriers.is_first():
+            self._telling.to_other_zones()
 
     async def _wait(self) -> None:
-        left_s = carriers.BEAT_INTERVAL_S - _LEAST_INTERVAL_S
+        left_s = fitness.BEAT_INTERVAL_S - _LEAST_INTERVAL_S
         try:
             async with asyncio.timeout(left_s):
                 await self._stirred.wait()
@@ -142,8 +143,10 @@
             *self._versions(),
             targets_digest=self._held.targets_digest,
             is_reading=is_reading,
-            beliefs=self._zone_news.take(),
+            beliefs=self._telling.for_own_zone(),
             hands_over=hands_over,
+            load=self._role.load.own(),
+            carriers=self._carriers.count,
         )
 
     def _versions(self) -> tuple[int, int]:
@@ -163,9 +166,10 @@
         sender: wire_messages.Sender,
         beat: messages.ZoneBeat,
     ) -> None:
-        self._carriers.heard(sender.instance_id)
+        self._carriers.heard(sender.instance_id, beat.carriers)
+        self._role.load.heard(sender.instance_id, beat.load)
         if beat.hands_over:
-            self._carriers.stands_down(sender.instance_id)
+            self._carriers.fitness.stands_down(sender.instance_id)
         version, revision = self._versions()
         is_behind = beat.configuration_version > version
         lacks_targets = (
@@ -179,7 +183,7 @@
             )
         if beat.is_reading:
             self._guard.heard()
-        beliefs.take_in(self._held, self._clock, beat.beliefs)
+        self._telling.take_from_zone(beat.beliefs)
 
     def _on_request(
         self,
--- a/libraries/zones/tests/cover/test_zones_carriers.py
+++ b/libraries/zones/tests/cover/test_zones_carriers.py
@@ -2,7 +2,7 @@
 
 import pytest
 import zones_support as given
-from sardinepier.zones import carriers
+from sardinepier.zones import fitness
 
 
 @pytest.fixture
@@ -46,7 +46,7 @@
 
 async def test_two_that_fall_silent_together_are_passed_over(zone):
     await zone.run(2.0)
-    order = zone.carrier().carriers._order(zone.carrier().own.zone)
+    order = zone.carrier().carriers._order.own_zone(1)
     for gone in order[:2]:
         zone.stop(zone.find(gone))
     await zone.run(2.5)
@@ -104,9 +104,9 @@
     beside = next(one for one in zone.daemons if one is not carrier)
     fail(beside, 't1')
     zone.clock.advance(0.01)
-    record = carrier.held.pool(given.SERVICE).targets.find('t1')
-    record.belief.answered(zone.clock.monotonic_s())
-    told = record.belief.failing(zone.clock.monotonic_s())
+    pool = carrier.held.pool(given.SERVICE)
+    pool.answered(pool.targets.find('t1'), 0.1)
+    told = failing(carrier, 't1')
     await zone.run(0.5)
     assert failing(carrier, 't1') == pytest.approx(told, abs=0.05)
 
@@ -137,7 +137,7 @@
     lose_way(cut_off, 't1', 't2')
     await zone.run(0.5)
     find_way(cut_off, 't1', 't2')
-    await zone.run(carriers.STANDS_DOWN_S + 1)
+    await zone.run(fitness.STANDS_DOWN_S + 1)
     for one in zone.daemons:
         assert one.carriers.of_own_zone() == (cut_off.own,)
 
@@ -184,8 +184,8 @@
 
 
 def fail(daemon, name):
-    record = daemon.held.pool(given.SERVICE).targets.find(name)
-    record.belief.failed(daemon.clock.monotonic_s())
+    pool = daemon.held.pool(given.SERVICE)
+    pool.failed(pool.targets.find(name), 0)
 
 
 def failing(daemon, name):
@@ -193,6 +193,88 @@
     return record.belief.failing(daemon.clock.monotonic_s())
 
 
+async def test_what_one_zone_tells_reaches_all_carriers_of_the_other():
+    zone = given.Zone(count=4, zones=('z1', 'zone2'))
+    await with_targets(zone)
+    crowd(zone, 'zone2')
+    await zone.run(1.0)
+    fail(zone.carrier(), 't1')
+    await zone.run(1.5)
+    carriers_there = [
+        one
+        for one in zone.daemons
+        if one.own.zone == 'zone2' and one.carriers.is_carrier()
+    ]
+    assert len(carriers_there) > 1
+    for one in carriers_there:
+        assert failing(one, 't1') > 0.4
+
+
+async def test_news_does_not_grow_younger_on_its_way(zone):
+    """Each daemon passes on what it saw, not what it heard."""
+    await with_targets(zone)
+    fail(zone.carrier(), 't1')
+    seen_s = zone.clock.monotonic_s()
+    await zone.run(3.0)
+    for one in zone.daemons:
+        record = one.held.pool(given.SERVICE).targets.find('t1')
+        assert record.belief.updated_s == pytest.approx(seen_s, abs=0.3)
+
+
+async def test_a_target_nobody_asked_is_no_news(zone):
+    """The general belief of a daemon that starts late replaces no outcome."""
+    await with_targets(zone)
+    late = next(one for one in zone.daemons if not one.carriers.is_carrier())
+    fail(zone.carrier(), 't1')
+    told = failing(zone.carrier(), 't1')
+    late.held.pool(given.SERVICE).set_targets([])
+    late.held.pool(given.SERVICE).set_targets([given.target('t1')])
+    await zone.run(0.5)
+    assert failing(zone.carrier(), 't1') == pytest.approx(told, abs=0.05)
+
+
+async def test_more_traffic_gets_more_carriers(zone):
+    await with_targets(zone)
+    crowd(zone, 'z1')
+    await zone.run(1.0)
+    counts = {one.carriers.count for one in zone.daemons}
+    assert len(counts) == 1
+    assert counts.pop() > 1
+    assert (
+        sum(one.carriers.is_carrier() for one in zone.daemons)
+        == zone.daemons[0].carriers.count
+    )
+
+
+async def test_less_traffic_needs_fewer_after_a_while(zone):
+    await with_targets(zone)
+    crowd(zone, 'z1')
+    await zone.run(1.0)
+    for one in zone.daemons:
+        one.per_s = 0
+    await zone.run(60.0)
+    assert {one.carriers.count for one in zone.daemons} == {1}
+
+
+async def test_who_takes_over_keeps_the_number(zone):
+    await with_targets(zone)
+    crowd(zone, 'z1')
+    await zone.run(1.0)
+    before = zone.daemons[0].carriers.count
+    for one in zone.daemons:
+        one.per_s = 80
+    zone.stop(zone.carrier())
+    await zone.run(1.5)
+    assert {one.carriers.count for one in zone.living()} == {before}
+
+
+def crowd(zone, name):
+    """Let the first carriers of a zone get more than one can carry."""
+    for one in zone.daemons:
+        if one.own.zone == name:
+            one.per_s = 250
+
+
 def lose_way(daemon, *names):
     for name in names:
         record = daemon.held.pool(given.SERVICE).targets.find(name)
--- /dev/null
+++ b/libraries/zones/tests/cover/test_zones_load.py
@@ -0,0 +1,108 @@
+"""How many carriers a zone gets by what they say of their load."""
+
+import pytest
+from hypothesis import given, strategies
+from sardinepier.core import clock as clocks
+from sardinepier.core import ids
+from sardinepier.zones import messages, zone_load
+
+
+class Bench:
+    """One daemon's knowledge of its zone's load."""
+
+    def __init__(self):
+        self.clock = clocks.ManualClock(100.0)
+        self.begun = 0
+        self.load = zone_load.ZoneLoad(self.clock, lambda: self.begun)
+
+    def serve(self, per_s, seconds):
+        for _ in range(round(seconds * 4)):
+            self.begun += per_s / 4
+            self.clock.advance(0.25)
+            self.load.own()
+
+    def hear(self, name, per_s, late_ms=0):
+        self.load.heard(
+            ids.InstanceId(name),
+            messages.Load(per_s, late_ms),
+        )
+
+
+@pytest.fixture
+def bench():
+    return Bench()
+
+
+def test_one_is_enough_for_little_traffic(bench):
+    bench.serve(90, 5)
+    assert bench.load.wanted(1, 10) == 1
+
+
+def test_traffic_is_shared_out_at_once(bench):
+    bench.serve(380, 3)
+    assert bench.load.wanted(1, 10) == 4
+
+
+def test_what_all_carriers_get_counts(bench):
+    bench.serve(100, 3)
+    bench.hear('a', 150)
+    bench.hear('b', 100)
+    assert bench.load.wanted(2, 10) == 4
+
+
+def test_there_are_no_more_than_daemons(bench):
+    bench.serve(1500, 3)
+    assert bench.load.wanted(1, 5) == 5
+
+
+def test_a_daemon_without_time_left_gets_help_once_a_while(bench):
+    bench.serve(10, 1)
+    bench.hear('a', 20, late_ms=200)
+    assert bench.load.wanted(2, 10) == 3
+    assert bench.load.wanted(3, 10) == 3
+    bench.clock.advance(1.6)
+    bench.hear('a', 20, late_ms=200)
+    assert bench.load.wanted(3, 10) == 4
+
+
+def test_what_a_silent_carrier_said_is_forgotten(bench):
+    bench.hear('a', 700)
+    bench.clock.advance(1.5)
+    assert bench.load.wanted(1, 10) == 1
+
+
+def test_carriers_go_one_by_one_and_late(bench):
+    bench.serve(380, 3)
+    assert bench.load.wanted(1, 10) == 4
+    bench.serve(10, 2)
+    assert bench.load.wanted(4, 10) == 4
+    bench.serve(10, 4)
+    assert bench.load.wanted(4, 10) == 3
+    assert bench.load.wanted(3, 10) == 3
+
+
+@given(
+    per_s=strategies.floats(0, 5000),
+    count=strategies.integers(1, 30),
+    most=strategies.integers(1, 30),
+    late_ms=strategies.integers(0, 500),
+)
+def test_the_number_stays_within_its_bounds(per_s, count, most, late_ms):
+    bench = Bench()
+    bench.serve(per_s, 2)
+    bench.hear('a', 10, late_ms)
+    wanted = bench.load.wanted(count, most)
+    assert 1 <= wanted <= most
+    assert wanted >= min(count, most) - 1
+
+
+@given(per_s=strategies.floats(0, 1500))
+def test_a_steady_load_has_a_steady_number(per_s):
+    bench = Bench()
+    count = 1
+    numbers = []
+    for _ in range(120):
+        bench.serve(per_s, 0.25)
+        count = bench.load.wanted(count, 20)
+        numbers.append(count)
+    assert len(set(numbers[20:])) == 1
--- a/libraries/zones/tests/cover/test_zones_reading.py
+++ b/libraries/zones/tests/cover/test_zones_reading.py
@@ -42,7 +42,7 @@
     zone,
     turned_away,
 ):
-    order = zone.carrier().carriers._order(zone.carrier().own.zone)
+    order = zone.carrier().carriers._order.own_zone(1)
     zone.platform.refused = {one.daemon_id for one in order[:turned_away]}
     change(zone)
     await zone.run(APPLY_S)
--- a/libraries/zones/tests/zones_support.py
+++ b/libraries/zones/tests/zones_support.py
@@ -9,7 +9,13 @@
 from sardinepier.membership import members
 from sardinepier.platform import errors
 from sardinepier.wire import memory_network, messages
-from sardinepier.zones import carriers, lapses, reading, sharing
+from sardinepier.zones import (
+    carriers,
+    lapses,
+    reading,
+    sharing,
+    zone_load,
+)
 from sardinepier.zones import messages as zone_messages
 
 SERVICE = ids.ServiceName('books')
@@ -119,6 +125,8 @@
 
     def __init__(self, zone, own):
         self.own = own
+        self.begun = 0
+        self.per_s = 0
         self.clock = zone.clock
         self.held = services.Services(
             own.zone,
@@ -133,7 +141,6 @@
         self.carriers = carriers.Carriers(
             View(zone.fleet, own),
             zone.clock,
-            1,
         )
         self.guard = lapses.LapseGuard(zone.clock)
         self.sharing = sharing.ZoneSharing(
@@ -141,6 +148,7 @@
             self.carriers,
             self.held,
             self.guard,
+            zone_load.ZoneLoad(zone.clock, lambda: self.begun),
             zone.clock,
             lambda taken: None,
         )
@@ -211,6 +219,7 @@
         """Let all daemons do what they do within so many seconds."""
         for step in range(round(seconds / step_s)):
             for one in self.living():
+                one.begun += one.per_s * step_s
                 await one.reading.step()
                 if step % 5 == 0:
                     one.sharing.step()
--- a/tests/adapter/test_adapter_settings.py
+++ b/tests/adapter/test_adapter_settings.py
@@ -38,6 +38,7 @@
     assert (found.zone, found.region) == ('a', 'r')
     assert found.front == messages.PeerAddress('10.1.0.18', 8381)
     assert found.peer == messages.PeerAddress('10.1.0.18', 8382)
+    assert found.metrics == messages.PeerAddress('10.1.0.18', 9464)
     assert found.directory == messages.PeerAddress('10.1.0.18', 8383)
     assert found.ready == messages.PeerAddress('10.1.0.18', 8388)
     assert found.seeds[1] == messages.PeerAddress('10.2.0.34', 8382)
