Take the floor out of the entry's retry budget, and let figures yield their port

A property over arbitrary restarts and carriers shows it.

A port that somebody else has costs the figures only, and is told. The small servers beside the request path have a module of their own.

--- a/libraries/daemon/src/sardinepier/daemon/entry_process.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_process.py
@@ -12,7 +12,12 @@
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
 from sardinepier.daemon import entry_events, entry_settings, identity
-from sardinepier.daemon.internal import entry_figures, entry_parts, task_set
+from sardinepier.daemon.internal import (
+    entry_figures,
+    entry_parts,
+    side_pages,
+    task_set,
+)
 from sardinepier.entry import (
     activity,
     caller_server,
@@ -213,44 +218,35 @@
     async def _listen_beside(
         self,
         figures: entry_figures.EntryFigures,
-    ) -> list[caller_server.HttpServer]:
-        places = (
-            (
-                self._settings.directory,
-                self._pages.directory_path,
-                pages.Directory(
-                    self._addresses,
-                    min(_DIRECTORY_S, self._settings.bounds.directory_s),
-                    self._pages.encode_addresses,
-                ).answer,
-            ),
-            (
-                self._settings.ready,
-                self._pages.ready_path,
-                pages.Readiness(self._is_ready).answer,
-            ),
-            (
-                self._settings.metrics,
+    ) -> side_pages.SidePages:
+        beside = side_pages.SidePages(self._bounds)
+        directory = pages.Directory(
+            self._addresses,
+            min(_DIRECTORY_S, self._settings.bounds.directory_s),
+            self._pages.encode_addresses,
+        )
+        await beside.open(
+            pages.Page(self._pages.directory_path, directory.answer),
+            self._settings.directory,
+        )
+        readiness = pages.Readiness(self._is_ready)
+        await beside.open(
+            pages.Page(self._pages.ready_path, readiness.answer),
+            self._settings.ready,
+        )
+        await beside.open_if_free(
+            pages.Page(
                 self._pages.metrics_path,
                 pages.Figures(figures.text).answer,
             ),
+            self._settings.metrics,
         )
-        servers = []
-        for address, path, answer in places:
-            if address is None:
-                continue
-            server = caller_server.HttpServer(
-                pages.Page(path, answer).handle,
-                self._bounds,
-            )
-            await server.start(address.ip, address.port)
-            servers.append(server)
-        return servers
+        return beside
 
     async def _depart(
         self,
         front: caller_server.HttpServer,
-        beside: list[caller_server.HttpServer],
+        beside: side_pages.SidePages,
     ) -> None:
         """Leave without cutting a request.
 
@@ -276,8 +272,7 @@
                 await self._activity.idle()
         left_s = until_s - self._clock.monotonic_s() - _CLOSING_S / 2
         await front.close(max(0.0, left_s))
-        for server in beside:
-            await server.close(0)
+        await beside.close()
 
     async def _upkeep(self, told: decisions.Decisions) -> None:
         while True:
--- a/libraries/daemon/tests/cover/test_daemon_line_events.py
+++ b/libraries/daemon/tests/cover/test_daemon_line_events.py
@@ -49,5 +49,6 @@
     'part-failed',
     'daemon-failed',
     'settings-refused',
+    'metrics-unavailable',
 }
 """Lines about failures of many types, with their error and its remedy."""
--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -101,7 +101,9 @@
         self.shares_zone = False
         self._usual_bytes = 0.0
         self._hedge_delay = hedging.HedgeDelay(_HEDGE_PERCENTILE)
-        self.retry_budget = budget.RetryBudget(clock, retry_percent)
+        # No floor: many daemons with a few requests each would use it, and
+        # their sum would grow with the fleet. Carriers have the burst.
+        self.retry_budget = budget.RetryBudget(clock, retry_percent, floor=0)
         self._zone = zone
         self._clock = clock
         self._random = random_source
--- a/libraries/routing/tests/cover/test_routing_budgets.py
+++ b/libraries/routing/tests/cover/test_routing_budgets.py
@@ -55,7 +55,8 @@
 class _Fleet:
     """Daemons that each hold a budget of their own, and what they did when."""
 
-    def __init__(self):
+    def __init__(self, floor=1):
+        self.floor = floor
         self.clock = clock.ManualClock()
         self.daemons = [self._fresh() for _ in range(_FLEET)]
         self.requested = []
@@ -89,7 +90,7 @@
         return sum(one > since_s for one in moments)
 
     def _fresh(self):
-        return budget.RetryBudget(self.clock, 18)
+        return budget.RetryBudget(self.clock, 18, floor=self.floor)
 
 
 @given(_FLEET_STEPS)
@@ -110,6 +111,18 @@
         assert fleet.within(fleet.spent, _WINDOW_S) <= bound
 
 
+@given(_FLEET_STEPS)
+def test_without_a_floor_the_sum_does_not_grow_with_the_fleet(steps):
+    """Only those that carry their part of the burst add to the percentage."""
+    fleet = _Fleet(floor=0)
+    for gap_s, place, what, count in steps:
+        fleet.clock.advance(gap_s)
+        getattr(fleet, what)(place, count)
+        bound = 0.18 * fleet.within(fleet.requested, 2 * _WINDOW_S)
+        bound += _BURST * len(fleet.carried)
+        assert fleet.within(fleet.spent, _WINDOW_S) <= bound
+
+
 def test_a_burst_comes_on_top_of_the_percentage():
     retries = budget.RetryBudget(clock.ManualClock(), 10)
     retries.set_burst(3)
--- a/tests/adapter/test_adapter_process.py
+++ b/tests/adapter/test_adapter_process.py
@@ -12,6 +12,7 @@
 import entry_support as targets
 import pytest
 import store_standin as given
+from sardinepier_adapter import names
 
 ROOT = pathlib.Path(__file__).parents[2]
 LIBRARIES = ROOT / 'libraries'
@@ -42,6 +43,8 @@
             'bounds=grace_s=3,ttl_max_s=5,retry_budget_ratio=0.2',
             f'provider.address={store_address}',
             f'seeds={seeds or self.address("control")}',
+            # An address of its own: the port of the figures is the same one.
+            f'ip=127.77.0.{name[-1]}',
             *(f'listen.{one}={self.address(one)}' for one in PORTS),
         ]
         self.path.write_text('\n'.join(lines))
@@ -134,6 +137,24 @@
         await one.process.communicate()
 
 
+async def test_the_figures_can_be_read(instances):
+    first, _ = instances
+    await first.until_ready()
+    reader, writer = await first.ask('/kelo/books/1', 'id-1')
+    await targets.read_answer(reader)
+    writer.close()
+    reader, writer = await asyncio.open_connection(
+        '127.77.0.1',
+        names.METRICS_PORT,
+    )
+    writer.write(b'GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n')
+    status, _, body = await targets.read_answer(reader)
+    writer.close()
+    assert status == 200
+    assert b'sardinepier_configuration_version 7' in body
+    assert b'sardinepier_requests_total{' in body
+
+
 async def test_a_request_finds_its_way_and_the_exit_cuts_none(
     instances,
     worker,
