Count a crash on a target that is merely under suspicion against its request

Cause: of several different requests that each crash targets, one ran on a third.

Ruled out: marks that reach the other daemons too late (the third run came after two losses whose marks were there, one of them not counted), and the outage rule (no other target was lost unaccounted for).

Change: only a target that gets no work, or is ejected, is taken for sick. A test of the decision failed first.

--- a/libraries/cli/tests/cover/test_cli_reference.py
+++ b/libraries/cli/tests/cover/test_cli_reference.py
@@ -5,7 +5,14 @@
 
 import msgspec
 import pytest
-from sardinepier.cli import addresses, check, exit_codes, request, timeline
+from sardinepier.cli import (
+    addresses,
+    check,
+    exit_codes,
+    explain,
+    request,
+    timeline,
+)
 from sardinepier.cli import status as status_command
 from sardinepier.telemetry import events, status
 
@@ -14,6 +21,9 @@
     addresses.AddressesReport,
     check.CheckReport,
     check.Mistake,
+    explain.ExplainReport,
+    explain.Known,
+    explain.Step,
     request.Attempt,
     request.RequestReport,
     status_command.StatusReport,
@@ -31,6 +41,7 @@
     'name',
     [
         *(code.name for code in exit_codes.ExitCode),
+        *(cause.value for cause in explain.Cause),
         *(kind.__name__ for kind in typing.get_args(events.Event)),
         *(
             field.encode_name
--- a/libraries/gateway/src/sardinepier/gateway/service_runtime.py
+++ b/libraries/gateway/src/sardinepier/gateway/service_runtime.py
@@ -23,12 +23,6 @@
 _CALLERS_REMEMBERED: Final = 8192
 _SLOT_OPTIONS: Final = in_flight.SlotOptions()
 _NO_INCARNATION: Final = ids.TargetIncarnation('')
-_SICK: Final = frozenset(
-    (
-        targets.TargetState.SUSPECT,
-        targets.TargetState.EJECTED,
-    )
-)
 
 NO_TARGET: Final = ids.TargetId('')
 """Stands for a slot at no target, given to a request that can't get one."""
@@ -166,9 +160,16 @@
         self.queue.wake()
 
     def is_fine_otherwise(self, target_id: ids.TargetId) -> bool:
-        """Note a lost connection; True if the target seemed healthy."""
+        """Note a lost connection; True if the target seemed healthy.
+
+        One under suspicion that still gets work counts as healthy: one crash
+        is enough for that, and the next request that crashes it is to be held
+        back after as many targets as the first.
+        """
         first = self.losses.note(target_id)
-        return first and self.health.standing(target_id).state not in _SICK
+        standing = self.health.standing(target_id)
+        is_ejected = standing.state is targets.TargetState.EJECTED
+        return first and standing.weight > 0 and not is_ejected
 
     def hedge_policy(self, route: model.RouteSettings) -> hedging.HedgePolicy:
         """Return when to hedge a request of ``route``."""
--- a/libraries/gateway/tests/cover/test_gateway_targets.py
+++ b/libraries/gateway/tests/cover/test_gateway_targets.py
@@ -46,6 +46,29 @@
     )
 
 
+async def test_a_target_under_mere_suspicion_speaks_against_a_request(world):
+    """A crash puts its target under suspicion for seconds.
+
+    A different request that crashes it then, after it has answered others,
+    would else run on two further targets before it is held back.
+    """
+    await world.add_targets('ok', 'ok', 'ok', 'ok')
+    gateway = await world.add_gateway()
+    await world.send('GET', '/books/books/poison')
+    runtime = gateway.runtime()
+    runtime.tick()
+    suspected = [
+        target.name
+        for target in world.targets
+        if runtime.health.standing(target.name).state
+        is targets.TargetState.SUSPECT
+    ]
+    assert suspected
+    # As when it answered another request in between.
+    runtime.losses.keep(frozenset())
+    assert runtime.is_fine_otherwise(suspected[0])
+
+
 async def test_keys_of_one_caller_crash_two_targets_at_most(world):
     await world.add_targets('ok', 'ok', 'ok', 'ok')
     await world.add_gateway()
