--- a/libraries/cli/src/sardinepier/cli/commands.py
+++ b/libraries/cli/src/sardinepier/cli/commands.py
@@ -10,12 +10,12 @@
     addresses,
     check,
     endpoints,
-    explain,
     invocations,
     request,
     status,
     timeline,
 )
+from sardinepier.cli.from_files import day, explain
 from sardinepier.cli.internal import options
 
 _INTERVAL_S: Final = 1.0
@@ -106,20 +106,35 @@
 
     def timeline(
         self,
-        *,
-        daemons: str,
+        *log_files: str,
+        daemons: str = '',
         since: str = '',
+        picture: str = '',
         follow: bool = False,
         for_s: float = _FOLLOW_S,
     ) -> invocations.Invocation:
-        """Print the events of all daemons in one order, causes first.
+        """Print the events of all daemons in one order.
+
+        Asks the daemons, and then causes come first, or reads log files of
+        entry instances, and then the lines are in the order of their times.
 
         Args:
+            log_files: Paths of log files, in place of daemons.
             daemons: The daemons to ask, IP:PORT,IP:PORT...
+            picture: Draw what the log files tell to this file.
             since: Leave out events up to this stamp, the first column.
             follow: Keep asking, and print events as they come in.
             for_s: For how long to follow.
         """
+        options.one_source(daemons, log_files)
+        if log_files:
+            return self._invocation(
+                functools.partial(
+                    day.report,
+                    log_files,
+                    picture,
+                ),
+            )
         asked = endpoints.parse_endpoints(daemons)
         after = options.since(since)
         execute: invocations.Execute = functools.partial(
--- a/libraries/cli/src/sardinepier/cli/explain.py
+++ b/libraries/cli/src/sardinepier/cli/from_files/explain.py
@@ -5,7 +5,8 @@
 from typing import Any, Final
 
 import msgspec
-from sardinepier.cli import context, errors, exit_codes, log_files
+from sardinepier.cli import context, errors, exit_codes
+from sardinepier.cli.from_files import log_files
 
 _REQUEST_ID: Final = 'request_id'
 _SENT: Final = 'request-sent'
--- a/libraries/cli/src/sardinepier/cli/internal/options.py
+++ b/libraries/cli/src/sardinepier/cli/internal/options.py
@@ -79,6 +79,15 @@
     return paths
 
 
+def one_source(daemons: str, log_files: tuple[str, ...]) -> None:
+    """Raise ``UsageError`` unless just one of the two is there."""
+    if bool(daemons) == bool(log_files):
+        raise errors.UsageError(
+            'Either daemons or log files have to be named',
+            'Write --daemons IP:PORT,... or the paths of log files',
+        )
+
+
 def since(text: str) -> stamps.Stamp | None:
     """Return the stamp that ``text`` names, or None for an empty text."""
     if not text:
--- /dev/null
+++ b/libraries/cli/tests/cover/test_cli_day.py
@@ -0,0 +1,94 @@
+"""The time line and the picture of a day, from log files."""
+
+import asyncio
+import json
+
+import pytest
+from sardinepier.cli import context, exit_codes, main
+
+
+def line(second, instance, event, **fields):
+    return json.dumps(
+        {
+            'time': f'2026-01-01T00:00:{second:06.3f}+00:00',
+            'level': 'info',
+            'event': event,
+            'instance_id': instance,
+            'fields': fields,
+        },
+    )
+
+
+class Shell:
+    """Runs the tool and keeps what it printed."""
+
+    def __init__(self):
+        self.printed = []
+        self.errors = []
+
+    def run(self, *arguments):
+        around = context.Context(
+            write=self.printed.append,
+            write_error=self.errors.append,
+        )
+        return asyncio.run(main.execute(['timeline', *arguments], around))
+
+
+@pytest.fixture
+def shell():
+    return Shell()
+
+
+@pytest.fixture
+def logs(tmp_path):
+    one = tmp_path / 'one.log'
+    one.write_text(
+        '\n'.join(
+            (
+                line(1, 'd1', 'started', zone='z1'),
+                line(2, 'd1', 'request-sent', request_id='a'),
+                line(9, 'd1', 'platform-lost', error='X', what='', age_ms=3),
+            ),
+        ),
+    )
+    other = tmp_path / 'other.log'
+    other.write_text(
+        '\n'.join(
+            (
+                line(4, 'd2', 'carrier-changed', is_carrier=True),
+                line(5, 'd2', 'request-ended', request_id='b', outcome='x'),
+            ),
+        ),
+    )
+    return str(one), str(other)
+
+
+def test_lines_of_all_files_come_in_the_order_of_their_times(shell, logs):
+    assert shell.run(*logs) is exit_codes.ExitCode.OK
+    events = [printed.split()[2] for printed in shell.printed]
+    assert events == ['started', 'carrier-changed', 'platform-lost']
+
+
+def test_a_picture_is_drawn(shell, logs, tmp_path):
+    picture = tmp_path / 'day.png'
+    shell.run(*logs, f'--picture={picture}')
+    assert picture.read_bytes().startswith(b'\x89PNG')
+
+
+def test_a_picture_that_can_t_be_written_is_wrong_usage(shell, logs):
+    code = shell.run(*logs, '--picture=/nowhere/at/all.png')
+    assert code is exit_codes.ExitCode.USAGE
+    assert 'cannot be written' in shell.errors[0]
+
+
+def test_a_picture_of_nothing_is_wrong_usage(shell, tmp_path):
+    empty = tmp_path / 'empty.log'
+    empty.write_text('')
+    code = shell.run(str(empty), f'--picture={tmp_path / "day.png"}')
+    assert code is exit_codes.ExitCode.USAGE
+
+
+@pytest.mark.parametrize('both', [False, True])
+def test_files_or_daemons_have_to_be_named(shell, logs, both):
+    named = (*logs, '--daemons=127.0.0.1:1') if both else ()
+    assert shell.run(*named) is exit_codes.ExitCode.USAGE
--- a/libraries/cli/tests/cover/test_cli_reference.py
+++ b/libraries/cli/tests/cover/test_cli_reference.py
@@ -9,11 +9,11 @@
     addresses,
     check,
     exit_codes,
-    explain,
     request,
     timeline,
 )
 from sardinepier.cli import status as status_command
+from sardinepier.cli.from_files import day, explain
 from sardinepier.telemetry import events, status
 
 PAGE = pathlib.Path(__file__).parents[4] / 'docs' / 'command-line.md'
@@ -21,6 +21,7 @@
     addresses.AddressesReport,
     check.CheckReport,
     check.Mistake,
+    day.DayReport,
     explain.ExplainReport,
     explain.Known,
     explain.Step,
