--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -9,6 +9,7 @@
 from sardinepier.core import ids
 from sardinepier.entry import (
     model,
+    overlooked,
     preference,
     refusals,
     target_record,
@@ -37,9 +38,6 @@
 """A failure within this part of the usual latency came before the work could
 be done. Measured, failing targets answer in a fiftieth of it."""
 
-_UNUSED_AFTER_S: Final = 2.0
-"""A target that got nothing for so long after it came is tried next."""
-
 _TOLERANCE: Final = 0.06
 """Additional chance of failure that is accepted without any wait: a slot of
 the best target comes free within a tenth of a second."""
@@ -99,6 +97,7 @@
         self.usual_s = 0.0
         self.on_outcome: Callable[[bool], None] = _tell_nobody
         self.shares_zone = False
+        self._recent = overlooked.RecentFailures(clock)
         self._usual_bytes = 0.0
         self._hedge_delay = hedging.HedgeDelay(_HEDGE_PERCENTILE)
         # No floor: many daemons with a few requests each would use it, and
@@ -161,6 +160,7 @@
         record.reserved -= 1
         record.started_s[self._attempts] = self._clock.monotonic_s()
         record.was_used = True
+        record.last_used_s = self._clock.monotonic_s()
         return self._attempts
 
     def release(self, record: target_record.TargetRecord) -> None:
@@ -184,6 +184,7 @@
         self._usual_bytes += _USUAL_SMOOTHING * grown_bytes
         record.belief.answered(self._clock.monotonic_s())
         record.belief_source = target_record.BeliefSource.OWN
+        self._recent.note(is_failure=False)
         self.on_outcome(True)
         record.took(latency_s, self.usual_s)
         self._queue.observe_service(latency_s)
@@ -204,6 +205,7 @@
             is_early=taken_s < _EARLY_FACTOR * self.usual_s,
         )
         record.belief_source = target_record.BeliefSource.OWN
+        self._recent.note(is_failure=True)
         self.on_outcome(False)
 
     def full(self, record: target_record.TargetRecord) -> None:
@@ -247,7 +249,7 @@
             preference.zone_cost(wish.body_bytes + self._usual_bytes),
             shares_zone=self.shares_zone,
         )
-        chosen = self._unused(free, now_s) or preference.surest(
+        chosen = self._overlooked(free, now_s) or preference.surest(
             free,
             preference.least_cost(wanted, situation) + wish.tolerance(now_s),
             situation,
@@ -270,18 +272,21 @@
         chance = record.failure_chance(now_s, self.usual_s)
         return chance > _DOUBTFUL and record.is_unsettled(now_s)
 
-    def _unused(
+    def _overlooked(
         self,
-        free: Iterable[target_record.TargetRecord],
+        free: list[target_record.TargetRecord],
         now_s: float,
     ) -> target_record.TargetRecord | None:
-        """Return a target that has waited long for its first request."""
-        for record in free:
-            if record.was_used or record.listed.zone != self._zone:
-                continue
-            if now_s > record.warm_at_s + _UNUSED_AFTER_S:
-                return record
-        return None
+        """Return a target that has its turn whoever is surest."""
+        found = overlooked.unused(free, self._zone, now_s)
+        if found is None and self._recent.are_many():
+            return overlooked.neglected(
+                free,
+                self._zone,
+                now_s,
+                self.usual_s,
+            )
+        return found
 
     def _give_back(self, target_id: ids.TargetId) -> None:
         record = self.targets.find(target_id)
--- a/libraries/entry/src/sardinepier/entry/target_record.py
+++ b/libraries/entry/src/sardinepier/entry/target_record.py
@@ -77,6 +77,7 @@
     others_load_until_s: float = 0.0
     reserved: int = 0
     was_used: bool = False
+    last_used_s: float = 0.0
     failed_connects: int = 0
     avoided_until_s: float = 0.0
 
--- a/libraries/entry/tests/cover/test_entry_choice.py
+++ b/libraries/entry/tests/cover/test_entry_choice.py
@@ -131,6 +131,50 @@
     assert bench.take() == 'new'
 
 
+def stress(bench):
+    """Let a tenth of the attempts at ``t1`` fail, late, as chance has it."""
+    for number in range(20):
+        if number % 10:
+            bench.pool.answered(bench.record('t1'), 0.1)
+        else:
+            bench.pool.failed(bench.record('t1'), 0.1)
+
+
+def test_while_requests_fail_no_sound_target_is_left_idle(bench):
+    """Seen: four of six sound targets idle while a fifth of requests failed."""
+    bench.pool.usual_s = 0.1
+    taken = set()
+    for _ in range(20):
+        bench.clock.advance(0.1)
+        stress(bench)
+        record = bench.pool.try_acquire(bench.wish())
+        bench.pool.finished(record, bench.pool.started(record))
+        taken.add(record.listed.target_id)
+    assert taken >= {'t1', 't2', 't3'}
+
+
+def test_while_requests_fail_a_failing_target_stays_idle(bench):
+    bench.pool.usual_s = 0.1
+    taken = set()
+    for _ in range(20):
+        bench.clock.advance(0.1)
+        stress(bench)
+        bench.pool.failed(bench.record('t3'), 0)
+        record = bench.pool.try_acquire(bench.wish())
+        bench.pool.finished(record, bench.pool.started(record))
+        taken.add(record.listed.target_id)
+    assert 't3' not in taken
+
+
+def test_while_all_goes_well_requests_stay_together(bench):
+    for _ in range(20):
+        bench.clock.advance(0.1)
+        bench.pool.answered(bench.record('t1'), 0.1)
+        record = bench.pool.try_acquire(bench.wish())
+        bench.pool.finished(record, bench.pool.started(record))
+        assert record.listed.target_id == 't1'
+
+
 def test_an_attempt_long_overdue_speaks_against_its_target(bench):
     bench.good('t1', 't2')
     bench.pool.usual_s = 0.2
