--- a/libraries/cli/src/sardinepier/cli/from_files/explain.py
+++ b/libraries/cli/src/sardinepier/cli/from_files/explain.py
@@ -1,7 +1,7 @@
 """``sardinepier explain``: the life of one request, from log files."""
 
 import enum
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Any, Final
 
 import msgspec
@@ -153,10 +153,16 @@
 ) -> str:
     fields = last.fields
     failures = [_what(line) for line in own if line.event == _FAILED]
-    said = fields.get('what') or f'answered with status {fields["status"]}'
     room = f'{fields["with_room"]} of {fields["targets"]} targets had room'
     tries = '; '.join(failures) or 'no attempt failed'
-    return f'{said}. Attempts: {tries}. At the end {room}'
+    return f'{_said(fields)}. Attempts: {tries}. At the end {room}'
+
+
+def _said(fields: Mapping[str, Any]) -> str:
+    """Return how the request ended, in the words of its last line."""
+    if fields['outcome'] == Cause.ABANDONED.value:
+        return f'The caller left after {fields["taken_ms"]} ms'
+    return fields['what'] or f'Answered with status {fields["status"]}'
 
 
 def _what(line: log_files.LogLine) -> str:
--- a/libraries/cli/tests/cover/test_cli_explain.py
+++ b/libraries/cli/tests/cover/test_cli_explain.py
@@ -153,6 +153,15 @@
     assert [step['after_ms'] for step in document['steps']] == [0, 4, 5]
 
 
+def test_a_caller_that_left_is_told_so(shell):
+    left = {**ENDED, 'outcome': 'abandoned', 'status': 0, 'taken_ms': 211}
+    shell.log(
+        'left.log', line(8.0, 'd1', 'request-ended', request_id='h', **left)
+    )
+    shell.run('h')
+    assert 'The caller left after 211 ms' in shell.text
+
+
 def test_an_unknown_id_is_a_clear_answer(shell):
     assert shell.run('nobody') is exit_codes.ExitCode.NEGATIVE
     assert "has the request 'nobody'" in shell.errors[0]
--- a/libraries/entry/src/sardinepier/entry/events.py
+++ b/libraries/entry/src/sardinepier/entry/events.py
@@ -44,7 +44,7 @@
 
     ``chance`` is the chance of failure that the choice went by, from the
     belief of ``belief_age_ms`` ago that rests on what ``belief_source`` saw.
-    ``in_flight`` is what the target had before.
+    ``in_flight`` is what the target has, with this one.
     """
 
     attempt: int
