--- a/libraries/cli/src/sardinepier/cli/from_files/explain.py
+++ b/libraries/cli/src/sardinepier/cli/from_files/explain.py
@@ -14,6 +14,7 @@
 _ENDED: Final = 'request-ended'
 _STARTED: Final = 'started'
 _STOPPED: Final = 'stopped'
+_MS_PER_S: Final = 1000
 
 _BELIEFS: Final = (
     _STARTED,
@@ -131,11 +132,12 @@
     last = own[-1]
     if last.event == _ENDED:
         return Cause(last.fields['outcome']), _end_text(last, own)
-    if _died_after(last, all_lines):
+    if _died_within(last, all_lines):
         return (
             Cause.LOST_WITH_DAEMON,
-            f'{last.instance_id} ended without finishing it: it started '
-            'again later and had not stopped in order',
+            f'{last.instance_id} died within the time of the request: it '
+            'started again later and had not stopped in order. If the caller '
+            'got no answer, it was lost then',
         )
     failed = [line for line in own if line.event == _FAILED]
     if failed and last.event == _FAILED:
@@ -176,18 +178,26 @@
     )
 
 
-def _died_after(
+def _died_within(
     last: log_files.LogLine,
     all_lines: Sequence[log_files.LogLine],
 ) -> bool:
-    """Tell whether the daemon's next life begins without an end of this."""
+    """Tell whether the daemon died while it may have had the request.
+
+    Its next life begins without an end of this one in order, and its last
+    sign of life comes before the request's time was over: afterwards there
+    would be a line about a failure.
+    """
+    seen = last.time
     for line in all_lines:
         if line.instance_id != last.instance_id or line.time <= last.time:
             continue
         if line.event == _STOPPED:
             return False
         if line.event == _STARTED:
-            return True
+            lived_ms = (seen - last.time).total_seconds() * _MS_PER_S
+            return lived_ms <= float(last.fields.get('left_ms', 0))
+        seen = line.time
     return False
 
 
@@ -237,7 +247,7 @@
     earlier: log_files.LogLine,
     later: log_files.LogLine,
 ) -> int:
-    return round((later.time - earlier.time).total_seconds() * 1000)
+    return round((later.time - earlier.time).total_seconds() * _MS_PER_S)
 
 
 def _text(when: str, told: Step | Known) -> str:
--- a/libraries/cli/tests/cover/test_cli_explain.py
+++ b/libraries/cli/tests/cover/test_cli_explain.py
@@ -47,6 +47,7 @@
         'request-sent',
         request_id=request_id,
         choice=CHOICE,
+        left_ms=2500,
     )
 
 
@@ -134,7 +135,7 @@
     [
         ('a', 'target_failed', 't7 after 4 ms: target_failed: answered 500'),
         ('b', 'refused', 'No target has room'),
-        ('c', 'lost_with_daemon', 'd3 ended without finishing it'),
+        ('c', 'lost_with_daemon', 'd3 died within the time of the request'),
     ],
 )
 def test_the_cause_is_named(shell, request_id, cause, because):
@@ -167,6 +168,20 @@
     assert "has the request 'nobody'" in shell.errors[0]
 
 
+def test_a_daemon_that_lived_on_past_the_deadline_lost_nothing(shell):
+    """Else each request it ever answered would count as lost."""
+    shell.log(
+        'lived.log',
+        sent(1.0, 'd6', 'i'),
+        sent(4.0, 'd6', 'j'),
+        line(6.0, 'd6', 'started', zone='z1'),
+    )
+    shell.run('i')
+    assert 'request i: answered' in shell.text
+    shell.run('j')
+    assert 'request j: lost_with_daemon' in shell.text
+
+
 def test_a_daemon_that_stopped_in_order_lost_nothing(shell):
     shell.log(
         'three.log',
