--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -34,9 +34,13 @@
         item: works.Work,
         pool: service_pool.ServicePool,
         record: target_record.TargetRecord,
-        reason: events.Reason,
+        *,
+        is_beside: bool,
     ) -> None:
-        """Take over the reserved slot."""
+        """Take over the reserved slot.
+
+        ``is_beside`` says that another attempt of ``item`` is still open.
+        """
         self._shared = shared
         self._item = item
         self._pool = pool
@@ -44,6 +48,7 @@
         self._number = pool.started(record)
         self._started_s = shared.clock.monotonic_s()
         self._is_sent = False
+        reason = _reason(item, is_beside=is_beside)
         item.attempts += 1
         self._choice = shared.decisions.sent(
             item,
@@ -182,3 +187,9 @@
 
     def _taken_s(self) -> float:
         return self._shared.clock.monotonic_s() - self._started_s
+
+
+def _reason(item: works.Work, *, is_beside: bool) -> events.Reason:
+    if is_beside:
+        return events.Reason.BESIDE
+    return events.Reason.AGAIN if item.attempts else events.Reason.FIRST
--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -14,11 +14,11 @@
     answers,
     attempt,
     context,
-    events,
     racing,
     refusals,
     service_pool,
     target_record,
+    wishes,
 )
 from sardinepier.entry import work as works
 from sardinepier.gateway import errors
@@ -128,8 +128,7 @@
         history: _History,
     ) -> answers.Answer:
         """Run one attempt, and a second beside it when it is slow."""
-        reason = events.Reason.AGAIN if item.attempts else events.Reason.FIRST
-        first = self._attempt(item, pool, record, reason)
+        first = self._attempt(item, pool, record)
         delay_s = pool.hedge_delay_s()
         if delay_s is None or not item.route.is_idempotent:
             return await first
@@ -158,14 +157,15 @@
             return None
         history.tried.add(record.listed.target_id)
         history.ran += 1
-        return self._attempt(item, pool, record, events.Reason.BESIDE)
+        return self._attempt(item, pool, record, is_beside=True)
 
     async def _attempt(
         self,
         item: works.Work,
         pool: service_pool.ServicePool,
         record: target_record.TargetRecord,
-        reason: events.Reason,
+        *,
+        is_beside: bool = False,
     ) -> answers.Answer:
         quarantine = self._shared.quarantine
         now_s = self._shared.clock.monotonic_s()
@@ -176,7 +176,7 @@
                 item,
                 pool,
                 record,
-                reason,
+                is_beside=is_beside,
             ).run()
         except errors.ConnectionLostError:
             quarantine.crashed(
@@ -192,9 +192,9 @@
         return answer
 
 
-def _wish(item: works.Work, history: _History) -> service_pool.Wish:
+def _wish(item: works.Work, history: _History) -> wishes.Wish:
     patience_s = _PATIENCE * item.route.target_latency_s
-    return service_pool.Wish(
+    return wishes.Wish(
         history.tried,
         len(item.body),
         item.arrived_s,
--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -1,6 +1,5 @@
 """The targets of one service, as one daemon sees and uses them."""
 
-import dataclasses
 import random
 from collections.abc import Callable, Collection, Iterable
 from typing import Final
@@ -14,6 +13,7 @@
     refusals,
     target_record,
     target_table,
+    wishes,
 )
 from sardinepier.health import belief
 from sardinepier.routing import admission, budget, hedging
@@ -38,39 +38,13 @@
 """A failure within this part of the usual latency came before the work could
 be done. Measured, failing targets answer in a fiftieth of it."""
 
-_TOLERANCE: Final = 0.06
-"""Additional chance of failure that is accepted without any wait: a slot of
-the best target comes free within a tenth of a second."""
-
 _DOUBTFUL: Final = 0.1
 """Chance of failure above which a target gets one request at a time until it
 is seen how that one goes."""
 
-_LEAST_PATIENCE_S: Final = 0.01
 _RETRY_AFTER_S: Final = 0.2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Wish:
-    """What a request wants of its target.
-
-    ``tried`` had it already. It is worth a wait until ``patient_until_s``,
-    counted from ``since_s``, to get a target that is surer than those with a
-    free slot.
-    """
-
-    tried: Collection[ids.TargetId]
-    body_bytes: int
-    since_s: float
-    patient_until_s: float
-
-    def tolerance(self, now_s: float) -> float:
-        """Return by how much the target may be worse than the best one."""
-        patience_s = max(_LEAST_PATIENCE_S, self.patient_until_s - self.since_s)
-        waited = (now_s - self.since_s) / patience_s
-        return _TOLERANCE + max(0.0, waited)
-
-
 class ServicePool:
     """Chooses targets of one service and learns from what they answer.
 
@@ -127,7 +101,7 @@
     async def acquire(
         self,
         work: admission.Work,
-        wish: Wish,
+        wish: wishes.Wish,
     ) -> target_record.TargetRecord:
         """Wait for a slot at a target that was not tried yet.
 
@@ -149,7 +123,9 @@
             raise _no_target(self.name)
         return record
 
-    def try_acquire(self, wish: Wish) -> target_record.TargetRecord | None:
+    def try_acquire(
+        self, wish: wishes.Wish
+    ) -> target_record.TargetRecord | None:
         """Return a target with a free slot, None when a wait is needed."""
         target_id = self._choose(wish)
         return None if target_id is None else self.targets.find(target_id)
@@ -230,7 +206,7 @@
         ):
             raise _no_target(self.name)
 
-    def _choose(self, wish: Wish) -> ids.TargetId | None:
+    def _choose(self, wish: wishes.Wish) -> ids.TargetId | None:
         now_s = self._clock.monotonic_s()
         wanted = [
             record
--- a/libraries/entry/tests/cover/test_entry_choice.py
+++ b/libraries/entry/tests/cover/test_entry_choice.py
@@ -7,7 +7,7 @@
 import pytest
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
-from sardinepier.entry import refusals, service_pool
+from sardinepier.entry import refusals, service_pool, wishes
 from sardinepier.health import belief
 from sardinepier.routing import admission
 
@@ -34,7 +34,7 @@
 
     def wish(self, tried=(), since_s=None):
         now_s = self.clock.monotonic_s() if since_s is None else since_s
-        return service_pool.Wish(tried, 0, now_s, now_s + 0.3)
+        return wishes.Wish(tried, 0, now_s, now_s + 0.3)
 
     def take(self, **wished):
         record = self.pool.try_acquire(self.wish(**wished))
--- a/libraries/zones/src/sardinepier/zones/zone_load.py
+++ b/libraries/zones/src/sardinepier/zones/zone_load.py
@@ -48,7 +48,7 @@
 
         load = ZoneLoad(clock, begun=lambda: activity.begun)
         load.woke(late_s=0.002)
-        beat = CarrierLoad(...)  # what ``own`` returns goes out with a beat
+        told = load.own()  # goes out with the next beat
         count = load.wanted(count, most=8)
     """
 
@@ -65,8 +65,8 @@
         self._requests_per_s = 0.0
         self._late_ms = 0.0
         self._heard: dict[ids.InstanceId, tuple[float, messages.Load]] = {}
-        self._settled_s = clock.monotonic_s()
-        self._kept_until_s = clock.monotonic_s()
+        self._next_growth_s = clock.monotonic_s()
+        self._next_decrease_s = clock.monotonic_s()
 
     def woke(self, late_s: float) -> None:
         """Take in by how much a timer of this daemon was late."""
@@ -93,18 +93,18 @@
         total_per_s = sum(load.requests_per_s for load in loads)
         needed = math.ceil(total_per_s / _REQUESTS_A_CARRIER)
         is_late = any(load.late_ms > _LATE_MS for load in loads)
-        if is_late and now_s >= self._settled_s:
+        if is_late and now_s >= self._next_growth_s:
             needed = max(needed, count + 1)
         needed = max(1, min(needed, most))
         if needed > count:
-            self._settled_s = now_s + _SETTLES_S
-            self._kept_until_s = now_s + _KEPT_S
+            self._next_growth_s = now_s + _SETTLES_S
+            self._next_decrease_s = now_s + _KEPT_S
             return needed
-        if is_late or now_s < self._kept_until_s or count == 1:
+        if is_late or now_s < self._next_decrease_s or count == 1:
             return count
         if total_per_s > _SPARE * _REQUESTS_A_CARRIER * (count - 1):
             return count
-        self._kept_until_s = now_s + _KEPT_S
+        self._next_decrease_s = now_s + _KEPT_S
         return count - 1
 
     def _loads(self, now_s: float) -> list[messages.Load]:
