--- a/libraries/zones/tests/cover/test_zones_carriers.py
+++ b/libraries/zones/tests/cover/test_zones_carriers.py
@@ -165,6 +165,27 @@
     assert named == {(first.own,)}
 
 
+async def test_one_connection_each_is_no_reason(zone):
+    """Over a link that loses packets that happens now and then."""
+    await with_targets(zone)
+    first = zone.carrier()
+    lose_way(first, 't1', 't2', times=1)
+    await zone.run(0.5)
+    named = {one.carriers.of_own_zone() for one in zone.daemons}
+    assert named == {(first.own,)}
+
+
+async def test_targets_that_are_known_to_fail_are_no_reason(zone):
+    await with_targets(zone)
+    first = zone.carrier()
+    for name in ('t1', 't2'):
+        fail(first, name)
+    lose_way(first, 't1', 't2')
+    await zone.run(0.5)
+    named = {one.carriers.of_own_zone() for one in zone.daemons}
+    assert named == {(first.own,)}
+
+
 async def test_a_lost_notice_of_a_handover_is_made_up_for(zone):
     """The others miss the beats of the one that handed over."""
     await with_targets(zone)
@@ -275,10 +296,10 @@
             one.per_s = 250
 
 
-def lose_way(daemon, *names):
+def lose_way(daemon, *names, times=2):
     for name in names:
         record = daemon.held.pool(given.SERVICE).targets.find(name)
-        for _ in range(2):
+        for _ in range(times):
             record.not_reached(daemon.clock.monotonic_s())
 
 
