Test that a lost way is no evidence, and that news does not grow younger

Two trials with a mechanism taken out had gone unnoticed: messages need time on their way for news to grow younger, and a clock has to move before a daemon that starts late can be wrong.

--- a/libraries/entry/tests/cover/test_entry_targets.py
+++ b/libraries/entry/tests/cover/test_entry_targets.py
@@ -5,6 +5,7 @@
 import entry_support as given
 import pytest
 from sardinepier.entry import model
+from sardinepier.gateway import errors
 
 ONCE = '/once/1'
 SAFE = '/books/1'
@@ -159,3 +160,29 @@
     )
     assert status == 200
     assert slow.ran == ran_before + 1
+
+
+async def test_a_connection_that_times_out_is_no_evidence(entry, monkeypatch):
+    """The way from here may be lost, while others have it."""
+    await entry.use(given.RawTarget('t1'))
+    record = entry.shared.services.pool(given.SERVICE).targets.find('t1')
+    before = record.belief.updated_s
+
+    async def silent(*passed, **named):
+        raise errors.ConnectTimeoutError('nobody says anything', 'wait', 0.2)
+
+    with monkeypatch.context() as patched:
+        patched.setattr(entry.shared.client, 'open', silent)
+        status, _, _ = await entry.ask()
+    assert status == 503
+    assert record.failed_connects == 1
+    assert record.belief.updated_s == before
+
+
+async def test_a_target_that_was_heard_is_within_reach(entry):
+    await entry.use(given.RawTarget('t1'))
+    record = entry.shared.services.pool(given.SERVICE).targets.find('t1')
+    record.not_reached(entry.shared.clock.monotonic_s())
+    status, _, _ = await entry.ask()
+    assert status == 200
+    assert record.failed_connects == 0
--- a/libraries/gateway/tests/cover/test_gateway_client.py
+++ b/libraries/gateway/tests/cover/test_gateway_client.py
@@ -118,3 +118,37 @@
     peer.listener.close()
     with pytest.raises(errors.ConnectFailedError):
         await fetch(client, peer)
+
+
+async def test_a_target_that_says_nothing_is_told_from_one_that_refuses(
+    client,
+):
+    """The way to it may be lost; whoever refuses is there to do so."""
+    with socket.socket() as silent:
+        silent.bind(('127.0.0.1', 0))
+        silent.listen(0)
+        address = silent.getsockname()
+        # The system ignores connections while the queue of new ones is full.
+        waiting = [socket.socket() for _ in range(4)]
+        for one in waiting:
+            one.setblocking(False)
+            one.connect_ex(address)
+        with pytest.raises(errors.ConnectTimeoutError):
+            await open_to(client, address[1])
+        for one in waiting:
+            one.close()
+    with pytest.raises(errors.ConnectFailedError) as refused:
+        await open_to(client, address[1])
+    assert not isinstance(refused.value, errors.ConnectTimeoutError)
+
+
+async def open_to(client, port):
+    await client.open(
+        'GET',
+        yarl.URL(f'http://127.0.0.1:{port}/'),
+        [],
+        b'',
+        fresh=True,
+        connect_timeout_s=0.2,
+        permit=lambda: None,
+    )
--- a/libraries/zones/tests/cover/test_zones_carriers.py
+++ b/libraries/zones/tests/cover/test_zones_carriers.py
@@ -2,6 +2,7 @@
 
 import pytest
 import zones_support as given
+from sardinepier.wire import memory_network
 from sardinepier.zones import fitness
 
 
@@ -234,6 +235,7 @@
 async def test_news_does_not_grow_younger_on_its_way(zone):
     """Each daemon passes on what it saw, not what it heard."""
     await with_targets(zone)
+    zone.hub.faults = memory_network.LinkFaults(delay_s=0.05)
     fail(zone.carrier(), 't1')
     seen_s = zone.clock.monotonic_s()
     await zone.run(3.0)
@@ -248,6 +250,7 @@
     late = next(one for one in zone.daemons if not one.carriers.is_carrier())
     fail(zone.carrier(), 't1')
     told = failing(zone.carrier(), 't1')
+    zone.clock.advance(0.01)
     late.held.pool(given.SERVICE).set_targets([])
     late.held.pool(given.SERVICE).set_targets([given.target('t1')])
     await zone.run(0.5)
