Count work in hand in one place, and price each target once a choice

Found by reading the whole change again; behaviour stays as it was.

The entry instance had a copy of the counting in gateway.activity. Both now use gateway.in_hand; the memory for bodies stays with the gateway's own. The status that tells a caller of an error was worked out in two places, and is in refusals.status_of. Each choice of a target worked out the cost of all targets for the best one and again for those with room: preference.surest now does it once, with the same draws for ties.

--- a/libraries/daemon/src/sardinepier/daemon/entry_process.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_process.py
@@ -19,7 +19,6 @@
     task_set,
 )
 from sardinepier.entry import (
-    activity,
     caller_server,
     decisions,
     model,
@@ -28,6 +27,7 @@
     published,
     services,
 )
+from sardinepier.gateway import in_hand
 from sardinepier.health import belief
 from sardinepier.telemetry import logs
 from sardinepier.wire import messages
@@ -97,7 +97,7 @@
         self._pages = entry_pages
         self._clock = clocks.SystemClock()
         self._random = random.Random()
-        self._activity = activity.Activity()
+        self._activity = in_hand.InHand()
         self._stop = asyncio.Event()
         self._tasks = task_set.TaskSet(self._part_failed)
         self._services = services.Services(
@@ -260,7 +260,7 @@
                 grace_s=self._settings.bounds.grace_s,
             ),
         )
-        self._activity.is_draining = True
+        self._activity.begin_draining()
         self._membership.announce_leaving()
         notice_s = _STALE_DIRECTORY_FACTOR * _DIRECTORY_S
         latest_s = self._settings.bounds.grace_s / 2
--- a/libraries/daemon/src/sardinepier/daemon/internal/entry_figures.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/entry_figures.py
@@ -3,7 +3,8 @@
 import dataclasses
 import math
 
-from sardinepier.entry import activity, measures, services
+from sardinepier.entry import measures, services
+from sardinepier.gateway import in_hand
 from sardinepier.membership import membership
 from sardinepier.telemetry import exposition
 from sardinepier.zones import carriers, lapses
@@ -15,7 +16,7 @@
 
     measures: measures.Measures
     services: services.Services
-    activity: activity.Activity
+    activity: in_hand.InHand
     guard: lapses.LapseGuard
     carriers: carriers.Carriers
     membership: membership.Membership
--- a/libraries/daemon/src/sardinepier/daemon/internal/entry_parts.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/entry_parts.py
@@ -7,14 +7,13 @@
 from sardinepier.core import ids
 from sardinepier.daemon import entry_events, entry_settings
 from sardinepier.entry import (
-    activity,
     context,
     decisions,
     dialect,
     measures,
     services,
 )
-from sardinepier.gateway import client
+from sardinepier.gateway import client, in_hand
 from sardinepier.membership import (
     events,
     kinds,
@@ -63,7 +62,7 @@
 def build_context(
     names: dialect.HeaderNames,
     held: services.Services,
-    counted: activity.Activity,
+    counted: in_hand.InHand,
     clock: clocks.Clock,
 ) -> context.EntryContext:
     """Return what the request path works with, on a running event loop."""
--- a/libraries/entry/src/sardinepier/entry/accounts.py
+++ b/libraries/entry/src/sardinepier/entry/accounts.py
@@ -46,15 +46,12 @@
     def refused(self, error: core_errors.SardinepierError) -> None:
         """Tell that the daemon answers itself."""
         is_unknown = isinstance(error, refusals.UnknownFateError)
-        status = refusals.InternalError.status
-        if isinstance(error, refusals.EntryError):
-            status = error.status
         self._end(
             decisions.End(
                 events.Outcome.UNKNOWN
                 if is_unknown
                 else events.Outcome.REFUSED,
-                int(status),
+                int(refusals.status_of(error)),
                 type(error).__name__,
                 error.what,
             ),
--- a/libraries/entry/src/sardinepier/entry/context.py
+++ b/libraries/entry/src/sardinepier/entry/context.py
@@ -4,13 +4,12 @@
 
 from sardinepier.core import clock as clocks
 from sardinepier.entry import (
-    activity,
     decisions,
     dialect,
     measures,
     services,
 )
-from sardinepier.gateway import client
+from sardinepier.gateway import client, in_hand
 from sardinepier.once import quarantine
 
 
@@ -27,6 +26,6 @@
     client: client.TargetClient
     services: services.Services
     quarantine: quarantine.Quarantine
-    activity: activity.Activity
+    activity: in_hand.InHand
     decisions: decisions.Decisions
     measures: measures.Measures
--- a/libraries/entry/src/sardinepier/entry/preference.py
+++ b/libraries/entry/src/sardinepier/entry/preference.py
@@ -72,32 +72,25 @@
     return total
 
 
-def least_cost(
-    candidates: Iterable[target_record.TargetRecord],
-    situation: Situation,
-) -> float:
-    """Return the cost of the best candidate, infinite without any."""
-    return min(
-        (cost(record, situation) for record in candidates),
-        default=math.inf,
-    )
-
-
 def surest(
-    candidates: Iterable[target_record.TargetRecord],
-    most_cost: float,
+    free: Iterable[target_record.TargetRecord],
+    wanted: Iterable[target_record.TargetRecord],
+    tolerance: float,
     situation: Situation,
     random_source: random.Random,
 ) -> target_record.TargetRecord | None:
-    """Return the candidate with the least cost, at most ``most_cost``."""
-    costs = [
-        (
-            cost(record, situation) + random_source.uniform(0, _TIE_SPREAD),
-            record,
-        )
-        for record in candidates
+    """Return the one among ``free`` with the least cost.
+
+    It costs at most ``tolerance`` more than the best one that is ``wanted``,
+    whether free or not; those that are free are among them.
+    """
+    costs = {record: cost(record, situation) for record in wanted}
+    most_cost = min(costs.values(), default=math.inf) + tolerance
+    spread = [
+        (costs[record] + random_source.uniform(0, _TIE_SPREAD), record)
+        for record in free
     ]
-    least, chosen = min(costs, key=_first_of, default=(math.inf, None))
+    least, chosen = min(spread, key=_first_of, default=(math.inf, None))
     return chosen if least <= most_cost + _TIE_SPREAD else None
 
 
--- a/libraries/entry/src/sardinepier/entry/refusals.py
+++ b/libraries/entry/src/sardinepier/entry/refusals.py
@@ -79,3 +79,10 @@
 
 class InternalError(UnknownFateError):
     """A fault of this program."""
+
+
+def status_of(error: errors.SardinepierError) -> http.HTTPStatus:
+    """Return the status that tells a caller of ``error``."""
+    if isinstance(error, EntryError):
+        return error.status
+    return InternalError.status
--- a/libraries/entry/src/sardinepier/entry/replies.py
+++ b/libraries/entry/src/sardinepier/entry/replies.py
@@ -32,11 +32,8 @@
 
 def of_error(error: core_errors.SardinepierError) -> web_response.Response:
     """Return what the caller is told of ``error``."""
-    status = refusals.InternalError.status
-    if isinstance(error, refusals.EntryError):
-        status = error.status
     response = web_response.Response(
-        status=status,
+        status=refusals.status_of(error),
         content_type=_JSON,
         body=msgspec.json.encode(_Told(error.what, error.remedy)),
     )
--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -227,7 +227,8 @@
         )
         chosen = self._overlooked(free, now_s) or preference.surest(
             free,
-            preference.least_cost(wanted, situation) + wish.tolerance(now_s),
+            wanted,
+            wish.tolerance(now_s),
             situation,
             self._random,
         )
--- a/libraries/entry/tests/conftest.py
+++ b/libraries/entry/tests/conftest.py
@@ -7,7 +7,6 @@
 
 from sardinepier.core import clock as clocks
 from sardinepier.entry import (
-    activity,
     caller_server,
     context,
     decisions,
@@ -16,6 +15,7 @@
     services,
 )
 from sardinepier.gateway import client as clients
+from sardinepier.gateway import in_hand
 from sardinepier.health import belief
 from sardinepier.once import quarantine
 
@@ -36,7 +36,7 @@
         client=clients.TargetClient(),
         services=held,
         quarantine=quarantine.Quarantine(clock),
-        activity=activity.Activity(),
+        activity=in_hand.InHand(),
         decisions=decisions.Decisions(held, clock),
         measures=measures.Measures(),
     )
--- a/libraries/gateway/src/sardinepier/gateway/activity.py
+++ b/libraries/gateway/src/sardinepier/gateway/activity.py
@@ -1,12 +1,10 @@
 """What this daemon has in hand, and whether it is on its way out."""
 
-import asyncio
 import contextlib
-import types
 from collections.abc import Iterator
-from typing import Final, Self
+from typing import Final
 
-from sardinepier.gateway import refusals
+from sardinepier.gateway import in_hand, refusals
 
 BODY_MEMORY_BYTES: Final = 67_108_864
 """How much memory all bodies in hand may take."""
@@ -15,8 +13,8 @@
 _RETRY_AFTER_S: Final = 1.0
 
 
-class Activity:
-    """Counts work in hand; used as a context manager around each piece.
+class Activity(in_hand.InHand):
+    """Counts work in hand, and the memory that bodies take.
 
     A keyed request counts twice while its caller waits: once for the caller
     and once for the work, which goes on when the caller hangs up.
@@ -27,28 +25,8 @@
 
     def __init__(self) -> None:
         """Start with nothing in hand."""
-        self.in_hand = 0
+        super().__init__()
         self.body_bytes = 0
-        self.is_draining = False
-        self._idle = asyncio.Event()
-        self._idle.set()
-
-    def __enter__(self) -> Self:
-        """Count one more."""
-        self.in_hand += 1
-        self._idle.clear()
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
-        """Count one less."""
-        self.in_hand -= 1
-        if not self.in_hand:
-            self._idle.set()
 
     @contextlib.contextmanager
     def body(self, size_bytes: int) -> Iterator[None]:
@@ -68,11 +46,3 @@
             yield
         finally:
             self.body_bytes -= size_bytes
-
-    def begin_draining(self) -> None:
-        """Tell callers from now on to go elsewhere."""
-        self.is_draining = True
-
-    async def idle(self) -> None:
-        """Return when nothing is in hand."""
-        await self._idle.wait()
--- a/libraries/entry/src/sardinepier/entry/activity.py
+++ b/libraries/gateway/src/sardinepier/gateway/in_hand.py
@@ -1,32 +1,34 @@
-"""How many requests the daemon has, and whether it takes more."""
+"""How many pieces of work a daemon has, and whether it is on its way out."""
 
 import asyncio
 import types
+from typing import Self
 
 
-class Activity:
-    """Counts the requests in hand, and all that were begun.
+class InHand:
+    """Counts work in hand, and all that was begun.
 
-    For example::
+    Used as a context manager around each piece. For example::
 
-        with activity:
+        with in_hand:
             await answer(request)
-        await activity.idle()
+        await in_hand.idle()
     """
 
     def __init__(self) -> None:
-        """Start without requests."""
+        """Start with nothing in hand."""
         self.in_hand = 0
         self.begun = 0
         self.is_draining = False
         self._idle = asyncio.Event()
         self._idle.set()
 
-    def __enter__(self) -> None:
-        """Count one more request."""
+    def __enter__(self) -> Self:
+        """Count one more."""
         self.in_hand += 1
         self.begun += 1
         self._idle.clear()
+        return self
 
     def __exit__(
         self,
@@ -34,11 +36,15 @@
         error: BaseException | None,
         trace: types.TracebackType | None,
     ) -> None:
-        """Count one request less."""
+        """Count one less."""
         self.in_hand -= 1
         if not self.in_hand:
             self._idle.set()
 
+    def begin_draining(self) -> None:
+        """Tell callers from now on to go elsewhere."""
+        self.is_draining = True
+
     async def idle(self) -> None:
-        """Wait until there is no request in hand."""
+        """Return when nothing is in hand."""
         await self._idle.wait()
