Read every configuration and entry that can be read, and tell starts of a target apart

Cause: the adapter knew two kinds of route, and an unknown one rejected the whole configuration; an entry of servers/ with a wrong field rejected the whole reading, its targets included. A target that starts again under its name kept the belief, the load and the connections of the start before.

Ruled out: a fault of the store or of the directory; both answered.

Change: downloads are a kind of their own that may be repeated, an unknown kind runs at most once and is counted. An unusable entry names no target, costs no other, is told once and counted; a name listed as started anew or unreadable is not kept after an outage. A start is known by name and time of birth; late news of an older one touches nothing, and connections made before a start was known are not used for it.

--- a/libraries/daemon/src/sardinepier/daemon/entry_events.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_events.py
@@ -31,6 +31,7 @@
 
     version: int
     routes: int
+    routes_of_unknown_kind: int
 
 
 class MemberChanged(line_events.LineEvent, frozen=True):
--- a/libraries/daemon/src/sardinepier/daemon/entry_process.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_process.py
@@ -93,7 +93,6 @@
     ) -> None:
         """Keep the settings; nothing is opened yet."""
         self._settings = settings
-        self._source = source
         self._pages = entry_pages
         self._clock = clocks.SystemClock()
         self._random = random.Random()
@@ -136,6 +135,15 @@
             self._clock,
             _tell_configuration,
         )
+        self._reading = reading.PlatformReading(
+            source,
+            self._services,
+            self._carriers,
+            self._guard,
+            self._sharing,
+            self._clock,
+            self._random,
+        )
         self._services.on_outcome = self._outcome_seen
 
     def stop(self) -> None:
@@ -190,6 +198,7 @@
             self._guard,
             self._carriers,
             self._membership,
+            self._reading,
         )
         beside = await self._listen_beside(figures)
         logs.tell(entry_parts.started(self._settings))
@@ -203,17 +212,7 @@
         self._tasks.start(self._membership.run())
         self._tasks.start(self._sharing.run())
         self._tasks.start(self._upkeep(told))
-        self._tasks.start(
-            reading.PlatformReading(
-                self._source,
-                self._services,
-                self._carriers,
-                self._guard,
-                self._sharing,
-                self._clock,
-                self._random,
-            ).run(),
-        )
+        self._tasks.start(self._reading.run())
 
     async def _listen_beside(
         self,
@@ -321,5 +320,6 @@
         entry_events.ConfigurationInForce(
             version=configuration.version,
             routes=len(configuration.routes),
+            routes_of_unknown_kind=configuration.unknown_kinds(),
         ),
     )
--- a/libraries/daemon/src/sardinepier/daemon/internal/entry_figures.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/entry_figures.py
@@ -7,7 +7,7 @@
 from sardinepier.gateway import in_hand
 from sardinepier.membership import membership
 from sardinepier.telemetry import exposition
-from sardinepier.zones import carriers, lapses
+from sardinepier.zones import carriers, lapses, reading
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -20,6 +20,7 @@
     guard: lapses.LapseGuard
     carriers: carriers.Carriers
     membership: membership.Membership
+    reading: reading.PlatformReading
 
     async def text(self) -> str:
         """Return all figures as they are now."""
@@ -32,6 +33,10 @@
             ),
             exposition.Gauge('carriers', self.carriers.count),
             exposition.Gauge('is_carrier', self.carriers.is_carrier()),
+            exposition.Gauge(
+                'unusable_entries',
+                self.reading.passed_over.entries,
+            ),
             exposition.Gauge('members', len(self.membership.members())),
         )
         return await self.measures.text(
--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -13,7 +13,7 @@
     target_record,
 )
 from sardinepier.entry import work as works
-from sardinepier.gateway import errors
+from sardinepier.gateway import connections, errors
 
 _CONNECT_S: Final = 0.35
 """A connection within a region takes a few milliseconds. One that takes this
@@ -108,7 +108,10 @@
             connect_timeout_s=_CONNECT_S,
             permit=self._permit,
             path=self._item.path,
-            accepts=self._accepts,
+            expects=connections.Expectation(
+                self._accepts,
+                self._record.known_since_s,
+            ),
         )
         self._record.reached()
         self._note_load(response)
@@ -126,7 +129,7 @@
             *item.headers,
             (names.attempt_id, item.request_id),
             (names.deadline_ms, str(max(1, int(left_s * _MS_PER_S)))),
-            (names.expected_target, self._record.listed.target_id),
+            (names.expected_target, self._record.listed.own_name),
         ]
 
     def _permit(self) -> None:
--- a/libraries/entry/src/sardinepier/entry/measures.py
+++ b/libraries/entry/src/sardinepier/entry/measures.py
@@ -15,6 +15,7 @@
     'configuration_version': 'Version of the configuration in force.',
     'targets': 'Targets in use, of all services.',
     'targets_age_s': 'Since the target list was last read by anybody, in s.',
+    'unusable_entries': 'Entries passed over in the newest own reading.',
     'carriers': 'Daemons that shall carry the own zone.',
     'is_carrier': 'Whether this daemon is one of them, 1 or 0.',
     'members': 'Daemons that this one knows to live, itself included.',
--- a/libraries/entry/src/sardinepier/entry/model.py
+++ b/libraries/entry/src/sardinepier/entry/model.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+from typing import Final
 
 import msgspec
 
@@ -16,6 +17,15 @@
 
     IDEMPOTENT = 'idempotent'
     NON_IDEMPOTENT = 'non_idempotent'
+    DOWNLOAD = 'download'
+    """Idempotent, with long answers."""
+
+    UNKNOWN = 'unknown'
+    """A kind that this version does not know: its requests run at most once,
+    which is right whatever the kind allows."""
+
+
+_REPEATABLE: Final = frozenset((RouteKind.IDEMPOTENT, RouteKind.DOWNLOAD))
 
 
 class ServiceShare(msgspec.Struct, frozen=True, array_like=True):
@@ -51,7 +61,7 @@
     @property
     def is_idempotent(self) -> bool:
         """Tell whether a request may run more than once."""
-        return self.kind is RouteKind.IDEMPOTENT
+        return self.kind in _REPEATABLE
 
 
 class Service(msgspec.Struct, frozen=True, array_like=True):
@@ -83,6 +93,10 @@
     services: tuple[Service, ...]
     bounds: CallerBounds = CallerBounds()
 
+    def unknown_kinds(self) -> int:
+        """Return how many routes have a kind that this version lacks."""
+        return sum(route.kind is RouteKind.UNKNOWN for route in self.routes)
+
 
 class TargetState(enum.Enum):
     """What a target says of itself where targets are listed."""
@@ -94,7 +108,9 @@
 class ListedTarget(msgspec.Struct, frozen=True, array_like=True):
     """One start of one target, as the platform lists it.
 
-    ``target_id`` names this start only. ``warm_in_s`` is how much longer the
+    ``target_id`` names this start only. A target may start again under the
+    ``name`` that it had, empty where that is ``target_id``; ``born_ms`` then
+    tells its starts apart, 0 for unknown. ``warm_in_s`` is how much longer the
     target is slow after its start, counted from the reading of the list.
     """
 
@@ -106,6 +122,13 @@
     slots: int
     state: TargetState
     warm_in_s: float = 0.0
+    name: str = ''
+    born_ms: int = 0
+
+    @property
+    def own_name(self) -> str:
+        """Return what the target calls itself, whichever start it is."""
+        return self.name or self.target_id
 
 
 class TargetList(msgspec.Struct, frozen=True, array_like=True):
--- a/libraries/entry/src/sardinepier/entry/published.py
+++ b/libraries/entry/src/sardinepier/entry/published.py
@@ -11,11 +11,27 @@
 from sardinepier.entry import model
 
 
+class UnusableEntry(msgspec.Struct, frozen=True):
+    """An entry of the platform that could not be read, and why.
+
+    ``name`` is the target's, None for the configuration.
+    """
+
+    key: str
+    what: str
+    name: str | None = None
+
+
 class Reading(msgspec.Struct, frozen=True):
-    """The newest configuration, None when there is none yet, and targets."""
+    """The newest configuration, None for none that is usable, and targets.
+
+    ``unusable`` are the entries that are passed over. An unusable one costs
+    no other.
+    """
 
     configuration: model.ServedConfiguration | None
     targets: model.TargetList
+    unusable: tuple[UnusableEntry, ...] = ()
 
 
 class PublishedState(Protocol):
--- a/libraries/entry/src/sardinepier/entry/services.py
+++ b/libraries/entry/src/sardinepier/entry/services.py
@@ -16,6 +16,7 @@
     refusals,
     route_table,
     service_pool,
+    starts,
 )
 from sardinepier.health import belief
 from sardinepier.telemetry import logs
@@ -49,6 +50,7 @@
         self._options = options
         self._retry_burst = 0
         self._shares_zone = False
+        self._starts = starts.NewestStarts()
         self._has_table = asyncio.Event()
         self._table: route_table.RouteTable | None = None
         self._pools: dict[ids.ServiceName, service_pool.ServicePool] = {}
@@ -81,7 +83,7 @@
         by_service: dict[ids.ServiceName, list[model.ListedTarget]] = {
             name: [] for name in self._pools
         }
-        for target in offered.targets:
+        for target in self._starts.newest_of(offered.targets):
             by_service.setdefault(target.service, []).append(target)
         for name, listed in by_service.items():
             self.pool(name).set_targets(listed)
--- a/libraries/entry/src/sardinepier/entry/target_record.py
+++ b/libraries/entry/src/sardinepier/entry/target_record.py
@@ -61,12 +61,14 @@
     ``full_until_s`` is until when it asked for no more work. ``reserved``
     counts slots that were given to requests which have not begun yet.
     ``failed_connects`` counts the connections that timed out since it was
-    last heard, and ``avoided_until_s`` is what came of them.
+    last heard, and ``avoided_until_s`` is what came of them. Connections to
+    its address that are older than ``known_since_s`` go to an earlier start.
     """
 
     listed: model.ListedTarget
     belief: belief.TargetBelief
     url: yarl.URL
+    known_since_s: float = 0.0
     distance: float = 0.0
     belief_source: BeliefSource = BeliefSource.NOBODY
     started_s: dict[int, float] = dataclasses.field(default_factory=dict)
--- a/libraries/entry/src/sardinepier/entry/target_table.py
+++ b/libraries/entry/src/sardinepier/entry/target_table.py
@@ -71,5 +71,6 @@
             listed,
             belief.TargetBelief(self._options, now_s),
             yarl.URL.build(scheme='http', host=listed.ip, port=listed.port),
+            known_since_s=now_s,
             distance=self._random.random(),
         )
--- a/libraries/gateway/src/sardinepier/gateway/client.py
+++ b/libraries/gateway/src/sardinepier/gateway/client.py
@@ -18,6 +18,7 @@
 _STALE_TRIES: Final = 4
 _TIMEOUTS_KEPT: Final = 64
 _RETRY_AFTER_S: Final = 1.0
+_ANYTHING: Final = connections.Expectation()
 
 
 class TargetClient:
@@ -45,14 +46,14 @@
         connect_timeout_s: float,
         permit: Callable[[], None],
         path: str | None = None,
-        accepts: connections.Accepts | None = None,
+        expects: connections.Expectation = _ANYTHING,
     ) -> client_reqrep.ClientResponse:
         """Send a request and return the answer once its headers are there.
 
         ``path`` goes out byte for byte as the request's path and query; by
         default it is that of ``url``. ``fresh`` takes a new connection that
         is not kept. ``permit`` is called right before the first byte. Answers
-        that ``accepts`` turns down are passed over. Raises ``ConnectFailedError`` if
+        and connections that ``expects`` turns down are passed over. Raises ``ConnectFailedError`` if
         nothing was sent, ``ConnectionLostError`` or ``BadAnswerError`` if
         something was, and what ``permit`` raises.
         """
@@ -67,7 +68,7 @@
             )
             request.path = path or url.raw_path_qs
             request.content = body
-            request.accepts = accepts
+            request.expects = expects
             with contextlib.suppress(errors.StaleConnectionError):
                 return await outgoing.Exchange(request, permit).run(
                     pool,
--- a/libraries/gateway/src/sardinepier/gateway/connections.py
+++ b/libraries/gateway/src/sardinepier/gateway/connections.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import dataclasses
 import re
 import select
 from collections.abc import Callable
@@ -25,6 +26,20 @@
 Accepts = Callable[[multidict.CIMultiDictProxy[str]], bool]
 """Tells by an answer's headers whether it belongs to the exchange."""
 
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Expectation:
+    """What an exchange expects of its connection.
+
+    ``accepts`` tells the answer of this request from one that comes late to
+    an earlier one. A connection made before ``made_since_s``, a time of the
+    event loop, is not used: whoever was there may be gone.
+    """
+
+    accepts: Accepts | None = None
+    made_since_s: float = 0.0
+
+
 _HTTP_PORT: Final = 80
 _KEEPALIVE_S: Final = 15.0
 _FIRST_FINAL_STATUS: Final = 200
@@ -43,6 +58,7 @@
         super().__init__(loop)
         self.is_idle = False
         self.is_reused = False
+        self.made_s = loop.time()
         self.accepts: Accepts | None = None
         self._rests_until_s = float('inf')
 
@@ -79,13 +95,16 @@
             return
         super().data_received(data)
 
-    def is_stale(self) -> bool:
+    def is_stale(self, made_since_s: float) -> bool:
         """Tell whether the target closed or spoke while this was idle.
 
         The event loop may not have read that yet, so the socket is asked.
+        One that was made before ``made_since_s`` is stale, too.
         """
         if self.should_close or self.transport is None:
             return True
+        if self.made_s < made_since_s:
+            return True
         if not self.is_reused:
             return False
         if self._loop.time() > self._rests_until_s:
--- a/libraries/gateway/src/sardinepier/gateway/outgoing.py
+++ b/libraries/gateway/src/sardinepier/gateway/outgoing.py
@@ -33,14 +33,14 @@
     """A request that asks for permission right before its first byte.
 
     ``path`` goes out as it is; yarl's URLs drop a question mark with nothing
-    behind it. ``content`` is the body. ``accepts`` tells the answer of this
-    request from one that comes late to an earlier one.
+    behind it. ``content`` is the body, and ``expects`` says on which
+    connection it may go out, and which answer is its own.
     """
 
     exchange: 'Exchange'
     path: str
     content: bytes
-    accepts: connections.Accepts | None = None
+    expects: connections.Expectation
     _skip_auto_headers = _NO_DEFAULTS
 
     def update_auto_headers(self, skip_auto_headers: Any) -> None:
@@ -51,15 +51,15 @@
     ) -> client_reqrep.ClientResponse:
         """Write the request to ``conn``, at once unless it is long."""
         protocol = cast(connections.GuardedHandler, conn.protocol)
-        if protocol.is_stale():
+        if protocol.is_stale(self.expects.made_since_s):
             raise errors.StaleConnectionError(
-                'The target closed a kept connection',
+                'The target closed a kept connection, or started again since',
                 'Use another connection',
             )
         writer = await self._writer_to(conn, protocol)
         self.exchange.about_to_write()
         protocol.is_idle = False
-        protocol.accepts = self.accepts
+        protocol.accepts = self.expects.accepts
         conn.add_callback(protocol.pooled)
         task: asyncio.Task[None] | None = None
         if len(self.content) > _AT_ONCE_BYTES or protocol.writing_paused:
--- a/libraries/zones/src/sardinepier/zones/events.py
+++ b/libraries/zones/src/sardinepier/zones/events.py
@@ -29,6 +29,22 @@
     count: int
 
 
+class EntryUnusable(line_events.LineEvent, frozen=True):
+    """An entry of the platform can't be read and is passed over.
+
+    Told once for each entry and reason, not at each reading.
+    """
+
+    key: str
+    what: str
+
+
+class EntryUsable(line_events.LineEvent, frozen=True):
+    """An entry that could not be read is gone, or can be read again."""
+
+    key: str
+
+
 class PlatformRegained(line_events.LineEvent, frozen=True):
     """The platform answers this daemon again, after so many failures."""
 
--- a/libraries/zones/src/sardinepier/zones/lapses.py
+++ b/libraries/zones/src/sardinepier/zones/lapses.py
@@ -5,6 +5,7 @@
 kept for that moment, and what is still missing afterwards is gone.
 """
 
+from collections.abc import Collection
 from typing import Final
 
 from sardinepier.core import clock as clocks
@@ -54,11 +55,14 @@
         fresh: model.TargetList,
         *,
         after_failures: bool,
+        unusable: Collection[str] = (),
     ) -> model.TargetList:
         """Return ``fresh``, with what may only have lapsed from ``held``.
 
         ``after_failures`` says that this daemon's reading before failed. A
-        target that ``held`` shows as draining is not kept.
+        target that ``held`` shows as draining is not kept, nor one that is
+        listed as started anew, nor one whose entry is among the ``unusable``:
+        that one is there, and names no target.
         """
         now_s = self._clock.monotonic_s()
         age_s = self.age_s()
@@ -68,11 +72,12 @@
         self.is_own = True
         if held is None or now_s >= self._keep_until_s:
             return fresh
-        listed = {target.target_id for target in fresh.targets}
+        listed = {target.own_name for target in fresh.targets}
         lapsed = tuple(
             target
             for target in held.targets
-            if target.target_id not in listed
+            if target.own_name not in listed
+            and target.own_name not in unusable
             and target.state is model.TargetState.READY
         )
         return model.TargetList(fresh.revision, fresh.targets + lapsed)
--- a/libraries/zones/src/sardinepier/zones/reading.py
+++ b/libraries/zones/src/sardinepier/zones/reading.py
@@ -14,7 +14,13 @@
 from sardinepier.entry import published, services
 from sardinepier.platform import errors
 from sardinepier.telemetry import logs
-from sardinepier.zones import carriers, events, lapses, sharing
+from sardinepier.zones import (
+    carriers,
+    events,
+    lapses,
+    passed_over,
+    sharing,
+)
 
 _INTERVAL_S: Final = 0.9
 """Pace of readings. A target that leaves and a new configuration have to be
@@ -58,6 +64,7 @@
         self._shared = shared
         self._clock = clock
         self._random = random_source
+        self.passed_over = passed_over.PassedOver()
         self._failures = 0
         self._not_before_s = clock.monotonic_s()
         self._first_due_s = clock.monotonic_s()
@@ -106,12 +113,14 @@
         except errors.PlatformError as error:
             self._lost(error)
             return
+        self.passed_over.take(reading.unusable)
         if reading.configuration is not None:
             self._shared.take_configuration(reading.configuration)
         if not allow_stale:
             self._shared.take_targets(
                 reading.targets,
                 after_failures=self._failures > 0,
+                unusable=_names_of(reading.unusable),
             )
             self._regained()
         elif self._held.targets is None:
@@ -137,3 +146,9 @@
         if self._failures:
             logs.tell(events.PlatformRegained(failures=self._failures))
         self._failures = 0
+
+
+def _names_of(
+    unusable: tuple[published.UnusableEntry, ...],
+) -> frozenset[str]:
+    return frozenset(one.name for one in unusable if one.name is not None)
--- a/libraries/zones/src/sardinepier/zones/sharing.py
+++ b/libraries/zones/src/sardinepier/zones/sharing.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Final
 
 import msgspec
@@ -80,16 +80,19 @@
         fresh: model.TargetList,
         *,
         after_failures: bool,
+        unusable: Collection[str] = (),
     ) -> None:
         """Use a target list that was read, and pass on what is new of it.
 
         The others are told of each reading, so that they need not read.
+        ``unusable`` are the names of targets whose entries can't be read.
         """
         before = self._held.targets
         complete = self._guard.complete(
             before,
             fresh,
             after_failures=after_failures,
+            unusable=unusable,
         )
         if self._held.offer_targets(complete):
             self._to_all(messages.TargetsNews(complete, is_reading=True))
--- a/libraries/zones/tests/cover/test_zones_reading.py
+++ b/libraries/zones/tests/cover/test_zones_reading.py
@@ -2,7 +2,9 @@
 
 import pytest
 import zones_support as given
-from sardinepier.entry import model
+from sardinepier.entry import model, published
+from sardinepier.telemetry import logs
+from sardinepier.zones import events
 
 ONLY_T1 = frozenset((frozenset(('t1',)),))
 APPLY_S = 2.0
@@ -98,6 +100,49 @@
     assert newcomer.target_names == {'t1'}
 
 
+async def test_after_an_outage_no_older_start_is_kept(zone):
+    """One that is listed anew, or unreadable, has not merely lapsed."""
+    held = model.TargetList(
+        1,
+        tuple(
+            given.target(f'{name}@1', name=name, born_ms=1)
+            for name in ('t1', 't2', 't3')
+        ),
+    )
+    fresh = model.TargetList(
+        2,
+        (given.target('t1@2', name='t1', born_ms=2),),
+    )
+    guard = zone.daemons[0].guard
+    guard.complete(None, held, after_failures=False)
+    zone.clock.advance(5.0)
+    complete = guard.complete(
+        held,
+        fresh,
+        after_failures=True,
+        unusable={'t2'},
+    )
+    assert [one.target_id for one in complete.targets] == ['t1@2', 't3@1']
+
+
+async def test_an_unusable_entry_is_told_once(zone, monkeypatch):
+    told = []
+    monkeypatch.setattr(logs, 'tell', lambda line, **_: told.append(line))
+    change(zone)
+    zone.platform.unusable = (
+        published.UnusableEntry('servers/t9', 'not json', 't9'),
+    )
+    await zone.run(5.0)
+    readers = [one for one in zone.daemons if one.reading.passed_over.entries]
+    assert readers
+    assert told.count(
+        events.EntryUnusable(key='servers/t9', what='not json')
+    ) == len(readers)
+    zone.platform.unusable = ()
+    await zone.run(2.0)
+    assert events.EntryUsable(key='servers/t9') in told
+
+
 async def test_an_older_reading_changes_nothing(zone):
     change(zone, version=5)
     await zone.run(APPLY_S)
