Let the strongest instances of a zone carry it

Cause: which daemons carry a zone was drawn by hashing alone, and how many by requests a second. On the larger size of the new deployment instances differ by five in their processors and twenty in their links: links of five megabits got 90 kB answers, and everything queued behind them.

Change: each instance tells its processor and link with its membership entry. The strongest come first in the order of carriers, in steps of a doubling so that small differences change nothing, and there are as many as the weakest among them bears of the zone's requests and bytes, as callers choose at random.

--- a/libraries/daemon/src/sardinepier/daemon/entry_process.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_process.py
@@ -131,7 +131,7 @@
             self._carriers,
             self._services,
             self._guard,
-            zone_load.ZoneLoad(self._clock, lambda: self._activity.begun),
+            zone_load.ZoneLoad(self._clock, self._activity),
             self._clock,
             _tell_configuration,
         )
--- a/libraries/daemon/src/sardinepier/daemon/entry_settings.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_settings.py
@@ -4,6 +4,7 @@
 
 from sardinepier.core import ids
 from sardinepier.entry import dialect
+from sardinepier.membership import capacity as capacities
 from sardinepier.wire import messages
 
 
@@ -34,7 +35,8 @@
     platform asks whether this instance is ready, and ``metrics`` where its
     figures are read; the last three may be absent.
     ``seeds`` are the peer addresses of daemons to begin with. ``names``
-    are the headers in use.
+    are the headers in use. ``capacity`` is what the instance may use of its
+    processor and its link.
     """
 
     daemon_id: ids.DaemonId
@@ -48,3 +50,4 @@
     seeds: tuple[messages.PeerAddress, ...]
     bounds: EntryBounds
     names: dialect.HeaderNames
+    capacity: capacities.Capacity = capacities.USUAL
--- a/libraries/daemon/src/sardinepier/daemon/internal/entry_parts.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/entry_parts.py
@@ -96,6 +96,7 @@
         incarnation=0,
         state=members.MemberState.ALIVE,
         started_at_s=clock.monotonic_s(),
+        capacity=settings.capacity,
     )
     return membership.Membership(
         own,
--- a/libraries/entry/src/sardinepier/entry/accounts.py
+++ b/libraries/entry/src/sardinepier/entry/accounts.py
@@ -15,6 +15,9 @@
 from sardinepier.entry import work as works
 
 _NO_STATUS: Final = 0
+_HEAD_BYTES: Final = 1000
+"""Of the heads of a request and its answer with what their packets carry
+beside, as seen on loopback: some four hundred for either."""
 
 
 class Account:
@@ -41,6 +44,7 @@
             if answer.is_good
             else events.Outcome.TARGET_FAILED
         )
+        self._shared.activity.passed_bytes += len(answer.body)
         self._end(decisions.End(outcome, answer.status))
 
     def refused(self, error: core_errors.SardinepierError) -> None:
@@ -63,6 +67,8 @@
 
     def _end(self, end: decisions.End) -> None:
         names = self._shared.names
+        body_bytes = len(self.item.body) if self.item else 0
+        self._shared.activity.passed_bytes += _HEAD_BYTES + body_bytes
         request_id = self._request.headers.get(names.attempt_id, '')
         self._shared.decisions.ended(request_id, self.item, end)
         self._shared.measures.request_ended(
--- a/libraries/gateway/src/sardinepier/gateway/in_hand.py
+++ b/libraries/gateway/src/sardinepier/gateway/in_hand.py
@@ -8,6 +8,9 @@
 class InHand:
     """Counts work in hand, and all that was begun.
 
+    ``passed_bytes`` are those of requests and answers, each counted once by
+    whoever passes them on.
+
     Used as a context manager around each piece. For example::
 
         with in_hand:
@@ -19,6 +22,7 @@
         """Start with nothing in hand."""
         self.in_hand = 0
         self.begun = 0
+        self.passed_bytes = 0
         self.is_draining = False
         self._idle = asyncio.Event()
         self._idle.set()
--- a/libraries/membership/src/sardinepier/membership/internal/record.py
+++ b/libraries/membership/src/sardinepier/membership/internal/record.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from sardinepier.core import ids
+from sardinepier.membership import capacity as capacities
 from sardinepier.membership import kinds, members
 from sardinepier.wire import messages
 
@@ -25,6 +26,7 @@
     peer_address: messages.PeerAddress
     http_ip: str
     http_port: int
+    capacity: capacities.Capacity
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,6 +89,7 @@
         peer_address=member.peer_address,
         http_ip=member.http_ip,
         http_port=member.http_port,
+        capacity=member.capacity,
     )
     return Record(
         identity,
@@ -108,6 +111,7 @@
         peer_address=identity.peer_address,
         http_ip=identity.http_ip,
         http_port=identity.http_port,
+        capacity=identity.capacity,
         incarnation=record.incarnation,
         state=_state(record),
         started_at_s=record.started_at_s,
@@ -125,6 +129,7 @@
         peer_address=identity.peer_address,
         http_ip=identity.http_ip,
         http_port=identity.http_port,
+        capacity=identity.capacity,
         incarnation=record.incarnation,
         liveness=record.liveness,
         leaving=record.leaving,
@@ -145,6 +150,7 @@
         peer_address=update.peer_address,
         http_ip=update.http_ip,
         http_port=update.http_port,
+        capacity=update.capacity,
     )
     return Record(
         identity,
--- a/libraries/membership/src/sardinepier/membership/kinds.py
+++ b/libraries/membership/src/sardinepier/membership/kinds.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from sardinepier.core import ids
+from sardinepier.membership import capacity as capacities
 from sardinepier.membership import marks
 from sardinepier.wire import messages
 
@@ -42,6 +43,7 @@
     liveness: Liveness
     leaving: bool
     age_ms: _Count
+    capacity: capacities.Capacity = capacities.USUAL
 
 
 _Buckets = Annotated[
--- a/libraries/membership/src/sardinepier/membership/members.py
+++ b/libraries/membership/src/sardinepier/membership/members.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from sardinepier.core import errors, ids
+from sardinepier.membership import capacity as capacities
 from sardinepier.wire import messages
 
 _SEPARATOR: Final = '~'
@@ -30,7 +31,7 @@
     ``started_at_s`` estimates, on this process's monotonic clock, when the
     member started. It is late by the time that news took to get here, and
     never early. ``incarnation`` grows when the member refutes what others
-    claim about it.
+    claim about it. ``capacity`` is what it can do.
     """
 
     instance_id: ids.InstanceId
@@ -43,6 +44,7 @@
     incarnation: int
     state: MemberState
     started_at_s: float
+    capacity: capacities.Capacity = capacities.USUAL
 
 
 def daemon_of(instance_id: ids.InstanceId) -> ids.DaemonId:
--- a/libraries/membership/tests/cover/test_membership_record.py
+++ b/libraries/membership/tests/cover/test_membership_record.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from sardinepier.core import ids
-from sardinepier.membership import kinds
+from sardinepier.membership import capacity, kinds
 from sardinepier.membership.internal import record
 from sardinepier.wire import messages
 
@@ -17,6 +17,7 @@
     messages.PeerAddress('10.0.0.1', 7000),
     '10.0.0.1',
     8080,
+    capacity.Capacity(430, 5_000),
 )
 _RECORDS = st.builds(
     record.Record,
@@ -72,3 +73,15 @@
         early, incarnation=1, liveness=kinds.Liveness.ALIVE, started_at_s=70.0
     )
     assert record.merge(early, corrected).started_at_s == 70.0
+
+
+@given(st.integers(1, 2_000_000_000), st.integers(1, 2_000_000_000))
+def test_what_an_instance_can_do_travels_with_it(processor, link):
+    identity = dataclasses.replace(
+        _IDENTITY,
+        capacity=capacity.Capacity(processor, link),
+    )
+    held = record.Record(identity, 1, kinds.Liveness.ALIVE, False, 10.0)
+    told = record.from_update(record.to_update(held, 20.0), 20.0)
+    assert told.identity.capacity == identity.capacity
+    assert record.to_member(told).capacity == identity.capacity
--- a/libraries/zones/src/sardinepier/zones/carriers.py
+++ b/libraries/zones/src/sardinepier/zones/carriers.py
@@ -2,13 +2,14 @@
 
 Few daemons carry a zone, so that each sees enough requests to tell a failing
 target from bad luck, and as many as its traffic needs. They are the first of
-an order that all daemons have in common, and others take over when one goes.
+an order that all daemons have in common, the strongest before the others, and others take over when one goes.
 A carrier beats; one that falls silent is passed over at once, long before
 membership gives it up, and one that can't do its work hands it over.
 """
 
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
+from sardinepier.membership import capacity as capacities
 from sardinepier.membership import view
 from sardinepier.zones import fitness, order, ranking
 
@@ -45,9 +46,10 @@
         if self._first() == sender:
             self._count = count
 
-    def most(self) -> int:
-        """Return how many daemons could carry the own zone."""
-        return max(1, len(self._ranking.of_zone(self._fleet.own.zone)))
+    def capacities(self) -> tuple[capacities.Capacity, ...]:
+        """Return what those who could carry the own zone can do, in order."""
+        order = self._order.own_zone(self._count)
+        return tuple(member.capacity for member in order)
 
     def is_first(self) -> bool:
         """Tell whether this daemon decides for its zone."""
--- a/libraries/zones/src/sardinepier/zones/messages.py
+++ b/libraries/zones/src/sardinepier/zones/messages.py
@@ -23,11 +23,12 @@
     """What a carrier has to do.
 
     ``late_ms`` is how late its timers are, which grows when its processor
-    has no time left.
+    has no time left. ``kbit_per_s`` is what it passes on, each way.
     """
 
     requests_per_s: int = 0
     late_ms: int = 0
+    kbit_per_s: int = 0
 
 
 class ZoneBeat(messages.Message, frozen=True):
--- a/libraries/zones/src/sardinepier/zones/ranking.py
+++ b/libraries/zones/src/sardinepier/zones/ranking.py
@@ -1,8 +1,9 @@
 """The order in which the daemons of a zone are chosen to carry it.
 
-It is that of rendezvous hashing, so that all daemons that know the same
-members have the same order without an agreement, and a member that comes or
-goes changes no other one's place against the rest.
+The strongest come first, by what each tells of its processor and its link.
+Among equals the order is that of rendezvous hashing, so that all daemons that
+know the same members have the same order without an agreement, and a member
+that comes or goes changes no other one's place against the rest.
 """
 
 from collections.abc import Mapping
@@ -10,6 +11,7 @@
 
 from sardinepier.core import ids, rendezvous
 from sardinepier.membership import members, view
+from sardinepier.zones import strength
 
 Members = tuple[members.Member, ...]
 
@@ -46,4 +48,11 @@
 def _in_order(zone: ids.ZoneName, found: list[members.Member]) -> Members:
     by_name = {str(member.instance_id): member for member in found}
     order = rendezvous.first(_KEY.format(zone), by_name, len(found))
-    return tuple(by_name[name] for name in order)
+    ranked = [by_name[name] for name in order]
+    # Sorting keeps the order among those that are equally strong.
+    ranked.sort(key=_strength, reverse=True)
+    return tuple(ranked)
+
+
+def _strength(member: members.Member) -> int:
+    return strength.rank(member.capacity)
--- a/libraries/zones/src/sardinepier/zones/role.py
+++ b/libraries/zones/src/sardinepier/zones/role.py
@@ -36,7 +36,7 @@
     def _decide_number(self) -> None:
         """Let as many carry the zone as its traffic needs."""
         held = self._carriers.count
-        wanted = self.load.wanted(held, self._carriers.most())
+        wanted = self.load.wanted(held, self._carriers.capacities())
         if wanted != held:
             self._carriers.set_count(wanted)
             logs.tell(events.CarriersWanted(count=wanted, before=held))
--- a/libraries/zones/src/sardinepier/zones/zone_load.py
+++ b/libraries/zones/src/sardinepier/zones/zone_load.py
@@ -6,19 +6,13 @@
 """
 
 import math
-from collections.abc import Callable
-from typing import Final
+from collections.abc import Iterable, Sequence
+from typing import Final, Protocol
 
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
-from sardinepier.zones import messages
-
-_REQUESTS_A_CARRIER: Final = 110.0
-"""Requests a second that one daemon shall carry. Measured, a carrier that
-gets a hundred serves them without delay and one that gets twice as many on
-the smallest instances, of less than half a processor, no more. Where there
-is no need, a second carrier of a zone costs 0.02 to 0.05 of worth, since each
-sees less of every target."""
+from sardinepier.membership import capacity as capacities
+from sardinepier.zones import messages, strength
 
 _LATE_MS: Final = 30
 """A timer that is late by so much shows a daemon without any time left:
@@ -33,12 +27,29 @@
 bursts, and each change costs new connections to targets."""
 
 _SPARE: Final = 0.8
-"""Part of the room of one carrier less that the traffic may take."""
+"""Part of what the carriers can do that the traffic may take when there is one
+less of them."""
 
 _RATE_TIME_S: Final = 0.5
 _HEARD_S: Final = 1.0
 _LATE_SMOOTHING: Final = 0.3
 _MS_PER_S: Final = 1000
+_BITS: Final = 8
+_BITS_A_KBIT: Final = 1000
+
+
+class Traffic(Protocol):
+    """What a daemon has had to do since its start; numbers that only grow."""
+
+    @property
+    def begun(self) -> int:
+        """Return the requests."""
+        ...
+
+    @property
+    def passed_bytes(self) -> int:
+        """Return the bytes of requests and answers, each counted once."""
+        ...
 
 
 class ZoneLoad:
@@ -46,23 +57,25 @@
 
     For example::
 
-        load = ZoneLoad(clock, begun=lambda: activity.begun)
+        load = ZoneLoad(clock, activity)
         load.woke(late_s=0.002)
         told = load.own()  # goes out with the next beat
-        count = load.wanted(count, most=8)
+        count = load.wanted(count, carriers.capacities())
     """
 
     def __init__(
         self,
         clock: clocks.Clock,
-        begun: Callable[[], int],
+        traffic: Traffic,
     ) -> None:
-        """Take the number of requests since the start from ``begun``."""
+        """Take what passed since the start from ``traffic``."""
         self._clock = clock
-        self._begun = begun
-        self._begun_before = begun()
+        self._traffic = traffic
+        self._begun_before = traffic.begun
+        self._bytes_before = traffic.passed_bytes
         self._measured_s = clock.monotonic_s()
         self._requests_per_s = 0.0
+        self._kbit_per_s = 0.0
         self._late_ms = 0.0
         self._heard: dict[ids.InstanceId, tuple[float, messages.Load]] = {}
         self._next_growth_s = clock.monotonic_s()
@@ -76,22 +89,32 @@
     def own(self) -> messages.Load:
         """Return what this daemon tells of its load."""
         self._measure()
-        return messages.Load(round(self._requests_per_s), round(self._late_ms))
+        return messages.Load(
+            round(self._requests_per_s),
+            round(self._late_ms),
+            round(self._kbit_per_s),
+        )
 
     def heard(self, sender: ids.InstanceId, load: messages.Load) -> None:
         """Take in what another carrier tells of its load."""
         self._heard[sender] = (self._clock.monotonic_s(), load)
 
-    def wanted(self, count: int, most: int) -> int:
+    def wanted(
+        self,
+        count: int,
+        able: Sequence[capacities.Capacity],
+    ) -> int:
         """Return how many carriers there should be, now that there are some.
 
-        More come at once, as far as ``most``, and one after the other goes.
+        ``able`` is what those can do that may carry the zone, in the order in
+        which they are chosen. More come at once, and one after the other
+        goes.
         """
         now_s = self._clock.monotonic_s()
+        most = max(1, len(able))
         count = min(count, most)
         loads = self._loads(now_s)
-        total_per_s = sum(load.requests_per_s for load in loads)
-        needed = math.ceil(total_per_s / _REQUESTS_A_CARRIER)
+        needed = _needed(loads, able, 1.0)
         is_late = any(load.late_ms > _LATE_MS for load in loads)
         if is_late and now_s >= self._next_growth_s:
             needed = max(needed, count + 1)
@@ -102,7 +125,7 @@
             return needed
         if is_late or now_s < self._next_decrease_s or count == 1:
             return count
-        if total_per_s > _SPARE * _REQUESTS_A_CARRIER * (count - 1):
+        if _needed(loads, able, _SPARE) >= count:
             return count
         self._next_decrease_s = now_s + _KEPT_S
         return count - 1
@@ -120,9 +143,47 @@
         passed_s = now_s - self._measured_s
         if passed_s <= 0:
             return
-        begun = self._begun()
-        per_s = (begun - self._begun_before) / passed_s
         weight = 1 - math.exp(-passed_s / _RATE_TIME_S)
+        begun = self._traffic.begun
+        passed_bytes = self._traffic.passed_bytes
+        per_s = (begun - self._begun_before) / passed_s
+        bits = _BITS * (passed_bytes - self._bytes_before)
         self._requests_per_s += weight * (per_s - self._requests_per_s)
+        self._kbit_per_s += weight * (
+            bits / _BITS_A_KBIT / passed_s - self._kbit_per_s
+        )
         self._begun_before = begun
+        self._bytes_before = passed_bytes
         self._measured_s = now_s
+
+
+def _needed(
+    loads: Iterable[messages.Load],
+    able: Sequence[capacities.Capacity],
+    share: float,
+) -> int:
+    """Return the least number of carriers that bear ``loads`` together.
+
+    Callers choose at random among them, so that the weakest gets as much as
+    the strongest. ``share`` is how much of what each can do is used. Without
+    enough of them all have to carry.
+    """
+    known = list(loads)
+    requests_per_s = sum(load.requests_per_s for load in known)
+    kbit_per_s = sum(load.kbit_per_s for load in known)
+    weakest_requests_per_s = math.inf
+    weakest_kbit_per_s = math.inf
+    for place, capacity in enumerate(able, start=1):
+        weakest_requests_per_s = min(
+            weakest_requests_per_s,
+            share * strength.requests_per_s(capacity),
+        )
+        weakest_kbit_per_s = min(
+            weakest_kbit_per_s,
+            share * strength.kbit_per_s(capacity),
+        )
+        if requests_per_s > place * weakest_requests_per_s:
+            continue
+        if kbit_per_s <= place * weakest_kbit_per_s:
+            return place
+    return len(able)
--- a/libraries/zones/tests/cover/test_zones_carriers.py
+++ b/libraries/zones/tests/cover/test_zones_carriers.py
@@ -2,8 +2,9 @@
 
 import pytest
 import zones_support as given
+from sardinepier.membership import capacity
 from sardinepier.wire import memory_network
-from sardinepier.zones import fitness
+from sardinepier.zones import fitness, strength
 
 
 @pytest.fixture
@@ -309,3 +310,41 @@
 def find_way(daemon, *names):
     for name in names:
         daemon.held.pool(given.SERVICE).targets.find(name).reached()
+
+
+async def test_the_strongest_carry_and_others_only_without_them(zone):
+    """Unequal machines: links and processors differ by a factor of five."""
+    strong = capacity.Capacity(2150, 100_000)
+    weak = capacity.Capacity(430, 5_000)
+    zone = given.Zone(count=0)
+    zone.fleet.known = [
+        given.member(number, able=strong if number in {3, 7} else weak)
+        for number in range(12)
+    ]
+    zone.daemons = [given.Daemon(zone, own) for own in zone.fleet.known]
+    await zone.run(1.0)
+    first, second = zone.daemons[0].carriers._order.own_zone(2)[:2]
+    assert {first.capacity, second.capacity} == {strong}
+    for gone in (first, second):
+        zone.stop(zone.find(gone))
+        zone.fleet.drop(gone)
+    await zone.run(1.5)
+    left = {one.carriers.of_own_zone()[0].capacity for one in zone.living()}
+    assert left == {weak}
+
+
+def test_small_differences_of_strength_change_no_order():
+    ranks = {
+        strength.rank(capacity.Capacity(millis, 1_000_000))
+        for millis in (840, 860, 900)
+    }
+    assert len(ranks) == 1
+
+
+@pytest.mark.parametrize(
+    ('processor_millis', 'link_kbit_per_s'),
+    [(1, 1), (2_000_000_000, 1), (1, 2_000_000_000)],
+)
+def test_any_capacity_has_a_place(processor_millis, link_kbit_per_s):
+    able = capacity.Capacity(processor_millis, link_kbit_per_s)
+    assert isinstance(strength.rank(able), int)
--- a/libraries/zones/tests/zones_support.py
+++ b/libraries/zones/tests/zones_support.py
@@ -6,7 +6,7 @@
 from sardinepier.core import ids
 from sardinepier.entry import model, published, services
 from sardinepier.health import belief
-from sardinepier.membership import members
+from sardinepier.membership import capacity, members
 from sardinepier.platform import errors
 from sardinepier.wire import memory_network, messages
 from sardinepier.zones import (
@@ -19,6 +19,8 @@
 from sardinepier.zones import messages as zone_messages
 
 SERVICE = ids.ServiceName('books')
+HALF_A_CORE = capacity.Capacity(processor_millis=500)
+"""What 110 requests a second take."""
 
 
 def target(target_id, state=model.TargetState.READY, **changed):
@@ -42,7 +44,7 @@
     return model.ServedConfiguration(version, (), ())
 
 
-def member(number, zone='z1'):
+def member(number, zone='z1', able=HALF_A_CORE):
     name = f'{zone}-{number}'
     return members.Member(
         instance_id=ids.InstanceId(f'{name}~{number:016x}'),
@@ -55,6 +57,7 @@
         incarnation=0,
         state=members.MemberState.ALIVE,
         started_at_s=0.0,
+        capacity=able,
     )
 
 
@@ -129,6 +132,7 @@
     def __init__(self, zone, own):
         self.own = own
         self.begun = 0
+        self.passed_bytes = 0
         self.per_s = 0
         self.clock = zone.clock
         self.held = services.Services(
@@ -151,7 +155,7 @@
             self.carriers,
             self.held,
             self.guard,
-            zone_load.ZoneLoad(zone.clock, lambda: self.begun),
+            zone_load.ZoneLoad(zone.clock, self),
             zone.clock,
             lambda taken: None,
         )
--- a/tests/adapter/test_adapter_settings.py
+++ b/tests/adapter/test_adapter_settings.py
@@ -1,6 +1,7 @@
 """The platform's settings file, and what is wrong with bad ones."""
 
 import pytest
+from sardinepier.membership import capacity
 from sardinepier.wire import messages
 from sardinepier_adapter import errors, settings_file
 
@@ -95,3 +96,29 @@
 def test_a_file_that_is_not_there_is_said_to_be():
     with pytest.raises(errors.SettingsFileError, match='SARDINEPIER_BOOT'):
         settings_file.read('/nowhere/node.conf')
+
+
+def test_what_the_instance_may_use_is_told(tmp_path):
+    limits = 'limits.cpu_share=0.717\nlimits.cores=3\nlimits.link_mbps=5.5\n'
+    fields = read(tmp_path, TEXT + limits)
+    found = settings_file.entry_settings_of(fields)
+    assert found.capacity == capacity.Capacity(2151, 5500)
+
+
+def test_without_limits_an_instance_is_a_usual_one(tmp_path):
+    found = settings_file.entry_settings_of(read(tmp_path, TEXT))
+    assert found.capacity == capacity.USUAL
+
+
+@pytest.mark.parametrize('stated', ['0', '-3', '1e-9'])
+def test_a_limit_of_nothing_is_the_least(tmp_path, stated):
+    fields = read(tmp_path, f'{TEXT}limits.link_mbps={stated}\n')
+    found = settings_file.entry_settings_of(fields)
+    assert found.capacity.link_kbit_per_s == 1
+
+
+@pytest.mark.parametrize('stated', ['fast', 'nan', 'inf'])
+def test_a_limit_that_is_no_number_is_refused(tmp_path, stated):
+    fields = read(tmp_path, f'{TEXT}limits.link_mbps={stated}\n')
+    with pytest.raises(errors.SettingsFileError):
+        settings_file.entry_settings_of(fields)
