Emulate the decisions of entry instances in virtual time

Change: the real choice, queue, forwarding, racing, budget and sharing of beliefs run on a loop whose time jumps to the next timer, against targets with slots, queues and noise of a stated share, length and manner.

--- a/libraries/workbench/src/sardinepier/workbench/main.py
+++ b/libraries/workbench/src/sardinepier/workbench/main.py
@@ -20,6 +20,7 @@
     ('faults',): 'drive the table of faults over real processes',
     ('experiment', 'detection'): 'detection time against false ejections',
     ('experiment', 'load'): 'ways to spread load',
+    ('policy',): 'play the decisions of entry instances in virtual time',
     ('capacity',): 'measure the slopes of the capacity page',
 }
 
--- /dev/null
+++ b/libraries/workbench/src/sardinepier/workbench/policy/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions of entry instances, played in virtual time without sockets."""
--- /dev/null
+++ b/libraries/workbench/src/sardinepier/workbench/policy/play.py
@@ -0,0 +1,211 @@
+"""One emulated run: callers, daemons, targets and what disturbs them."""
+
+import asyncio
+import math
+import random
+from typing import Final
+
+from sardinepier.core import errors as core_errors
+from sardinepier.core import ids
+from sardinepier.entry import model, refusals, work
+from sardinepier.wire import memory_network
+from sardinepier.workbench.policy import (
+    client,
+    daemons,
+    scenario,
+    tally,
+    targets,
+    virtual_loop,
+)
+from sardinepier.zones import messages as zone_messages
+
+_GOOD: Final = 500
+_FINGERPRINTS: Final = 1e12
+
+
+class Play:
+    """One run of a scenario; arrivals and work are the same for a seed."""
+
+    def __init__(self, setup: scenario.Scenario, seed: int) -> None:
+        """Prepare; must be made on a running virtual loop."""
+        self.counts = tally.Tally()
+        self._setup = setup
+        self._loop = asyncio.get_running_loop()
+        self._seed = seed
+        self._targets = targets.make(setup, random.Random(seed + 1))
+        self._hub = memory_network.MemoryHub(
+            zone_messages.KINDS,
+            virtual_loop.VirtualClock(self._loop),
+            random.Random(seed + 2),
+            automatic=True,
+        )
+        self._hub.faults = memory_network.LinkFaults(
+            delay_s=setup.cross_zone_s,
+        )
+        self._known = [
+            daemons.member_of(number, zone)
+            for number, zone in enumerate(setup.zones)
+        ]
+        self._daemons: dict[str, daemons.EmulatedDaemon] = {}
+        self._is_down = False
+        self._eagerness = 1.0
+        self._requests: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> tally.Tally:
+        """Play all of it and return what callers got."""
+        self._start_daemons()
+        async with asyncio.TaskGroup() as group:
+            for disturbance in self._setup.disturbances:
+                group.create_task(self._disturb(disturbance))
+            for number, one in enumerate(self._setup.classes):
+                for place, zone in enumerate(self._setup.zones):
+                    seed = hash((self._seed, number, place))
+                    group.create_task(
+                        self._arrive(one, zone, random.Random(seed)),
+                    )
+        await asyncio.gather(*self._requests)
+        self._stop_daemons()
+        return self.counts
+
+    def _start_daemons(self) -> None:
+        self._is_down = False
+        for number, member in enumerate(self._known):
+            self._daemons[member.zone] = daemons.EmulatedDaemon(
+                self._setup,
+                daemons.FleetView(self._known, member),
+                self._hub,
+                self._targets,
+                random.Random(hash((self._seed, number))),
+            )
+
+    def _stop_daemons(self) -> None:
+        self._is_down = True
+        for daemon in self._daemons.values():
+            daemon.stop()
+
+    async def _arrive(
+        self,
+        one: scenario.RequestClass,
+        zone: str,
+        drawn: random.Random,
+    ) -> None:
+        per_s = one.per_s / len(self._setup.zones)
+        mu = math.log(one.work_s) - one.spread**2 / 2
+        while self._loop.time() < self._setup.duration_s:
+            gap_s = drawn.expovariate(per_s)
+            await asyncio.sleep(gap_s / self._eagerness)
+            work_s = drawn.lognormvariate(mu, one.spread)
+            task = asyncio.ensure_future(self._request(one, zone, work_s))
+            self._requests.add(task)
+            task.add_done_callback(self._requests.discard)
+
+    async def _request(
+        self,
+        one: scenario.RequestClass,
+        zone: str,
+        work_s: float,
+    ) -> None:
+        sent_s = self._loop.time()
+        credit = 0.0
+        is_refused = False
+        daemon = self._daemons[zone]
+        if not self._is_down:
+            try:
+                answer = await daemon.forward(_work(one, sent_s, work_s))
+            except core_errors.SardinepierError as error:
+                is_refused = isinstance(error, refusals.NotRunError)
+            else:
+                if answer.status < _GOOD and daemon is self._daemons[zone]:
+                    is_late = self._loop.time() - sent_s > one.aim_s
+                    credit = one.late_worth if is_late else one.worth
+        self.counts.add(
+            one.name,
+            sent_s,
+            credit,
+            one.worth,
+            is_refused=is_refused,
+        )
+
+    async def _disturb(self, one: scenario.Disturbance) -> None:
+        await asyncio.sleep(one.at_s)
+        if one.kind is scenario.Trouble.RESTART:
+            self._stop_daemons()
+            await asyncio.sleep(one.for_s)
+            self._start_daemons()
+        elif one.kind is scenario.Trouble.BURST:
+            self._eagerness = one.strength
+            await asyncio.sleep(one.for_s)
+            self._eagerness = 1.0
+        else:
+            await self._harm(one)
+
+    async def _harm(self, one: scenario.Disturbance) -> None:
+        of_service = [
+            target
+            for target in self._targets
+            if target.listed.service == one.service
+        ]
+        harmed = of_service[:: max(1, round(1 / one.share))]
+        for target in harmed:
+            _set(target, one.kind, one.strength)
+        await asyncio.sleep(one.for_s)
+        for target in harmed:
+            _set(target, one.kind, None)
+
+
+def _set(
+    target: targets.Target,
+    kind: scenario.Trouble,
+    strength: float | None,
+) -> None:
+    """Harm a target by ``strength``, or with None end the harm."""
+    if kind is scenario.Trouble.SHED:
+        target.sheds = strength or 0.0
+    elif kind is scenario.Trouble.SLOW:
+        target.slowness = strength or 1.0
+    else:
+        target.is_gone = strength is not None
+
+
+def _work(
+    one: scenario.RequestClass,
+    sent_s: float,
+    work_s: float,
+) -> work.Work:
+    kind = model.RouteKind.NON_IDEMPOTENT
+    if one.repeatable:
+        kind = model.RouteKind.IDEMPOTENT
+    service = ids.ServiceName(one.service)
+    return work.Work(
+        request_id='',
+        method='GET',
+        path='/',
+        headers=[(client.WORK_HEADER, str(work_s))],
+        body=b'',
+        route=model.Route(
+            name=ids.RouteName(one.name),
+            host='',
+            prefix='/',
+            kind=kind,
+            shares=(model.ServiceShare(service, 1.0),),
+            timeout_s=one.deadline_s,
+            target_latency_s=one.aim_s,
+            priority=one.priority,
+            max_attempts=one.max_attempts,
+        ),
+        service=service,
+        arrived_s=sent_s,
+        caller_deadline_s=sent_s + one.deadline_s,
+        deadline_s=sent_s + one.deadline_s,
+        # Each is a request of its own: none is taken for one that crashes.
+        fingerprint=int(work_s * _FINGERPRINTS),
+    )
+
+
+def play(setup: scenario.Scenario, seed: int) -> tally.Tally:
+    """Play a scenario in virtual time and return what callers got."""
+    return virtual_loop.run(_play(setup, seed))
+
+
+async def _play(setup: scenario.Scenario, seed: int) -> tally.Tally:
+    return await Play(setup, seed).run()
--- /dev/null
+++ b/libraries/workbench/src/sardinepier/workbench/policy/virtual_loop.py
@@ -0,0 +1,74 @@
+"""An event loop whose time jumps to the next timer instead of passing.
+
+What runs on it takes no real time but that of the processor, and the same
+seeds give the same run. Nothing on it may wait for a socket or a thread.
+"""
+
+import asyncio
+import selectors
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+from sardinepier.core import errors
+
+Result = TypeVar('Result')
+_MS_PER_S = 1000
+
+
+class StalledError(errors.SardinepierError):
+    """All tasks wait, and no timer would ever wake one."""
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """A loop that starts at zero seconds."""
+
+    def __init__(self) -> None:
+        """Begin without tasks."""
+        self.now_s = 0.0
+        super().__init__(_JumpingSelector(self))
+
+    def time(self) -> float:
+        """Return the virtual time in seconds."""
+        return self.now_s
+
+
+class VirtualClock:
+    """The clock of everything that runs on a virtual loop."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Tell the time of ``loop``."""
+        self._loop = loop
+
+    def monotonic_s(self) -> float:
+        """Return the loop's seconds."""
+        return self._loop.time()
+
+    def wall_ms(self) -> int:
+        """Return the loop's milliseconds."""
+        return int(self._loop.time() * _MS_PER_S)
+
+
+class _JumpingSelector(selectors.SelectSelector):
+    """Takes a wait for time that has passed."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        super().__init__()
+        self._loop = loop
+
+    def select(
+        self,
+        timeout: float | None = None,
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        if timeout is None:
+            raise StalledError(
+                'All tasks wait for something that nothing will bring',
+                'Give each wait of the emulated parts a deadline',
+            )
+        self._loop.now_s += max(0.0, timeout)
+        return []
+
+
+def run(main: Coroutine[Any, Any, Result]) -> Result:
+    """Run ``main`` to its end on a new virtual loop."""
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        return runner.run(main)
