Leave no target idle, try doubted ones with what may be repeated, serve late waiters last

Cause: requests gather on the surest targets. And while sure targets are full, whoever waited longest got each slot, so that all answers came late.

Ruled out: a wait for sure targets until the deadline by requests whose failure is final.

Change: a target of the own zone that was idle for 0.4 s gets an attempt which another may follow, one that was doubted for a second likewise; others go there after 1.7 s, if the chance of failure is below that of an unknown target. Second attempts go to the surest target only. Waiters whose best time is over wait behind the others.

--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -107,14 +107,16 @@
     ) -> target_record.TargetRecord:
         item.require_time(self._shared.clock)
         self._shared.quarantine.admit(item.fingerprint)
+        wish = _wish(item, pool, history)
         try:
             return await pool.acquire(
                 admission.Work(
                     item.route.priority,
                     item.deadline_s,
                     takes_any=not history.tried,
+                    best_begun_by_s=_best_begun_by_s(item, pool),
                 ),
-                _wish(item, history),
+                wish,
             )
         except BaseException:
             self._shared.quarantine.released(item.fingerprint)
@@ -149,7 +151,7 @@
             return None
         if item.left_s(self._shared.clock) <= pool.usual_s:
             return None
-        record = pool.try_acquire(_wish(item, history))
+        record = pool.try_acquire(_wish(item, pool, history))
         if record is None:
             return None
         if not pool.retry_budget.try_spend():
@@ -192,16 +194,47 @@
         return answer
 
 
-def _wish(item: works.Work, history: _History) -> wishes.Wish:
+def _wish(
+    item: works.Work,
+    pool: service_pool.ServicePool,
+    history: _History,
+) -> wishes.Wish:
     patience_s = _PATIENCE * item.route.target_latency_s
     return wishes.Wish(
         history.tried,
         len(item.body),
         item.arrived_s,
         item.arrived_s + patience_s,
+        is_last=not _may_follow(item, pool, history),
     )
 
 
+def _best_begun_by_s(
+    item: works.Work,
+    pool: service_pool.ServicePool,
+) -> float:
+    """Return until when an attempt may begin and still be in time.
+
+    The usual work of the service is that of all its routes: one that aims at
+    less is taken to need half of what it aims at.
+    """
+    aim_s = item.route.target_latency_s
+    return item.arrived_s + aim_s - min(pool.usual_s, aim_s / 2)
+
+
+def _may_follow(
+    item: works.Work,
+    pool: service_pool.ServicePool,
+    history: _History,
+) -> bool:
+    """Tell whether an attempt that fails now may be followed by another."""
+    if not item.route.is_idempotent:
+        return False
+    if history.ran + 1 >= item.route.max_attempts:
+        return False
+    return pool.retry_budget.has_room()
+
+
 def _note(history: _History, error: errors.GatewayError) -> None:
     if isinstance(error, errors.UnknownFateError):
         history.failure = error
--- a/libraries/entry/src/sardinepier/entry/overlooked.py
+++ b/libraries/entry/src/sardinepier/entry/overlooked.py
@@ -5,13 +5,14 @@
 fail elsewhere for want of sound targets.
 """
 
+import dataclasses
 import math
 from collections.abc import Iterable
 from typing import Final
 
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
-from sardinepier.entry import target_record
+from sardinepier.entry import preference, target_record
 
 _UNUSED_AFTER_S: Final = 2.0
 """A target that got nothing for so long after it came is tried next."""
@@ -20,6 +21,19 @@
 """While requests fail, no target is left idle for longer: the users allow
 two seconds of it."""
 
+_IDLE_TRIAL_S: Final = 0.4
+"""An attempt that another one may follow costs little when it fails, so that
+it goes to a target that was idle for so long at any time. Failures may come
+all at once, when a site loses power, too late to spread requests then."""
+
+_LONGEST_IDLE_S: Final = 1.7
+"""Where no such attempt came by, others go there just in time."""
+
+_DOUBTED_S: Final = 1.0
+"""Pace of trials of a target that failed. While it fails each costs a hundredth
+of a second and a repeat; the sooner it is known to be sound, the more there is
+for others."""
+
 _FAILING_SHARE: Final = 0.07
 """Share of failed attempts from which targets are not left idle: the users
 allow a tenth of the requests to fail while some are. On calm days two to four
@@ -28,6 +42,10 @@
 _MOST_CHANCE: Final = 0.5
 """A target that fails more likely than not is no help."""
 
+_MOST_LAST_CHANCE: Final = 0.3
+"""The same for an attempt whose failure is final, while few fail: just above
+the chance of a target of which nothing is known."""
+
 _MEMORY_S: Final = 2.0
 _ENOUGH: Final = 4.0
 """Attempts within the memory below which their share says little."""
@@ -78,18 +96,70 @@
     return None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Turn:
+    """When an idle target has its turn.
+
+    It was idle for ``idle_s`` and fails with a chance below ``most_chance``.
+    """
+
+    idle_s: float
+    most_chance: float
+
+
+def turn(*, is_last: bool, are_many_failing: bool) -> Turn:
+    """Return when a target has its turn with the attempt at hand.
+
+    ``is_last`` says that a failure of the attempt would be final.
+    """
+    if not is_last:
+        return Turn(_IDLE_TRIAL_S, _MOST_CHANCE)
+    if are_many_failing:
+        return Turn(_IDLE_S, _MOST_CHANCE)
+    return Turn(_LONGEST_IDLE_S, _MOST_LAST_CHANCE)
+
+
+def doubted(
+    free: Iterable[target_record.TargetRecord],
+    situation: preference.Situation,
+) -> target_record.TargetRecord | None:
+    """Return the target of the own zone that was doubted for longest.
+
+    Nobody sent it anything for a while, so that it may be sound by now.
+    """
+    now_s = situation.now_s
+    idle = [
+        record
+        for record in free
+        if record.listed.zone == situation.zone
+        and now_s - record.seen_used_s() > _DOUBTED_S
+    ]
+    return min(
+        idle,
+        key=target_record.TargetRecord.seen_used_s,
+        default=None,
+    )
+
+
 def neglected(
     free: Iterable[target_record.TargetRecord],
-    zone: ids.ZoneName,
-    now_s: float,
-    usual_s: float,
+    situation: preference.Situation,
+    due: Turn,
 ) -> target_record.TargetRecord | None:
-    """Return the target of ``zone`` that has been idle for longest."""
+    """Return the target of the own zone that has been idle for longest.
+
+    Whoever of the zone used it counts.
+    """
+    now_s = situation.now_s
     idle = [
         record
         for record in free
-        if record.listed.zone == zone
-        and now_s - record.last_used_s > _IDLE_S
-        and record.failure_chance(now_s, usual_s) < _MOST_CHANCE
+        if record.listed.zone == situation.zone
+        and now_s - record.seen_used_s() > due.idle_s
+        and record.failure_chance(now_s, situation.usual_s) < due.most_chance
     ]
-    return min(idle, key=lambda record: record.last_used_s, default=None)
+    return min(
+        idle,
+        key=target_record.TargetRecord.seen_used_s,
+        default=None,
+    )
--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -225,7 +225,7 @@
             preference.zone_cost(wish.body_bytes + self._usual_bytes),
             shares_zone=self.shares_zone,
         )
-        chosen = self._overlooked(free, now_s) or preference.surest(
+        chosen = self._overlooked(free, wish, situation) or preference.surest(
             free,
             wanted,
             wish.tolerance(now_s),
@@ -252,18 +252,23 @@
     def _overlooked(
         self,
         free: list[target_record.TargetRecord],
-        now_s: float,
+        wish: wishes.Wish,
+        situation: preference.Situation,
     ) -> target_record.TargetRecord | None:
         """Return a target that has its turn whoever is surest."""
-        found = overlooked.unused(free, self._zone, now_s)
-        if found is None and self._recent.are_many():
-            return overlooked.neglected(
-                free,
-                self._zone,
-                now_s,
-                self.usual_s,
-            )
-        return found
+        if wish.tried:
+            return None
+        found = overlooked.unused(free, self._zone, situation.now_s)
+        if not wish.is_last:
+            found = found or overlooked.doubted(free, situation)
+        return found or overlooked.neglected(
+            free,
+            situation,
+            overlooked.turn(
+                is_last=wish.is_last,
+                are_many_failing=self._recent.are_many(),
+            ),
+        )
 
     def _give_back(self, target_id: ids.TargetId) -> None:
         record = self.targets.find(target_id)
--- a/libraries/entry/src/sardinepier/entry/target_record.py
+++ b/libraries/entry/src/sardinepier/entry/target_record.py
@@ -83,6 +83,10 @@
     failed_connects: int = 0
     avoided_until_s: float = 0.0
 
+    def seen_used_s(self) -> float:
+        """Return when it was last known to get, or to answer, a request."""
+        return max(self.last_used_s, self.belief.updated_s)
+
     def in_flight(self, now_s: float) -> int:
         """Return the requests it has: our own, and others' where known."""
         own = len(self.started_s) + self.reserved
--- a/libraries/entry/src/sardinepier/entry/wishes.py
+++ b/libraries/entry/src/sardinepier/entry/wishes.py
@@ -19,13 +19,15 @@
 
     ``tried`` had it already. It is worth a wait until ``patient_until_s``,
     counted from ``since_s``, to get a target that is surer than those with a
-    free slot.
+    free slot. ``is_last`` says that a failure would be final: this attempt
+    can't be followed by another one elsewhere.
     """
 
     tried: Collection[ids.TargetId]
     body_bytes: int
     since_s: float
     patient_until_s: float
+    is_last: bool = False
 
     def tolerance(self, now_s: float) -> float:
         """Return by how much the target may be worse than the best one."""
--- a/libraries/routing/src/sardinepier/routing/waiting_line.py
+++ b/libraries/routing/src/sardinepier/routing/waiting_line.py
@@ -16,7 +16,7 @@
 from sardinepier.routing import errors
 from sardinepier.routing.internal import checks, refusals, wait_estimate
 
-_Rank = tuple[int, float, int]
+_Rank = tuple[bool, int, float, int]
 
 _CAUTION: Final = 1.5
 """The wait that is allowed for is so many times the likely one.
@@ -31,7 +31,8 @@
     """What the line must know of a request.
 
     The lower ``priority``, the sooner its turn. ``deadline_s`` is a reading
-    of the local monotonic clock by which the answer must be there.
+    of the local monotonic clock by which the answer must be there. If it
+    begins after ``best_begun_by_s`` its answer comes late and is worth less.
     ``takes_any`` is true when the request would take any free target: when
     it gets none, nobody behind it gets one, and the search ends. Leave it
     false for a request which refuses some targets, such as a second attempt.
@@ -40,6 +41,7 @@
     priority: int
     deadline_s: float
     takes_any: bool = False
+    best_begun_by_s: float = math.inf
 
 
 class Waiter(Protocol):
@@ -91,6 +93,7 @@
         self._places: list[_Place] = []
         self._arrivals = 0
         self._estimate = wait_estimate.WaitEstimate()
+        self._next_late_s = math.inf
 
     def __len__(self) -> int:
         """Return how many wait now."""
@@ -118,33 +121,26 @@
             if target_id is not None:
                 waiter.grant(target_id)
                 return
-        place = _Place(self._rank(waiter.work), waiter)
+        is_late = self._clock.monotonic_s() >= waiter.work.best_begun_by_s
+        place = _Place(self._rank(waiter.work, is_late=is_late), waiter)
         ahead = bisect.bisect(self._places, place.rank, key=_rank_of)
         if self._is_too_late(waiter.work, ahead):
             waiter.refuse(self._refusals.late(self._likely_wait_s()))
         elif self._make_room(waiter):
             self._places.insert(ahead, place)
+            self._expect_late(place)
 
     def leave(self, waiter: Waiter) -> None:
         """Take out a waiter that was cancelled. Unknown ones are ignored."""
-        work = waiter.work
-        position = bisect.bisect(
-            self._places,
-            (work.priority, work.deadline_s, 0),
-            key=_rank_of,
-        )
-        while position < len(self._places):
-            place = self._places[position]
+        for position, place in enumerate(self._places):
             if place.waiter is waiter:
                 self._places.pop(position)
                 return
-            if place.rank[:2] != (work.priority, work.deadline_s):
-                return
-            position += 1
 
     def serve(self) -> None:
         """Refuse whom the deadline beats, then hand out the free slots."""
         self._refuse_hopeless()
+        self._put_late_ones_behind()
         position = 0
         while position < len(self._places):
             waiter = self._places[position].waiter
@@ -160,9 +156,35 @@
         if not self._places:
             self._estimate.emptied()
 
-    def _rank(self, work: Work) -> _Rank:
+    def _rank(self, work: Work, *, is_late: bool) -> _Rank:
         self._arrivals += 1
-        return (work.priority, work.deadline_s, self._arrivals)
+        return (is_late, work.priority, work.deadline_s, self._arrivals)
+
+    def _expect_late(self, place: _Place) -> None:
+        if not place.rank[0]:
+            late_s = place.waiter.work.best_begun_by_s
+            self._next_late_s = min(self._next_late_s, late_s)
+
+    def _put_late_ones_behind(self) -> None:
+        """Let those whose best time is over wait behind all others.
+
+        Under overload whoever waits longest would else get each slot, and all
+        answers would come late: those that still come in time earn more.
+        """
+        now_s = self._clock.monotonic_s()
+        if now_s < self._next_late_s:
+            return
+        self._next_late_s = math.inf
+        late = []
+        kept = []
+        for place in self._places:
+            has_passed = now_s >= place.waiter.work.best_begun_by_s
+            if has_passed and not place.rank[0]:
+                late.append(_Place((True, *place.rank[1:]), place.waiter))
+            else:
+                kept.append(place)
+                self._expect_late(place)
+        self._places = sorted((*kept, *late), key=_rank_of)
 
     def _is_too_late(self, work: Work, ahead: int) -> bool:
         now_s = self._clock.monotonic_s()
@@ -174,8 +196,8 @@
             return True
         # An earlier deadline alone displaces nobody: equal callers would
         # push each other out in turn, and none would be served.
-        last = self._places[-1].rank[0] if self._places else None
-        if last is None or waiter.work.priority >= last:
+        last = self._places[-1].rank[:2] if self._places else None
+        if last is None or (False, waiter.work.priority) >= last:
             error = self._refusals.full(self._likely_wait_s(), self._length)
             waiter.refuse(error)
             return False
@@ -188,23 +210,23 @@
     def _refuse_hopeless(self) -> None:
         """Refuse whom the deadline beats.
 
-        Within a priority the earliest deadline comes first, so only the first
-        of each priority needs a look.
+        Within a rank the earliest deadline comes first, so only the first of
+        each needs a look.
         """
         now_s = self._clock.monotonic_s()
         position = 0
         while position < len(self._places):
-            work = self._places[position].waiter.work
-            if now_s < self.give_up_s(work):
-                position = self._first_after(work.priority)
+            place = self._places[position]
+            if now_s < self.give_up_s(place.waiter.work):
+                position = self._first_after(place.rank)
             else:
                 late = self._places.pop(position)
                 late.waiter.refuse(self._refusals.late(self._likely_wait_s()))
 
-    def _first_after(self, priority: int) -> int:
+    def _first_after(self, rank: _Rank) -> int:
         return bisect.bisect(
             self._places,
-            (priority, math.inf, 0),
+            (rank[0], rank[1], math.inf, 0),
             key=_rank_of,
         )
 
