Pass large answers on as they come, and bound what is held of all answers

Cause: each answer was read whole before its first byte went on; two hundred slow callers of half a megabyte each hold more than half of the memory of the smallest instances, and one endless answer takes all of it.

Change: an answer of up to a megabyte is read whole, as long as 32 megabytes of answers are not held together; from there on the bound falls to 64 kB. Beyond it the rest goes on as it comes: the target is read as fast as its caller reads, its slot is taken until the last byte, a break or silence resets the caller's connection, and the caller's deadline ends it. What breaks within the bound is still repeated elsewhere, unseen.

Resident memory and p99 with such callers: not measured.

--- a/libraries/daemon/src/sardinepier/daemon/internal/entry_parts.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/entry_parts.py
@@ -10,6 +10,7 @@
     context,
     decisions,
     dialect,
+    held_bytes,
     measures,
     services,
 )
@@ -75,6 +76,7 @@
         activity=counted,
         decisions=decisions.Decisions(held, clock),
         measures=measures.Measures(),
+        held_bytes=held_bytes.HeldBytes(),
     )
 
 
--- a/libraries/entry/src/sardinepier/entry/accounts.py
+++ b/libraries/entry/src/sardinepier/entry/accounts.py
@@ -44,7 +44,7 @@
             if answer.is_good
             else events.Outcome.TARGET_FAILED
         )
-        self._shared.activity.passed_bytes += len(answer.body)
+        self._shared.activity.passed_bytes += answer.length_bytes
         self._end(decisions.End(outcome, answer.status))
 
     def refused(self, error: core_errors.SardinepierError) -> None:
--- a/libraries/entry/src/sardinepier/entry/answers.py
+++ b/libraries/entry/src/sardinepier/entry/answers.py
@@ -1,4 +1,4 @@
-"""A target's answer, read whole and checked before any of it is passed on."""
+"""A target's answer, read and checked before any of it is passed on."""
 
 import dataclasses
 from typing import Final
@@ -6,7 +6,7 @@
 import multidict
 from aiohttp import client_exceptions, client_reqrep
 
-from sardinepier.entry import dialect
+from sardinepier.entry import answer_rest, dialect
 from sardinepier.gateway import errors, headers
 
 Headers = multidict.CIMultiDictProxy[str]
@@ -18,20 +18,36 @@
 _SHED_RETRY_AFTER_S: Final = 0.2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, weakref_slot=True)
 class Answer:
-    """What a target answered, whole."""
+    """What a target answered.
+
+    ``body`` is all of it, unless there is a ``rest``.
+    """
 
     status: int
     reason: str | None
     headers: headers.Pairs
     body: bytes
+    rest: answer_rest.AnswerRest | None = None
 
     @property
     def is_good(self) -> bool:
         """Tell whether the target did what was asked or explains why not."""
         return self.status < _FIRST_FAILURE
 
+    @property
+    def length_bytes(self) -> int:
+        """Return the length of the whole answer, as far as it is known."""
+        if self.rest is None or self.rest.length_bytes is None:
+            return len(self.body)
+        return self.rest.length_bytes
+
+    def close(self) -> None:
+        """Give the answer up; it is not passed on."""
+        if self.rest is not None:
+            self.rest.close()
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
@@ -49,20 +65,18 @@
 async def read(
     response: client_reqrep.ClientResponse,
     names: dialect.HeaderNames,
+    most_bytes: int,
+    deadline_s: float,
 ) -> Answer:
-    """Return the whole answer.
+    """Return the answer, whole if it has no more than ``most_bytes``.
 
-    Raises ``ShedError`` and ``OtherTargetError`` when the target says that
-    the request did not run, ``TruncatedAnswerError`` when the answer is not
-    whole and ``BadAnswerError`` when it is not the target's own.
+    The rest of a longer one may be read until ``deadline_s``, a time of the
+    event loop. Raises ``ShedError`` and ``OtherTargetError`` when the target
+    says that the request did not run, ``TruncatedAnswerError`` when the
+    answer is not whole and ``BadAnswerError`` when it is not the target's
+    own, or tells of a failure at great length.
     """
-    try:
-        body = await response.content.read()
-    except (client_exceptions.ClientError, OSError) as error:
-        raise errors.TruncatedAnswerError(
-            f"The target's answer ended before it was whole ({error!r})",
-            'Find out whether the request ran before sending it anew',
-        ) from error
+    body, is_whole = await _beginning(response, most_bytes)
     _refuse_not_run(response, names)
     is_success = response.status < _FIRST_OTHER
     if is_success and names.signature not in response.headers:
@@ -70,14 +84,40 @@
             f'An answer {response.status} came without the proof of a target',
             'Find out whether the request ran before sending it anew',
         )
+    if not is_whole and response.status >= _FIRST_FAILURE:
+        raise errors.BadAnswerError(
+            f'The target failed with {response.status} and over '
+            f'{most_bytes} bytes',
+            'Let the target tell of failures in few words',
+        )
     return Answer(
         response.status,
         response.reason,
         headers.for_caller(response.headers),
         body,
+        None if is_whole else answer_rest.AnswerRest(response, deadline_s),
     )
 
 
+async def _beginning(
+    response: client_reqrep.ClientResponse,
+    most_bytes: int,
+) -> tuple[bytes, bool]:
+    """Return the first bytes, and whether that is all."""
+    parts = bytearray()
+    try:
+        while chunk := await response.content.readany():
+            parts += chunk
+            if len(parts) > most_bytes:
+                return bytes(parts), False
+    except (client_exceptions.ClientError, OSError) as error:
+        raise errors.TruncatedAnswerError(
+            f"The target's answer ended before it was whole ({error!r})",
+            'Find out whether the request ran before sending it anew',
+        ) from error
+    return bytes(parts), True
+
+
 def load_of(
     response: client_reqrep.ClientResponse,
     names: dialect.HeaderNames,
--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -1,6 +1,7 @@
 """One attempt at one target, from its first byte to the end of the answer."""
 
 import asyncio
+import contextlib
 from typing import Final
 
 from aiohttp import client_reqrep
@@ -62,15 +63,18 @@
 
         Raises a subclass of ``ProvedNotRunError`` or ``UnknownFateError``.
         """
-        try:
-            answer = await self._within_deadline()
-        except errors.GatewayError as error:
-            self._blame(error)
-            self._failed_by(type(error).__name__, error.what)
-            raise
-        finally:
-            self._pool.finished(self._record, self._number)
-        self._judge(answer)
+        with contextlib.ExitStack() as slot:
+            slot.callback(self._pool.finished, self._record, self._number)
+            try:
+                answer = await self._within_deadline()
+            except errors.GatewayError as error:
+                self._blame(error)
+                self._failed_by(type(error).__name__, error.what)
+                raise
+            self._judge(answer)
+            if answer.rest is not None:
+                # The target works on it until its last byte is out.
+                answer.rest.ending = slot.pop_all()
         return answer
 
     def _judge(self, answer: answers.Answer) -> None:
@@ -116,10 +120,22 @@
         self._record.reached()
         self._note_load(response)
         try:
-            return await answers.read(response, self._shared.names)
+            answer = await answers.read(
+                response,
+                self._shared.names,
+                self._shared.held_bytes.bound(),
+                self._read_until_s(),
+            )
         except BaseException:
             response.close()
             raise
+        self._shared.held_bytes.hold(answer, len(answer.body))
+        return answer
+
+    def _read_until_s(self) -> float:
+        """Return when the caller gives up, as a time of the event loop."""
+        left_s = self._item.caller_deadline_s - self._shared.clock.monotonic_s()
+        return asyncio.get_running_loop().time() + left_s
 
     def _headers(self) -> list[tuple[str, str]]:
         names = self._shared.names
--- a/libraries/entry/src/sardinepier/entry/caller_server.py
+++ b/libraries/entry/src/sardinepier/entry/caller_server.py
@@ -61,6 +61,7 @@
         super().connection_lost(exc)
         for task in self._early.values():
             task.cancel()
+            task.add_done_callback(_give_up)
         self._early.clear()
 
     def early_answer(
@@ -183,6 +184,15 @@
                 await self.shutdown(within_s)
 
 
+def _give_up(task: 'asyncio.Task[web_response.StreamResponse]') -> None:
+    """End what is left of an answer that nobody will read."""
+    if task.cancelled() or task.exception() is not None:
+        return
+    response = task.result()
+    if isinstance(response, replies.RelayedResponse):
+        response.give_up()
+
+
 def early_answer(
     request: web_request.BaseRequest,
 ) -> 'asyncio.Task[web_response.StreamResponse] | None':
--- a/libraries/entry/src/sardinepier/entry/context.py
+++ b/libraries/entry/src/sardinepier/entry/context.py
@@ -6,6 +6,7 @@
 from sardinepier.entry import (
     decisions,
     dialect,
+    held_bytes,
     measures,
     services,
 )
@@ -19,6 +20,7 @@
 
     ``services`` holds the newest configuration with the targets in use,
     ``decisions`` writes the log lines and ``measures`` keeps the numbers.
+    ``held_bytes`` bounds what is kept of answers.
     """
 
     clock: clocks.Clock
@@ -29,3 +31,4 @@
     activity: in_hand.InHand
     decisions: decisions.Decisions
     measures: measures.Measures
+    held_bytes: held_bytes.HeldBytes
--- /dev/null
+++ b/libraries/entry/src/sardinepier/entry/held_bytes.py
@@ -0,0 +1,54 @@
+"""How much of answers one daemon holds in memory at a time.
+
+An answer that is read whole before its first byte goes on can be replaced by
+another target's when it breaks, unseen by its caller. That takes memory until a
+slow caller has read it, so that large answers are passed on as they come, and
+all of them once many are held.
+"""
+
+import weakref
+from typing import Final
+
+DEFAULT_BYTES: Final = 33_554_432
+"""Of all answers held whole: a sixth of the memory of the smallest instances,
+which have two hundred megabytes and use some sixty."""
+
+MOST_WHOLE_BYTES: Final = 1_048_576
+"""Of one answer: twice the longest of the documents that are asked for."""
+
+LEAST_WHOLE_BYTES: Final = 65_536
+"""Of one answer when much is held: what its connection buffers anyway."""
+
+_SHARE: Final = 8
+"""An answer may take this part of what is left, so that it never runs out."""
+
+
+class HeldBytes:
+    """Counts the bytes of answers that are held whole.
+
+    For example::
+
+        most_bytes = held.bound()
+        held.hold(answer, len(answer.body))  # until ``answer`` is gone
+    """
+
+    def __init__(self, most_bytes: int = DEFAULT_BYTES) -> None:
+        """Hold up to about ``most_bytes``."""
+        self.held_bytes = 0
+        self._most_bytes = most_bytes
+
+    def bound(self) -> int:
+        """Return how many bytes of the next answer may be read whole."""
+        left_bytes = max(0, self._most_bytes - self.held_bytes)
+        return max(
+            LEAST_WHOLE_BYTES,
+            min(MOST_WHOLE_BYTES, left_bytes // _SHARE),
+        )
+
+    def hold(self, holder: object, held_bytes: int) -> None:
+        """Count ``held_bytes`` for as long as ``holder`` lives."""
+        self.held_bytes += held_bytes
+        weakref.finalize(holder, self._release, held_bytes)
+
+    def _release(self, held_bytes: int) -> None:
+        self.held_bytes -= held_bytes
--- a/libraries/entry/src/sardinepier/entry/pipeline.py
+++ b/libraries/entry/src/sardinepier/entry/pipeline.py
@@ -66,7 +66,7 @@
     async def _answer(
         self,
         request: web_request.BaseRequest,
-    ) -> web_response.Response:
+    ) -> web_response.StreamResponse:
         account = accounts.Account(self._shared, request)
         try:
             account.item = await self._intake.read(request)
@@ -110,5 +110,9 @@
 
     def _abandoned_ended(self, task: 'asyncio.Task[answers.Answer]') -> None:
         self._abandoned.discard(task)
-        if not task.cancelled() and task.exception() is not None:
+        if task.cancelled():
+            return
+        if task.exception() is None:
+            task.result().close()
+        else:
             logs.event('abandoned-failed', str(task.exception()))
--- a/libraries/entry/src/sardinepier/entry/racing.py
+++ b/libraries/entry/src/sardinepier/entry/racing.py
@@ -1,6 +1,7 @@
 """A second attempt beside a slow first one, for idempotent requests."""
 
 import asyncio
+import dataclasses
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -47,26 +48,44 @@
 
 
 async def _first_good(running: set[_Task]) -> answers.Answer:
-    failure: BaseException | None = None
-    failed: answers.Answer | None = None
+    best = _Best()
     while running:
         done, _ = await asyncio.wait(
             running,
             return_when=asyncio.FIRST_COMPLETED,
         )
+        running.difference_update(done)
         for one in done:
-            running.discard(one)
-            error = one.exception()
-            if error:
-                failure = _worse(failure, error)
-                continue
-            failed = one.result()
-            if failed.is_good:
-                return failed
-    if failed is not None:
-        return failed
-    assert failure is not None  # noqa: S101 - the loop ran at least once
-    raise failure
+            best.take(one)
+        if best.is_good:
+            break
+    if best.answer is not None:
+        return best.answer
+    assert best.failure is not None  # noqa: S101 - the loop ran at least once
+    raise best.failure
+
+
+@dataclasses.dataclass(slots=True)
+class _Best:
+    """The best that came of the attempts so far."""
+
+    answer: answers.Answer | None = None
+    failure: BaseException | None = None
+
+    @property
+    def is_good(self) -> bool:
+        """Tell whether there is a good answer."""
+        return self.answer is not None and self.answer.is_good
+
+    def take(self, one: _Task) -> None:
+        """Take in how an attempt ended; a second good answer is given up."""
+        error = one.exception()
+        if error:
+            self.failure = _worse(self.failure, error)
+        elif self.is_good:
+            one.result().close()
+        else:
+            self.answer = one.result()
 
 
 def _worse(
@@ -79,6 +98,9 @@
 async def _cancel(running: set[_Task]) -> None:
     for one in running:
         one.cancel()
-    if running:
-        # Whatever the losers came to, it is taken in here.
-        await asyncio.gather(*running, return_exceptions=True)
+    if not running:
+        return
+    # Whatever the losers came to, it is taken in here.
+    for ended in await asyncio.gather(*running, return_exceptions=True):
+        if isinstance(ended, answers.Answer):
+            ended.close()
--- a/libraries/entry/src/sardinepier/entry/replies.py
+++ b/libraries/entry/src/sardinepier/entry/replies.py
@@ -1,5 +1,6 @@
 """What goes back to a caller: a target's answer, or the daemon's own."""
 
+import asyncio
 from typing import Final
 
 import msgspec
@@ -7,7 +8,9 @@
 from aiohttp import web_response
 
 from sardinepier.core import errors as core_errors
-from sardinepier.entry import answers, refusals
+from sardinepier.entry import answer_rest, answers, refusals
+from sardinepier.gateway import errors as gateway_errors
+from sardinepier.telemetry import logs
 
 _RETRY_AFTER: Final = 'Retry-After'
 _JSON: Final = 'application/json'
@@ -20,8 +23,60 @@
     remedy: str
 
 
-def of_target(answer: answers.Answer) -> web_response.Response:
+class RelayedResponse(web_response.StreamResponse):
+    """An answer whose rest is passed on as it comes from its target.
+
+    An answer that breaks on its way must not look whole: its connection is
+    reset.
+    """
+
+    def __init__(
+        self,
+        answer: answers.Answer,
+        rest: answer_rest.AnswerRest,
+    ) -> None:
+        """Begin with the part of ``answer`` that was read."""
+        super().__init__(
+            status=answer.status,
+            reason=answer.reason,
+            headers=multidict.CIMultiDict(answer.headers),
+        )
+        if rest.length_bytes is not None:
+            self.content_length = rest.length_bytes
+        self._answer = answer
+        self._rest = rest
+
+    def give_up(self) -> None:
+        """End the exchange with the target: the caller is gone."""
+        self._rest.close()
+
+    async def write_eof(self, data: bytes = b'') -> None:
+        """Pass everything on; raise ``ConnectionResetError`` if it breaks."""
+        try:
+            async with asyncio.timeout_at(self._rest.deadline_s):
+                await self._pass_on()
+        except (gateway_errors.GatewayError, TimeoutError) as error:
+            logs.failure('answer-broken', error)
+            self._reset()
+            raise ConnectionResetError('The answer broke on its way') from error
+        finally:
+            self._rest.close()
+        await super().write_eof(data)
+
+    async def _pass_on(self) -> None:
+        await self.write(self._answer.body)
+        async for chunk in self._rest.chunks():
+            await self.write(chunk)
+
+    def _reset(self) -> None:
+        if self._req is not None and self._req.transport is not None:
+            self._req.transport.abort()
+
+
+def of_target(answer: answers.Answer) -> web_response.StreamResponse:
     """Return a target's answer unchanged."""
+    if answer.rest is not None:
+        return RelayedResponse(answer, answer.rest)
     return web_response.Response(
         status=answer.status,
         reason=answer.reason,
--- a/libraries/entry/tests/conftest.py
+++ b/libraries/entry/tests/conftest.py
@@ -10,6 +10,7 @@
     caller_server,
     context,
     decisions,
+    held_bytes,
     measures,
     pipeline,
     services,
@@ -39,6 +40,7 @@
         activity=in_hand.InHand(),
         decisions=decisions.Decisions(held, clock),
         measures=measures.Measures(),
+        held_bytes=held_bytes.HeldBytes(),
     )
     shared.services.set_retry_burst(10)
     shared.services.offer_configuration(given.configuration())
--- a/libraries/workbench/src/sardinepier/workbench/policy/daemons.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/daemons.py
@@ -12,10 +12,11 @@
     decisions,
     dialect,
     forwarding,
-    measures,
+    held_bytes,
     model,
     services,
 )
+from sardinepier.entry import measures as entry_measures
 from sardinepier.entry import work as works
 from sardinepier.gateway import in_hand
 from sardinepier.health import belief
@@ -112,7 +113,8 @@
                 quarantine=quarantine.Quarantine(clock),
                 activity=activity,
                 decisions=decisions.Decisions(held, clock),
-                measures=measures.Measures(),
+                measures=entry_measures.Measures(),
+                held_bytes=held_bytes.HeldBytes(),
             ),
         )
         self._beats = asyncio.ensure_future(self._sharing.run())
