--- a/libraries/workbench/src/sardinepier/workbench/policy/client.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/client.py
@@ -23,11 +23,14 @@
 
 @dataclasses.dataclass(slots=True)
 class _Content:
-    """The body of an answer."""
+    """The body of an answer, which comes in one piece."""
 
-    async def read(self) -> bytes:
-        """Return it whole."""
-        return _BODY
+    left: bytes = _BODY
+
+    async def readany(self) -> bytes:
+        """Return what has come, nothing at its end."""
+        piece, self.left = self.left, b''
+        return piece
 
 
 @dataclasses.dataclass(slots=True)
