--- a/libraries/workbench/src/sardinepier/workbench/policy/client.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/client.py
@@ -29,7 +29,8 @@
 
     async def readany(self) -> bytes:
         """Return what has come, nothing at its end."""
-        piece, self.left = self.left, b''
+        piece = self.left
+        self.left = b''
         return piece
 
 
