--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -5,34 +5,22 @@
 when it is proved that nothing ran. No target gets the same request twice.
 """
 
-import dataclasses
 from typing import Final
 
 from sardinepier.core import errors as core_errors
-from sardinepier.core import ids
 from sardinepier.entry import (
     answers,
     attempt,
     context,
     racing,
-    refusals,
+    repeats,
     service_pool,
     target_record,
     wishes,
 )
 from sardinepier.entry import work as works
 from sardinepier.gateway import errors
-from sardinepier.once import errors as once_errors
 from sardinepier.routing import admission
-from sardinepier.routing import errors as routing_errors
-
-_MOST_NOT_RUN: Final = 4
-"""Targets that may turn a request away or be out of reach before it is
-refused: with a tenth of a service gone, all four are by bad luck in one case
-of ten thousand."""
-
-_MOST_LOST: Final = 2
-"""Lost connections after which a request is taken for the cause."""
 
 _PATIENCE: Final = 0.3
 """Part of the latency that a route aims at, after which any target will do:
@@ -42,20 +30,6 @@
 """Above this chance that the target fails by itself, a lost connection says
 nothing about the request."""
 
-_RETRY_AFTER_S: Final = 0.2
-
-
-@dataclasses.dataclass(slots=True)
-class _History:
-    """What the attempts of one request came to so far."""
-
-    tried: set[ids.TargetId] = dataclasses.field(default_factory=set)
-    not_run: int = 0
-    ran: int = 0
-    lost: int = 0
-    failure: errors.UnknownFateError | None = None
-    answer: answers.Answer | None = None
-
 
 class Forwarding:
     """Sends the requests of one daemon to targets."""
@@ -72,17 +46,17 @@
         """
         pool = self._shared.services.pool(item.service)
         pool.retry_budget.record_request()
-        history = _History()
+        history = repeats.History()
         try:
             return await self._attempts(item, pool, history)
         except core_errors.SardinepierError as error:
-            return _last_resort(history, error)
+            return history.ended_by(error)
 
     async def _attempts(
         self,
         item: works.Work,
         pool: service_pool.ServicePool,
-        history: _History,
+        history: repeats.History,
     ) -> answers.Answer:
         while True:
             record = await self._admit(item, pool, history)
@@ -90,12 +64,12 @@
             try:
                 answer = await self._run(item, pool, record, history)
             except errors.GatewayError as error:
-                _note(history, error)
-                if not _may_go_on(item, pool, history, error):
+                repeats.note(history, error)
+                if not repeats.may_go_on(item, pool, history, error):
                     raise
                 continue
             history.ran += 1
-            if answer.is_good or not _may_repeat(item, pool, history):
+            if answer.is_good or not repeats.may_repeat(item, pool, history):
                 return answer
             history.answer = answer
 
@@ -103,7 +77,7 @@
         self,
         item: works.Work,
         pool: service_pool.ServicePool,
-        history: _History,
+        history: repeats.History,
     ) -> target_record.TargetRecord:
         item.require_time(self._shared.clock)
         self._shared.quarantine.admit(item.fingerprint)
@@ -127,7 +101,7 @@
         item: works.Work,
         pool: service_pool.ServicePool,
         record: target_record.TargetRecord,
-        history: _History,
+        history: repeats.History,
     ) -> answers.Answer:
         """Run one attempt, and a second beside it when it is slow."""
         first = self._attempt(item, pool, record)
@@ -144,7 +118,7 @@
         self,
         item: works.Work,
         pool: service_pool.ServicePool,
-        history: _History,
+        history: repeats.History,
     ) -> racing.Run | None:
         """Return a second attempt, None where it may not or can't begin."""
         if history.ran + 1 >= item.route.max_attempts:
@@ -197,7 +171,7 @@
 def _wish(
     item: works.Work,
     pool: service_pool.ServicePool,
-    history: _History,
+    history: repeats.History,
 ) -> wishes.Wish:
     patience_s = _PATIENCE * item.route.target_latency_s
     return wishes.Wish(
@@ -205,7 +179,7 @@
         len(item.body),
         item.arrived_s,
         item.arrived_s + patience_s,
-        is_last=not _may_follow(item, pool, history),
+        is_last=not repeats.may_follow(item, pool, history),
     )
 
 
@@ -220,100 +194,3 @@
     """
     aim_s = item.route.target_latency_s
     return item.arrived_s + aim_s - min(pool.usual_s, aim_s / 2)
-
-
-def _may_follow(
-    item: works.Work,
-    pool: service_pool.ServicePool,
-    history: _History,
-) -> bool:
-    """Tell whether an attempt that fails now may be followed by another."""
-    if not item.route.is_idempotent:
-        return False
-    if history.ran + 1 >= item.route.max_attempts:
-        return False
-    return pool.retry_budget.has_room()
-
-
-def _note(history: _History, error: errors.GatewayError) -> None:
-    if isinstance(error, errors.UnknownFateError):
-        history.failure = error
-        history.ran += 1
-        history.lost += isinstance(error, errors.ConnectionLostError)
-    else:
-        history.not_run += 1
-
-
-def _may_go_on(
-    item: works.Work,
-    pool: service_pool.ServicePool,
-    history: _History,
-    error: errors.GatewayError,
-) -> bool:
-    """Decide on a further attempt after one without an answer."""
-    if item.is_abandoned:
-        return False
-    if isinstance(error, errors.AnswerOverdueError):
-        return False
-    if isinstance(error, errors.ConnectFailedError):
-        # Nothing arrived anywhere, so that this costs no other target
-        # anything and needs no budget.
-        return history.not_run < _MOST_NOT_RUN
-    if isinstance(error, errors.ProvedNotRunError):
-        if history.not_run >= _MOST_NOT_RUN:
-            return False
-        return pool.retry_budget.try_spend()
-    if history.lost >= _MOST_LOST:
-        return False
-    return _may_repeat(item, pool, history)
-
-
-def _may_repeat(
-    item: works.Work,
-    pool: service_pool.ServicePool,
-    history: _History,
-) -> bool:
-    """Decide whether a request that ran may run once more elsewhere."""
-    if not item.route.is_idempotent:
-        return False
-    if history.ran >= item.route.max_attempts:
-        return False
-    return pool.retry_budget.try_spend()
-
-
-def _last_resort(
-    history: _History,
-    error: core_errors.SardinepierError,
-) -> answers.Answer:
-    """Return the failure that a target answered, or raise what is known."""
-    if history.answer is not None:
-        return history.answer
-    if isinstance(error, errors.AnswerOverdueError):
-        raise refusals.OverdueError(error.what, error.remedy) from error
-    unknown = history.failure
-    if unknown is None and isinstance(error, errors.UnknownFateError):
-        unknown = error
-    if unknown is not None:
-        raise refusals.UnknownFateError(
-            unknown.what,
-            unknown.remedy,
-        ) from error
-    raise _not_run(error) from error
-
-
-def _not_run(error: core_errors.SardinepierError) -> refusals.NotRunError:
-    if isinstance(error, refusals.NotRunError):
-        return error
-    if isinstance(error, routing_errors.RefusalError):
-        return refusals.NoTargetError(
-            error.what,
-            error.remedy,
-            error.retry_after_s,
-        )
-    if isinstance(error, once_errors.QuarantinedError):
-        return refusals.HeldBackError(
-            error.what,
-            error.remedy,
-            error.retry_after_s,
-        )
-    return refusals.NoTargetError(error.what, error.remedy, _RETRY_AFTER_S)
--- /dev/null
+++ b/libraries/entry/src/sardinepier/entry/last_resort.py
@@ -0,0 +1,53 @@
+"""What a caller is told when no attempt brought a good answer."""
+
+from typing import Final
+
+from sardinepier.core import errors as core_errors
+from sardinepier.entry import answers, refusals
+from sardinepier.gateway import errors
+from sardinepier.once import errors as once_errors
+from sardinepier.routing import errors as routing_errors
+
+_RETRY_AFTER_S: Final = 0.2
+
+
+def last_resort(
+    answer: answers.Answer | None,
+    failure: errors.UnknownFateError | None,
+    error: core_errors.SardinepierError,
+) -> answers.Answer:
+    """Return the failure that a target answered, or raise what is known.
+
+    ``failure`` is what an earlier attempt ended by, ``error`` what ended the
+    last one.
+    """
+    if answer is not None:
+        return answer
+    if isinstance(error, errors.AnswerOverdueError):
+        raise refusals.OverdueError(error.what, error.remedy) from error
+    if failure is None and isinstance(error, errors.UnknownFateError):
+        failure = error
+    if failure is not None:
+        raise refusals.UnknownFateError(
+            failure.what,
+            failure.remedy,
+        ) from error
+    raise _not_run(error) from error
+
+
+def _not_run(error: core_errors.SardinepierError) -> refusals.NotRunError:
+    if isinstance(error, refusals.NotRunError):
+        return error
+    if isinstance(error, routing_errors.RefusalError):
+        return refusals.NoTargetError(
+            error.what,
+            error.remedy,
+            error.retry_after_s,
+        )
+    if isinstance(error, once_errors.QuarantinedError):
+        return refusals.HeldBackError(
+            error.what,
+            error.remedy,
+            error.retry_after_s,
+        )
+    return refusals.NoTargetError(error.what, error.remedy, _RETRY_AFTER_S)
--- /dev/null
+++ b/libraries/entry/src/sardinepier/entry/repeats.py
@@ -0,0 +1,99 @@
+"""What the attempts of one request came to, and whether another may follow.
+
+A second attempt after one that may have run is for idempotent requests only,
+within the route's number of attempts and the retry budget. One that is proved
+not to have run may be followed for any request.
+"""
+
+import dataclasses
+from typing import Final
+
+from sardinepier.core import errors as core_errors
+from sardinepier.core import ids
+from sardinepier.entry import answers, last_resort, service_pool
+from sardinepier.entry import work as works
+from sardinepier.gateway import errors
+
+_MOST_NOT_RUN: Final = 4
+"""Targets that may turn a request away or be out of reach before it is
+refused: with a tenth of a service gone, all four are by bad luck in one case
+of ten thousand."""
+
+_MOST_LOST: Final = 2
+"""Lost connections after which a request is taken for the cause."""
+
+
+@dataclasses.dataclass(slots=True)
+class History:
+    """What the attempts of one request came to so far."""
+
+    tried: set[ids.TargetId] = dataclasses.field(default_factory=set)
+    not_run: int = 0
+    ran: int = 0
+    lost: int = 0
+    failure: errors.UnknownFateError | None = None
+    answer: answers.Answer | None = None
+
+    def ended_by(self, error: core_errors.SardinepierError) -> answers.Answer:
+        """Return a target's failing answer, or raise what the caller is told."""
+        return last_resort.last_resort(self.answer, self.failure, error)
+
+
+def may_follow(
+    item: works.Work,
+    pool: service_pool.ServicePool,
+    history: History,
+) -> bool:
+    """Tell whether an attempt that fails now may be followed by another."""
+    if not item.route.is_idempotent:
+        return False
+    if history.ran + 1 >= item.route.max_attempts:
+        return False
+    return pool.retry_budget.has_room()
+
+
+def note(history: History, error: errors.GatewayError) -> None:
+    """Take in an attempt that brought no answer."""
+    if isinstance(error, errors.UnknownFateError):
+        history.failure = error
+        history.ran += 1
+        history.lost += isinstance(error, errors.ConnectionLostError)
+    else:
+        history.not_run += 1
+
+
+def may_go_on(
+    item: works.Work,
+    pool: service_pool.ServicePool,
+    history: History,
+    error: errors.GatewayError,
+) -> bool:
+    """Decide on a further attempt after one without an answer."""
+    if item.is_abandoned:
+        return False
+    if isinstance(error, errors.AnswerOverdueError):
+        return False
+    if isinstance(error, errors.ConnectFailedError):
+        # Nothing arrived anywhere, so that this costs no other target
+        # anything and needs no budget.
+        return history.not_run < _MOST_NOT_RUN
+    if isinstance(error, errors.ProvedNotRunError):
+        if history.not_run >= _MOST_NOT_RUN:
+            return False
+        return pool.retry_budget.try_spend()
+    if history.lost >= _MOST_LOST:
+        return False
+    return may_repeat(item, pool, history)
+
+
+def may_repeat(
+    item: works.Work,
+    pool: service_pool.ServicePool,
+    history: History,
+) -> bool:
+    """Decide whether a request that ran may run once more elsewhere."""
+    if not item.route.is_idempotent:
+        return False
+    if history.ran >= item.route.max_attempts:
+        return False
+    return pool.retry_budget.try_spend()
