--- a/libraries/entry/src/sardinepier/entry/answer_rest.py
+++ b/libraries/entry/src/sardinepier/entry/answer_rest.py
@@ -39,14 +39,8 @@
 
         Raises ``TruncatedAnswerError`` when they end before the answer does.
         """
-        try:
-            while chunk := await self._response.content.readany():
-                yield chunk
-        except (client_exceptions.ClientError, OSError) as error:
-            raise errors.TruncatedAnswerError(
-                f"The target's answer ended before it was whole ({error!r})",
-                'Find out whether the request ran before sending it anew',
-            ) from error
+        while piece := await next_piece(self._response):
+            yield piece
 
     def close(self) -> None:
         """End the exchange; a connection that is not at its end is closed."""
@@ -54,3 +48,17 @@
         if not self._response.content.at_eof():
             self._response.close()
         self.ending.close()
+
+
+async def next_piece(response: client_reqrep.ClientResponse) -> bytes:
+    """Return what has come of an answer, nothing at its end.
+
+    Raises ``TruncatedAnswerError`` when it ended before it was whole.
+    """
+    try:
+        return await response.content.readany()
+    except (client_exceptions.ClientError, OSError) as error:
+        raise errors.TruncatedAnswerError(
+            f"The target's answer ended before it was whole ({error!r})",
+            'Find out whether the request ran before sending it anew',
+        ) from error
--- a/libraries/entry/src/sardinepier/entry/answers.py
+++ b/libraries/entry/src/sardinepier/entry/answers.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 import multidict
-from aiohttp import client_exceptions, client_reqrep
+from aiohttp import client_reqrep
 
 from sardinepier.entry import answer_rest, dialect
 from sardinepier.gateway import errors, headers
@@ -105,16 +105,10 @@
 ) -> tuple[bytes, bool]:
     """Return the first bytes, and whether that is all."""
     parts = bytearray()
-    try:
-        while chunk := await response.content.readany():
-            parts += chunk
-            if len(parts) > most_bytes:
-                return bytes(parts), False
-    except (client_exceptions.ClientError, OSError) as error:
-        raise errors.TruncatedAnswerError(
-            f"The target's answer ended before it was whole ({error!r})",
-            'Find out whether the request ran before sending it anew',
-        ) from error
+    while piece := await answer_rest.next_piece(response):
+        parts += piece
+        if len(parts) > most_bytes:
+            return bytes(parts), False
     return bytes(parts), True
 
 
--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -64,7 +64,7 @@
             try:
                 answer = await self._run(item, pool, record, history)
             except errors.GatewayError as error:
-                repeats.note(history, error)
+                history.note(error)
                 if not repeats.may_go_on(item, pool, history, error):
                     raise
                 continue
@@ -81,7 +81,6 @@
     ) -> target_record.TargetRecord:
         item.require_time(self._shared.clock)
         self._shared.quarantine.admit(item.fingerprint)
-        wish = _wish(item, pool, history)
         try:
             return await pool.acquire(
                 admission.Work(
@@ -90,7 +89,7 @@
                     takes_any=not history.tried,
                     best_begun_by_s=_best_begun_by_s(item, pool),
                 ),
-                wish,
+                _wish(item, pool, history),
             )
         except BaseException:
             self._shared.quarantine.released(item.fingerprint)
@@ -121,7 +120,7 @@
         history: repeats.History,
     ) -> racing.Run | None:
         """Return a second attempt, None where it may not or can't begin."""
-        if history.ran + 1 >= item.route.max_attempts:
+        if not repeats.has_attempts_left(item, history.ran + 1):
             return None
         if item.left_s(self._shared.clock) <= pool.usual_s:
             return None
--- a/libraries/entry/src/sardinepier/entry/overlooked.py
+++ b/libraries/entry/src/sardinepier/entry/overlooked.py
@@ -11,7 +11,6 @@
 from typing import Final
 
 from sardinepier.core import clock as clocks
-from sardinepier.core import ids
 from sardinepier.entry import preference, target_record
 
 _UNUSED_AFTER_S: Final = 2.0
@@ -84,14 +83,13 @@
 
 def unused(
     free: Iterable[target_record.TargetRecord],
-    zone: ids.ZoneName,
-    now_s: float,
+    situation: preference.Situation,
 ) -> target_record.TargetRecord | None:
-    """Return a target of ``zone`` that waits for its first request."""
+    """Return a target of the own zone that waits for its first request."""
     for record in free:
-        if record.was_used or record.listed.zone != zone:
+        if record.was_used or record.listed.zone != situation.zone:
             continue
-        if now_s > record.warm_at_s + _UNUSED_AFTER_S:
+        if situation.now_s > record.warm_at_s + _UNUSED_AFTER_S:
             return record
     return None
 
@@ -107,6 +105,10 @@
     most_chance: float
 
 
+DOUBTED: Final = Turn(_DOUBTED_S, math.inf)
+"""Whatever is believed of a target: for attempts that another may follow."""
+
+
 def turn(*, is_last: bool, are_many_failing: bool) -> Turn:
     """Return when a target has its turn with the attempt at hand.
 
@@ -119,28 +121,6 @@
     return Turn(_LONGEST_IDLE_S, _MOST_LAST_CHANCE)
 
 
-def doubted(
-    free: Iterable[target_record.TargetRecord],
-    situation: preference.Situation,
-) -> target_record.TargetRecord | None:
-    """Return the target of the own zone that was doubted for longest.
-
-    Nobody sent it anything for a while, so that it may be sound by now.
-    """
-    now_s = situation.now_s
-    idle = [
-        record
-        for record in free
-        if record.listed.zone == situation.zone
-        and now_s - record.seen_used_s() > _DOUBTED_S
-    ]
-    return min(
-        idle,
-        key=target_record.TargetRecord.seen_used_s,
-        default=None,
-    )
-
-
 def neglected(
     free: Iterable[target_record.TargetRecord],
     situation: preference.Situation,
--- a/libraries/entry/src/sardinepier/entry/repeats.py
+++ b/libraries/entry/src/sardinepier/entry/repeats.py
@@ -34,34 +34,36 @@
     failure: errors.UnknownFateError | None = None
     answer: answers.Answer | None = None
 
+    def note(self, error: errors.GatewayError) -> None:
+        """Take in an attempt that brought no answer."""
+        if isinstance(error, errors.UnknownFateError):
+            self.failure = error
+            self.ran += 1
+            self.lost += isinstance(error, errors.ConnectionLostError)
+        else:
+            self.not_run += 1
+
     def ended_by(self, error: core_errors.SardinepierError) -> answers.Answer:
         """Return a target's failing answer, or raise what the caller is told."""
         return last_resort.last_resort(self.answer, self.failure, error)
 
 
+def has_attempts_left(item: works.Work, ran: int) -> bool:
+    """Tell whether a request that may have run so often may run again."""
+    return item.route.is_idempotent and ran < item.route.max_attempts
+
+
 def may_follow(
     item: works.Work,
     pool: service_pool.ServicePool,
     history: History,
 ) -> bool:
     """Tell whether an attempt that fails now may be followed by another."""
-    if not item.route.is_idempotent:
-        return False
-    if history.ran + 1 >= item.route.max_attempts:
+    if not has_attempts_left(item, history.ran + 1):
         return False
     return pool.retry_budget.has_room()
 
 
-def note(history: History, error: errors.GatewayError) -> None:
-    """Take in an attempt that brought no answer."""
-    if isinstance(error, errors.UnknownFateError):
-        history.failure = error
-        history.ran += 1
-        history.lost += isinstance(error, errors.ConnectionLostError)
-    else:
-        history.not_run += 1
-
-
 def may_go_on(
     item: works.Work,
     pool: service_pool.ServicePool,
@@ -92,8 +94,6 @@
     history: History,
 ) -> bool:
     """Decide whether a request that ran may run once more elsewhere."""
-    if not item.route.is_idempotent:
-        return False
-    if history.ran >= item.route.max_attempts:
+    if not has_attempts_left(item, history.ran):
         return False
     return pool.retry_budget.try_spend()
--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -258,9 +258,13 @@
         """Return a target that has its turn whoever is surest."""
         if wish.tried:
             return None
-        found = overlooked.unused(free, self._zone, situation.now_s)
+        found = overlooked.unused(free, situation)
         if not wish.is_last:
-            found = found or overlooked.doubted(free, situation)
+            found = found or overlooked.neglected(
+                free,
+                situation,
+                overlooked.DOUBTED,
+            )
         return found or overlooked.neglected(
             free,
             situation,
