Count what is held of an answer until its caller has read it

The count ended as soon as the answer was handed on, so that the bound never acted for answers held whole: with 200 callers that don't read it stood at 0. The response keeps its answer now; the test asks that unread answers count, and failed before.

--- a/libraries/entry/src/sardinepier/entry/replies.py
+++ b/libraries/entry/src/sardinepier/entry/replies.py
@@ -5,13 +5,14 @@
 
 import msgspec
 import multidict
-from aiohttp import web_response
+from aiohttp import helpers, web_response
 
 from sardinepier.core import errors as core_errors
 from sardinepier.entry import answer_rest, answers, refusals
 from sardinepier.gateway import errors as gateway_errors
 from sardinepier.telemetry import logs
 
+_ANSWER: Final = helpers.ResponseKey('answer', answers.Answer)
 _RETRY_AFTER: Final = 'Retry-After'
 _JSON: Final = 'application/json'
 
@@ -77,12 +78,15 @@
     """Return a target's answer unchanged."""
     if answer.rest is not None:
         return RelayedResponse(answer, answer.rest)
-    return web_response.Response(
+    response = web_response.Response(
         status=answer.status,
         reason=answer.reason,
         headers=multidict.CIMultiDict(answer.headers),
         body=answer.body,
     )
+    # What is held of answers counts until a slow caller has read this one.
+    response[_ANSWER] = answer
+    return response
 
 
 def of_error(error: core_errors.SardinepierError) -> web_response.Response:
--- a/libraries/entry/tests/cover/test_entry_large_answers.py
+++ b/libraries/entry/tests/cover/test_entry_large_answers.py
@@ -214,6 +214,8 @@
     )
     opened = [await open_to(entry) for _ in range(200)]
     held = entry.shared.held_bytes.held_bytes
+    # What a caller has not read yet counts, until it has.
+    assert held > held_bytes.DEFAULT_BYTES / 4
     least = 200 * (held_bytes.LEAST_WHOLE_BYTES + 2**16)
     assert held < held_bytes.DEFAULT_BYTES + least
     for _, writer, _ in opened:
