Derive who is late, and tell versions and passed bytes, in one place each

Behaviour unchanged: the waiting line copied places to mark them late, two modules worked out the same two versions, and passed bytes were counted twice at a request's end.

--- a/libraries/entry/src/sardinepier/entry/accounts.py
+++ b/libraries/entry/src/sardinepier/entry/accounts.py
@@ -44,8 +44,7 @@
             if answer.is_good
             else events.Outcome.TARGET_FAILED
         )
-        self._shared.activity.passed_bytes += answer.length_bytes
-        self._end(decisions.End(outcome, answer.status))
+        self._end(decisions.End(outcome, answer.status), answer.length_bytes)
 
     def refused(self, error: core_errors.SardinepierError) -> None:
         """Tell that the daemon answers itself."""
@@ -65,10 +64,11 @@
         """Tell that the caller left."""
         self._end(decisions.End(events.Outcome.ABANDONED, _NO_STATUS))
 
-    def _end(self, end: decisions.End) -> None:
+    def _end(self, end: decisions.End, answer_bytes: int = 0) -> None:
         names = self._shared.names
         body_bytes = len(self.item.body) if self.item else 0
-        self._shared.activity.passed_bytes += _HEAD_BYTES + body_bytes
+        passed_bytes = _HEAD_BYTES + body_bytes + answer_bytes
+        self._shared.activity.passed_bytes += passed_bytes
         request_id = self._request.headers.get(names.attempt_id, '')
         self._shared.decisions.ended(request_id, self.item, end)
         self._shared.measures.request_ended(
--- a/libraries/entry/src/sardinepier/entry/decisions.py
+++ b/libraries/entry/src/sardinepier/entry/decisions.py
@@ -21,8 +21,6 @@
 _BURST_S: Final = 2.0
 """How long twice as many lines may come as on average."""
 
-_NOTHING: Final = -1
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class End:
@@ -119,7 +117,7 @@
         choice: events.Choice,
         now_s: float,
     ) -> events.RequestSent:
-        version, revision = self._versions()
+        version, revision = self._held.versions()
         return events.RequestSent(
             request_id=item.request_id,
             route=item.route.name,
@@ -139,7 +137,7 @@
         end: End,
     ) -> events.RequestEnded:
         now_s = self._clock.monotonic_s()
-        version, revision = self._versions()
+        version, revision = self._held.versions()
         targets, with_room = self._room(item, now_s)
         return events.RequestEnded(
             request_id=request_id,
@@ -163,14 +161,6 @@
         records = self._held.pool(item.service).targets.records()
         return len(records), sum(one.has_room(now_s) for one in records)
 
-    def _versions(self) -> tuple[int, int]:
-        configuration = self._held.configuration
-        targets = self._held.targets
-        return (
-            configuration.version if configuration else _NOTHING,
-            targets.revision if targets else _NOTHING,
-        )
-
 
 def _budget(clock: clocks.Clock, per_s: float) -> line_budget.LineBudget:
     return line_budget.LineBudget(clock, per_s, int(per_s * _BURST_S))
--- a/libraries/entry/src/sardinepier/entry/services.py
+++ b/libraries/entry/src/sardinepier/entry/services.py
@@ -25,6 +25,7 @@
 """Targets that one log line names: it must stay short in a large fleet."""
 
 _RETRY_AFTER_S: Final = 0.2
+_NOTHING: Final = -1
 
 
 class Services:
@@ -55,6 +56,18 @@
         self._table: route_table.RouteTable | None = None
         self._pools: dict[ids.ServiceName, service_pool.ServicePool] = {}
 
+    def versions(self) -> tuple[int, int]:
+        """Return the configuration's version and the target list's revision.
+
+        Each is -1 while there is none.
+        """
+        configuration = self.configuration
+        targets = self.targets
+        return (
+            configuration.version if configuration else _NOTHING,
+            targets.revision if targets else _NOTHING,
+        )
+
     def offer_configuration(self, offered: model.ServedConfiguration) -> bool:
         """Put a configuration in force if it is newer; tell whether it was."""
         held = self.configuration
--- a/libraries/routing/src/sardinepier/routing/waiting_line.py
+++ b/libraries/routing/src/sardinepier/routing/waiting_line.py
@@ -175,16 +175,11 @@
         if now_s < self._next_late_s:
             return
         self._next_late_s = math.inf
-        late = []
-        kept = []
         for place in self._places:
-            has_passed = now_s >= place.waiter.work.best_begun_by_s
-            if has_passed and not place.rank[0]:
-                late.append(_Place((True, *place.rank[1:]), place.waiter))
-            else:
-                kept.append(place)
-                self._expect_late(place)
-        self._places = sorted((*kept, *late), key=_rank_of)
+            if now_s >= place.waiter.work.best_begun_by_s:
+                place.rank = (True, *place.rank[1:])
+            self._expect_late(place)
+        self._places.sort(key=_rank_of)
 
     def _is_too_late(self, work: Work, ahead: int) -> bool:
         now_s = self._clock.monotonic_s()
--- a/libraries/zones/src/sardinepier/zones/sharing.py
+++ b/libraries/zones/src/sardinepier/zones/sharing.py
@@ -29,7 +29,6 @@
     zone_load,
 )
 
-_NOTHING: Final = -1
 _LEAST_INTERVAL_S: Final = 0.02
 """Beats that failures bring about are so far apart at least."""
 
@@ -143,7 +142,7 @@
         hands_over: bool = False,
     ) -> messages.ZoneBeat:
         return messages.ZoneBeat(
-            *self._versions(),
+            *self._held.versions(),
             targets_digest=self._held.targets_digest,
             is_reading=is_reading,
             beliefs=self._telling.for_own_zone(),
@@ -152,14 +151,6 @@
             carriers=self._carriers.count,
         )
 
-    def _versions(self) -> tuple[int, int]:
-        configuration = self._held.configuration
-        targets = self._held.targets
-        return (
-            configuration.version if configuration else _NOTHING,
-            targets.revision if targets else _NOTHING,
-        )
-
     def _to_all(self, message: wire_messages.Message) -> None:
         for member in self._carriers.neighbours():
             self._network.send(member.peer_address, message)
@@ -173,7 +164,7 @@
         self._role.load.heard(sender.instance_id, beat.load)
         if beat.hands_over:
             self._carriers.fitness.stands_down(sender.instance_id)
-        version, revision = self._versions()
+        version, revision = self._held.versions()
         is_behind = beat.configuration_version > version
         lacks_targets = (
             beat.targets_digest != self._held.targets_digest
@@ -193,7 +184,7 @@
         sender: wire_messages.Sender,
         request: messages.NewsRequest,
     ) -> None:
-        version, revision = self._versions()
+        version, revision = self._held.versions()
         configuration = self._held.configuration
         targets = self._held.targets
         if configuration and version > request.configuration_version:
