--- a/libraries/cli/tests/cover/test_cli_day.py
+++ b/libraries/cli/tests/cover/test_cli_day.py
@@ -1,24 +1,12 @@
 """The time line and the picture of a day, from log files."""
 
 import asyncio
-import json
 
+import cli_support
 import pytest
 from sardinepier.cli import context, exit_codes, main
 
 
-def line(second, instance, event, **fields):
-    return json.dumps(
-        {
-            'time': f'2026-01-01T00:00:{second:06.3f}+00:00',
-            'level': 'info',
-            'event': event,
-            'instance_id': instance,
-            'fields': fields,
-        },
-    )
-
-
 class Shell:
     """Runs the tool and keeps what it printed."""
 
@@ -45,9 +33,11 @@
     one.write_text(
         '\n'.join(
             (
-                line(1, 'd1', 'started', zone='z1'),
-                line(2, 'd1', 'request-sent', request_id='a'),
-                line(9, 'd1', 'platform-lost', error='X', what='', age_ms=3),
+                cli_support.line(1, 'd1', 'started', zone='z1'),
+                cli_support.line(2, 'd1', 'request-sent', request_id='a'),
+                cli_support.line(
+                    9, 'd1', 'platform-lost', error='X', what='', age_ms=3
+                ),
             ),
         ),
     )
@@ -55,8 +45,10 @@
     other.write_text(
         '\n'.join(
             (
-                line(4, 'd2', 'carrier-changed', is_carrier=True),
-                line(5, 'd2', 'request-ended', request_id='b', outcome='x'),
+                cli_support.line(4, 'd2', 'carrier-changed', is_carrier=True),
+                cli_support.line(
+                    5, 'd2', 'request-ended', request_id='b', outcome='x'
+                ),
             ),
         ),
     )
--- a/libraries/cli/tests/cover/test_cli_explain.py
+++ b/libraries/cli/tests/cover/test_cli_explain.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 
+import cli_support
 import pytest
 from sardinepier.cli import context, exit_codes, main
 
@@ -28,20 +29,8 @@
 }
 
 
-def line(second, instance, event, **fields):
-    return json.dumps(
-        {
-            'time': f'2026-01-01T00:00:{second:06.3f}+00:00',
-            'level': 'info',
-            'event': event,
-            'instance_id': instance,
-            'fields': fields,
-        },
-    )
-
-
 def sent(second, instance, request_id):
-    return line(
+    return cli_support.line(
         second,
         instance,
         'request-sent',
@@ -52,9 +41,9 @@
 
 
 FAILED = (
-    line(1.0, 'd1', 'configuration-in-force', version=4, routes=2),
+    cli_support.line(1.0, 'd1', 'configuration-in-force', version=4, routes=2),
     sent(5.0, 'd1', 'a'),
-    line(
+    cli_support.line(
         5.004,
         'd1',
         'attempt-failed',
@@ -63,7 +52,7 @@
         what='target_failed: answered 500',
         taken_ms=4,
     ),
-    line(
+    cli_support.line(
         5.005,
         'd1',
         'request-ended',
@@ -72,7 +61,7 @@
     ),
 )
 REFUSED = (
-    line(
+    cli_support.line(
         6.0,
         'd2',
         'request-ended',
@@ -88,9 +77,9 @@
     ),
 )
 LOST = (
-    line(0.5, 'd3', 'started', zone='z1'),
+    cli_support.line(0.5, 'd3', 'started', zone='z1'),
     sent(7.0, 'd3', 'c'),
-    line(9.0, 'd3', 'started', zone='z1'),
+    cli_support.line(9.0, 'd3', 'started', zone='z1'),
 )
 
 
@@ -157,7 +146,8 @@
 def test_a_caller_that_left_is_told_so(shell):
     left = {**ENDED, 'outcome': 'abandoned', 'status': 0, 'taken_ms': 211}
     shell.log(
-        'left.log', line(8.0, 'd1', 'request-ended', request_id='h', **left)
+        'left.log',
+        cli_support.line(8.0, 'd1', 'request-ended', request_id='h', **left),
     )
     shell.run('h')
     assert 'The caller left after 211 ms' in shell.text
@@ -174,7 +164,7 @@
         'lived.log',
         sent(1.0, 'd6', 'i'),
         sent(4.0, 'd6', 'j'),
-        line(6.0, 'd6', 'started', zone='z1'),
+        cli_support.line(6.0, 'd6', 'started', zone='z1'),
     )
     shell.run('i')
     assert 'request i: answered' in shell.text
@@ -186,8 +176,8 @@
     shell.log(
         'three.log',
         sent(1.0, 'd4', 'd'),
-        line(2.0, 'd4', 'stopped', in_hand=0),
-        line(3.0, 'd4', 'started', zone='z1'),
+        cli_support.line(2.0, 'd4', 'stopped', in_hand=0),
+        cli_support.line(3.0, 'd4', 'started', zone='z1'),
     )
     shell.run('d')
     assert 'request d: answered' in shell.text
