--- a/libraries/daemon/tests/cover/test_daemon_line_events.py
+++ b/libraries/daemon/tests/cover/test_daemon_line_events.py
@@ -45,6 +45,7 @@
 UNTYPED = {
     'request-failed',
     'abandoned-failed',
+    'answer-broken',
     'news-damaged',
     'part-failed',
     'daemon-failed',
--- a/tests/adapter/test_adapter_boundary.py
+++ b/tests/adapter/test_adapter_boundary.py
@@ -10,6 +10,14 @@
     r'op/config|ttl_max_s|listen\.front|warmup_left_s|route_type',
 )
 MOST_LINES = 1200
+EXPERIMENTS = ROOT / 'libraries' / 'workbench'
+PLACES = re.compile(
+    'ashva|kloofnek|tesis|rajkot|jamnagar|isando|midrand|samrand|centurion|'
+    'sala-|sale-desk|papers-hall|closebook|buscador|depositos|fichas|'
+    r'fleetbench|\bbench\b|(quiet|trouble|scale)-[0-9]',
+    re.IGNORECASE,
+)
+"""Names of deployments, of what is in them, of days, and of what plays them."""
 
 
 def sources():
@@ -44,3 +52,19 @@
 
 def test_the_folder_hides_no_module_of_the_standard_library():
     assert not (ROOT / 'platform' / '__init__.py').exists()
+
+
+def test_nothing_that_serves_depends_on_a_deployment_or_a_day():
+    """What adapts, adapts to what it observes."""
+    served = [
+        path for path in sources() if not path.is_relative_to(EXPERIMENTS)
+    ]
+    served.extend((ROOT / 'platform').rglob('*.py'))
+    found = [
+        f'{path.relative_to(ROOT)}: {line.strip()}'
+        for path in served
+        for line in path.read_text().splitlines()
+        if PLACES.search(line)
+    ]
+    assert len(served) > 100
+    assert not found
