--- a/libraries/wire/src/sardinepier/wire/memory_network.py
+++ b/libraries/wire/src/sardinepier/wire/memory_network.py
@@ -65,6 +65,7 @@
             set()
         )
         self._paused: dict[messages.PeerAddress, list[bytes]] = {}
+        self._transfers_s: dict[messages.PeerAddress, float] = {}
         self._due: list[tuple[float, int, messages.PeerAddress, bytes]] = []
         self._sequence = itertools.count()
 
@@ -92,6 +93,10 @@
         for frame in self._paused.pop(address, []):
             self._receive(address, frame)
 
+    def slow_down(self, source: messages.PeerAddress, wait_s: float) -> None:
+        """Let all that ``source`` sends arrive so much later."""
+        self._transfers_s[source] = wait_s
+
     def cut(
         self,
         source: messages.PeerAddress,
@@ -139,9 +144,9 @@
             return
         if self._happens(self.faults.loss):
             return
-        self._schedule(destination, frame)
+        self._schedule(origin, destination, frame)
         if self._happens(self.faults.duplicate):
-            self._schedule(destination, frame)
+            self._schedule(origin, destination, frame)
 
     def _receive(self, address: messages.PeerAddress, frame: bytes) -> None:
         held_back = self._paused.get(address)
@@ -158,10 +163,11 @@
 
     def _schedule(
         self,
+        origin: messages.PeerAddress,
         destination: messages.PeerAddress,
         frame: bytes,
     ) -> None:
-        wait_s = self.faults.delay_s
+        wait_s = self.faults.delay_s + self._transfers_s.get(origin, 0.0)
         if self.faults.reorder_s:
             wait_s += self._random.uniform(0, self.faults.reorder_s)
         due_s = self._clock.monotonic_s() + wait_s
--- a/libraries/zones/tests/zones_support.py
+++ b/libraries/zones/tests/zones_support.py
@@ -1,5 +1,6 @@
 """A zone of daemons in one process, on a network that the test cuts."""
 
+import asyncio
 import random
 
 from sardinepier.core import clock as clocks
@@ -97,12 +98,17 @@
 
 
 class Platform:
-    """A platform that the test fills, and takes away from some daemons."""
+    """A platform that the test fills, and takes away from some daemons.
 
-    def __init__(self):
+    ``transfer_s`` is how long an answer takes on the link of a daemon.
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
         self.configuration = None
         self.targets = model.TargetList(0, ())
         self.refused = set()
+        self.transfer_s = {}
         self.unusable = ()
         self.calls = 0
 
@@ -119,11 +125,17 @@
         self._platform.calls += 1
         if self._name in self._platform.refused:
             raise errors.PlatformUnavailableError('turned away', 'wait')
-        return published.Reading(
+        reading = published.Reading(
             self._platform.configuration,
             self._platform.targets,
             self._platform.unusable,
         )
+        clock = self._platform.clock
+        arrives_s = clock.monotonic_s()
+        arrives_s += self._platform.transfer_s.get(self._name, 0.0)
+        while clock.monotonic_s() < arrives_s:
+            await asyncio.sleep(0)
+        return reading
 
 
 class Daemon:
@@ -168,6 +180,15 @@
             zone.clock,
             random.Random(1),
         )
+        self._reading_now = None
+
+    def read_on(self):
+        """Read the platform if that is due and no reading is on its way."""
+        if self._reading_now is not None:
+            if not self._reading_now.done():
+                return
+            self._reading_now.result()
+        self._reading_now = asyncio.ensure_future(self.reading.step())
 
     @property
     def version(self):
@@ -190,7 +211,7 @@
             self.clock,
             random.Random(5),
         )
-        self.platform = Platform()
+        self.platform = Platform(self.clock)
         self.fleet = Fleet(
             *(
                 member(number, zone)
@@ -227,7 +248,8 @@
         for step in range(round(seconds / step_s)):
             for one in self.living():
                 one.begun += one.per_s * step_s
-                await one.reading.step()
+                one.read_on()
+                await asyncio.sleep(0)
                 if step % 5 == 0:
                     one.sharing.step()
             self.hub.deliver()
