Ask before the first byte whether the target is still there

Cause: a target is chosen by the list of one moment and gets the request at another. What was heard meanwhile changed nothing.

Change: the permission for the first byte asks for the target, too, in the entry path and in the product's own interface, which had the same gap. Nothing was sent then, so that any request may go to another target, without the retry budget, and the target is not blamed.

Before: the test's request reached the leaving target in both paths. After: another target gets it.

--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -149,8 +149,14 @@
         ]
 
     def _permit(self) -> None:
-        """Allow the first byte, unless the time ran out before."""
+        """Allow the first byte, unless the time ran out or the target left.
+
+        Since it was chosen a connection was made, which takes up to a third
+        of a second, and longer on a busy instance: of the two seconds that
+        the users allow from a target's leaving to its last request.
+        """
         self._item.require_time(self._shared.clock)
+        self._pool.targets.require(self._record)
         self._is_sent = True
         self._item.was_sent = True
 
@@ -174,6 +180,8 @@
             self._pool.targets.drop(self._record.listed.target_id)
         elif isinstance(error, errors.ShedError):
             self._pool.full(self._record)
+        elif isinstance(error, errors.TargetLeftError):
+            return
         elif isinstance(error, errors.AnswerOverdueError):
             self._overdue()
         else:
--- a/libraries/entry/src/sardinepier/entry/repeats.py
+++ b/libraries/entry/src/sardinepier/entry/repeats.py
@@ -75,9 +75,7 @@
         return False
     if isinstance(error, errors.AnswerOverdueError):
         return False
-    if isinstance(error, errors.ConnectFailedError):
-        # Nothing arrived anywhere, so that this costs no other target
-        # anything and needs no budget.
+    if isinstance(error, errors.NOTHING_ARRIVED):
         return history.not_run < _MOST_NOT_RUN
     if isinstance(error, errors.ProvedNotRunError):
         if history.not_run >= _MOST_NOT_RUN:
--- a/libraries/entry/src/sardinepier/entry/target_table.py
+++ b/libraries/entry/src/sardinepier/entry/target_table.py
@@ -8,6 +8,7 @@
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
 from sardinepier.entry import model, target_record
+from sardinepier.gateway import errors
 from sardinepier.health import belief
 
 
@@ -50,6 +51,14 @@
         """Return what is known of a target that is in use."""
         return self._records.get(target_id)
 
+    def require(self, record: target_record.TargetRecord) -> None:
+        """Raise ``TargetLeftError`` unless this start is still in use."""
+        if self._records.get(record.listed.target_id) is not record:
+            raise errors.TargetLeftError(
+                f'The target {record.listed.target_id} has just left',
+                'Send the request to another one',
+            )
+
     def records(self) -> Collection[target_record.TargetRecord]:
         """Return all targets in use."""
         return self._records.values()
--- a/libraries/entry/tests/cover/test_entry_floor.py
+++ b/libraries/entry/tests/cover/test_entry_floor.py
@@ -65,11 +65,6 @@
         self.asked = 0
         self.failed = 0
 
-    def _nature(self, now_s):
-        fails_from_s = now_s + self.random.expovariate(1 / SOUND_S)
-        lasts_s = self.random.expovariate(1 / FAILING_S)
-        return Nature(fails_from_s, fails_from_s + lasts_s)
-
     def step(self, seconds):
         """Let time pass, end what ends and send one request."""
         self.clock.advance(seconds)
@@ -94,6 +89,19 @@
             (now_s + work_s, number, name, now_s, fails),
         )
 
+    def used_share(self):
+        """Return the share of the sound targets that got something."""
+        since_s = self.clock.monotonic_s() - WINDOW_S
+        sound = [
+            one for one in self.natures.values() if one.failed_s <= since_s
+        ]
+        return sum(one.asked_s > since_s for one in sound) / len(sound)
+
+    def _nature(self, now_s):
+        fails_from_s = now_s + self.random.expovariate(1 / SOUND_S)
+        lasts_s = self.random.expovariate(1 / FAILING_S)
+        return Nature(fails_from_s, fails_from_s + lasts_s)
+
     def _fails(self, nature, now_s):
         while now_s >= nature.sound_from_s:
             fresh = self._nature(nature.sound_from_s)
@@ -111,14 +119,6 @@
         else:
             self.pool.answered(record, ended_s - began_s)
 
-    def used_share(self):
-        """Return the share of the sound targets that got something."""
-        since_s = self.clock.monotonic_s() - WINDOW_S
-        sound = [
-            one for one in self.natures.values() if one.failed_s <= since_s
-        ]
-        return sum(one.asked_s > since_s for one in sound) / len(sound)
-
 
 def least_used(seed, seconds=60):
     """Return the least share in use of any two seconds."""
--- a/libraries/gateway/src/sardinepier/gateway/errors.py
+++ b/libraries/gateway/src/sardinepier/gateway/errors.py
@@ -6,6 +6,8 @@
 not run it.
 """
 
+from typing import Final
+
 from sardinepier.core import errors
 
 
@@ -38,6 +40,14 @@
     """
 
 
+class TargetLeftError(ProvedNotRunError):
+    """The target began to leave after it was chosen; nothing was sent."""
+
+
+NOTHING_ARRIVED: Final = (ConnectFailedError, TargetLeftError)
+"""What costs no target anything: going past one needs no budget."""
+
+
 class StaleConnectionError(ProvedNotRunError):
     """A pooled connection was closed or spoken on before it was used."""
 
--- a/libraries/gateway/src/sardinepier/gateway/exchange.py
+++ b/libraries/gateway/src/sardinepier/gateway/exchange.py
@@ -10,10 +10,13 @@
 from sardinepier.core import ids
 from sardinepier.gateway import context as contexts
 from sardinepier.gateway import errors, reading, target_answer, work
-from sardinepier.health import evidence
+from sardinepier.health import evidence, targets
 from sardinepier.telemetry import target_events
 
 _MS_PER_S: Final = 1000
+_RETRY_AFTER_S: Final = 0.2
+"""Another target is free by then, unless all are leaving."""
+
 _FIRST_FAILURE_STATUS: Final = 500
 
 _ENDS: Final = (
@@ -96,11 +99,25 @@
         return await reading.read(response, item, self._rest_ended)
 
     def _permit(self) -> None:
-        """Allow the first byte, unless time or a pause came between."""
+        """Allow the first byte, unless time or a pause came between.
+
+        Nor does a target get it that began to leave while a connection to
+        it was made.
+        """
         self._context.wake_guard.require()
         self._item.require_time(self._context.clock)
+        self._require_staying()
         self._is_sent = True
 
+    def _require_staying(self) -> None:
+        standing = self._item.runtime.health.standing(self._target_id)
+        if standing.state is targets.TargetState.LEAVING:
+            raise errors.TargetLeftError(
+                f'The target {self._target_id} has just left',
+                'Send the request to another one',
+                _RETRY_AFTER_S,
+            )
+
     def _answered(self, status: int) -> None:
         runtime = self._item.runtime
         latency_ms = self._latency_ms()
--- a/libraries/gateway/src/sardinepier/gateway/forwarding.py
+++ b/libraries/gateway/src/sardinepier/gateway/forwarding.py
@@ -203,9 +203,8 @@
             return history.attempts < _MOST_ATTEMPTS
         if not self._has_room(item, history):
             return False
-        if isinstance(error, errors.ConnectFailedError):
-            # A dead target costs no other one anything, so going past it
-            # needs no budget; the number of attempts bounds it.
+        if isinstance(error, errors.NOTHING_ARRIVED):
+            # The number of attempts bounds it.
             return True
         if isinstance(error, errors.ShedError):
             return item.runtime.retry_budget.try_spend()
--- a/libraries/gateway/src/sardinepier/gateway/problem_table.py
+++ b/libraries/gateway/src/sardinepier/gateway/problem_table.py
@@ -175,6 +175,12 @@
         'connect-failed',
         'No target could be reached',
     ),
+    errors.TargetLeftError: _Kind(
+        _Status.SERVICE_UNAVAILABLE,
+        _NOT_RUN,
+        'target-left',
+        'The target has just left',
+    ),
     errors.ShedError: _Kind(
         _Status.SERVICE_UNAVAILABLE,
         _NOT_RUN,
--- a/libraries/gateway/tests/cover/test_gateway_targets.py
+++ b/libraries/gateway/tests/cover/test_gateway_targets.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from sardinepier.gateway import connections
 from sardinepier.health import targets
 from sardinepier.telemetry import daemon_events, target_events
 
@@ -158,6 +159,36 @@
     assert len(world.targets[0].seen) == 1
 
 
+async def test_a_target_that_left_while_connecting_gets_nothing(
+    world,
+    monkeypatch,
+):
+    """It was chosen by what was known before the connection was made."""
+    await world.add_targets('ok', 'ok')
+    gateway = await world.add_gateway()
+    connect = connections.GuardedConnector._create_connection
+    left = []
+
+    async def connect_and_hear(self, request, *details):
+        made = await connect(self, request, *details)
+        if not left:
+            chosen = gateway.runtime().slots.report()
+            left.extend(chosen)
+            gateway.runtime().mark_leaving(left[0])
+        return made
+
+    monkeypatch.setattr(
+        connections.GuardedConnector,
+        '_create_connection',
+        connect_and_hear,
+    )
+    answer, _ = await world.send('GET', '/books/books/1')
+    assert answer.status == 200
+    seen = {target.name: len(target.seen) for target in world.targets}
+    assert seen.pop(left[0]) == 0
+    assert list(seen.values()) == [1]
+
+
 async def test_a_request_keeps_the_settings_it_started_with(world):
     old = await world.add_target('hang')
     gateway = await world.add_gateway(slots=1)
