Keep a lapsed target only if the reading failed since anybody's succeeded

Cause: failures of this daemon's reading counted until its own next success, also when others had read since. A daemon that had been turned away once and took over much later, after a gap of 1.5 s, then took targets that had left for lapsed and kept them for 2.2 s.

Before: the test's target was kept. After: it is left. The flag that callers passed is gone.

--- a/libraries/zones/src/sardinepier/zones/lapses.py
+++ b/libraries/zones/src/sardinepier/zones/lapses.py
@@ -33,6 +33,7 @@
         self.is_own = False
         self._clock = clock
         self._asked_s: float | None = None
+        self._has_failed = False
         self._keep_until_s = 0.0
 
     def age_s(self) -> float | None:
@@ -50,29 +51,34 @@
         asked_s = self._clock.monotonic_s() - reading_age_s
         if self._asked_s is None or asked_s > self._asked_s:
             self._asked_s = asked_s
+            self._has_failed = False
             self.is_own = False
 
+    def failed(self) -> None:
+        """Note that this daemon's own reading failed."""
+        self._has_failed = True
+
     def complete(
         self,
         held: model.TargetList | None,
         fresh: model.TargetList,
         *,
         asked_s: float,
-        after_failures: bool,
         unusable: Collection[str] = (),
     ) -> model.TargetList:
         """Return ``fresh``, with what may only have lapsed from ``held``.
 
-        ``asked_s`` is when this daemon asked for it, by its clock.
-        ``after_failures`` says that this daemon's reading before failed. A
-        target that ``held`` shows as draining is not kept, nor one that is
-        listed as started anew, nor one whose entry is among the ``unusable``:
-        that one is there, and names no target.
+        ``asked_s`` is when this daemon asked for it, by its clock. Nothing is
+        kept unless its own reading failed since anybody's succeeded. A target
+        that ``held`` shows as draining is not kept, nor one that is listed as
+        started anew, nor one whose entry is among the ``unusable``: that one
+        is there, and names no target.
         """
         now_s = self._clock.monotonic_s()
         age_s = self.age_s()
-        if after_failures and age_s is not None and age_s > _AWAY_AFTER_S:
+        if self._has_failed and age_s is not None and age_s > _AWAY_AFTER_S:
             self._keep_until_s = now_s + _BACK_WITHIN_S
+        self._has_failed = False
         self._asked_s = asked_s
         self.is_own = True
         if held is None or now_s >= self._keep_until_s:
--- a/libraries/zones/src/sardinepier/zones/reading.py
+++ b/libraries/zones/src/sardinepier/zones/reading.py
@@ -129,7 +129,6 @@
             self._shared.take_targets(
                 reading.targets,
                 asked_s=asked_s,
-                after_failures=self._failures > 0,
                 unusable=_names_of(reading.unusable),
             )
             self._regained()
@@ -158,6 +157,7 @@
             )
         retry_s = min(_LONGEST_RETRY_S, _FIRST_RETRY_S * 2**self._failures)
         self._failures += 1
+        self._guard.failed()
         spread = self._random.uniform(*_RETRY_SPREAD)
         self._not_before_s = self._clock.monotonic_s() + retry_s * spread
 
--- a/libraries/zones/src/sardinepier/zones/sharing.py
+++ b/libraries/zones/src/sardinepier/zones/sharing.py
@@ -80,7 +80,6 @@
         fresh: model.TargetList,
         *,
         asked_s: float,
-        after_failures: bool,
         unusable: Collection[str] = (),
     ) -> None:
         """Use a target list that was read, and pass on what is new of it.
@@ -94,7 +93,6 @@
             before,
             fresh,
             asked_s=asked_s,
-            after_failures=after_failures,
             unusable=unusable,
         )
         age_ms = round((self._clock.monotonic_s() - asked_s) * _MS_PER_S)
--- a/libraries/zones/tests/cover/test_zones_reading.py
+++ b/libraries/zones/tests/cover/test_zones_reading.py
@@ -89,6 +89,26 @@
     assert {frozenset(one.target_names) for one in zone.daemons} == ONLY_T1
 
 
+async def test_a_failure_of_long_ago_keeps_no_target(zone):
+    """Others have read since: the platform was not away.
+
+    Were the target kept, its leaving would be known 2.2 s later.
+    """
+    once = next(one for one in zone.daemons if not one.guard.is_own)
+    zone.platform.refused = {once.own.daemon_id}
+    await once.reading._read(allow_stale=False)
+    zone.platform.refused = set()
+    await zone.run(3.0)
+    zone.platform.targets = given.target_list(2, 't1')
+    zone.platform.refused = {
+        one.own.daemon_id for one in zone.daemons if one is not once
+    }
+    zone.clock.advance(2.0)
+    await zone.run(0.2)
+    assert once.guard.is_own
+    assert once.target_names == {'t1'}
+
+
 async def test_a_daemon_that_starts_keeps_no_target_that_is_gone(zone):
     """Its first reading may be old, and is no sign of an outage."""
     change(zone)
@@ -97,7 +117,7 @@
     newcomer.held.offer_targets(given.target_list(1, 't1', 't2'))
     fresh = zone.platform.targets
     now_s = zone.clock.monotonic_s()
-    newcomer.sharing.take_targets(fresh, asked_s=now_s, after_failures=False)
+    newcomer.sharing.take_targets(fresh, asked_s=now_s)
     assert newcomer.target_names == {'t1'}
 
 
@@ -116,13 +136,13 @@
     )
     guard = zone.daemons[0].guard
     began_s = zone.clock.monotonic_s()
-    guard.complete(None, held, asked_s=began_s, after_failures=False)
+    guard.complete(None, held, asked_s=began_s)
     zone.clock.advance(5.0)
+    guard.failed()
     complete = guard.complete(
         held,
         fresh,
         asked_s=zone.clock.monotonic_s(),
-        after_failures=True,
         unusable={'t2'},
     )
     assert [one.target_id for one in complete.targets] == ['t1@2', 't3@1']
--- a/libraries/zones/tests/cover/test_zones_weak_reader.py
+++ b/libraries/zones/tests/cover/test_zones_weak_reader.py
@@ -32,7 +32,6 @@
     weak.sharing.take_targets(
         zone.platform.targets,
         asked_s=zone.clock.monotonic_s(),
-        after_failures=False,
     )
     zone.platform.transfer_s[weak.own.daemon_id] = TRANSFER_S
     zone.hub.slow_down(weak.own.peer_address, TRANSFER_S)
