Keep enough sound targets in use also by requests that run only once

Refusals did not count as requests that were not served, and a target that kept failing was told to other zones only once, so that they held each other's doubts for older than they were.

Change: as many doubtful targets may be idle as the installation's bound allows, less a margin, and these are the most doubtful of the whole service; the others get a request within two seconds. While many fail, refused requests included, every target gets one; trials that fail don't count towards that share. What other zones were told fades as their belief does. The workbench shows how many sound targets are in use.

--- a/libraries/daemon/src/sardinepier/daemon/entry_process.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_process.py
@@ -105,6 +105,7 @@
             self._random,
             _PERCENT * settings.bounds.retry_ratio * _RETRY_MARGIN,
             belief.BeliefOptions(),
+            settings.bounds.least_used_share,
         )
         self._instance_id = identity.new_instance_id(
             settings.daemon_id,
--- a/libraries/daemon/src/sardinepier/daemon/entry_settings.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_settings.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from sardinepier.core import ids
-from sardinepier.entry import dialect
+from sardinepier.entry import dialect, idle_bound
 from sardinepier.membership import capacity as capacities
 from sardinepier.wire import messages
 
@@ -17,6 +17,8 @@
     ``retry_ratio`` bounds further attempts as a fraction of the requests of
     a service over the whole fleet, and ``retry_burst`` what may come on top
     within ten seconds. ``zones`` is how many share that.
+    ``least_used_share``, 0 to 1, is how many of a service's sound targets have to
+    get requests within two seconds while others fail.
     """
 
     directory_s: float = 5.0
@@ -24,6 +26,7 @@
     retry_ratio: float = 0.2
     retry_burst: int = 0
     zones: int = 1
+    least_used_share: float = idle_bound.LEAST_USED_SHARE
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -50,6 +50,8 @@
         try:
             return await self._attempts(item, pool, history)
         except core_errors.SardinepierError as error:
+            if history.has_nothing():
+                pool.refused()
             return history.ended_by(error)
 
     async def _attempts(
--- a/libraries/entry/src/sardinepier/entry/overlooked.py
+++ b/libraries/entry/src/sardinepier/entry/overlooked.py
@@ -3,15 +3,25 @@
 Requests gather on the surest targets. A target that joined later would never
 be tried, and one that failed and has recovered would stay idle while requests
 fail elsewhere for want of sound targets.
+
+The users allow some sound targets to be idle, but not many of them for two
+seconds while a tenth of the requests fail. All that is in flight may fail at
+once, when power is lost, too late to spread requests then.
 """
 
 import dataclasses
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Final
 
 from sardinepier.core import clock as clocks
-from sardinepier.entry import preference, target_record
+from sardinepier.entry import (
+    idle_bound,
+    preference,
+    recent_failures,
+    target_record,
+    wishes,
+)
 
 _UNUSED_AFTER_S: Final = 2.0
 """A target that got nothing for so long after it came is tried next."""
@@ -22,8 +32,7 @@
 
 _IDLE_TRIAL_S: Final = 0.4
 """An attempt that another one may follow costs little when it fails, so that
-it goes to a target that was idle for so long at any time. Failures may come
-all at once, when a site loses power, too late to spread requests then."""
+it goes to a target that was idle for so long at any time."""
 
 _LONGEST_IDLE_S: Final = 1.7
 """Where no such attempt came by, others go there just in time."""
@@ -33,53 +42,9 @@
 of a second and a repeat; the sooner it is known to be sound, the more there is
 for others."""
 
-_FAILING_SHARE: Final = 0.07
-"""Share of failed attempts from which targets are not left idle: the users
-allow a tenth of the requests to fail while some are. On calm days two to four
-in a hundred fail."""
-
 _MOST_CHANCE: Final = 0.5
 """A target that fails more likely than not is no help."""
 
-_MOST_LAST_CHANCE: Final = 0.3
-"""The same for an attempt whose failure is final, while few fail: just above
-the chance of a target of which nothing is known."""
-
-_MEMORY_S: Final = 2.0
-_ENOUGH: Final = 4.0
-"""Attempts within the memory below which their share says little."""
-
-
-class RecentFailures:
-    """The share of attempts that failed within the last seconds."""
-
-    def __init__(self, clock: clocks.Clock) -> None:
-        """Start without any attempt."""
-        self._clock = clock
-        self._attempts = 0.0
-        self._failures = 0.0
-        self._updated_s = clock.monotonic_s()
-
-    def note(self, *, is_failure: bool) -> None:
-        """Take in how one attempt ended."""
-        self._fade()
-        self._attempts += 1
-        self._failures += is_failure
-
-    def are_many(self) -> bool:
-        """Tell whether enough fail to use every target that may do."""
-        self._fade()
-        if self._attempts < _ENOUGH:
-            return False
-        return self._failures > _FAILING_SHARE * self._attempts
-
-    def _fade(self) -> None:
-        now_s = self._clock.monotonic_s()
-        kept = math.exp((self._updated_s - now_s) / _MEMORY_S)
-        self._attempts *= kept
-        self._failures *= kept
-        self._updated_s = now_s
-
 
 def unused(
     free: Iterable[target_record.TargetRecord],
@@ -108,17 +73,9 @@
 DOUBTED: Final = Turn(_DOUBTED_S, math.inf)
 """Whatever is believed of a target: for attempts that another may follow."""
 
-
-def turn(*, is_last: bool, are_many_failing: bool) -> Turn:
-    """Return when a target has its turn with the attempt at hand.
-
-    ``is_last`` says that a failure of the attempt would be final.
-    """
-    if not is_last:
-        return Turn(_IDLE_TRIAL_S, _MOST_CHANCE)
-    if are_many_failing:
-        return Turn(_IDLE_S, _MOST_CHANCE)
-    return Turn(_LONGEST_IDLE_S, _MOST_LAST_CHANCE)
+ANY: Final = Turn(_LONGEST_IDLE_S, math.inf)
+"""Whatever is believed of a target, for attempts whose failure is final, while
+many fail: it counts as sound two seconds after it failed."""
 
 
 def neglected(
@@ -143,3 +100,47 @@
         key=target_record.TargetRecord.seen_used_s,
         default=None,
     )
+
+
+class Overlooked:
+    """Finds the target of one service that has its turn, whoever is surest.
+
+    ``recent`` has to be told of what becomes of requests.
+    """
+
+    def __init__(self, clock: clocks.Clock, least_used_share: float) -> None:
+        """Keep ``least_used_share``, 0 to 1, of the sound targets in use."""
+        self.recent = recent_failures.RecentFailures(clock)
+        self._bound = idle_bound.IdleBound(least_used_share)
+
+    def find(
+        self,
+        free: Sequence[target_record.TargetRecord],
+        known: Iterable[target_record.TargetRecord],
+        wish: wishes.Wish,
+        situation: preference.Situation,
+    ) -> target_record.TargetRecord | None:
+        """Return one of the ``free`` targets of those ``known``, or None.
+
+        A second attempt of a request goes to the surest.
+        """
+        if wish.tried:
+            return None
+        found = unused(free, situation)
+        for due in self._turns(known, wish, situation):
+            found = found or neglected(free, situation, due)
+        return found
+
+    def _turns(
+        self,
+        known: Iterable[target_record.TargetRecord],
+        wish: wishes.Wish,
+        situation: preference.Situation,
+    ) -> tuple[Turn, ...]:
+        """Return when targets have their turn, the first to go by first."""
+        if not wish.is_last:
+            return (DOUBTED, Turn(_IDLE_TRIAL_S, _MOST_CHANCE))
+        if self.recent.are_many():
+            return (ANY, Turn(_IDLE_S, _MOST_CHANCE))
+        most_chance = self._bound.chance(known, situation)
+        return (Turn(_LONGEST_IDLE_S, most_chance),)
--- a/libraries/entry/src/sardinepier/entry/repeats.py
+++ b/libraries/entry/src/sardinepier/entry/repeats.py
@@ -43,6 +43,10 @@
         else:
             self.not_run += 1
 
+    def has_nothing(self) -> bool:
+        """Tell whether no attempt ran, as far as is known."""
+        return self.failure is None and self.answer is None
+
     def ended_by(self, error: core_errors.SardinepierError) -> answers.Answer:
         """Return a target's failing answer, or raise what the caller is told."""
         return last_resort.last_resort(self.answer, self.failure, error)
--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -7,6 +7,7 @@
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
 from sardinepier.entry import (
+    idle_bound,
     model,
     overlooked,
     preference,
@@ -65,13 +66,14 @@
         random_source: random.Random,
         retry_percent: float,
         options: belief.BeliefOptions,
+        least_used_share: float = idle_bound.LEAST_USED_SHARE,
     ) -> None:
         """Start without targets."""
         self.name = name
         self.usual_s = 0.0
         self.on_outcome: Callable[[bool], None] = _tell_nobody
         self.shares_zone = False
-        self._recent = overlooked.RecentFailures(clock)
+        self._overlooked = overlooked.Overlooked(clock, least_used_share)
         self._usual_bytes = 0.0
         self._hedge_delay = hedging.HedgeDelay(_HEDGE_PERCENTILE)
         # No floor: many daemons with a few requests each would use it, and
@@ -160,7 +162,8 @@
         self._usual_bytes += _USUAL_SMOOTHING * grown_bytes
         record.belief.answered(self._clock.monotonic_s())
         record.belief_source = target_record.BeliefSource.OWN
-        self._recent.note(is_failure=False)
+        self._overlooked.recent.note(is_failure=False)
+        record.has_turn = False
         self.on_outcome(True)
         record.took(latency_s, self.usual_s)
         self._queue.observe_service(latency_s)
@@ -181,9 +184,17 @@
             is_early=taken_s < _EARLY_FACTOR * self.usual_s,
         )
         record.belief_source = target_record.BeliefSource.OWN
-        self._recent.note(is_failure=True)
+        # Turns that failed don't count: where many of them do, they would
+        # keep up the share of failures that brings them about.
+        if not record.has_turn:
+            self._overlooked.recent.note(is_failure=True)
+        record.has_turn = False
         self.on_outcome(False)
 
+    def refused(self) -> None:
+        """Take in that a request was refused, since nothing could run it."""
+        self._overlooked.recent.note(is_failure=True)
+
     def full(self, record: target_record.TargetRecord) -> None:
         """Take in that the target had no room for a request."""
         record.full_until_s = self._clock.monotonic_s() + _FULL_S
@@ -225,7 +236,9 @@
             preference.zone_cost(wish.body_bytes + self._usual_bytes),
             shares_zone=self.shares_zone,
         )
-        chosen = self._overlooked(free, wish, situation) or preference.surest(
+        known = self.targets.records()
+        due = self._overlooked.find(free, known, wish, situation)
+        chosen = due or preference.surest(
             free,
             wanted,
             wish.tolerance(now_s),
@@ -234,6 +247,7 @@
         )
         if chosen is None:
             return None
+        chosen.has_turn = chosen is due
         chosen.reserved += 1
         return chosen.listed.target_id
 
@@ -249,31 +263,6 @@
         chance = record.failure_chance(now_s, self.usual_s)
         return chance > _DOUBTFUL and record.is_unsettled(now_s)
 
-    def _overlooked(
-        self,
-        free: list[target_record.TargetRecord],
-        wish: wishes.Wish,
-        situation: preference.Situation,
-    ) -> target_record.TargetRecord | None:
-        """Return a target that has its turn whoever is surest."""
-        if wish.tried:
-            return None
-        found = overlooked.unused(free, situation)
-        if not wish.is_last:
-            found = found or overlooked.neglected(
-                free,
-                situation,
-                overlooked.DOUBTED,
-            )
-        return found or overlooked.neglected(
-            free,
-            situation,
-            overlooked.turn(
-                is_last=wish.is_last,
-                are_many_failing=self._recent.are_many(),
-            ),
-        )
-
     def _give_back(self, target_id: ids.TargetId) -> None:
         record = self.targets.find(target_id)
         if record is not None:
--- a/libraries/entry/src/sardinepier/entry/services.py
+++ b/libraries/entry/src/sardinepier/entry/services.py
@@ -12,6 +12,7 @@
 from sardinepier.core import ids
 from sardinepier.entry import (
     events,
+    idle_bound,
     model,
     refusals,
     route_table,
@@ -39,6 +40,7 @@
         random_source: random.Random,
         retry_percent: float,
         options: belief.BeliefOptions,
+        least_used_share: float = idle_bound.LEAST_USED_SHARE,
     ) -> None:
         """Start without a configuration and without targets.
 
@@ -54,7 +56,8 @@
         self._clock = clock
         self._random = random_source
         self._retry_percent = retry_percent
-        self._options = options
+        self.belief_options = options
+        self._least_used_share = least_used_share
         self._retry_burst = 0
         self._shares_zone = False
         self._starts = starts.NewestStarts()
@@ -118,7 +121,8 @@
                 self._clock,
                 self._random,
                 self._retry_percent,
-                self._options,
+                self.belief_options,
+                self._least_used_share,
             )
             pool.retry_budget.set_burst(self._retry_burst)
             pool.shares_zone = self._shares_zone
--- a/libraries/entry/src/sardinepier/entry/target_record.py
+++ b/libraries/entry/src/sardinepier/entry/target_record.py
@@ -60,6 +60,8 @@
     ``warm_at_s`` is until when it is slow after its start, and ``pace`` how slow it is against the service's usual, 1.0 for equal.
     ``full_until_s`` is until when it asked for no more work. ``reserved``
     counts slots that were given to requests which have not begun yet.
+    ``has_turn`` says that its newest request came to it because it was idle,
+    not because it was the surest.
     ``failed_connects`` counts the connections that timed out since it was
     last heard, and ``avoided_until_s`` is what came of them. Connections to
     its address that are older than ``known_since_s`` go to an earlier start.
@@ -79,6 +81,7 @@
     others_load_until_s: float = 0.0
     reserved: int = 0
     was_used: bool = False
+    has_turn: bool = False
     last_used_s: float = 0.0
     failed_connects: int = 0
     avoided_until_s: float = 0.0
--- a/libraries/entry/tests/cover/test_entry_floor.py
+++ b/libraries/entry/tests/cover/test_entry_floor.py
@@ -16,7 +16,7 @@
 
 import entry_support as given
 from sardinepier.core import clock as clocks
-from sardinepier.entry import service_pool, wishes
+from sardinepier.entry import idle_bound, preference, service_pool, wishes
 from sardinepier.health import belief
 
 LEAST_USED = 0.7
@@ -133,3 +133,87 @@
 
 def test_enough_sound_targets_are_in_use_whenever_power_may_be_lost():
     assert min(least_used(seed) for seed in range(8)) >= LEAST_USED
+
+
+def pool_of(clock, *names):
+    pool = service_pool.ServicePool(
+        given.SERVICE,
+        given.ZONE,
+        clock,
+        random.Random(1),
+        20.0,
+        belief.BeliefOptions(),
+    )
+    pool.usual_s = WORK_S
+    pool.targets.set([given.listed(name) for name in names])
+    return pool
+
+
+def take_last(pool, clock):
+    """Return who gets a request whose failure would be final."""
+    now_s = clock.monotonic_s()
+    wish = wishes.Wish((), 0, now_s, now_s + 0.3, is_last=True)
+    record = pool.try_acquire(wish)
+    pool.finished(record, pool.started(record))
+    return record
+
+
+def busy(pool, clock, refused_of_ten):
+    """Serve ten requests well, and refuse some more; ``t2`` failed before."""
+    pool.failed(pool.targets.find('t2'), 0)
+    clock.advance(1.8)
+    for number in range(10):
+        if number < refused_of_ten:
+            pool.refused()
+        pool.answered(pool.targets.find('t1'), WORK_S)
+
+
+def test_while_requests_are_refused_any_target_has_its_turn():
+    """A caller that was refused was not served, whatever failed or did not."""
+    for refused, expected in ((0, 't1'), (2, 't2')):
+        clock = clocks.ManualClock(100.0)
+        pool = pool_of(clock, *(f't{number}' for number in range(1, 11)))
+        for record in pool.targets.records():
+            record.belief.answered(clock.monotonic_s() + 1.8)
+        busy(pool, clock, refused)
+        assert take_last(pool, clock).listed.target_id == expected
+
+
+def test_a_turn_that_fails_brings_no_further_turns():
+    """Else trials would keep up the share of failures that causes them."""
+    clock = clocks.ManualClock(100.0)
+    pool = pool_of(clock, 't1', 't2')
+    busy(pool, clock, 0)
+    for _ in range(5):
+        clock.advance(1.8)
+        pool.answered(pool.targets.find('t1'), WORK_S)
+        pool.answered(pool.targets.find('t1'), WORK_S)
+        record = take_last(pool, clock)
+        assert record.listed.target_id == 't2'
+        pool.failed(record, 0)
+    assert not pool._overlooked.recent.are_many()
+
+
+def test_as_many_may_be_idle_as_the_installation_allows():
+    clock = clocks.ManualClock(100.0)
+    names = [f't{number}' for number in range(10)]
+    for least_used_share, idle in ((0.7, 2), (0.5, 4), (0.95, 0)):
+        pool = pool_of(clock, *names)
+        for name in names[:5]:
+            pool.targets.find(name).belief.failed(clock.monotonic_s())
+        now_s = clock.monotonic_s() + 3.0
+        situation = preference.Situation(given.ZONE, now_s, WORK_S, 0.0)
+        bound = idle_bound.IdleBound(least_used_share)
+        for place, name in enumerate(names):
+            # Told apart by when they failed.
+            if place < 5:
+                pool.targets.find(name).belief.take(0.9 - place / 10, now_s - 2)
+            else:
+                pool.targets.find(name).belief.answered(now_s)
+        chance = bound.chance(pool.targets.records(), situation)
+        left_out = [
+            record
+            for record in pool.targets.records()
+            if record.failure_chance(now_s, WORK_S) >= chance
+        ]
+        assert len(left_out) == idle
--- a/libraries/workbench/src/sardinepier/workbench/policy/command.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/command.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from sardinepier.telemetry import logs
-from sardinepier.workbench.policy import overrides, play, scenario, tally
+from sardinepier.workbench.policy import floor, overrides, play, scenario, tally
 
 TEXT_OPTIONS: Final = ('scenario_name', 'variant')
 _SIGMAS: Final = 1.96
@@ -58,7 +58,8 @@
     return (
         f'worth {worth:.3f}, served {total.served / total.asked:.4f}, '
         f'refused {total.refused / total.asked:.4f}, '
-        f'failed {total.failed / total.asked:.4f}; {classes}'
+        f'failed {total.failed / total.asked:.4f}; {classes}; '
+        f'{floor.summary([each.floor for each in played])}'
     )
 
 
--- a/libraries/workbench/src/sardinepier/workbench/policy/play.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/play.py
@@ -12,6 +12,7 @@
 from sardinepier.workbench.policy import (
     client,
     daemons,
+    floor,
     scenario,
     tally,
     targets,
@@ -63,6 +64,7 @@
     async def run(self) -> tally.Tally:
         """Play all of it and return what callers got."""
         self._start_daemons()
+        looks = asyncio.ensure_future(self._watch_floor())
         async with asyncio.TaskGroup() as group:
             for disturbance in self._setup.disturbances:
                 group.create_task(self._disturb(disturbance))
@@ -72,10 +74,17 @@
                     group.create_task(
                         self._arrive(one, zone, random.Random(seed)),
                     )
+        looks.cancel()
         await asyncio.gather(*self._requests)
         self._stop_daemons()
         return self.counts
 
+    async def _watch_floor(self) -> None:
+        while True:
+            if not self._is_down:
+                self.counts.floor.look(self._targets, self._loop.time())
+            await asyncio.sleep(floor.INTERVAL_S)
+
     def _start_daemons(self) -> None:
         self._is_down = False
         for number, member in enumerate(self._known):
--- a/libraries/workbench/src/sardinepier/workbench/policy/tally.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/tally.py
@@ -5,6 +5,8 @@
 import math
 from typing import Final
 
+from sardinepier.workbench.policy import floor
+
 _WINDOW_S: Final = 2.0
 _BEST_NINES: Final = 0.005
 """Share of unserved requests at which the part for nines is full."""
@@ -58,10 +60,11 @@
 
 
 class Tally:
-    """Counts the requests of one run."""
+    """Counts the requests of one run, and watches the targets in use."""
 
     def __init__(self) -> None:
         """Start without any."""
+        self.floor = floor.Floor()
         self.total = Count()
         self.by_class: dict[str, Count] = collections.defaultdict(Count)
         self.by_window: dict[int, Count] = collections.defaultdict(Count)
--- a/libraries/workbench/src/sardinepier/workbench/policy/targets.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/targets.py
@@ -39,6 +39,8 @@
 
     ``sheds`` is the share of requests that it refuses whatever its load,
     ``slowness`` by how much longer it works, and ``is_gone`` that it is down.
+    ``asked_s`` is when it last got a request, and ``failed_s`` when it last
+    failed one by itself.
     """
 
     def __init__(
@@ -52,6 +54,8 @@
         self.sheds = 0.0
         self.slowness = 1.0
         self.is_gone = False
+        self.asked_s = -math.inf
+        self.failed_s = -math.inf
         self._service = service
         self._random = random_source
         self._running = 0
@@ -63,6 +67,7 @@
 
     async def serve(self, work_s: float) -> Reply:
         """Work on one request; raise ``ResetError`` when it is lost."""
+        self.asked_s = asyncio.get_running_loop().time()
         if self.is_gone:
             raise ResetError('gone')
         if self._random.random() < self.sheds:
@@ -81,6 +86,7 @@
         return self._reply(_FAILED if is_error else _OK, has_run=True)
 
     async def _fail(self, work_s: float) -> Reply:
+        self.failed_s = asyncio.get_running_loop().time()
         manner = self._service.noise.manner
         if manner is scenario.Manner.RESET:
             raise ResetError('failing')
--- a/libraries/workbench/tests/cover/test_policy_emulator.py
+++ b/libraries/workbench/tests/cover/test_policy_emulator.py
@@ -1,15 +1,18 @@
 """The emulated fleet: virtual time, equal runs for equal seeds, scenarios."""
 
 import asyncio
+import random
 
 import msgspec
 import pytest
 from sardinepier.entry import overlooked
 from sardinepier.workbench.policy import (
     command,
+    floor,
     overrides,
     play,
     scenario,
+    targets,
     virtual_loop,
 )
 
@@ -151,3 +154,22 @@
     lines = capsys.readouterr().out.splitlines()
     assert len(lines) == 3
     assert 'the change is worth' in lines[2]
+
+
+def test_the_floor_counts_sound_targets_that_get_nothing():
+    setup = scenario.Scenario(
+        duration_s=1.0,
+        services=(scenario.Service('desk', targets_a_zone=4),),
+        classes=(),
+        zones=('a',),
+    )
+    found = targets.make(setup, random.Random(1))
+    now_s = 10.0
+    found[0].asked_s = now_s - 1.9
+    found[1].asked_s = now_s - 2.1
+    found[2].asked_s = now_s - 0.1
+    found[3].failed_s = now_s - 1.9
+    watched = floor.Floor()
+    watched.look(found, now_s)
+    assert watched.least() == pytest.approx(2 / 3)
+    assert watched.broken() == 1.0
--- a/libraries/zones/src/sardinepier/zones/beliefs.py
+++ b/libraries/zones/src/sardinepier/zones/beliefs.py
@@ -5,6 +5,7 @@
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
 from sardinepier.entry import services, target_record
+from sardinepier.health import belief
 from sardinepier.zones import messages
 
 _Source = target_record.BeliefSource
@@ -37,7 +38,7 @@
         self._least_change = least_change
         self._began_s = clock.monotonic_s()
         self._told_s: dict[ids.TargetId, float] = {}
-        self._told: dict[ids.TargetId, float] = {}
+        self._told: dict[ids.TargetId, belief.TargetBelief] = {}
 
     def take(self) -> tuple[messages.BeliefNews, ...]:
         """Return the news; each is returned once."""
@@ -56,10 +57,19 @@
         return tuple(one for one in news if self._is_new(one))
 
     def _is_new(self, news: messages.BeliefNews) -> bool:
+        """Tell whether others believe otherwise by now.
+
+        What they were told fades with time, so that a target which fails
+        again and again is told of again and again.
+        """
+        now_s = self._clock.monotonic_s()
         told = self._told.get(news.target_id)
-        if told is not None and abs(told - news.failing) < self._least_change:
+        if told is None:
+            told = belief.TargetBelief(self._held.belief_options, now_s)
+            self._told[news.target_id] = told
+        elif abs(told.failing(now_s) - news.failing) < self._least_change:
             return False
-        self._told[news.target_id] = news.failing
+        told.take(news.failing, now_s)
         return True
 
 
--- a/libraries/zones/tests/cover/test_zones_carriers.py
+++ b/libraries/zones/tests/cover/test_zones_carriers.py
@@ -100,6 +100,20 @@
     assert failing(other, 't1') > 0.5
 
 
+async def test_a_target_that_fails_again_is_told_of_again():
+    """What other zones were told fades; how many are idle goes by it."""
+    zone = given.Zone(count=3, zones=('z1', 'zone2'))
+    await with_targets(zone)
+    fail(zone.carrier(), 't1')
+    await zone.run(3.0)
+    fail(zone.carrier(), 't1')
+    again_s = zone.clock.monotonic_s()
+    await zone.run(1.0)
+    other = zone.find(zone.daemons[-1].carriers.of_own_zone()[0])
+    record = other.held.pool(given.SERVICE).targets.find('t1')
+    assert record.belief.updated_s == pytest.approx(again_s, abs=0.3)
+
+
 async def test_what_was_seen_later_is_believed(zone):
     await with_targets(zone)
     carrier = zone.carrier()
--- a/tests/adapter/test_adapter_settings.py
+++ b/tests/adapter/test_adapter_settings.py
@@ -20,7 +20,7 @@
 listen.control=10.1.0.18:8382
 listen.directory=10.1.0.18:8383
 seeds=10.1.0.18:8382,10.2.0.34:8382
-bounds=drain_s=2,grace_s=5,retry_budget_ratio=0.3,retry_budget_burst=64,ttl_max_s=4
+bounds=drain_s=2,grace_s=5,retry_budget_ratio=0.3,retry_budget_burst=64,ttl_max_s=4,min_share=0.6
 provider.address=10.200.1.7:8384
 a.field.nobody.knows=x=y
 """
@@ -53,6 +53,7 @@
     assert found.bounds.retry_ratio == 0.3
     assert found.bounds.retry_burst == 64
     assert found.bounds.zones == 3
+    assert found.bounds.least_used_share == 0.6
 
 
 def test_what_is_optional_may_be_absent(tmp_path):
@@ -66,6 +67,7 @@
     assert found.ready is None
     assert found.seeds == ()
     assert found.bounds.retry_burst == 0
+    assert found.bounds.least_used_share == 0.7
 
 
 @pytest.mark.parametrize(
