--- a/libraries/entry/src/sardinepier/entry/idle_bound.py
+++ b/libraries/entry/src/sardinepier/entry/idle_bound.py
@@ -65,6 +65,8 @@
         sound = 0
         doubted: list[float] = []
         for record in records:
+            if record.is_avoided(now_s):
+                continue
             chance = record.failure_chance(now_s, situation.usual_s)
             if chance < _LEAST_CHANCE:
                 sound += 1
--- a/libraries/entry/src/sardinepier/entry/overlooked.py
+++ b/libraries/entry/src/sardinepier/entry/overlooked.py
@@ -85,13 +85,15 @@
 ) -> target_record.TargetRecord | None:
     """Return the target of the own zone that has been idle for longest.
 
-    Whoever of the zone used it counts.
+    Whoever of the zone used it counts. One to which the way was lost has no
+    turn: a try would cost a third of a second, and it is no sound target.
     """
     now_s = situation.now_s
     idle = [
         record
         for record in free
         if record.listed.zone == situation.zone
+        and not record.is_avoided(now_s)
         and now_s - record.seen_used_s() > due.idle_s
         and record.failure_chance(now_s, situation.usual_s) < due.most_chance
     ]
--- a/libraries/entry/src/sardinepier/entry/target_record.py
+++ b/libraries/entry/src/sardinepier/entry/target_record.py
@@ -103,6 +103,10 @@
             return False
         return self.in_flight(now_s) < self.listed.slots
 
+    def is_avoided(self, now_s: float) -> bool:
+        """Tell whether the way to it was lost a moment ago."""
+        return now_s < self.avoided_until_s
+
     def is_overdue(self, now_s: float, usual_s: float) -> bool:
         """Tell whether an open attempt takes far longer than usual."""
         oldest_s = next(iter(self.started_s.values()), now_s)
@@ -115,7 +119,7 @@
         been open for a moment already speaks for its target, and one that is
         long overdue speaks against it.
         """
-        if now_s < self.avoided_until_s:
+        if self.is_avoided(now_s):
             return _OUT_OF_REACH_CHANCE
         if self.is_overdue(now_s, usual_s):
             return max(_OVERDUE_CHANCE, self.belief.failure_chance(now_s))
--- a/libraries/entry/tests/cover/test_entry_floor.py
+++ b/libraries/entry/tests/cover/test_entry_floor.py
@@ -179,6 +179,18 @@
         assert take_last(pool, clock).listed.target_id == expected
 
 
+def test_a_target_out_of_reach_has_no_turn():
+    """To connect in vain takes a third of a second."""
+    clock = clocks.ManualClock(100.0)
+    pool = pool_of(clock, 't1', 't2')
+    busy(pool, clock, 5)
+    pool.targets.find('t2').not_reached(clock.monotonic_s())
+    assert take_last(pool, clock).listed.target_id == 't1'
+    clock.advance(1.1)
+    pool.answered(pool.targets.find('t1'), WORK_S)
+    assert take_last(pool, clock).listed.target_id == 't2'
+
+
 def test_a_turn_that_fails_brings_no_further_turns():
     """Else trials would keep up the share of failures that causes them."""
     clock = clocks.ManualClock(100.0)
