Sharpen tests by what they did not notice

22 trials with a mechanism taken out, of which 8 went unnoticed at first: the age told with a reading, refusals told by forwarding, targets out of reach among the sound, a change that makes another list, beliefs told that fade, the blame and the budget of a target that left, the installation's share. All are noticed now.

--- a/libraries/entry/tests/cover/test_entry_floor.py
+++ b/libraries/entry/tests/cover/test_entry_floor.py
@@ -15,8 +15,15 @@
 import random
 
 import entry_support as given
+import pytest
 from sardinepier.core import clock as clocks
-from sardinepier.entry import idle_bound, preference, service_pool, wishes
+from sardinepier.entry import (
+    idle_bound,
+    preference,
+    service_pool,
+    services,
+    wishes,
+)
 from sardinepier.health import belief
 
 LEAST_USED = 0.7
@@ -179,6 +186,28 @@
         assert take_last(pool, clock).listed.target_id == expected
 
 
+async def test_a_caller_that_is_refused_counts(entry):
+    await entry.use(given.RawTarget('t1', ['shed']))
+    for number in range(6):
+        status, _, _ = await entry.ask(f'/once/{number}')
+        assert status == 503
+    pool = entry.shared.services.pool(given.SERVICE)
+    assert pool._overlooked.recent.are_many()
+
+
+def test_the_installation_s_share_reaches_each_service():
+    held = services.Services(
+        given.ZONE,
+        clocks.ManualClock(100.0),
+        random.Random(1),
+        20.0,
+        belief.BeliefOptions(),
+        0.5,
+    )
+    bound = held.pool(given.SERVICE)._overlooked._bound
+    assert bound._spare_share == pytest.approx(0.4)
+
+
 def test_a_target_out_of_reach_has_no_turn():
     """To connect in vain takes a third of a second."""
     clock = clocks.ManualClock(100.0)
@@ -191,6 +220,24 @@
     assert take_last(pool, clock).listed.target_id == 't2'
 
 
+def test_targets_out_of_reach_are_neither_sound_nor_doubtful():
+    """No share of them may be spared, and none is spared in their place."""
+    clock = clocks.ManualClock(100.0)
+    pool = pool_of(clock, *(f't{number}' for number in range(10)))
+    now_s = clock.monotonic_s() + 3.0
+    for record in pool.targets.records():
+        record.belief.answered(now_s - 2)
+    pool.targets.find('t0').belief.take(0.9, now_s - 2)
+    situation = preference.Situation(given.ZONE, now_s, WORK_S, 0.0)
+    for out_of_reach, is_spared in ((0, True), (4, True), (6, False)):
+        for number in range(out_of_reach):
+            pool.targets.find(f't{number + 1}').not_reached(now_s)
+        bound = idle_bound.IdleBound(LEAST_USED)
+        chance = bound.chance(pool.targets.records(), situation)
+        doubted = pool.targets.find('t0').failure_chance(now_s, WORK_S)
+        assert (doubted >= chance) == is_spared
+
+
 def test_a_turn_that_fails_brings_no_further_turns():
     """Else trials would keep up the share of failures that causes them."""
     clock = clocks.ManualClock(100.0)
--- a/libraries/entry/tests/cover/test_entry_leaving.py
+++ b/libraries/entry/tests/cover/test_entry_leaving.py
@@ -53,6 +53,11 @@
 
 async def test_a_target_that_left_meanwhile_gets_nothing(entry, monkeypatch):
     leaving, other = await prefer_first(entry)
+    pool = entry.shared.services.pool(given.SERVICE)
+    record = pool.targets.find(leaving.name)
+    believed_s = record.belief.updated_s
+    while pool.retry_budget.try_spend():
+        """Leave nothing: to go past a target that left costs nothing."""
     draining = given.listed(
         leaving.name,
         leaving.port,
@@ -61,3 +66,5 @@
     when_connected(monkeypatch, lambda: without_first(entry, draining))
     status, _, _ = await entry.ask(ONCE)
     assert (status, leaving.seen, other.ran) == (200, [], 1)
+    # Nor does it say anything of the target.
+    assert record.belief.updated_s == believed_s
--- a/libraries/zones/tests/cover/test_zones_carriers.py
+++ b/libraries/zones/tests/cover/test_zones_carriers.py
@@ -104,6 +104,8 @@
     """What other zones were told fades; how many are idle goes by it."""
     zone = given.Zone(count=3, zones=('z1', 'zone2'))
     await with_targets(zone)
+    # Failures that come at once make all but sure, both times alike.
+    zone.carrier().held.pool(given.SERVICE).usual_s = 0.2
     fail(zone.carrier(), 't1')
     await zone.run(3.0)
     fail(zone.carrier(), 't1')
--- a/libraries/zones/tests/cover/test_zones_reading.py
+++ b/libraries/zones/tests/cover/test_zones_reading.py
@@ -148,6 +148,19 @@
     assert [one.target_id for one in complete.targets] == ['t1@2', 't3@1']
 
 
+async def test_a_list_is_as_old_as_the_question_to_the_platform(zone):
+    guard = given.lapses.LapseGuard(zone.clock)
+    guard.heard(0.4)
+    assert guard.age_s() == pytest.approx(0.4)
+    guard.heard(0.9)
+    assert guard.age_s() == pytest.approx(0.4)
+    zone.clock.advance(1.0)
+    asked_s = zone.clock.monotonic_s() - 0.3
+    guard.complete(None, zone.platform.targets, asked_s=asked_s)
+    assert guard.age_s() == pytest.approx(0.3)
+    assert guard.is_own
+
+
 async def test_an_unusable_entry_is_told_once(zone, monkeypatch):
     told = []
     monkeypatch.setattr(logs, 'tell', lambda line, **_: told.append(line))
