--- a/libraries/zones/tests/cover/test_zones_carriers.py
+++ b/libraries/zones/tests/cover/test_zones_carriers.py
@@ -1,9 +1,8 @@
-"""Which daemons carry a zone, and what they tell of targets."""
+"""Which daemons carry a zone."""
 
 import pytest
 import zones_support as given
 from sardinepier.membership import capacity
-from sardinepier.wire import memory_network
 from sardinepier.zones import fitness, strength
 
 
@@ -76,61 +75,8 @@
     assert found
 
 
-async def test_a_failure_seen_beside_the_carrier_reaches_it(zone):
-    await with_targets(zone)
-    beside = next(one for one in zone.daemons if not one.carriers.is_carrier())
-    fail(beside, 't1')
-    await zone.run(0.5)
-    assert failing(zone.carrier(), 't1') > 0.5
-
-
-async def test_a_failure_seen_by_the_carrier_reaches_its_zone(zone):
-    await with_targets(zone)
-    fail(zone.carrier(), 't1')
-    await zone.run(0.5)
-    assert all(failing(one, 't1') > 0.5 for one in zone.daemons)
-
-
-async def test_a_failure_reaches_the_carriers_of_other_zones():
-    zone = given.Zone(count=3, zones=('z1', 'zone2'))
-    await with_targets(zone)
-    fail(zone.carrier(), 't1')
-    await zone.run(1.0)
-    other = zone.find(zone.daemons[-1].carriers.of_own_zone()[0])
-    assert failing(other, 't1') > 0.5
-
-
-async def test_a_target_that_fails_again_is_told_of_again():
-    """What other zones were told fades; how many are idle goes by it."""
-    zone = given.Zone(count=3, zones=('z1', 'zone2'))
-    await with_targets(zone)
-    # Failures that come at once make all but sure, both times alike.
-    zone.carrier().held.pool(given.SERVICE).usual_s = 0.2
-    fail(zone.carrier(), 't1')
-    await zone.run(3.0)
-    fail(zone.carrier(), 't1')
-    again_s = zone.clock.monotonic_s()
-    await zone.run(1.0)
-    other = zone.find(zone.daemons[-1].carriers.of_own_zone()[0])
-    record = other.held.pool(given.SERVICE).targets.find('t1')
-    assert record.belief.updated_s == pytest.approx(again_s, abs=0.3)
-
-
-async def test_what_was_seen_later_is_believed(zone):
-    await with_targets(zone)
-    carrier = zone.carrier()
-    beside = next(one for one in zone.daemons if one is not carrier)
-    fail(beside, 't1')
-    zone.clock.advance(0.01)
-    pool = carrier.held.pool(given.SERVICE)
-    pool.answered(pool.targets.find('t1'), 0.1)
-    told = failing(carrier, 't1')
-    await zone.run(0.5)
-    assert failing(carrier, 't1') == pytest.approx(told, abs=0.05)
-
-
 async def test_a_carrier_cut_off_from_targets_hands_its_zone_over(zone):
-    await with_targets(zone)
+    await given.with_targets(zone)
     cut_off = zone.carrier()
     lose_way(cut_off, 't1', 't2')
     await zone.run(0.5)
@@ -141,16 +87,16 @@
 
 
 async def test_what_a_carrier_cannot_reach_is_no_evidence_for_others(zone):
-    await with_targets(zone)
-    before = failing(zone.daemons[0], 't1')
+    await given.with_targets(zone)
+    before = given.failing(zone.daemons[0], 't1')
     lose_way(zone.carrier(), 't1', 't2')
     await zone.run(0.5)
     for one in zone.daemons:
-        assert failing(one, 't1') <= before
+        assert given.failing(one, 't1') <= before
 
 
 async def test_a_carrier_that_handed_over_comes_back(zone):
-    await with_targets(zone)
+    await given.with_targets(zone)
     cut_off = zone.carrier()
     lose_way(cut_off, 't1', 't2')
     await zone.run(0.5)
@@ -162,7 +108,7 @@
 
 async def test_a_zone_that_nobody_serves_better_hands_over_seldom(zone):
     """Such as when the targets themselves are gone."""
-    await with_targets(zone)
+    await given.with_targets(zone)
     first = zone.carrier()
     for daemon in zone.daemons:
         lose_way(daemon, 't1', 't2')
@@ -175,7 +121,7 @@
 
 
 async def test_one_target_out_of_reach_is_no_reason(zone):
-    await with_targets(zone)
+    await given.with_targets(zone)
     first = zone.carrier()
     lose_way(first, 't1')
     await zone.run(0.5)
@@ -185,7 +131,7 @@
 
 async def test_one_connection_each_is_no_reason(zone):
     """Over a link that loses packets that happens now and then."""
-    await with_targets(zone)
+    await given.with_targets(zone)
     first = zone.carrier()
     lose_way(first, 't1', 't2', times=1)
     await zone.run(0.5)
@@ -194,10 +140,10 @@
 
 
 async def test_targets_that_are_known_to_fail_are_no_reason(zone):
-    await with_targets(zone)
+    await given.with_targets(zone)
     first = zone.carrier()
     for name in ('t1', 't2'):
-        fail(first, name)
+        given.fail(first, name)
     lose_way(first, 't1', 't2')
     await zone.run(0.5)
     named = {one.carriers.of_own_zone() for one in zone.daemons}
@@ -206,7 +152,7 @@
 
 async def test_a_lost_notice_of_a_handover_is_made_up_for(zone):
     """The others miss the beats of the one that handed over."""
-    await with_targets(zone)
+    await given.with_targets(zone)
     cut_off = zone.carrier()
     lose_way(cut_off, 't1', 't2')
     for one in zone.daemons:
@@ -216,67 +162,9 @@
         assert one.carriers.of_own_zone()[0] is not cut_off.own
 
 
-async def with_targets(zone):
-    zone.platform.configuration = given.configuration(1)
-    zone.platform.targets = given.target_list(1, 't1', 't2')
-    await zone.run(2.0)
-
-
-def fail(daemon, name):
-    pool = daemon.held.pool(given.SERVICE)
-    pool.failed(pool.targets.find(name), 0)
-
-
-def failing(daemon, name):
-    record = daemon.held.pool(given.SERVICE).targets.find(name)
-    return record.belief.failing(daemon.clock.monotonic_s())
-
-
-async def test_what_one_zone_tells_reaches_all_carriers_of_the_other():
-    zone = given.Zone(count=4, zones=('z1', 'zone2'))
-    await with_targets(zone)
-    crowd(zone, 'zone2')
-    await zone.run(1.0)
-    fail(zone.carrier(), 't1')
-    await zone.run(1.5)
-    carriers_there = [
-        one
-        for one in zone.daemons
-        if one.own.zone == 'zone2' and one.carriers.is_carrier()
-    ]
-    assert len(carriers_there) > 1
-    for one in carriers_there:
-        assert failing(one, 't1') > 0.4
-
-
-async def test_news_does_not_grow_younger_on_its_way(zone):
-    """Each daemon passes on what it saw, not what it heard."""
-    await with_targets(zone)
-    zone.hub.faults = memory_network.LinkFaults(delay_s=0.05)
-    fail(zone.carrier(), 't1')
-    seen_s = zone.clock.monotonic_s()
-    await zone.run(3.0)
-    for one in zone.daemons:
-        record = one.held.pool(given.SERVICE).targets.find('t1')
-        assert record.belief.updated_s == pytest.approx(seen_s, abs=0.3)
-
-
-async def test_a_target_nobody_asked_is_no_news(zone):
-    """The general belief of a daemon that starts late replaces no outcome."""
-    await with_targets(zone)
-    late = next(one for one in zone.daemons if not one.carriers.is_carrier())
-    fail(zone.carrier(), 't1')
-    told = failing(zone.carrier(), 't1')
-    zone.clock.advance(0.01)
-    late.held.pool(given.SERVICE).set_targets([])
-    late.held.pool(given.SERVICE).set_targets([given.target('t1')])
-    await zone.run(0.5)
-    assert failing(zone.carrier(), 't1') == pytest.approx(told, abs=0.05)
-
-
 async def test_more_traffic_gets_more_carriers(zone):
-    await with_targets(zone)
-    crowd(zone, 'z1')
+    await given.with_targets(zone)
+    given.crowd(zone, 'z1')
     await zone.run(1.0)
     counts = {one.carriers.count for one in zone.daemons}
     assert len(counts) == 1
@@ -288,8 +176,8 @@
 
 
 async def test_less_traffic_needs_fewer_after_a_while(zone):
-    await with_targets(zone)
-    crowd(zone, 'z1')
+    await given.with_targets(zone)
+    given.crowd(zone, 'z1')
     await zone.run(1.0)
     for one in zone.daemons:
         one.per_s = 0
@@ -298,8 +186,8 @@
 
 
 async def test_who_takes_over_keeps_the_number(zone):
-    await with_targets(zone)
-    crowd(zone, 'z1')
+    await given.with_targets(zone)
+    given.crowd(zone, 'z1')
     await zone.run(1.0)
     before = zone.daemons[0].carriers.count
     for one in zone.daemons:
@@ -309,13 +197,6 @@
     assert {one.carriers.count for one in zone.living()} == {before}
 
 
-def crowd(zone, name):
-    """Let the first carriers of a zone get more than one can carry."""
-    for one in zone.daemons:
-        if one.own.zone == name:
-            one.per_s = 250
-
-
 def lose_way(daemon, *names, times=2):
     for name in names:
         record = daemon.held.pool(given.SERVICE).targets.find(name)
--- a/libraries/zones/tests/zones_support.py
+++ b/libraries/zones/tests/zones_support.py
@@ -254,3 +254,26 @@
                     one.sharing.step()
             self.hub.deliver()
             self.clock.advance(step_s)
+
+
+async def with_targets(zone):
+    zone.platform.configuration = configuration(1)
+    zone.platform.targets = target_list(1, 't1', 't2')
+    await zone.run(2.0)
+
+
+def fail(daemon, name):
+    pool = daemon.held.pool(SERVICE)
+    pool.failed(pool.targets.find(name), 0)
+
+
+def failing(daemon, name):
+    record = daemon.held.pool(SERVICE).targets.find(name)
+    return record.belief.failing(daemon.clock.monotonic_s())
+
+
+def crowd(zone, name):
+    """Let the first carriers of a zone get more than one can carry."""
+    for one in zone.daemons:
+        if one.own.zone == name:
+            one.per_s = 250
