Give each run of the adapter's tests an address of its own for figures

The address was fixed, and an instance that finds it taken goes on without. Shown by a server at that address: the test failed in the same way, and passes beside it now. The assertions are as they were.

--- a/tests/adapter/instance_process.py
+++ b/tests/adapter/instance_process.py
@@ -27,6 +27,10 @@
 
     def __init__(self, folder, name, store_address, seeds=''):
         self.ports = dict(zip(PORTS, free_ports(len(PORTS)), strict=True))
+        # The port of the figures is the same one everywhere, so that each
+        # instance of each run of the tests has an address of its own.
+        high, low = divmod(os.getpid(), 250)
+        self.figures_ip = f'127.{high % 250}.{low}.{name[-1]}'
         self.path = folder / f'{name}.conf'
         lines = [
             f'node_name={name}',
@@ -36,8 +40,7 @@
             'bounds=grace_s=3,ttl_max_s=5,retry_budget_ratio=0.2',
             f'provider.address={store_address}',
             f'seeds={seeds or self.address("control")}',
-            # An address of its own: the port of the figures is the same one.
-            f'ip=127.77.0.{name[-1]}',
+            f'ip={self.figures_ip}',
             *(f'listen.{one}={self.address(one)}' for one in PORTS),
         ]
         self.path.write_text('\n'.join(lines))
