Beat at the usual pace to those who don't carry the zone

Cause: a carrier beats as soon as a target fails, up to fifty times a second. In a large fleet some always fail, so that each of 56 instances of a zone took in fifty beats a second from every carrier, and a carrier sent 2,800.

Change: a failure stirs beats to fellow carriers only.

--- a/libraries/zones/src/sardinepier/zones/sharing.py
+++ b/libraries/zones/src/sardinepier/zones/sharing.py
@@ -1,7 +1,8 @@
 """The beats of one daemon: what it tells its zone, and how often.
 
 Carriers beat to all daemons of their zone, with their versions and what they
-believe of targets. Others tell the carriers what they see.
+believe of targets: to each other as soon as a target fails, and to those who
+don't carry the zone at their usual pace. These tell the carriers what they see.
 """
 
 import asyncio
@@ -63,6 +64,7 @@
         )
         self._role = role.Role(held, chosen, load, clock)
         self._stirred = asyncio.Event()
+        self._beat_due_s = clock.monotonic_s()
         peer_network.subscribe(messages.ZoneBeat, self._on_beat)
 
     def take_configuration(self, fresh: model.ServedConfiguration) -> None:
@@ -88,7 +90,7 @@
             unusable=unusable,
         )
         if age_ms is not None:
-            self._news.to_all(self._beat(reading_age_ms=age_ms))
+            self._beat_to_all(reading_age_ms=age_ms)
 
     def stir(self) -> None:
         """Beat soon: a target has just failed."""
@@ -111,9 +113,9 @@
     def step(self) -> None:
         """Beat or report once, by what this daemon is now."""
         if self._role.step():
-            self._news.to_all(self._beat(hands_over=True))
+            self._beat_to_all(hands_over=True)
         elif self._carriers.is_carrier():
-            self._news.to_all(self._beat())
+            self._beat_when_due()
         else:
             self._telling.to_carriers()
         if self._carriers.is_first():
@@ -127,17 +129,60 @@
         except TimeoutError:
             return
 
-    def _beat(
+    def _beat_when_due(self) -> None:
+        """Beat to fellow carriers, and to the others if it is time.
+
+        A carrier is stirred up to fifty times a second while targets fail,
+        and in a large fleet some always do.
+        """
+        if self._clock.monotonic_s() >= self._beat_due_s:
+            self._beat_to_all()
+        else:
+            self._beat_to_carriers()
+
+    def _beat_to_all(
         self,
         *,
         reading_age_ms: int | None = None,
         hands_over: bool = False,
+    ) -> None:
+        self._beat_due_s = self._clock.monotonic_s() + fitness.BEAT_INTERVAL_S
+        self._beat_to_carriers(
+            reading_age_ms=reading_age_ms,
+            hands_over=hands_over,
+        )
+        beat = self._beat(
+            self._telling.for_followers(),
+            reading_age_ms=reading_age_ms,
+            hands_over=hands_over,
+        )
+        self._news.to_followers(beat)
+
+    def _beat_to_carriers(
+        self,
+        *,
+        reading_age_ms: int | None = None,
+        hands_over: bool = False,
+    ) -> None:
+        beat = self._beat(
+            self._telling.for_carriers(),
+            reading_age_ms=reading_age_ms,
+            hands_over=hands_over,
+        )
+        self._news.to_fellows(beat)
+
+    def _beat(
+        self,
+        told: tuple[messages.BeliefNews, ...],
+        *,
+        reading_age_ms: int | None,
+        hands_over: bool,
     ) -> messages.ZoneBeat:
         return messages.ZoneBeat(
             *self._held.versions(),
             targets_digest=self._held.targets_digest,
             reading_age_ms=reading_age_ms,
-            beliefs=self._telling.for_own_zone(),
+            beliefs=told,
             hands_over=hands_over,
             load=self._role.load.own(),
             carriers=self._carriers.count,
