Tell in lines and figures when a target had its turn, and what budgets denied

Cause: a line said `first` of a request that went to the surest target and of one that went to a target which failed a moment ago, because it was that one's turn. What a retry budget denied was not told at all, so that requests that ended after one attempt could not be told apart.

Change: the reason `turn`; counters of attempts by reason, of repeats granted and denied. Tests of both.

--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -49,7 +49,8 @@
         self._number = pool.started(record)
         self._started_s = shared.clock.monotonic_s()
         self._is_sent = False
-        reason = _reason(item, is_beside=is_beside)
+        reason = _reason(item, record, is_beside=is_beside)
+        shared.measures.attempt_begun(item.service, reason)
         item.attempts += 1
         self._choice = shared.decisions.sent(
             item,
@@ -216,7 +217,14 @@
         return self._shared.clock.monotonic_s() - self._started_s
 
 
-def _reason(item: works.Work, *, is_beside: bool) -> events.Reason:
+def _reason(
+    item: works.Work,
+    record: target_record.TargetRecord,
+    *,
+    is_beside: bool,
+) -> events.Reason:
     if is_beside:
         return events.Reason.BESIDE
-    return events.Reason.AGAIN if item.attempts else events.Reason.FIRST
+    if item.attempts:
+        return events.Reason.AGAIN
+    return events.Reason.TURN if record.has_turn else events.Reason.FIRST
--- a/libraries/entry/src/sardinepier/entry/events.py
+++ b/libraries/entry/src/sardinepier/entry/events.py
@@ -32,6 +32,12 @@
     """Why an attempt was made."""
 
     FIRST = 'first'
+    """The surest target that had room."""
+
+    TURN = 'turn'
+    """The first one, to a target that had been idle or doubted for long enough
+    to have its turn."""
+
     AGAIN = 'again'
     """After one that failed or did not run."""
 
--- a/libraries/entry/src/sardinepier/entry/measures.py
+++ b/libraries/entry/src/sardinepier/entry/measures.py
@@ -9,6 +9,9 @@
 HELP_TEXTS: Final[Mapping[str, str]] = {
     'requests': 'Requests by service and by what became of them.',
     'attempts': 'Attempts at targets by service and by how they ended.',
+    'attempts_begun': 'Attempts by service and by why the target was chosen.',
+    'repeats_granted': 'Further attempts that the retry budgets allowed.',
+    'repeats_denied': 'Further attempts that they did not allow.',
     'request_duration_ms': 'From a request read to its answer, in ms.',
     'attempt_duration_ms': 'From an attempt begun to its answer, in ms.',
     'requests_in_hand': 'Requests that this daemon has right now.',
@@ -59,6 +62,14 @@
                 service=service,
             ).record(taken_s * _MS_PER_S)
 
+    def attempt_begun(self, service: str, reason: events.Reason) -> None:
+        """Count an attempt by the reason for its target."""
+        self._metrics.counter(
+            'attempts_begun',
+            service=service,
+            reason=reason.value,
+        ).add()
+
     def attempt_ended(self, service: str, how: str, taken_s: float) -> None:
         """Count an attempt; ``how`` is the type of its failure, or ``ok``."""
         self._metrics.counter('attempts', service=service, how=how).add()
@@ -78,7 +89,12 @@
     configuration = held.configuration
     version = configuration.version if configuration else 0
     targets = sum(len(pool.targets.records()) for pool in held.pools())
+    budgets = [pool.retry_budget for pool in held.pools()]
+    granted = sum(one.granted for one in budgets)
+    denied = sum(one.denied for one in budgets)
     return (
         exposition.Gauge('configuration_version', version),
         exposition.Gauge('targets', targets),
+        exposition.Gauge('repeats_granted', granted),
+        exposition.Gauge('repeats_denied', denied),
     )
--- a/libraries/entry/tests/cover/test_entry_lines.py
+++ b/libraries/entry/tests/cover/test_entry_lines.py
@@ -6,7 +6,7 @@
 import entry_support as given
 import msgspec
 import pytest
-from sardinepier.entry import decisions, events
+from sardinepier.entry import decisions, events, measures
 from sardinepier.telemetry import logs
 
 
@@ -75,6 +75,30 @@
     assert lines.of('request-ended')[0]['attempts'] == 2
 
 
+async def test_a_choice_says_that_the_target_had_its_turn(entry, lines):
+    await entry.use(given.RawTarget('t1'), given.RawTarget('t2'))
+    pool = entry.shared.services.pool(given.SERVICE)
+    now_s = entry.shared.clock.monotonic_s()
+    for record in pool.targets.records():
+        record.belief.answered(now_s)
+    idle = pool.targets.find('t2')
+    idle.belief.take(0.2, now_s - 5.0)
+    await entry.ask()
+    choice = lines.of('request-sent')[0]['choice']
+    assert (choice['target'], choice['reason']) == ('t2', 'turn')
+
+
+async def test_figures_tell_of_reasons_and_of_repeats(entry):
+    await entry.use(given.RawTarget('t1', ['fail']))
+    entry.shared.services.set_retry_burst(0)
+    await entry.ask()
+    held = entry.shared.services
+    text = await entry.shared.measures.text(measures.of_services(held))
+    assert 'attempts_begun_total{reason="first",service="books"} 1' in text
+    assert 'repeats_denied 1' in text
+    assert 'repeats_granted 0' in text
+
+
 async def test_a_refusal_says_why(entry, lines):
     await entry.use()
     await entry.ask()
--- a/libraries/routing/src/sardinepier/routing/budget.py
+++ b/libraries/routing/src/sardinepier/routing/budget.py
@@ -65,6 +65,8 @@
         self._parts: deque[_Part] = deque()
         self._requests = 0
         self._spent = 0
+        self.granted = 0
+        self.denied = 0
 
     def set_burst(self, attempts: int) -> None:
         """Grant so many attempts a window beside those of its requests.
@@ -90,7 +92,9 @@
     def try_spend(self) -> bool:
         """Take one further attempt from the budget, if there is one."""
         if not self.has_room():
+            self.denied += 1
             return False
+        self.granted += 1
         self._current().spent += 1
         self._spent += 1
         return True
