Let a carrier's part of the burst grow from nothing, and forget what was spent to the moment

Cause: a carrier that had just taken over had its whole part of the fleet's burst at once, since it can't know what those before it used. With a zone changing hands within a window the parts added up, so that 0.35 of the burst was all that could be shared out, and several handovers within ten seconds used more than the zone's part all the same. Beside that, a budget forgot what was spent by tenths of its window: after 9.05 s the whole burst could be spent again.

What was spent is forgotten to the moment.

The test of the window failed before.

--- a/libraries/daemon/src/sardinepier/daemon/entry_process.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_process.py
@@ -32,6 +32,7 @@
 from sardinepier.telemetry import logs
 from sardinepier.wire import messages
 from sardinepier.zones import (
+    burst_share,
     carriers,
     lapses,
     reading,
@@ -46,11 +47,6 @@
 _RETRY_MARGIN: Final = 0.9
 """Share of the fleet's retry budget that is used, as windows slide."""
 
-_BURST_MARGIN: Final = 0.35
-"""Share of the fleet's burst that the carriers use together. Another carrier
-may take over within a window, and those before it have used their part; while
-a zone goes from one carrier to nine, they use 2.8 times its part."""
-
 _UPKEEP_S: Final = 0.5
 
 _PERCENT: Final = 100
@@ -126,6 +122,11 @@
             self._membership,
             self._clock,
         )
+        self._burst = burst_share.BurstShare(
+            self._clock,
+            settings.bounds.zones,
+            settings.bounds.retry_burst,
+        )
         self._guard = lapses.LapseGuard(self._clock)
         self._services.targets_age_s = self._guard.age_s
         self._sharing = sharing.ZoneSharing(
@@ -283,11 +284,12 @@
 
     def _share_burst(self) -> None:
         """Use the zone's part of the burst while this daemon carries it."""
-        bounds = self._settings.bounds
-        shared = _BURST_MARGIN * bounds.retry_burst
-        part = int(shared / (bounds.zones * self._carriers.count))
-        is_carrier = self._carriers.is_carrier()
-        self._services.set_retry_burst(part if is_carrier else 0)
+        part = self._burst.part(
+            is_carrier=self._carriers.is_carrier(),
+            count=self._carriers.count,
+            living=1 + len(self._carriers.neighbours()),
+        )
+        self._services.set_retry_burst(part)
 
     def _outcome_seen(self, is_good: bool) -> None:
         if not is_good:
--- a/libraries/entry/src/sardinepier/entry/services.py
+++ b/libraries/entry/src/sardinepier/entry/services.py
@@ -60,7 +60,7 @@
         self._retry_percent = retry_percent
         self.belief_options = options
         self._least_used_share = least_used_share
-        self._retry_burst = 0
+        self._retry_burst = 0.0
         self._shares_zone = False
         self._explores = True
         self._starts = starts.NewestStarts()
@@ -134,7 +134,7 @@
             self._pools[name] = pool
         return pool
 
-    def set_retry_burst(self, attempts: int) -> None:
+    def set_retry_burst(self, attempts: float) -> None:
         """Grant attempts beyond the percentage, for each service."""
         self._retry_burst = attempts
         for pool in self._pools.values():
--- a/libraries/routing/src/sardinepier/routing/budget.py
+++ b/libraries/routing/src/sardinepier/routing/budget.py
@@ -15,11 +15,10 @@
 
 @dataclasses.dataclass(slots=True)
 class _Part:
-    """What happened in one tenth of the window."""
+    """How many requests came in one tenth of the window."""
 
     number: int
     requests: int = 0
-    spent: int = 0
 
 
 class RetryBudget:
@@ -60,15 +59,16 @@
         self._fraction = percent / _PERCENT
         self._floor = floor
         self._rounding = rounding
-        self._burst = 0
+        self._burst = 0.0
+        self._window_s = window_s
         self._part_s = window_s / _PARTS
         self._parts: deque[_Part] = deque()
+        self._spent_s: deque[float] = deque()
         self._requests = 0
-        self._spent = 0
         self.granted = 0
         self.denied = 0
 
-    def set_burst(self, attempts: int) -> None:
+    def set_burst(self, attempts: float) -> None:
         """Grant so many attempts a window beside those of its requests.
 
         For those who share a bound over a whole fleet: each gets a part of
@@ -80,14 +80,15 @@
 
     def record_request(self) -> None:
         """Count a new request. Its further attempts don't count again."""
+        self._forget()
         self._current().requests += 1
         self._requests += 1
 
     def has_room(self) -> bool:
         """Tell whether :meth:`try_spend` would grant an attempt now."""
-        self._current()
+        self._forget()
         allowed = max(self._floor, self._fraction * self._requests)
-        return self._spent + 1 <= allowed + self._rounding + self._burst
+        return len(self._spent_s) + 1 <= allowed + self._rounding + self._burst
 
     def try_spend(self) -> bool:
         """Take one further attempt from the budget, if there is one."""
@@ -95,16 +96,20 @@
             self.denied += 1
             return False
         self.granted += 1
-        self._current().spent += 1
-        self._spent += 1
+        self._spent_s.append(self._clock.monotonic_s())
         return True
 
+    def _forget(self) -> None:
+        """Drop what is older than the window, to the moment for what was spent."""
+        now_s = self._clock.monotonic_s()
+        while self._spent_s and self._spent_s[0] <= now_s - self._window_s:
+            self._spent_s.popleft()
+        number = int(now_s / self._part_s)
+        while self._parts and self._parts[0].number <= number - _PARTS:
+            self._requests -= self._parts.popleft().requests
+
     def _current(self) -> _Part:
         number = int(self._clock.monotonic_s() / self._part_s)
-        while self._parts and self._parts[0].number <= number - _PARTS:
-            gone = self._parts.popleft()
-            self._requests -= gone.requests
-            self._spent -= gone.spent
         if not self._parts or self._parts[-1].number != number:
             self._parts.append(_Part(number))
         return self._parts[-1]
--- a/libraries/routing/tests/cover/test_routing_budgets.py
+++ b/libraries/routing/tests/cover/test_routing_budgets.py
@@ -117,6 +117,18 @@
         assert fleet.within(fleet.spent, _WINDOW_S) <= bound
 
 
+def test_what_was_spent_is_forgotten_only_after_a_whole_window():
+    """It was after 9.05 s: twice the burst was spent within ten seconds."""
+    manual = clock.ManualClock(0.95)
+    retries = budget.RetryBudget(manual, 0, floor=0)
+    retries.set_burst(5)
+    assert sum(retries.try_spend() for _ in range(9)) == 5
+    manual.advance(9.9)
+    assert not retries.try_spend()
+    manual.advance(1.2)
+    assert retries.try_spend()
+
+
 _BESIDE = 280
 _SEEDS = 20
 
