Give targets of a zone that lost all its daemons their turn from other zones

Cause: turns are given to targets of the own zone. When all instances of one zone lost power, nobody gave any to its targets, and requests of the others go there less since they keep to their zone.

Change: first carriers report to each other each quarter of a second, without news too; one that is not heard for 0.6 s is lost, and its targets have their turn from the others.

--- a/libraries/entry/src/sardinepier/entry/overlooked.py
+++ b/libraries/entry/src/sardinepier/entry/overlooked.py
@@ -46,9 +46,12 @@
     free: Iterable[target_record.TargetRecord],
     situation: preference.Situation,
 ) -> target_record.TargetRecord | None:
-    """Return a target of the own zone that waits for its first request."""
+    """Return a target that waits for its first request.
+
+    Of the own zone, or of one that is lost, as all others here.
+    """
     for record in free:
-        if record.was_tried() or record.listed.zone != situation.zone:
+        if record.was_tried() or not situation.cares_for(record.listed.zone):
             continue
         if situation.now_s > record.warm_at_s + _UNUSED_AFTER_S:
             return record
@@ -88,7 +91,7 @@
     idle = [
         record
         for record in free
-        if record.listed.zone == situation.zone
+        if situation.cares_for(record.listed.zone)
         and not record.is_avoided(now_s)
         and now_s - record.seen_used_s() > due.idle_s
         and record.failure_chance(now_s, situation.usual_s) < due.most_chance
--- a/libraries/entry/src/sardinepier/entry/preference.py
+++ b/libraries/entry/src/sardinepier/entry/preference.py
@@ -47,7 +47,8 @@
     ``zone`` is the sender's, ``usual_s`` the usual latency of the service
     and ``zone_cost`` what sending this request to another zone costs.
     ``shares_zone`` says that other daemons send for the zone, too, and
-    ``explores`` that this one tries targets which don't look the surest.
+    ``explores`` that this one tries targets which don't look the surest, those
+    of ``lost_zones`` among them: these have no daemon that does.
     """
 
     zone: ids.ZoneName
@@ -56,6 +57,11 @@
     zone_cost: float
     shares_zone: bool = False
     explores: bool = True
+    lost_zones: frozenset[ids.ZoneName] = frozenset()
+
+    def cares_for(self, zone: ids.ZoneName) -> bool:
+        """Tell whether targets of ``zone`` have their turn here."""
+        return zone == self.zone or zone in self.lost_zones
 
 
 def zone_cost(passed_bytes: float) -> float:
--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -74,6 +74,7 @@
         self.on_outcome: Callable[[bool], None] = _tell_nobody
         self.shares_zone = False
         self.explores = True
+        self.lost_zones: frozenset[ids.ZoneName] = frozenset()
         self._overlooked = overlooked.Overlooked(clock, least_used_share)
         self._usual_bytes = 0.0
         self._hedge_delay = hedging.HedgeDelay(_HEDGE_PERCENTILE)
@@ -243,6 +244,7 @@
             preference.zone_cost(wish.body_bytes + self._usual_bytes),
             shares_zone=self.shares_zone,
             explores=self.explores,
+            lost_zones=self.lost_zones,
         )
         known = self.targets.records()
         due = self._overlooked.find(free, known, wish, situation)
--- a/libraries/entry/src/sardinepier/entry/services.py
+++ b/libraries/entry/src/sardinepier/entry/services.py
@@ -63,6 +63,7 @@
         self._retry_burst = 0.0
         self._shares_zone = False
         self._explores = True
+        self._lost_zones: frozenset[ids.ZoneName] = frozenset()
         self._starts = starts.NewestStarts()
         self._has_table = asyncio.Event()
         self._table: route_table.RouteTable | None = None
@@ -130,6 +131,7 @@
             pool.retry_budget.set_burst(self._retry_burst)
             pool.shares_zone = self._shares_zone
             pool.explores = self._explores
+            pool.lost_zones = self._lost_zones
             pool.on_outcome = self.on_outcome
             self._pools[name] = pool
         return pool
@@ -155,6 +157,12 @@
         for pool in self._pools.values():
             pool.explores = explores
 
+    def set_lost_zones(self, zones: frozenset[ids.ZoneName]) -> None:
+        """Give targets of these zones their turn, too: nobody there does."""
+        self._lost_zones = zones
+        for pool in self._pools.values():
+            pool.lost_zones = zones
+
     def pools(self) -> Iterable[service_pool.ServicePool]:
         """Return the targets of all services."""
         return self._pools.values()
--- a/libraries/zones/src/sardinepier/zones/belief_telling.py
+++ b/libraries/zones/src/sardinepier/zones/belief_telling.py
@@ -7,14 +7,20 @@
 from typing import Final
 
 from sardinepier.core import clock as clocks
+from sardinepier.core import ids
 from sardinepier.entry import services, target_record
 from sardinepier.wire import messages as wire_messages
 from sardinepier.wire import network
-from sardinepier.zones import beliefs, carriers, messages
+from sardinepier.zones import beliefs, carriers, lost_zones, messages
 
 _OTHER_ZONES_S: Final = 0.5
 """Pace of news to other zones, where bytes are dear."""
 
+_SIGN_S: Final = 0.25
+"""Pace of reports without any news, by which other zones know that this one is
+carried: a zone that falls silent has to be known within a second
+(:mod:`sardinepier.zones.lost_zones`)."""
+
 
 class BeliefTelling:
     """Sends beliefs to carriers, and takes in what is sent to this daemon."""
@@ -35,6 +41,8 @@
         self._follower_news = beliefs.for_followers(held, clock)
         self._other_news = beliefs.for_other_zones(held, clock)
         self._other_news_due_s = clock.monotonic_s()
+        self._sign_due_s = clock.monotonic_s()
+        self.lost_zones = lost_zones.LostZones(clock)
         peer_network.subscribe(messages.BeliefReport, self._on_report)
 
     def for_carriers(self) -> tuple[messages.BeliefNews, ...]:
@@ -64,26 +72,36 @@
             self._network.send(member.peer_address, report)
 
     def to_other_zones(self) -> None:
-        """Tell the first carriers of the other zones, if it is time and worth it."""
+        """Tell the first carriers of the other zones, if it is time."""
         now_s = self._clock.monotonic_s()
-        if now_s < self._other_news_due_s:
-            return
-        self._other_news_due_s = now_s + _OTHER_ZONES_S
-        news = self._other_news.take()
-        if not news:
+        if now_s < self._sign_due_s:
             return
-        report = messages.BeliefReport(news)
+        self._sign_due_s = now_s + _SIGN_S
+        report = messages.BeliefReport(self._due_for_other_zones(now_s))
         for member in self._carriers.of_other_zones():
             self._network.send(member.peer_address, report)
 
+    def _due_for_other_zones(
+        self,
+        now_s: float,
+    ) -> tuple[messages.BeliefNews, ...]:
+        if now_s < self._other_news_due_s:
+            return ()
+        self._other_news_due_s = now_s + _OTHER_ZONES_S
+        return self._other_news.take()
+
     def _on_report(
         self,
         sender: wire_messages.Sender,
         report: messages.BeliefReport,
     ) -> None:
-        source = (
-            target_record.BeliefSource.ZONE
-            if self._carriers.is_neighbour(sender.instance_id)
-            else target_record.BeliefSource.OTHER_ZONE
-        )
+        source = target_record.BeliefSource.ZONE
+        if not self._carriers.is_neighbour(sender.instance_id):
+            source = target_record.BeliefSource.OTHER_ZONE
+            self._heard_other_zone(sender.instance_id)
         beliefs.take_in(self._held, self._clock, report.beliefs, source)
+
+    def _heard_other_zone(self, sender: ids.InstanceId) -> None:
+        zone = self._carriers.zone_of(sender)
+        if zone is not None:
+            self.lost_zones.heard(zone)
--- a/libraries/zones/src/sardinepier/zones/carriers.py
+++ b/libraries/zones/src/sardinepier/zones/carriers.py
@@ -117,8 +117,12 @@
 
     def is_neighbour(self, instance_id: ids.InstanceId) -> bool:
         """Tell whether a daemon is known to be of the own zone."""
+        return self.zone_of(instance_id) == self._fleet.own.zone
+
+    def zone_of(self, instance_id: ids.InstanceId) -> ids.ZoneName | None:
+        """Return the zone of a daemon, None if that one is not known."""
         member = self._fleet.find(instance_id)
-        return member is not None and member.zone == self._fleet.own.zone
+        return member.zone if member else None
 
     def _first(self) -> ids.InstanceId | None:
         ordered = self._order.own_zone(self._count)
--- a/libraries/zones/src/sardinepier/zones/sharing.py
+++ b/libraries/zones/src/sardinepier/zones/sharing.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 from collections.abc import Callable, Collection
 from typing import Final
 
@@ -28,6 +29,17 @@
 """Beats that failures bring about are so far apart at least."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Notice:
+    """What a beat tells beside what its sender holds and believes."""
+
+    reading_age_ms: int | None = None
+    hands_over: bool = False
+
+
+_NOTHING: Final = _Notice()
+
+
 class ZoneSharing:
     """Exchanges news between one daemon and its zone.
 
@@ -90,7 +102,7 @@
             unusable=unusable,
         )
         if age_ms is not None:
-            self._beat_to_all(reading_age_ms=age_ms)
+            self._beat_to_all(_Notice(reading_age_ms=age_ms))
 
     def stir(self) -> None:
         """Beat soon: a target has just failed."""
@@ -113,13 +125,23 @@
     def step(self) -> None:
         """Beat or report once, by what this daemon is now."""
         if self._role.step():
-            self._beat_to_all(hands_over=True)
+            self._beat_to_all(_Notice(hands_over=True))
         elif self._carriers.is_carrier():
             self._beat_when_due()
         else:
             self._telling.to_carriers()
-        if self._carriers.is_first():
+        self._exchange_with_other_zones()
+
+    def _exchange_with_other_zones(self) -> None:
+        """Tell them what is new, and take over the turns of lost ones.
+
+        First carriers alone hear of other zones.
+        """
+        is_first = self._carriers.is_first()
+        if is_first:
             self._telling.to_other_zones()
+        lost = self._telling.lost_zones.names() if is_first else frozenset()
+        self._held.set_lost_zones(lost)
 
     async def _wait(self) -> None:
         left_s = fitness.BEAT_INTERVAL_S - _LEAST_INTERVAL_S
@@ -140,50 +162,27 @@
         else:
             self._beat_to_carriers()
 
-    def _beat_to_all(
-        self,
-        *,
-        reading_age_ms: int | None = None,
-        hands_over: bool = False,
-    ) -> None:
+    def _beat_to_all(self, notice: _Notice = _NOTHING) -> None:
         self._beat_due_s = self._clock.monotonic_s() + fitness.BEAT_INTERVAL_S
-        self._beat_to_carriers(
-            reading_age_ms=reading_age_ms,
-            hands_over=hands_over,
-        )
-        beat = self._beat(
-            self._telling.for_followers(),
-            reading_age_ms=reading_age_ms,
-            hands_over=hands_over,
-        )
+        self._beat_to_carriers(notice)
+        beat = self._beat(self._telling.for_followers(), notice)
         self._news.to_followers(beat)
 
-    def _beat_to_carriers(
-        self,
-        *,
-        reading_age_ms: int | None = None,
-        hands_over: bool = False,
-    ) -> None:
-        beat = self._beat(
-            self._telling.for_carriers(),
-            reading_age_ms=reading_age_ms,
-            hands_over=hands_over,
-        )
+    def _beat_to_carriers(self, notice: _Notice = _NOTHING) -> None:
+        beat = self._beat(self._telling.for_carriers(), notice)
         self._news.to_fellows(beat)
 
     def _beat(
         self,
         told: tuple[messages.BeliefNews, ...],
-        *,
-        reading_age_ms: int | None,
-        hands_over: bool,
+        notice: _Notice,
     ) -> messages.ZoneBeat:
         return messages.ZoneBeat(
             *self._held.versions(),
             targets_digest=self._held.targets_digest,
-            reading_age_ms=reading_age_ms,
+            reading_age_ms=notice.reading_age_ms,
             beliefs=told,
-            hands_over=hands_over,
+            hands_over=notice.hands_over,
             load=self._role.load.own(),
             carriers=self._carriers.count,
         )
--- /dev/null
+++ b/libraries/zones/tests/cover/test_zones_lost_zone.py
@@ -0,0 +1,116 @@
+"""Targets of a zone whose daemons are all gone.
+
+Seen: all instances of one of three zones lost power. Requests went on to the
+targets of the other two, and those of the lost zone, which were sound, got nothing
+for two seconds while a seventh of the requests failed.
+"""
+
+import msgspec
+import pytest
+import zones_support as given
+from sardinepier.core import ids
+from sardinepier.entry import model, wishes
+
+
+@pytest.fixture
+def zone():
+    return given.Zone(count=3, zones=('z1', 'zone2'))
+
+
+def here(zone):
+    """Return the daemon that carries the first zone."""
+    return zone.find(zone.daemons[0].carriers.of_own_zone()[0])
+
+
+def there(zone):
+    return zone.find(zone.daemons[-1].carriers.of_own_zone()[0])
+
+
+def lose_second_zone(zone):
+    for one in zone.daemons:
+        if one.own.zone == 'zone2':
+            zone.stop(one)
+
+
+def leave_far_idle(zone):
+    """Let the other zone's target seem idle: only changes of it are told."""
+    record = here(zone).held.pool(given.SERVICE).targets.find('far')
+    record.belief.take(0.05, zone.clock.monotonic_s() - 1.8)
+
+
+async def with_targets_of_both(zone):
+    zone.platform.configuration = given.configuration(1)
+    far = msgspec.structs.replace(
+        given.target('far'),
+        zone=ids.ZoneName('zone2'),
+    )
+    zone.platform.targets = model.TargetList(1, (given.target('near'), far))
+    await zone.run(2.0)
+
+
+def serve(daemon, name):
+    pool = daemon.held.pool(given.SERVICE)
+    pool.answered(pool.targets.find(ids.TargetId(name)), 0.2)
+
+
+def chosen(daemon):
+    now_s = daemon.clock.monotonic_s()
+    pool = daemon.held.pool(given.SERVICE)
+    record = pool.try_acquire(
+        wishes.Wish((), 0, now_s, now_s + 0.3, is_last=True),
+    )
+    pool.release(record)
+    return record.listed.target_id
+
+
+async def pass_time(zone, seconds):
+    """Let both zones serve by their own targets."""
+    for _ in range(round(seconds / 0.25)):
+        serve(here(zone), 'near')
+        if there(zone).own.instance_id not in zone.stopped:
+            serve(there(zone), 'far')
+        await zone.run(0.25)
+
+
+async def test_a_zone_gives_turns_to_its_own_targets_only(zone):
+    await with_targets_of_both(zone)
+    await pass_time(zone, 4.0)
+    assert chosen(here(zone)) == 'near'
+
+
+async def test_the_others_give_turns_to_targets_of_a_lost_zone(zone):
+    await with_targets_of_both(zone)
+    await pass_time(zone, 3.0)
+    lose_second_zone(zone)
+    await pass_time(zone, 1.0)
+    leave_far_idle(zone)
+    assert chosen(here(zone)) == 'far'
+
+
+async def test_a_zone_that_is_back_gives_its_turns_itself(zone):
+    await with_targets_of_both(zone)
+    await pass_time(zone, 2.0)
+    lose_second_zone(zone)
+    await pass_time(zone, 1.5)
+    zone.stopped.clear()
+    await pass_time(zone, 1.0)
+    leave_far_idle(zone)
+    assert chosen(here(zone)) == 'near'
+
+
+async def test_a_zone_without_news_is_not_taken_for_lost(zone):
+    await with_targets_of_both(zone)
+    await zone.run(5.0)
+    serve(here(zone), 'near')
+    leave_far_idle(zone)
+    assert chosen(here(zone)) == 'near'
+
+
+async def test_one_that_others_don_t_report_to_takes_no_zone_for_lost(zone):
+    await with_targets_of_both(zone)
+    former = here(zone)
+    await pass_time(zone, 1.0)
+    former.carriers.stand_down()
+    former.sharing.step()
+    await zone.run(2.0)
+    assert not former.held.pool(given.SERVICE).lost_zones
