--- a/libraries/membership/src/sardinepier/membership/options.py
+++ b/libraries/membership/src/sardinepier/membership/options.py
@@ -49,9 +49,9 @@
     within one, and ``greetings_per_s`` the answers to daemons that know only an
     address; such an answer names ``named_to_strangers`` others beside the sender.
     ``rounds_per_s`` exchanges of tables may follow each other at once while they
-    bring something new; with 0 there is one an interval. One lost or seed address is tried each
-    ``lost_retry_s``. The dead are remembered for ``dead_keep_s``, so that old
-    news does not bring them back.
+    bring something new; with 0 there is one an interval. One lost or seed
+    address is tried each ``lost_retry_s``. The dead are remembered for
+    ``dead_keep_s``, so that old news does not bring them back.
     """
 
     heartbeat_interval_s: float = DEFAULT_HEARTBEAT_INTERVAL_S
