Name what a daemon does when its role changes by what it is

The method that told of the change also set what the request path goes by; the two stand apart now. Comments wrapped. No change of behaviour.

--- a/libraries/entry/src/sardinepier/entry/overlooked.py
+++ b/libraries/entry/src/sardinepier/entry/overlooked.py
@@ -48,7 +48,7 @@
 ) -> target_record.TargetRecord | None:
     """Return a target that waits for its first request.
 
-    Of the own zone, or of one that is lost, as all others here.
+    Like all that have a turn, it is of the own zone or of one that is lost.
     """
     for record in free:
         if record.was_tried() or not situation.cares_for(record.listed.zone):
--- a/libraries/zones/src/sardinepier/zones/lost_zones.py
+++ b/libraries/zones/src/sardinepier/zones/lost_zones.py
@@ -11,8 +11,9 @@
 from sardinepier.core import ids
 
 _SILENT_S: Final = 0.7
-"""Two reports missed, which come each quarter of a second, and a late timer. What a target's zone
-did not use in the second before it was lost has to get a request within another."""
+"""Two reports missed, which come each quarter of a second, and a late timer. A
+target that its zone did not use in the second before the loss has to get a request
+within another."""
 
 
 class LostZones:
--- a/libraries/zones/src/sardinepier/zones/role.py
+++ b/libraries/zones/src/sardinepier/zones/role.py
@@ -31,7 +31,7 @@
         if self._carriers.is_first():
             self._decide_number()
         hands_over = self._handover.begin()
-        self._tell_change()
+        self._apply()
         return hands_over
 
     def _decide_number(self) -> None:
@@ -42,18 +42,21 @@
             self._carriers.set_count(wanted)
             logs.tell(events.CarriersWanted(count=wanted, before=held))
 
-    def _tell_change(self) -> None:
+    def _apply(self) -> None:
+        """Let the request path act by what this daemon is now."""
         is_carrier = self._carriers.is_carrier()
         self._held.set_explores(explores=is_carrier)
         # Whoever doesn't carry the zone is one of many who don't.
         is_alone = is_carrier and self._carriers.count == 1
         self._held.set_shares_zone(shares_zone=not is_alone)
-        if is_carrier == self._was_carrier:
-            return
-        self._was_carrier = is_carrier
+        if is_carrier != self._was_carrier:
+            self._was_carrier = is_carrier
+            self._tell_change()
+
+    def _tell_change(self) -> None:
         logs.tell(
             events.CarrierChanged(
-                is_carrier=is_carrier,
+                is_carrier=self._was_carrier,
                 rank=self._carriers.own_rank(),
                 count=self._carriers.count,
             ),
