--- a/tests/adapter/instance_process.py
+++ b/tests/adapter/instance_process.py
@@ -77,6 +77,21 @@
         await self.until('ready', '/api/readiness', status)
 
     async def until(self, listener, path, status):
+        try:
+            await self._until(listener, path, status)
+        except TimeoutError:
+            # What is needed to find the cause of one that never got there.
+            print(await self._last_words())  # noqa: T201
+            raise
+
+    async def _last_words(self):
+        """Return how the process ended, if it did, and what it printed."""
+        if self.process.returncode is None:
+            self.process.kill()
+        printed, _ = await self.process.communicate()
+        return f'{self.ports} {self.process.returncode} {printed[-4000:]}'
+
+    async def _until(self, listener, path, status):
         async with asyncio.timeout(targets.PATIENCE_S):
             while True:
                 with contextlib.suppress(OSError):
