--- a/tests/adapter/instance_process.py
+++ b/tests/adapter/instance_process.py
@@ -81,9 +81,21 @@
             await self._until(listener, path, status)
         except TimeoutError:
             # What is needed to find the cause of one that never got there.
-            print(await self._last_words())  # noqa: T201
+            sys.stdout.write(await self._last_words())
             raise
 
+    async def ask(self, path, name):
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1',
+            self.ports['front'],
+        )
+        writer.write(
+            f'GET {path} HTTP/1.1\r\nHost: a.example\r\n'
+            f'X-Sardinepier-Attempt-Id: {name}\r\n'
+            'X-Sardinepier-Request-Deadline: 4000\r\n\r\n'.encode(),
+        )
+        return reader, writer
+
     async def _last_words(self):
         """Return how the process ended, if it did, and what it printed."""
         if self.process.returncode is None:
@@ -98,15 +110,3 @@
                     if (await self.get(listener, path))[0] == status:
                         return
                 await asyncio.sleep(0.05)
-
-    async def ask(self, path, name):
-        reader, writer = await asyncio.open_connection(
-            '127.0.0.1',
-            self.ports['front'],
-        )
-        writer.write(
-            f'GET {path} HTTP/1.1\r\nHost: a.example\r\n'
-            f'X-Sardinepier-Attempt-Id: {name}\r\n'
-            'X-Sardinepier-Request-Deadline: 4000\r\n\r\n'.encode(),
-        )
-        return reader, writer
