Take back that only carriers give turns

Taken back: the turns of carriers alone, with its tests, and that one that stood down goes on for three seconds, which has no meaning without it. Kept: instances beside the carriers keep apart, what the zone has used is not unused, budgets rounded.

What it costs: repeatable requests beside the carriers go to doubted targets again, and are repeated now where the budget allows.

--- a/libraries/entry/src/sardinepier/entry/overlooked.py
+++ b/libraries/entry/src/sardinepier/entry/overlooked.py
@@ -123,13 +123,9 @@
     ) -> target_record.TargetRecord | None:
         """Return one of the ``free`` targets of those ``known``, or None.
 
-        A second attempt of a request goes to the surest, and so do all of a
-        daemon that doesn't explore. One with a request now and then sees next
-        to nothing of the service, so that all targets seem idle to it: where
-        such daemons gave turns, 15 of 100 of their repeatable requests failed,
-        and one of 100 at those that see most requests.
+        A second attempt of a request goes to the surest.
         """
-        if wish.tried or not situation.explores:
+        if wish.tried:
             return None
         found = unused(free, situation)
         for due in self._turns(known, wish, situation):
--- a/libraries/entry/src/sardinepier/entry/preference.py
+++ b/libraries/entry/src/sardinepier/entry/preference.py
@@ -46,9 +46,8 @@
 
     ``zone`` is the sender's, ``usual_s`` the usual latency of the service
     and ``zone_cost`` what sending this request to another zone costs.
-    ``shares_zone`` says that other daemons send for the zone, too, and
-    ``explores`` that this one tries targets which don't look the surest, those
-    of ``lost_zones`` among them: these have no daemon that does.
+    ``shares_zone`` says that other daemons send for the zone, too. Targets of
+    ``lost_zones`` have no daemon of their own that gives them their turn.
     """
 
     zone: ids.ZoneName
@@ -56,7 +55,6 @@
     usual_s: float
     zone_cost: float
     shares_zone: bool = False
-    explores: bool = True
     lost_zones: frozenset[ids.ZoneName] = frozenset()
 
     def cares_for(self, zone: ids.ZoneName) -> bool:
--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -73,7 +73,6 @@
         self.usual_s = 0.0
         self.on_outcome: Callable[[bool], None] = _tell_nobody
         self.shares_zone = False
-        self.explores = True
         self.lost_zones: frozenset[ids.ZoneName] = frozenset()
         self._overlooked = overlooked.Overlooked(clock, least_used_share)
         self.recent = self._overlooked.recent
@@ -244,7 +243,6 @@
             self.usual_s,
             preference.zone_cost(wish.body_bytes + self._usual_bytes),
             shares_zone=self.shares_zone,
-            explores=self.explores,
             lost_zones=self.lost_zones,
         )
         known = self.targets.records()
--- a/libraries/entry/src/sardinepier/entry/services.py
+++ b/libraries/entry/src/sardinepier/entry/services.py
@@ -62,7 +62,6 @@
         self._least_used_share = least_used_share
         self._retry_burst = 0.0
         self._shares_zone = False
-        self._explores = True
         self._lost_zones: frozenset[ids.ZoneName] = frozenset()
         self._starts = starts.NewestStarts()
         self._has_table = asyncio.Event()
@@ -130,7 +129,6 @@
             )
             pool.retry_budget.set_burst(self._retry_burst)
             pool.shares_zone = self._shares_zone
-            pool.explores = self._explores
             pool.lost_zones = self._lost_zones
             pool.on_outcome = self.on_outcome
             self._pools[name] = pool
@@ -148,15 +146,6 @@
         for pool in self._pools.values():
             pool.shares_zone = shares_zone
 
-    def set_explores(self, *, explores: bool) -> None:
-        """Give targets that others would not choose their turn, or not.
-
-        That is for those who see most of the zone's requests.
-        """
-        self._explores = explores
-        for pool in self._pools.values():
-            pool.explores = explores
-
     def set_lost_zones(self, zones: frozenset[ids.ZoneName]) -> None:
         """Give targets of these zones their turn, too: nobody there does."""
         self._lost_zones = zones
--- a/libraries/zones/src/sardinepier/zones/role.py
+++ b/libraries/zones/src/sardinepier/zones/role.py
@@ -1,17 +1,10 @@
 """The part that one daemon has in carrying its zone, decided beat by beat."""
 
-from typing import Final
-
 from sardinepier.core import clock as clocks
 from sardinepier.entry import services
 from sardinepier.telemetry import logs
 from sardinepier.zones import carriers, events, handover, zone_load
 
-_CALLERS_COME_S: Final = 3.0
-"""How long callers of a zone go on to whoever carried it: they keep what the
-directory told them for a second, some for three. Until then it has most of the
-zone's requests, and nobody else could give the targets their turn."""
-
 
 class Role:
     """Takes up and gives up the role of a carrier.
@@ -31,8 +24,6 @@
         self._held = held
         self._carriers = chosen
         self._handover = handover.Handover(held, chosen, clock)
-        self._clock = clock
-        self._explores_until_s = clock.monotonic_s()
         self._was_carrier = False
 
     def step(self) -> bool:
@@ -54,10 +45,6 @@
     def _apply(self) -> None:
         """Let the request path act by what this daemon is now."""
         is_carrier = self._carriers.is_carrier()
-        now_s = self._clock.monotonic_s()
-        if is_carrier:
-            self._explores_until_s = now_s + _CALLERS_COME_S
-        self._held.set_explores(explores=now_s < self._explores_until_s)
         # Whoever doesn't carry the zone is one of many who don't.
         is_alone = is_carrier and self._carriers.count == 1
         self._held.set_shares_zone(shares_zone=not is_alone)
--- /dev/null
+++ b/libraries/zones/tests/cover/test_zones_beside.py
@@ -0,0 +1,74 @@
+"""Which targets those of a zone choose who don't carry it."""
+
+import pytest
+import zones_support as given
+from sardinepier.core import ids
+from sardinepier.entry import target_record, wishes
+
+_IDLE_S = 3.0
+"""Longer than any target may be idle before it has its turn."""
+
+
+@pytest.fixture
+def zone():
+    return given.Zone(count=4)
+
+
+def chosen(daemon, *, is_last=False):
+    """Return who gets a request that comes to a daemon now."""
+    now_s = daemon.clock.monotonic_s()
+    pool = daemon.held.pool(given.SERVICE)
+    wish = wishes.Wish((), 0, now_s, now_s + 0.3, is_last)
+    record = pool.try_acquire(wish)
+    pool.release(record)
+    return record.listed.target_id
+
+
+def serve(daemon, name):
+    pool = daemon.held.pool(given.SERVICE)
+    record = pool.targets.find(ids.TargetId(name))
+    pool.finished(record, begun(pool, record))
+    pool.answered(record, 0.2)
+
+
+def begun(pool, record):
+    record.reserved += 1
+    return pool.started(record)
+
+
+async def test_those_beside_the_carrier_keep_apart():
+    """Each of fifty would else send to the target that answered last.
+
+    Seen: as many requests came to a service beside its carriers as through
+    them, and one in twenty-four was turned away while others were idle.
+    """
+    zone = given.Zone(count=12)
+    names = [f't{number}' for number in range(6)]
+    await given.with_targets(zone, *names)
+    carrier = zone.carrier()
+    for name in names:
+        serve(carrier, name)
+        await zone.run(0.05)
+    await zone.run(0.3)
+    others = [one for one in zone.daemons if not one.carriers.is_carrier()]
+    assert len({chosen(one, is_last=True) for one in others}) >= 4
+
+
+async def test_a_newcomer_that_the_zone_has_used_waits_for_no_first_request(
+    zone,
+):
+    await given.with_targets(zone)
+    zone.platform.targets = given.target_list(2, 't1', 't2', 'new')
+    await zone.run(_IDLE_S)
+    carrier = zone.carrier()
+    assert chosen(carrier) == 'new'
+    given.fail(carrier, 'new')
+    serve(carrier, 't1')
+    serve(carrier, 't2')
+    await zone.run(0.5)
+    zone.stop(carrier)
+    await zone.run(0.5)
+    beside = next(one for one in zone.living())
+    record = beside.held.pool(given.SERVICE).targets.find('new')
+    assert record.belief_source is target_record.BeliefSource.ZONE
+    assert chosen(beside, is_last=True) != 'new'
