--- a/libraries/entry/src/sardinepier/entry/recent_failures.py
+++ b/libraries/entry/src/sardinepier/entry/recent_failures.py
@@ -11,9 +11,6 @@
 two to four in a hundred fail."""
 
 _MEMORY_S: Final = 2.0
-_HEARD_S: Final = 1.0
-"""How long it holds that many fail elsewhere: others tell of it five times as often."""
-
 _ENOUGH: Final = 4.0
 """Attempts within the memory below which their share says little."""
 
@@ -30,7 +27,6 @@
         self._attempts = 0.0
         self._failures = 0.0
         self._updated_s = clock.monotonic_s()
-        self._heard_until_s = clock.monotonic_s()
 
     def note(self, *, is_failure: bool) -> None:
         """Take in how one attempt ended."""
@@ -38,22 +34,8 @@
         self._attempts += 1
         self._failures += is_failure
 
-    def heard_of_many(self) -> None:
-        """Take in that many of another daemon's attempts fail."""
-        self._heard_until_s = self._clock.monotonic_s() + _HEARD_S
-
     def are_many(self) -> bool:
-        """Tell whether enough fail to use every target that may do.
-
-        Anywhere: the users count a service over all zones, and where one zone
-        can't reach its targets the targets of the others have to be in use.
-        """
-        if self._clock.monotonic_s() < self._heard_until_s:
-            return True
-        return self.are_many_here()
-
-    def are_many_here(self) -> bool:
-        """Tell the same of this daemon's own attempts, which others are told."""
+        """Tell whether enough fail to use every target that may do."""
         self._fade()
         if self._attempts < _ENOUGH:
             return False
--- a/libraries/zones/src/sardinepier/zones/belief_telling.py
+++ b/libraries/zones/src/sardinepier/zones/belief_telling.py
@@ -78,14 +78,7 @@
         if now_s < self._sign_due_s:
             return
         self._sign_due_s = now_s + _SIGN_S
-        report = messages.BeliefReport(
-            self._due_for_other_zones(now_s),
-            failing=tuple(
-                pool.name
-                for pool in self._held.pools()
-                if pool.recent.are_many_here()
-            ),
-        )
+        report = messages.BeliefReport(self._due_for_other_zones(now_s))
         for member in self._carriers.of_other_zones():
             self._network.send(member.peer_address, report)
 
@@ -119,8 +112,6 @@
     ) -> None:
         if zone is not None:
             self.lost_zones.heard(zone)
-        for name in report.failing:
-            self._held.pool(name).recent.heard_of_many()
         beliefs.take_in(
             self._held,
             self._clock,
@@ -139,6 +130,6 @@
         """
         if self._carriers.is_first():
             return
-        passed_on = messages.BeliefReport(report.beliefs, zone, report.failing)
+        passed_on = messages.BeliefReport(report.beliefs, zone)
         for member in self._carriers.of_own_zone()[:1]:
             self._network.send(member.peer_address, passed_on)
--- a/libraries/zones/src/sardinepier/zones/messages.py
+++ b/libraries/zones/src/sardinepier/zones/messages.py
@@ -59,13 +59,11 @@
 
     Daemons beside the carriers report what they saw to the carriers of their
     zone, and carriers report to those of other zones. ``of_zone`` names the zone
-    that a report came from when a neighbour passes it on. ``failing`` are the
-    services of which many of the sender's own requests fail.
+    that a report came from when a neighbour passes it on.
     """
 
     beliefs: tuple[BeliefNews, ...]
     of_zone: ids.ZoneName | None = None
-    failing: tuple[ids.ServiceName, ...] = ()
 
 
 class NewsRequest(messages.Message, frozen=True):
