Beat to all of a zone as soon as a target fails, again

Whoever hears less takes targets for idle that are not, and gives its turns to these instead of to those that are idle: requests beside the carriers hold the floor in the seconds in which carriers can't reach their targets.

Ruled out by trials: the price of crossing a zone, who gives turns, what zones know of each other's failures.

--- a/libraries/zones/src/sardinepier/zones/belief_telling.py
+++ b/libraries/zones/src/sardinepier/zones/belief_telling.py
@@ -38,21 +38,16 @@
         self._carriers = chosen
         self._held = held
         self._clock = clock
-        self._carrier_news = beliefs.for_carriers(held, clock)
-        self._follower_news = beliefs.for_followers(held, clock)
+        self._zone_news = beliefs.for_own_zone(held, clock)
         self._other_news = beliefs.for_other_zones(held, clock)
         self._other_news_due_s = clock.monotonic_s()
         self._sign_due_s = clock.monotonic_s()
         self.lost_zones = lost_zones.LostZones(clock)
         peer_network.subscribe(messages.BeliefReport, self._on_report)
 
-    def for_carriers(self) -> tuple[messages.BeliefNews, ...]:
-        """Return what is new for the zone's carriers; each is returned once."""
-        return self._carrier_news.take()
-
-    def for_followers(self) -> tuple[messages.BeliefNews, ...]:
-        """Return what is new for the others; each is returned once."""
-        return self._follower_news.take()
+    def for_own_zone(self) -> tuple[messages.BeliefNews, ...]:
+        """Return what is new for the own zone; each is returned once."""
+        return self._zone_news.take()
 
     def take_from_zone(self, news: tuple[messages.BeliefNews, ...]) -> None:
         """Take in what another daemon of the zone saw."""
@@ -65,7 +60,7 @@
 
     def to_carriers(self) -> None:
         """Tell the carriers of the own zone what is new, if anything is."""
-        news = self._carrier_news.take()
+        news = self._zone_news.take()
         if not news:
             return
         report = messages.BeliefReport(news)
--- a/libraries/zones/src/sardinepier/zones/beliefs.py
+++ b/libraries/zones/src/sardinepier/zones/beliefs.py
@@ -11,9 +11,8 @@
 _Source = target_record.BeliefSource
 _MS_PER_S: Final = 1000
 _WORTH_TELLING: Final = 0.1
-"""Change of the chance that a target fails which others than the zone's carriers
-are told of: less would not change their choice. Bytes between zones are dear, and
-a zone has many more daemons than carriers."""
+"""Change of the chance that a target fails which other zones are told of:
+less would not change their choice, and bytes between zones are dear."""
 
 _OLDEST_NEWS_S: Final = 5.0
 
@@ -74,11 +73,11 @@
         return True
 
 
-def for_carriers(
+def for_own_zone(
     held: services.Services,
     clock: clocks.Clock,
 ) -> BeliefNews:
-    """Return news for the own zone's carriers, also what other zones reported."""
+    """Return news for the own zone, also what other zones reported here."""
     return BeliefNews(
         held,
         clock,
@@ -86,23 +85,6 @@
     )
 
 
-def for_followers(
-    held: services.Services,
-    clock: clocks.Clock,
-) -> BeliefNews:
-    """Return news for those of the own zone that don't carry it.
-
-    They choose targets for few requests, so that they are told of as little as
-    other zones.
-    """
-    return BeliefNews(
-        held,
-        clock,
-        frozenset((_Source.OWN, _Source.OTHER_ZONE)),
-        _WORTH_TELLING,
-    )
-
-
 def for_other_zones(
     held: services.Services,
     clock: clocks.Clock,
--- a/libraries/zones/src/sardinepier/zones/news.py
+++ b/libraries/zones/src/sardinepier/zones/news.py
@@ -17,12 +17,10 @@
 from sardinepier.wire import messages as wire_messages
 from sardinepier.wire import network
 from sardinepier.zones import (
-    audience,
     carriers,
     lapses,
     messages,
     packing,
-    ranking,
     target_changes,
 )
 
@@ -123,22 +121,7 @@
 
     def to_all(self, message: wire_messages.Message) -> None:
         """Send to all other daemons of the zone."""
-        self._send(self._carriers.neighbours(), message)
-
-    def to_fellows(self, message: wire_messages.Message) -> None:
-        """Send to the others who carry the zone."""
-        self._send(audience.fellows(self._carriers), message)
-
-    def to_followers(self, message: wire_messages.Message) -> None:
-        """Send to those of the zone who don't carry it."""
-        self._send(audience.followers(self._carriers), message)
-
-    def _send(
-        self,
-        members: ranking.Members,
-        message: wire_messages.Message,
-    ) -> None:
-        for member in members:
+        for member in self._carriers.neighbours():
             self._network.send(member.peer_address, message)
 
     def _on_request(
--- a/libraries/zones/src/sardinepier/zones/sharing.py
+++ b/libraries/zones/src/sardinepier/zones/sharing.py
@@ -1,8 +1,7 @@
 """The beats of one daemon: what it tells its zone, and how often.
 
 Carriers beat to all daemons of their zone, with their versions and what they
-believe of targets: to each other as soon as a target fails, and to those who
-don't carry the zone at their usual pace. These tell the carriers what they see.
+believe of targets. Others tell the carriers what they see.
 """
 
 import asyncio
@@ -76,7 +75,6 @@
         )
         self._role = role.Role(held, chosen, load, clock)
         self._stirred = asyncio.Event()
-        self._beat_due_s = clock.monotonic_s()
         peer_network.subscribe(messages.ZoneBeat, self._on_beat)
 
     def take_configuration(self, fresh: model.ServedConfiguration) -> None:
@@ -127,7 +125,7 @@
         if self._role.step():
             self._beat_to_all(_Notice(hands_over=True))
         elif self._carriers.is_carrier():
-            self._beat_when_due()
+            self._beat_to_all()
         else:
             self._telling.to_carriers()
         self._exchange_with_other_zones()
@@ -152,37 +150,15 @@
         except TimeoutError:
             return
 
-    def _beat_when_due(self) -> None:
-        """Beat to fellow carriers, and to the others if it is time.
-
-        A carrier is stirred up to fifty times a second while targets fail,
-        and in a large fleet some always do.
-        """
-        if self._clock.monotonic_s() >= self._beat_due_s:
-            self._beat_to_all()
-        else:
-            self._beat_to_carriers()
-
     def _beat_to_all(self, notice: _Notice = _NOTHING) -> None:
-        self._beat_due_s = self._clock.monotonic_s() + fitness.BEAT_INTERVAL_S
-        self._beat_to_carriers(notice)
-        beat = self._beat(self._telling.for_followers(), notice)
-        self._news.to_followers(beat)
+        self._news.to_all(self._beat(notice))
 
-    def _beat_to_carriers(self, notice: _Notice = _NOTHING) -> None:
-        beat = self._beat(self._telling.for_carriers(), notice)
-        self._news.to_fellows(beat)
-
-    def _beat(
-        self,
-        told: tuple[messages.BeliefNews, ...],
-        notice: _Notice,
-    ) -> messages.ZoneBeat:
+    def _beat(self, notice: _Notice) -> messages.ZoneBeat:
         return messages.ZoneBeat(
             *self._held.versions(),
             targets_digest=self._held.targets_digest,
             reading_age_ms=notice.reading_age_ms,
-            beliefs=told,
+            beliefs=self._telling.for_own_zone(),
             hands_over=notice.hands_over,
             load=self._role.load.own(),
             carriers=self._carriers.count,
