Keep each customer's limit over the whole fleet

Cause: nothing bounded what one customer sends; a customer that sends many times its usual ran all of it.

Change: each daemon keeps a bucket of a customer's whole limit, takes its own requests out at once and those of others as they tell of them, five times a second, to the carriers of all zones. Between two news another daemon is taken to go on as before; one that is silent is taken to use an equal part. What was let through beyond the limit is a debt. Requests beyond it get 429 with the time until there is a token; one that did not run gives its token back.

--- a/libraries/daemon/src/sardinepier/daemon/entry_process.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_process.py
@@ -107,6 +107,7 @@
             belief.BeliefOptions(),
             settings.bounds.least_used_share,
             _confirmed_within_s(settings.bounds),
+            settings.bounds.leeway,
         )
         self._instance_id = identity.new_instance_id(
             settings.daemon_id,
--- a/libraries/daemon/src/sardinepier/daemon/entry_settings.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_settings.py
@@ -5,6 +5,7 @@
 from sardinepier.core import ids
 from sardinepier.entry import dialect, idle_bound
 from sardinepier.membership import capacity as capacities
+from sardinepier.routing import fleet_limits
 from sardinepier.wire import messages
 
 
@@ -20,7 +21,8 @@
     ``least_used_share``, 0 to 1, is how many of a service's sound targets have to
     get requests within two seconds while others fail. ``revocation_s`` is how
     long after a key was withdrawn requests may still come through with it, at
-    daemons that are cut off too; None sets no bound for those.
+    daemons that are cut off too; None sets no bound for those. ``leeway`` is by
+    how much the limits of customers may be exceeded over the whole fleet.
     """
 
     directory_s: float = 5.0
@@ -30,6 +32,7 @@
     zones: int = 1
     least_used_share: float = idle_bound.LEAST_USED_SHARE
     revocation_s: float | None = None
+    leeway: fleet_limits.Leeway = fleet_limits.USUAL_LEEWAY
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libraries/entry/src/sardinepier/entry/customers.py
+++ b/libraries/entry/src/sardinepier/entry/customers.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Iterable
 
-from sardinepier.core import errors
+from sardinepier.core import errors, ids
 from sardinepier.entry import model
+from sardinepier.routing import fleet_bucket
 
 
 class SharedKeyError(errors.SardinepierError):
@@ -43,3 +44,17 @@
                     f'{holder.name} and {customer.name} have the same key',
                     'Give each customer keys of its own',
                 )
+
+
+def limits_of(
+    customers: Iterable[model.Customer],
+) -> dict[ids.CustomerName, fleet_bucket.Limit]:
+    """Return the limits of those that have one."""
+    return {
+        customer.name: fleet_bucket.Limit(
+            customer.rate_per_s,
+            max(1.0, customer.burst),
+        )
+        for customer in customers
+        if customer.rate_per_s > 0
+    }
--- a/libraries/entry/src/sardinepier/entry/pipeline.py
+++ b/libraries/entry/src/sardinepier/entry/pipeline.py
@@ -70,7 +70,7 @@
         account = accounts.Account(self._shared, request)
         try:
             account.item = await self._intake.read(request)
-            answer = await self._forward(account.item)
+            answer = await self._within_limit(account.item)
         except core_errors.SardinepierError as error:
             account.refused(error)
             return replies.of_error(error)
@@ -88,6 +88,29 @@
         account.answered(answer)
         return replies.of_target(answer)
 
+    async def _within_limit(self, item: works.Work) -> answers.Answer:
+        """Forward a request that its customer's limit allows.
+
+        One that has not run doesn't count. Raises ``RateLimitError``.
+        """
+        if item.customer is None:
+            return await self._forward(item)
+        limits = self._shared.services.limits
+        wait_s = limits.take(item.customer.name)
+        if wait_s:
+            raise refusals.RateLimitError(
+                f'Customer {item.customer.name} has reached its limit',
+                'Send it again after the stated time',
+                wait_s,
+            )
+        try:
+            return await self._forward(item)
+        except (refusals.NotRunError, asyncio.CancelledError) as error:
+            is_refused = isinstance(error, refusals.NotRunError)
+            if is_refused or not item.attempts:
+                limits.give_back(item.customer.name)
+            raise
+
     async def _forward(self, item: works.Work) -> answers.Answer:
         """Forward a request; a hang-up ends what may be ended.
 
--- a/libraries/entry/src/sardinepier/entry/services.py
+++ b/libraries/entry/src/sardinepier/entry/services.py
@@ -22,6 +22,7 @@
 )
 from sardinepier.entry import confirmation as confirmations
 from sardinepier.health import belief
+from sardinepier.routing import fleet_limits
 from sardinepier.telemetry import logs
 
 _MOST_NAMED: Final = 16
@@ -46,11 +47,13 @@
         options: belief.BeliefOptions,
         least_used_share: float = idle_bound.LEAST_USED_SHARE,
         confirmed_within_s: float | None = None,
+        leeway: fleet_limits.Leeway = fleet_limits.USUAL_LEEWAY,
     ) -> None:
         """Start without a configuration and without targets.
 
         Requests with a key need a confirmation of the configuration that is
-        no older than ``confirmed_within_s``, None for no need of any.
+        no older than ``confirmed_within_s``, None for no need of any. Limits of
+        customers may be exceeded by ``leeway`` over the whole fleet.
 
         ``targets_age_s`` is set by whoever knows when the platform was asked
         for the list, and ``on_outcome`` by whoever wants to hear of attempts.
@@ -60,6 +63,7 @@
         self.confirmation = confirmations.Confirmation(
             clock, confirmed_within_s
         )
+        self.limits = fleet_limits.FleetLimits(clock, leeway)
         self.targets: model.TargetList | None = None
         self.targets_digest = 0
         self.on_outcome: Callable[[bool], None] = _tell_nobody
@@ -97,9 +101,7 @@
             return False
         self.configuration = offered
         self._table = route_table.RouteTable(offered, self._random)
-        self.customers = None
-        if offered.customers is not None:
-            self.customers = customers.CustomerTable(offered.customers)
+        self._take_customers(offered.customers)
         self._has_table.set()
         return True
 
@@ -192,6 +194,15 @@
             )
         return self._table
 
+    def _take_customers(
+        self,
+        offered: tuple[model.Customer, ...] | None,
+    ) -> None:
+        self.customers = None
+        if offered is not None:
+            self.customers = customers.CustomerTable(offered)
+        self.limits.set(customers.limits_of(offered or ()))
+
     def _tell_changes(
         self,
         held: model.TargetList | None,
--- a/libraries/entry/tests/cover/test_entry_customers.py
+++ b/libraries/entry/tests/cover/test_entry_customers.py
@@ -258,3 +258,28 @@
     )
     held.offer_configuration(given.configuration())
     assert held.customers is None
+
+
+async def test_requests_beyond_the_limit_are_refused_at_once(known):
+    limited = customer('library', KEY, rate_per_s=0.5, burst=2)
+    known.shared.services.offer_configuration(
+        configuration(3, limited, customer('other', OTHER)),
+    )
+    statuses = [(await known.ask(**with_key()))[0] for _ in range(3)]
+    assert statuses == [200, 200, 429]
+    assert (await known.ask(**with_key(OTHER)))[0] == 200
+    _, headers, _ = await known.ask(**with_key())
+    assert 0 < float(headers['Retry-After']) <= 2
+    assert known.ran == 3
+
+
+async def test_a_request_that_did_not_run_does_not_count(known):
+    limited = customer('library', KEY, rate_per_s=0.5, burst=1)
+    known.shared.services.offer_configuration(configuration(3, limited))
+    known.targets[0].behaviours = ['shed', 'shed', 'shed', 'shed', 'ok']
+    known.shared.services.set_retry_burst(0)
+    statuses = []
+    for _ in range(6):
+        statuses.append((await known.ask(**with_key()))[0])
+        await asyncio.sleep(0.15)
+    assert statuses == [503, 503, 503, 503, 200, 429]
--- /dev/null
+++ b/libraries/routing/src/sardinepier/routing/fleet_limits.py
@@ -0,0 +1,183 @@
+"""The limits of all customers over a whole fleet, kept by one daemon."""
+
+import dataclasses
+import math
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+from sardinepier.core import clock as clocks
+from sardinepier.core import ids
+from sardinepier.routing import fleet_bucket
+
+_START_SHARE: Final = 0.35
+"""Of the leeway, for what a daemon that starts lets through before it hears what
+others did: they and those that ran before it have the rest."""
+
+_KNOWS_S: Final = 10.0
+"""How long after the last news of others this daemon goes by what it heard."""
+
+_FORGET_S: Final = 30.0
+"""How long a daemon that fell silent is taken to go on as before, unless
+another one is heard in its place: it may be cut off with its callers."""
+
+_REPLACED_S: Final = 2.0
+"""How long after the last news of a daemon another one of its zone has to be
+heard to be taken for its successor."""
+
+_BESIDE_BURST: Final = 2.0
+_BESIDE_PER_S: Final = 0.2
+"""Requests of one customer that a daemon lets through which hears nothing of
+others: it is one of many, and gets few."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leeway:
+    """By how much a limit may be exceeded over the whole fleet.
+
+    In no span of ``window_s`` more than (rate x window + burst) x (1 +
+    ``overshoot``) + ``slack`` requests of a customer may run.
+    """
+
+    window_s: float = 5.0
+    overshoot: float = 0.25
+    slack: float = 20.0
+
+    def start_level(self, limit: fleet_bucket.Limit) -> float:
+        """Return the level of a bucket of whose past nothing is known."""
+        window = limit.rate_per_s * self.window_s + limit.burst
+        spare = self.overshoot * window + self.slack
+        return min(limit.burst, _START_SHARE * spare)
+
+
+USUAL_LEEWAY: Final = Leeway()
+
+
+class FleetLimits:
+    """Lets the requests of each customer through, or says when to come again.
+
+    For example::
+
+        limits = FleetLimits(clock, Leeway())
+        limits.set({customer: fleet_bucket.Limit(20.0, 40.0)})
+        wait_s = limits.take(customer)
+
+    ``is_informed`` is set while others tell this daemon what they do.
+    """
+
+    def __init__(self, clock: clocks.Clock, leeway: Leeway) -> None:
+        """Start without limits."""
+        self.is_informed = True
+        self._clock = clock
+        self._leeway = leeway
+        self._limits: Mapping[ids.CustomerName, fleet_bucket.Limit] = {}
+        self._buckets: dict[ids.CustomerName, fleet_bucket.FleetBucket] = {}
+        self._beside: dict[ids.CustomerName, fleet_bucket.FleetBucket] = {}
+        self._heard_s: dict[ids.InstanceId, float] = {}
+        self._zones: dict[ids.InstanceId, ids.ZoneName] = {}
+        self._newest_s = -math.inf
+        self._changed: set[ids.CustomerName] = set()
+
+    def set(
+        self,
+        limits: Mapping[ids.CustomerName, fleet_bucket.Limit],
+    ) -> None:
+        """Put limits in force; those that are not named have none."""
+        now_s = self._clock.monotonic_s()
+        self._limits = limits
+        for buckets in (self._buckets, self._beside):
+            for gone in buckets.keys() - limits.keys():
+                del buckets[gone]
+        for name, bucket in self._buckets.items():
+            bucket.set_limit(limits[name], now_s)
+
+    def take(self, customer: ids.CustomerName) -> float:
+        """Let a request through, and return 0, or in how many seconds to try."""
+        if customer not in self._limits:
+            return 0
+        now_s = self._clock.monotonic_s()
+        if not self._knows_others(now_s):
+            wait_s = self._small_bucket(customer, now_s).take(now_s)
+            if wait_s:
+                return wait_s
+        wait_s = self._bucket(customer, now_s).take(now_s)
+        if not wait_s:
+            self._changed.add(customer)
+        return wait_s
+
+    def give_back(self, customer: ids.CustomerName) -> None:
+        """Return what was taken for a request that did not run."""
+        bucket = self._buckets.get(customer)
+        if bucket is not None:
+            bucket.give_back(self._clock.monotonic_s())
+            self._changed.add(customer)
+
+    def take_news(self) -> dict[ids.CustomerName, fleet_bucket.Usage]:
+        """Return what changed since the last call, to be told to others."""
+        now_s = self._clock.monotonic_s()
+        changed = self._changed & self._buckets.keys()
+        self._changed = set()
+        return {name: self._buckets[name].told(now_s) for name in changed}
+
+    def heard(
+        self,
+        source: ids.InstanceId,
+        zone: ids.ZoneName,
+        news: Mapping[ids.CustomerName, fleet_bucket.Usage],
+    ) -> None:
+        """Take in the news of another daemon; it is complete."""
+        now_s = self._clock.monotonic_s()
+        for customer, usage in news.items():
+            if customer in self._limits:
+                self._bucket(customer, now_s).heard(source, usage, now_s)
+        self._newest_s = now_s
+        self._heard_s[source] = now_s
+        self._zones[source] = zone
+        self._forget_replaced(zone, now_s)
+
+    def _knows_others(self, now_s: float) -> bool:
+        return self.is_informed or now_s - self._newest_s < _KNOWS_S
+
+    def _bucket(
+        self,
+        customer: ids.CustomerName,
+        now_s: float,
+    ) -> fleet_bucket.FleetBucket:
+        bucket = self._buckets.get(customer)
+        if bucket is None:
+            limit = self._limits[customer]
+            bucket = fleet_bucket.FleetBucket(
+                limit,
+                self._leeway.start_level(limit),
+                now_s,
+                self._heard_s,
+            )
+            self._buckets[customer] = bucket
+        return bucket
+
+    def _small_bucket(
+        self,
+        customer: ids.CustomerName,
+        now_s: float,
+    ) -> fleet_bucket.FleetBucket:
+        bucket = self._beside.get(customer)
+        if bucket is None:
+            limit = fleet_bucket.Limit(_BESIDE_PER_S, _BESIDE_BURST)
+            bucket = fleet_bucket.FleetBucket(limit, _BESIDE_BURST, now_s, {})
+            self._beside[customer] = bucket
+        return bucket
+
+    def _forget_replaced(self, zone: ids.ZoneName, now_s: float) -> None:
+        """Forget those of ``zone`` that others, who were heard now, replace."""
+        self._forget(
+            source
+            for source, heard_s in self._heard_s.items()
+            if now_s - heard_s > _FORGET_S
+            or (self._zones[source] == zone and now_s - heard_s > _REPLACED_S)
+        )
+
+    def _forget(self, sources: Iterable[ids.InstanceId]) -> None:
+        for source in tuple(sources):
+            del self._heard_s[source]
+            del self._zones[source]
+            for bucket in self._buckets.values():
+                bucket.forget(source)
--- a/libraries/zones/src/sardinepier/zones/carriers.py
+++ b/libraries/zones/src/sardinepier/zones/carriers.py
@@ -100,11 +100,15 @@
         """Return the carriers of this daemon's zone."""
         return self._order.own_zone(self._count)[: self._count]
 
-    def of_other_zones(self) -> ranking.Members:
-        """Return the first carrier of each zone but the own."""
+    def of_other_zones(self, each: int = 1) -> ranking.Members:
+        """Return the first carriers of each zone but the own."""
         own = self._fleet.own.zone
-        by_zone = self._ranking.by_zone()
-        return tuple(by_zone[zone][0] for zone in by_zone if zone != own)
+        return tuple(
+            member
+            for zone, members in self._ranking.by_zone().items()
+            if zone != own
+            for member in members[:each]
+        )
 
     def neighbours(self) -> ranking.Members:
         """Return the other living daemons of the own zone."""
@@ -127,3 +131,11 @@
     def _first(self) -> ids.InstanceId | None:
         ordered = self._order.own_zone(self._count)
         return ordered[0].instance_id if ordered else None
+
+
+def beside_own(chosen: Carriers) -> ranking.Members:
+    """Return the carriers of the own zone but for this daemon."""
+    neighbours = chosen.neighbours()
+    return tuple(
+        member for member in chosen.of_own_zone() if member in neighbours
+    )
--- a/libraries/zones/src/sardinepier/zones/confirming.py
+++ b/libraries/zones/src/sardinepier/zones/confirming.py
@@ -75,7 +75,7 @@
 
     def _carrier(self) -> ranking.Members:
         """Return one of the other carriers of the zone, if there are any."""
-        others = self._other_carriers()
+        others = carriers.beside_own(self._carriers)
         return (self._random.choice(others),) if others else self._wider()
 
     def _wider(self) -> ranking.Members:
@@ -85,19 +85,11 @@
             min(_MOST_NEIGHBOURS, len(neighbours)),
         )
         return (
-            *self._other_carriers(),
+            *carriers.beside_own(self._carriers),
             *self._carriers.of_other_zones(),
             *drawn,
         )
 
-    def _other_carriers(self) -> ranking.Members:
-        neighbours = self._carriers.neighbours()
-        return tuple(
-            member
-            for member in self._carriers.of_own_zone()
-            if member in neighbours
-        )
-
     def _on_request(
         self,
         sender: wire_messages.Sender,
--- a/libraries/zones/src/sardinepier/zones/messages.py
+++ b/libraries/zones/src/sardinepier/zones/messages.py
@@ -88,6 +88,23 @@
     configuration_version: int
 
 
+class CustomerUsage(msgspec.Struct, frozen=True, array_like=True):
+    """What the sender let through of one customer since its start.
+
+    ``level`` is how many more requests it takes the limit to allow.
+    """
+
+    customer: ids.CustomerName
+    spent: int
+    level: int
+
+
+class UsageNews(messages.Message, frozen=True):
+    """All customers of whom the sender let any through since its last news."""
+
+    usages: tuple[CustomerUsage, ...]
+
+
 class NewsRequest(messages.Message, frozen=True):
     """Asks for what is newer than the sender's own."""
 
@@ -130,6 +147,7 @@
     BeliefReport,
     ConfirmationRequest,
     ConfirmationReply,
+    UsageNews,
     NewsRequest,
     ConfigurationNews,
     TargetsNews,
--- a/libraries/zones/src/sardinepier/zones/sharing.py
+++ b/libraries/zones/src/sardinepier/zones/sharing.py
@@ -25,6 +25,7 @@
     zone_load,
 )
 from sardinepier.zones import news as zone_news
+from sardinepier.zones import usage_sharing
 
 _LEAST_INTERVAL_S: Final = 0.02
 """Beats that failures bring about are so far apart at least."""
@@ -83,6 +84,12 @@
             clock,
             random_source,
         )
+        self._usage = usage_sharing.UsageSharing(
+            peer_network,
+            chosen,
+            held,
+            clock,
+        )
         self._role = role.Role(held, chosen, load, clock)
         self._stirred = asyncio.Event()
         peer_network.subscribe(messages.ZoneBeat, self._on_beat)
@@ -140,6 +147,7 @@
             self._telling.to_carriers()
         self._exchange_with_other_zones()
         self._confirming.step()
+        self._usage.step()
 
     def _exchange_with_other_zones(self) -> None:
         """Tell them what is new, and take over the turns of lost ones.
--- /dev/null
+++ b/libraries/zones/src/sardinepier/zones/usage_sharing.py
@@ -0,0 +1,83 @@
+"""Telling the carriers of all zones what customers were let through."""
+
+from typing import Final
+
+from sardinepier.core import clock as clocks
+from sardinepier.entry import services
+from sardinepier.routing import fleet_bucket
+from sardinepier.wire import messages as wire_messages
+from sardinepier.wire import network
+from sardinepier.zones import carriers, messages
+
+_INTERVAL_S: Final = 0.2
+"""Pace of news. What customers send beyond their limits within it is let through
+once, and paid back."""
+
+
+class UsageSharing:
+    """Sends the news of one daemon, and takes in those of others.
+
+    Only carriers are told: they get nearly all requests.
+    """
+
+    def __init__(
+        self,
+        peer_network: network.PeerNetwork,
+        chosen: carriers.Carriers,
+        held: services.Services,
+        clock: clocks.Clock,
+    ) -> None:
+        """Listen on ``peer_network``; nothing is sent yet."""
+        self._network = peer_network
+        self._carriers = chosen
+        self._limits = held.limits
+        self._clock = clock
+        self._due_s = clock.monotonic_s()
+        self._was_empty = True
+        peer_network.subscribe(messages.UsageNews, self._on_news)
+
+    def step(self) -> None:
+        """Tell what is new, if it is time."""
+        self._limits.is_informed = self._carriers.is_carrier()
+        now_s = self._clock.monotonic_s()
+        if now_s < self._due_s:
+            return
+        self._due_s = now_s + _INTERVAL_S
+        news = self._limits.take_news()
+        # One without any news says that nothing more was let through.
+        if not news and self._was_empty:
+            return
+        self._was_empty = not news
+        self._tell(
+            messages.UsageNews(
+                tuple(
+                    messages.CustomerUsage(customer, usage.spent, usage.level)
+                    for customer, usage in news.items()
+                ),
+            ),
+        )
+
+    def _tell(self, news: messages.UsageNews) -> None:
+        others = (
+            *carriers.beside_own(self._carriers),
+            *self._carriers.of_other_zones(self._carriers.count),
+        )
+        for member in others:
+            self._network.send(member.peer_address, news)
+
+    def _on_news(
+        self,
+        sender: wire_messages.Sender,
+        news: messages.UsageNews,
+    ) -> None:
+        zone = self._carriers.zone_of(sender.instance_id)
+        if zone is None:
+            return
+        self._limits.heard(
+            sender.instance_id,
+            zone,
+            {
+                told.customer: fleet_bucket.Usage(told.spent, told.level)
+                for told in news.usages
+            },
+        )
