Go on when the platform comes back from an older copy

Cause: target lists were compared by their revision alone, so that those of a restored platform would have been refused until its revisions had caught up; a configuration was remembered by its revision, so that other bytes under one given out again would not have been read.

Change: the platform's era goes before its revision, in one number that only grows. The first reading of a new era keeps targets that the copy lacks for the time in which they write again, leaves out those that it names though they had left, keeps those draining that were, and confirms no configuration until then.

The stand-in of the platform plays such drills; all of these tests failed before.

Known limit: a daemon that takes over the reading within these seconds does not know which targets had left.

--- a/libraries/entry/src/sardinepier/entry/model.py
+++ b/libraries/entry/src/sardinepier/entry/model.py
@@ -154,8 +154,19 @@
         return self.name or self.target_id
 
 
+REVISIONS_PER_ERA: Final = 1_000_000_000_000
+"""More than a platform makes before it is restored from a copy, after which it
+gives revisions out again. A revision here is the era times this, and the
+platform's own: it only grows."""
+
+
 class TargetList(msgspec.Struct, frozen=True, array_like=True):
     """All targets at one revision of the platform. Revisions only grow."""
 
     revision: int
     targets: tuple[ListedTarget, ...]
+
+    @property
+    def era(self) -> int:
+        """Return how often the platform was restored from a copy before."""
+        return self.revision // REVISIONS_PER_ERA
--- a/libraries/zones/src/sardinepier/zones/lapses.py
+++ b/libraries/zones/src/sardinepier/zones/lapses.py
@@ -3,12 +3,16 @@
 While the platform is away, entries of targets that live may run out. They
 are back a moment after its return, so that what is missing right then is
 kept for that moment, and what is still missing afterwards is gone.
+
+The platform may also come back from a copy that is some seconds old. Such a list
+lacks targets that started since, and names some that left.
 """
 
 from collections.abc import Collection
 from typing import Final
 
 from sardinepier.core import clock as clocks
+from sardinepier.core import ids
 from sardinepier.entry import model
 
 _AWAY_AFTER_S: Final = 1.5
@@ -20,6 +24,11 @@
 platform's return."""
 
 
+_COPY_CORRECTED_S: Final = 6.0
+"""Entries of targets that left are gone from a restored copy by then: they run out
+after three heartbeats of a second and a half."""
+
+
 class LapseGuard:
     """Knows how old the list of targets is, and keeps those that only lapsed.
 
@@ -35,6 +44,17 @@
         self._asked_s: float | None = None
         self._has_failed = False
         self._keep_until_s = 0.0
+        self._read_era: int | None = None
+        self._left: frozenset[ids.TargetId] = frozenset()
+        self._left_until_s = 0.0
+        self._restored_until_s = 0.0
+
+    def is_restoring(self) -> bool:
+        """Tell whether a restored platform may still lack what was written.
+
+        Until then a reading confirms nothing: what it lacks may be newer.
+        """
+        return self._clock.monotonic_s() < self._restored_until_s
 
     def age_s(self) -> float | None:
         """Return how long ago somebody asked for the list, None for never."""
@@ -81,6 +101,8 @@
         self._has_failed = False
         self._asked_s = asked_s
         self.is_own = True
+        self._note_era(held, fresh)
+        fresh = self._without_those_that_left(held, fresh)
         if held is None or now_s >= self._keep_until_s:
             return fresh
         listed = {target.own_name for target in fresh.targets}
@@ -92,3 +114,50 @@
             and target.state is model.TargetState.READY
         )
         return model.TargetList(fresh.revision, fresh.targets + lapsed)
+
+    def _note_era(
+        self,
+        held: model.TargetList | None,
+        fresh: model.TargetList,
+    ) -> None:
+        """Take in whether the platform was restored since the last reading."""
+        before = self._read_era
+        self._read_era = fresh.era
+        if held is None or before is None or fresh.era <= before:
+            return
+        now_s = self._clock.monotonic_s()
+        self._keep_until_s = now_s + _BACK_WITHIN_S
+        self._restored_until_s = now_s + _BACK_WITHIN_S
+        self._left_until_s = now_s + _COPY_CORRECTED_S
+        known = {target.target_id for target in held.targets}
+        self._left = frozenset(
+            target.target_id
+            for target in fresh.targets
+            if target.target_id not in known
+        )
+
+    def _without_those_that_left(
+        self,
+        held: model.TargetList | None,
+        fresh: model.TargetList,
+    ) -> model.TargetList:
+        """Return ``fresh`` without what a restored copy names wrongly.
+
+        That are targets which had left before, and the state of those that
+        had begun to.
+        """
+        if held is None or self._clock.monotonic_s() >= self._left_until_s:
+            return fresh
+        draining = {
+            target.target_id: target
+            for target in held.targets
+            if target.state is model.TargetState.DRAINING
+        }
+        return model.TargetList(
+            fresh.revision,
+            tuple(
+                draining.get(target.target_id, target)
+                for target in fresh.targets
+                if target.target_id not in self._left
+            ),
+        )
--- a/libraries/zones/src/sardinepier/zones/reading.py
+++ b/libraries/zones/src/sardinepier/zones/reading.py
@@ -155,13 +155,13 @@
         if reading.configuration is not None:
             self._shared.take_configuration(reading.configuration)
         if not allow_stale:
-            if reading.configuration is not None:
-                self._held.confirmation.note(confirms_s)
             self._shared.take_targets(
                 reading.targets,
                 asked_s=asked_s,
                 unusable=_names_of(reading.unusable),
             )
+            if reading.configuration and not self._guard.is_restoring():
+                self._held.confirmation.note(confirms_s)
             self._regained()
             self._tell_slow(asked_s)
         elif self._held.targets is None:
--- a/tests/adapter/store_standin.py
+++ b/tests/adapter/store_standin.py
@@ -19,6 +19,8 @@
         self.raw_values = {}
         self.revision = 1
         self.fault = ''
+        self.era = 0
+        self._copy = None
         self.asked = []
         self._runner = None
         self.address = ''
@@ -38,6 +40,16 @@
         self.revision += 1
         del self.entries[key]
 
+    def copy(self):
+        """Keep a copy of everything as it is now."""
+        self._copy = (dict(self.entries), self.revision)
+
+    def restore(self):
+        """Come back from the copy: what came since is lost."""
+        self.entries = dict(self._copy[0])
+        self.revision = self._copy[1]
+        self.era += 1
+
     async def start(self):
         app = web.Application()
         app.router.add_get('/api/kv-range', self._range)
@@ -76,6 +88,7 @@
                 'as_of': self.revision,
                 'unknown_field': {'may': 'come'},
             },
+            headers={'Store-Era': str(self.era)},
         )
 
     def _item(self, key):
--- a/tests/adapter/test_adapter_store.py
+++ b/tests/adapter/test_adapter_store.py
@@ -2,7 +2,7 @@
 
 import pytest
 import store_standin as given
-from sardinepier.entry import model
+from sardinepier.entry import credentials, model
 from sardinepier.platform import errors
 from sardinepier_adapter import store
 
@@ -259,3 +259,96 @@
         for _ in range(2):
             reading = await client.read(allow_stale=False)
             assert reading.configuration.version == version
+
+
+async def test_a_restored_store_is_newer_though_its_revisions_go_back(
+    standin,
+    client,
+):
+    standin.put('op/config', given.configuration(7))
+    standin.copy()
+    standin.put('servers/i-1', given.worker())
+    standin.put('op/config', given.configuration(8))
+    before = await client.read(allow_stale=False)
+    standin.restore()
+    after = await client.read(allow_stale=False)
+    assert after.targets.revision > before.targets.revision
+    assert after.targets.era == before.targets.era + 1
+    assert after.configuration.version == 7
+
+
+async def test_other_bytes_under_a_revision_given_out_again_are_read(
+    standin,
+    client,
+):
+    standin.copy()
+    standin.put('op/config', given.configuration(7))
+    await client.read(allow_stale=False)
+    standin.restore()
+    standin.put('op/config', given.configuration(9))
+    reading = await client.read(allow_stale=False)
+    assert reading.configuration.version == 9
+
+
+async def test_a_restore_between_two_pages_is_no_reading(standin, client):
+    for number in range(7):
+        standin.put(f'servers/i-{number}', given.worker())
+    standin.copy()
+    asked = standin.asked
+    original = client._page
+
+    async def page(after, *, allow_stale):
+        if len(asked) == 1:
+            standin.restore()
+        return await original(after, allow_stale=allow_stale)
+
+    client._page = page
+    with pytest.raises(errors.PlatformUnavailableError, match='two pages'):
+        await client.read(allow_stale=False)
+
+
+async def test_customers_are_read_and_their_keys_are_not_kept(standin, client):
+    tenant = {
+        'name': 'library',
+        'api_keys': ['secret-1', 'secret-2'],
+        'priority': 1,
+        'rate_per_s': 72,
+        'burst': 36,
+    }
+    standin.put('op/config', given.configuration(tenants=[tenant]))
+    found = (await client.read(allow_stale=False)).configuration
+    assert found.customers == (
+        model.Customer(
+            'library',
+            tuple(
+                credentials.digest_of(key) for key in ('secret-1', 'secret-2')
+            ),
+            priority=1,
+            rate_per_s=72,
+            burst=36,
+        ),
+    )
+    assert 'secret' not in repr(found)
+
+
+async def test_a_configuration_without_customers_needs_no_keys(standin, client):
+    standin.put('op/config', given.configuration())
+    assert (
+        await client.read(allow_stale=False)
+    ).configuration.customers is None
+
+
+async def test_a_key_of_two_customers_makes_a_configuration_unusable(
+    standin,
+    client,
+):
+    tenants = [
+        {'name': name, 'api_keys': ['secret-1'], 'rate_per_s': 5, 'burst': 5}
+        for name in ('library', 'archive')
+    ]
+    standin.put('op/config', given.configuration(tenants=tenants))
+    reading = await client.read(allow_stale=False)
+    assert reading.configuration is None
+    assert len(reading.unusable) == 1
+    assert 'library and archive have the same key' in reading.unusable[0].what
+    assert 'secret' not in reading.unusable[0].what
