Take a silent daemon to go on only if it promised news

Daemons beside the carriers tell of a request now and then; each was taken for cut off 0.6 s later, and an equal part of the limit was set aside for it.

Change: news say whether the sender goes on telling. Carriers do, with news or without; only their silence means something.

--- a/libraries/routing/src/sardinepier/routing/fleet_limits.py
+++ b/libraries/routing/src/sardinepier/routing/fleet_limits.py
@@ -72,7 +72,9 @@
         self._limits: Mapping[ids.CustomerName, fleet_bucket.Limit] = {}
         self._buckets: dict[ids.CustomerName, fleet_bucket.FleetBucket] = {}
         self._beside: dict[ids.CustomerName, fleet_bucket.FleetBucket] = {}
+        # Those that tell only now and then are never silent: infinity.
         self._heard_s: dict[ids.InstanceId, float] = {}
+        self._told_s: dict[ids.InstanceId, float] = {}
         self._zones: dict[ids.InstanceId, ids.ZoneName] = {}
         self._newest_s = -math.inf
         self._changed: set[ids.CustomerName] = set()
@@ -123,14 +125,21 @@
         source: ids.InstanceId,
         zone: ids.ZoneName,
         news: Mapping[ids.CustomerName, fleet_bucket.Usage],
+        *,
+        goes_on: bool = True,
     ) -> None:
-        """Take in the news of another daemon; it is complete."""
+        """Take in the news of another daemon; it is complete.
+
+        ``goes_on`` says that it will tell again soon, with news or without, so
+        that its silence means something.
+        """
         now_s = self._clock.monotonic_s()
         for customer, usage in news.items():
             if customer in self._limits:
                 self._bucket(customer, now_s).heard(source, usage, now_s)
         self._newest_s = now_s
-        self._heard_s[source] = now_s
+        self._told_s[source] = now_s
+        self._heard_s[source] = now_s if goes_on else math.inf
         self._zones[source] = zone
         self._forget_replaced(zone, now_s)
 
@@ -170,13 +179,14 @@
         """Forget those of ``zone`` that others, who were heard now, replace."""
         self._forget(
             source
-            for source, heard_s in self._heard_s.items()
+            for source, heard_s in self._told_s.items()
             if now_s - heard_s > _FORGET_S
             or (self._zones[source] == zone and now_s - heard_s > _REPLACED_S)
         )
 
     def _forget(self, sources: Iterable[ids.InstanceId]) -> None:
         for source in tuple(sources):
+            del self._told_s[source]
             del self._heard_s[source]
             del self._zones[source]
             for bucket in self._buckets.values():
--- a/libraries/routing/tests/cover/test_routing_fleet_limits.py
+++ b/libraries/routing/tests/cover/test_routing_fleet_limits.py
@@ -185,6 +185,23 @@
     assert fleet.most_in_a_window(HOT) <= fleet.bound(HOT)
 
 
+def test_one_that_tells_now_and_then_is_not_taken_to_go_on():
+    clock = clocks.ManualClock(100.0)
+    limits = fleet_limits.FleetLimits(clock, LEEWAY)
+    limits.set(LIMITS)
+    for number in range(30):
+        for spent in (1, 2):
+            limits.heard(
+                ids.InstanceId(f'beside-{number}'),
+                ids.ZoneName('z1'),
+                {CALM: fleet_bucket.Usage(spent, 6)},
+                goes_on=False,
+            )
+        clock.advance(0.3)
+    # They let thirty through in nine seconds, and six are allowed in each.
+    assert sum(not limits.take(CALM) for _ in range(6)) >= 5
+
+
 def test_what_did_not_run_is_given_back():
     clock = clocks.ManualClock(100.0)
     limits = fleet_limits.FleetLimits(clock, LEEWAY)
--- a/libraries/zones/src/sardinepier/zones/messages.py
+++ b/libraries/zones/src/sardinepier/zones/messages.py
@@ -100,9 +100,13 @@
 
 
 class UsageNews(messages.Message, frozen=True):
-    """All customers of whom the sender let any through since its last news."""
+    """All customers of whom the sender let any through since its last news.
+
+    ``goes_on`` says that the sender tells again soon, with news or without.
+    """
 
     usages: tuple[CustomerUsage, ...]
+    goes_on: bool
 
 
 class NewsRequest(messages.Message, frozen=True):
--- a/libraries/zones/src/sardinepier/zones/usage_sharing.py
+++ b/libraries/zones/src/sardinepier/zones/usage_sharing.py
@@ -17,7 +17,9 @@
 class UsageSharing:
     """Sends the news of one daemon, and takes in those of others.
 
-    Only carriers are told: they get nearly all requests.
+    Only carriers are told: they get nearly all requests. They tell each other
+    all the while, with news or without; those beside them only when they let
+    a request through.
     """
 
     def __init__(
@@ -33,7 +35,7 @@
         self._limits = held.limits
         self._clock = clock
         self._due_s = clock.monotonic_s()
-        self._was_empty = True
+        self._went_on = False
         peer_network.subscribe(messages.UsageNews, self._on_news)
 
     def step(self) -> None:
@@ -44,16 +46,17 @@
             return
         self._due_s = now_s + _INTERVAL_S
         news = self._limits.take_news()
-        # One without any news says that nothing more was let through.
-        if not news and self._was_empty:
+        goes_on = self._carriers.is_carrier()
+        if not news and not goes_on and not self._went_on:
             return
-        self._was_empty = not news
+        self._went_on = goes_on
         self._tell(
             messages.UsageNews(
                 tuple(
                     messages.CustomerUsage(customer, usage.spent, usage.level)
                     for customer, usage in news.items()
                 ),
+                goes_on,
             ),
         )
 
@@ -80,4 +83,5 @@
                 told.customer: fleet_bucket.Usage(told.spent, told.level)
                 for told in news.usages
             },
+            goes_on=news.goes_on,
         )
