--- a/libraries/cli/src/sardinepier/cli/from_files/explain.py
+++ b/libraries/cli/src/sardinepier/cli/from_files/explain.py
@@ -24,6 +24,8 @@
     'zone-handed-over',
     'platform-lost',
     'platform-regained',
+    'confirmation-lost',
+    'confirmation-regained',
 )
 """Events after which a daemon decides by something else."""
 
--- a/libraries/daemon/src/sardinepier/daemon/internal/entry_figures.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/entry_figures.py
@@ -25,12 +25,17 @@
     async def text(self) -> str:
         """Return all figures as they are now."""
         age_s = self.guard.age_s()
+        confirmed_age_s = self.services.confirmation.age_s()
         gauges = (
             exposition.Gauge('requests_in_hand', self.activity.in_hand),
             exposition.Gauge(
                 'targets_age_s',
                 math.inf if age_s is None else age_s,
             ),
+            exposition.Gauge(
+                'confirmed_age_s',
+                math.inf if confirmed_age_s is None else confirmed_age_s,
+            ),
             exposition.Gauge('carriers', self.carriers.count),
             exposition.Gauge('is_carrier', self.carriers.is_carrier()),
             exposition.Gauge(
--- a/libraries/entry/src/sardinepier/entry/accounts.py
+++ b/libraries/entry/src/sardinepier/entry/accounts.py
@@ -71,6 +71,8 @@
         self._shared.activity.passed_bytes += passed_bytes
         request_id = self._request.headers.get(names.attempt_id, '')
         self._shared.decisions.ended(request_id, self.item, end)
+        if end.error:
+            self._shared.measures.answered_itself(end.error)
         self._shared.measures.request_ended(
             self.item.service if self.item else '',
             end.outcome,
--- a/libraries/entry/src/sardinepier/entry/decisions.py
+++ b/libraries/entry/src/sardinepier/entry/decisions.py
@@ -142,6 +142,7 @@
         targets, with_room = self._room(item, now_s)
         return events.RequestEnded(
             request_id=request_id,
+            customer=_customer_name(item),
             route=item.route.name if item else '',
             service=item.service if item else '',
             outcome=end.outcome,
@@ -163,6 +164,10 @@
         return len(records), sum(one.has_room(now_s) for one in records)
 
 
+def _customer_name(item: works.Work | None) -> str:
+    return item.customer.name if item and item.customer else ''
+
+
 def _budget(clock: clocks.Clock, per_s: float) -> line_budget.LineBudget:
     return line_budget.LineBudget(clock, per_s, int(per_s * _BURST_S))
 
--- a/libraries/entry/src/sardinepier/entry/events.py
+++ b/libraries/entry/src/sardinepier/entry/events.py
@@ -98,12 +98,14 @@
 class RequestEnded(line_events.LineEvent, frozen=True):
     """A request was not simply answered at the first attempt.
 
+    ``customer`` is empty where none was known by a key.
     ``error`` and ``what`` are empty when a target's answer was passed on.
     ``targets`` are those known of the service, ``with_room`` of them would
     work on one more request at once.
     """
 
     request_id: str
+    customer: str
     route: str
     service: str
     outcome: Outcome
--- a/libraries/entry/src/sardinepier/entry/measures.py
+++ b/libraries/entry/src/sardinepier/entry/measures.py
@@ -8,6 +8,7 @@
 
 HELP_TEXTS: Final[Mapping[str, str]] = {
     'requests': 'Requests by service and by what became of them.',
+    'own_answers': 'Requests that the daemon answered itself, by the reason.',
     'attempts': 'Attempts at targets by service and by how they ended.',
     'attempts_begun': 'Attempts by service and by why the target was chosen.',
     'repeats_granted': 'Further attempts that the retry budgets allowed.',
@@ -19,6 +20,7 @@
     'targets': 'Targets in use, of all services.',
     'targets_age_s': 'Since the target list was last read by anybody, in s.',
     'unusable_entries': 'Entries passed over in the newest own reading.',
+    'confirmed_age_s': 'Since the configuration was certainly the newest, in s.',
     'carriers': 'Daemons that shall carry the own zone.',
     'is_carrier': 'Whether this daemon is one of them, 1 or 0.',
     'members': 'Daemons that this one knows to live, itself included.',
@@ -62,6 +64,10 @@
                 service=service,
             ).record(taken_s * _MS_PER_S)
 
+    def answered_itself(self, error: str) -> None:
+        """Count a request that the daemon answered itself, by the reason."""
+        self._metrics.counter('own_answers', error=error).add()
+
     def attempt_begun(self, service: str, reason: events.Reason) -> None:
         """Count an attempt by the reason for its target."""
         self._metrics.counter(
--- a/libraries/zones/src/sardinepier/zones/confirming.py
+++ b/libraries/zones/src/sardinepier/zones/confirming.py
@@ -10,9 +10,10 @@
 
 from sardinepier.core import clock as clocks
 from sardinepier.entry import services
+from sardinepier.telemetry import logs
 from sardinepier.wire import messages as wire_messages
 from sardinepier.wire import network
-from sardinepier.zones import carriers, messages, ranking
+from sardinepier.zones import carriers, events, messages, ranking
 
 _RENEW_S: Final = 1.2
 """Age after which a carrier of the zone is asked. Carriers read each second and
@@ -53,6 +54,7 @@
         self._clock = clock
         self._random = random_source
         self._ask_again_s = clock.monotonic_s()
+        self._was_valid = True
         peer_network.subscribe(messages.ConfirmationRequest, self._on_request)
         peer_network.subscribe(messages.ConfirmationReply, self._on_reply)
 
@@ -60,6 +62,8 @@
         """Ask if the confirmation grows old and no question is on its way."""
         held = self._held.confirmation
         now_s = self._clock.monotonic_s()
+        if held.is_needed:
+            self._tell_change()
         if not held.is_needed or now_s < self._ask_again_s:
             return
         age_s = held.age_s()
@@ -73,6 +77,22 @@
         for member in self._wider() if is_old else self._carrier():
             self._network.send(member.peer_address, question)
 
+    def _tell_change(self) -> None:
+        held = self._held.confirmation
+        is_valid = held.is_valid()
+        age_s = held.age_s()
+        if is_valid == self._was_valid or age_s is None:
+            return
+        self._was_valid = is_valid
+        age_ms = int(age_s * _MS_PER_S)
+        if is_valid:
+            logs.tell(events.ConfirmationRegained(age_ms))
+        else:
+            logs.tell(
+                events.ConfirmationLost(age_ms),
+                level=logs.Level.WARNING,
+            )
+
     def _carrier(self) -> ranking.Members:
         """Return one of the other carriers of the zone, if there are any."""
         others = carriers.beside_own(self._carriers)
--- a/libraries/zones/src/sardinepier/zones/events.py
+++ b/libraries/zones/src/sardinepier/zones/events.py
@@ -70,3 +70,19 @@
     error: str
     what: str
     age_ms: int
+
+
+class ConfirmationLost(line_events.LineEvent, frozen=True):
+    """Requests with a key are refused.
+
+    Neither the platform nor another daemon has confirmed the configuration
+    since ``age_ms``.
+    """
+
+    age_ms: int
+
+
+class ConfirmationRegained(line_events.LineEvent, frozen=True):
+    """Requests with a key are served again."""
+
+    age_ms: int
