Let a lower limit of a customer take effect when its time has come

Cause: a limit that fell was in force at the moment at which a daemon heard of it, in the middle of a window that its customer had begun under the old one, and before other daemons knew.

Change: a limit that falls is put in force one window after the change has to be known everywhere. One that rises is in force at once.

--- a/libraries/routing/src/sardinepier/routing/fleet_limits.py
+++ b/libraries/routing/src/sardinepier/routing/fleet_limits.py
@@ -35,12 +35,15 @@
     """By how much a limit may be exceeded over the whole fleet.
 
     In no span of ``window_s`` more than (rate x window + burst) x (1 +
-    ``overshoot``) + ``slack`` requests of a customer may run.
+    ``overshoot``) + ``slack`` requests of a customer may run. A limit that falls
+    may take effect ``lower_after_s`` after it came: customers were told the old
+    one until then, and other daemons may not know the new one.
     """
 
     window_s: float = 5.0
     overshoot: float = 0.25
     slack: float = 20.0
+    lower_after_s: float = 5.0
 
     def start_level(self, limit: fleet_bucket.Limit) -> float:
         """Return the level of a bucket of whose past nothing is known."""
@@ -70,6 +73,7 @@
         self._clock = clock
         self._leeway = leeway
         self._limits: Mapping[ids.CustomerName, fleet_bucket.Limit] = {}
+        self._lower_at_s: dict[ids.CustomerName, float] = {}
         self._buckets: dict[ids.CustomerName, fleet_bucket.FleetBucket] = {}
         self._beside: dict[ids.CustomerName, fleet_bucket.FleetBucket] = {}
         # Those that tell only now and then are never silent: infinity.
@@ -86,11 +90,11 @@
         """Put limits in force; those that are not named have none."""
         now_s = self._clock.monotonic_s()
         self._limits = limits
-        for buckets in (self._buckets, self._beside):
-            for gone in buckets.keys() - limits.keys():
-                del buckets[gone]
+        for known in (self._buckets, self._beside, self._lower_at_s):
+            for gone in known.keys() - limits.keys():
+                del known[gone]
         for name, bucket in self._buckets.items():
-            bucket.set_limit(limits[name], now_s)
+            self._change(name, bucket, now_s)
 
     def take(self, customer: ids.CustomerName) -> float:
         """Let a request through, and return 0, or in how many seconds to try."""
@@ -143,6 +147,23 @@
         self._zones[source] = zone
         self._forget_replaced(zone, now_s)
 
+    def _change(
+        self,
+        customer: ids.CustomerName,
+        bucket: fleet_bucket.FleetBucket,
+        now_s: float,
+    ) -> None:
+        """Put a limit in force that rose, and one that fell when it is time."""
+        limit = self._limits[customer]
+        if limit.rate_per_s >= bucket.limit.rate_per_s:
+            self._lower_at_s.pop(customer, None)
+            bucket.set_limit(limit, now_s)
+            return
+        after_s = now_s + self._leeway.lower_after_s
+        if now_s >= self._lower_at_s.setdefault(customer, after_s):
+            del self._lower_at_s[customer]
+            bucket.set_limit(limit, now_s)
+
     def _knows_others(self, now_s: float) -> bool:
         return self.is_informed or now_s - self._newest_s < _KNOWS_S
 
@@ -161,6 +182,8 @@
                 self._heard_s,
             )
             self._buckets[customer] = bucket
+        if customer in self._lower_at_s:
+            self._change(customer, bucket, now_s)
         return bucket
 
     def _small_bucket(
--- a/tests/adapter/test_adapter_settings.py
+++ b/tests/adapter/test_adapter_settings.py
@@ -2,6 +2,7 @@
 
 import pytest
 from sardinepier.membership import capacity
+from sardinepier.routing import fleet_limits
 from sardinepier.wire import messages
 from sardinepier_adapter import errors, settings_file
 
@@ -124,3 +125,25 @@
     fields = read(tmp_path, f'{TEXT}limits.link_mbps={stated}\n')
     with pytest.raises(errors.SettingsFileError):
         settings_file.entry_settings_of(fields)
+
+
+CUSTOMER_BOUNDS = (
+    'revoke_strict=true,revoke_s=5,quota_window_s=4,quota_overshoot=0.5,'
+    'quota_slack=10,config_apply_s=2.5'
+)
+
+
+def bounds_of(tmp_path, stated):
+    text = TEXT.replace('bounds=', f'bounds={stated},')
+    return settings_file.entry_settings_of(read(tmp_path, text)).bounds
+
+
+def test_bounds_of_customers_have_their_meaning(tmp_path):
+    found = bounds_of(tmp_path, CUSTOMER_BOUNDS)
+    assert found.revocation_s == 5
+    assert found.leeway == fleet_limits.Leeway(4, 0.5, 10, 6.5)
+
+
+@pytest.mark.parametrize('stated', ['revoke_strict=false,revoke_s=5', 'x=1'])
+def test_without_a_strict_bound_no_confirmation_is_needed(tmp_path, stated):
+    assert bounds_of(tmp_path, stated).revocation_s is None
