--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -72,6 +72,9 @@
                 self._blame(error)
                 self._failed_by(type(error).__name__, error.what)
                 raise
+            except asyncio.CancelledError:
+                self._given_up()
+                raise
             self._judge(answer)
             if answer.rest is not None:
                 # The target works on it until its last byte is out.
@@ -194,6 +197,14 @@
         else:
             self._pool.failed(self._record, self._taken_s())
 
+    def _given_up(self) -> None:
+        if self._is_sent:
+            self._pool.failed(
+                self._record,
+                self._taken_s(),
+                is_given_up=True,
+            )
+
     def _overdue(self) -> None:
         """Blame the target for a timeout only when it took overlong.
 
--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -39,6 +39,11 @@
 """A failure within this part of the usual latency came before the work could
 be done. Measured, failing targets answer in a fiftieth of it."""
 
+_HUNG_FACTOR: Final = 1.5
+"""Of the usual latency, after which an attempt that is given up speaks against
+its target. A second attempt began beside it before, when nineteen in twenty have
+an answer, and has brought one since."""
+
 _DOUBTFUL: Final = 0.1
 """Chance of failure above which a target gets one request at a time until it
 is seen how that one goes."""
@@ -184,16 +189,28 @@
         self,
         record: target_record.TargetRecord,
         taken_s: float,
+        *,
+        is_given_up: bool = False,
     ) -> None:
-        """Take in that the target failed a request after ``taken_s``."""
-        record.belief.failed(
-            self._clock.monotonic_s(),
-            is_early=taken_s < _EARLY_FACTOR * self.usual_s,
-        )
+        """Take in that the target failed a request after ``taken_s``.
+
+        ``is_given_up`` says that the attempt was ended without an answer, as
+        another one answered first or the caller left. Had it taken no longer
+        than work may take, that says nothing of the target.
+        """
+        now_s = self._clock.monotonic_s()
+        if is_given_up:
+            if taken_s < _HUNG_FACTOR * self.usual_s or not self.usual_s:
+                return
+            record.belief.hung(now_s)
+        else:
+            is_early = taken_s < _EARLY_FACTOR * self.usual_s
+            record.belief.failed(now_s, is_early=is_early)
         record.belief_source = target_record.BeliefSource.OWN
         # Turns that failed don't count: where many of them do, they would
-        # keep up the share of failures that brings them about.
-        if not record.has_turn:
+        # keep up the share of failures that brings them about. Nor do attempts
+        # that were given up: the request was served, or is not missed.
+        if not record.has_turn and not is_given_up:
             self._overlooked.recent.note(is_failure=True)
         record.has_turn = False
         self.on_outcome(False)
--- a/libraries/health/src/sardinepier/health/belief.py
+++ b/libraries/health/src/sardinepier/health/belief.py
@@ -20,9 +20,11 @@
     weight. A failing target fails ``failing_failure_share`` of its requests,
     a sound one ``sound_failure_share``. A failing target mostly fails at
     once: of all its requests ``failing_late_share`` fail only after the usual
-    time, and of those of a sound one ``sound_early_share`` at once. The defaults are those measured on
-    fleets where a third of the targets fails at any time, for some ten
-    seconds each.
+    time, and of those of a sound one ``sound_early_share`` at once. A target may
+    also hang: ``failing_hung_share`` of the requests of a failing one, and
+    ``sound_hung_share`` of those of a sound one, are still without an answer
+    when that is far overdue. The defaults are those measured on fleets where a
+    third of the targets fails at any time, for some ten seconds each.
     """
 
     failing_share: float = 0.3
@@ -31,6 +33,8 @@
     sound_failure_share: float = 0.015
     failing_late_share: float = 0.04
     sound_early_share: float = 0.001
+    failing_hung_share: float = 0.6
+    sound_hung_share: float = 0.015
 
 
 class TargetBelief:
@@ -102,6 +106,15 @@
                 options.sound_failure_share,
             )
 
+    def hung(self, now_s: float) -> None:
+        """Take in a request that was given up when its answer was overdue."""
+        options = self._options
+        self._update(
+            now_s,
+            options.failing_hung_share,
+            options.sound_hung_share,
+        )
+
     def take(self, failing: float, now_s: float) -> None:
         """Replace the belief by one that another daemon holds."""
         self._failing = failing
