--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SOURCES := libraries platform tests scripts conftest.py
 INSTALL := $(foreach library,$(LIBRARIES),-e ./$(library))
 
-.PHONY: setup format lint types imports pytest test demo bench experiment experiment-full faults capacity clean
+.PHONY: setup format lint types imports pytest test demo bench experiment experiment-full faults clean
 
 $(VENV)/.ready: constraints.txt requirements-dev.txt $(wildcard libraries/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -52,8 +52,5 @@
 faults: setup
 	scripts/faults.sh
 
-capacity: setup
-	$(BIN)/sardinepier-workbench capacity
-
 clean:
 	rm -rf $(VENV)
--- a/libraries/workbench/src/sardinepier/workbench/capacity/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Measures the slopes from which docs/CAPACITY.md is worked out."""
--- a/libraries/workbench/src/sardinepier/workbench/main.py
+++ b/libraries/workbench/src/sardinepier/workbench/main.py
@@ -21,7 +21,6 @@
     ('experiment', 'detection'): 'detection time against false ejections',
     ('experiment', 'load'): 'ways to spread load',
     ('policy',): 'play the decisions of entry instances in virtual time',
-    ('capacity',): 'measure the slopes of the capacity page',
 }
 
 
