Leave no target idle while many requests are beyond their customers' limits

Two customers sent three to four times their usual then; those that limits refuse never reached the count by which a daemon stops leaving doubtful targets alone. Likely, not traced in its lines.

Change: they count as refused requests of their service. The new test fails before.

--- a/libraries/entry/src/sardinepier/entry/pipeline.py
+++ b/libraries/entry/src/sardinepier/entry/pipeline.py
@@ -98,6 +98,7 @@
         limits = self._shared.services.limits
         wait_s = limits.take(item.customer.name)
         if wait_s:
+            self._shared.services.pool(item.service).refused()
             raise refusals.RateLimitError(
                 f'Customer {item.customer.name} has reached its limit',
                 'Send it again after the stated time',
