Refuse at once what can't be confirmed, and name who finds out whose request it is

After a wait in vain each further request waited 0.3 s for a confirmation before it was refused; for a second none does now. entry.authentication was admittance.

--- a/libraries/entry/src/sardinepier/entry/admittance.py
+++ b/libraries/entry/src/sardinepier/entry/authentication.py
@@ -20,14 +20,14 @@
 _RETRY_AFTER_S: Final = 0.3
 
 
-class Admittance:
+class Authenticator:
     """Finds the customer of each request, by the configuration in force."""
 
     def __init__(self, shared: context.EntryContext) -> None:
         """Work with the daemon's collaborators."""
         self._shared = shared
 
-    async def prepare(self) -> None:
+    async def await_confirmation(self) -> None:
         """Wait a moment for a confirmation, where keys need one."""
         if self._shared.services.customers is not None:
             await self._shared.services.confirmation.wait(_CONFIRM_S)
--- a/libraries/entry/src/sardinepier/entry/confirmation.py
+++ b/libraries/entry/src/sardinepier/entry/confirmation.py
@@ -11,11 +11,17 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Callable
+from typing import Final
 
 from sardinepier.core import clock as clocks
 
 
+_HOPELESS_S: Final = 1.0
+"""How long no further request waits after one that did so in vain."""
+
+
 class Confirmation:
     """Knows how long ago the configuration was certainly the newest.
 
@@ -43,6 +49,7 @@
         self._valid_until_s = 0.0
         self._waiting = 0
         self._waiting_since_s = 0.0
+        self._hopeless_until_s = -math.inf
         self._noted = asyncio.Event()
 
     @property
@@ -68,6 +75,7 @@
             return
         self._asked_s = asked_s
         self._valid_until_s = asked_s + self._bound_s
+        self._hopeless_until_s = -math.inf
         self._noted.set()
 
     def is_valid(self) -> bool:
@@ -85,9 +93,15 @@
         return self._clock.boot_s() - self._waiting_since_s
 
     async def wait(self, within_s: float) -> bool:
-        """Wait until a key can be checked; return whether it can."""
+        """Wait until a key can be checked; return whether it can.
+
+        After a wait in vain others end at once for a while: they are refused
+        all the same.
+        """
         if self.is_valid():
             return True
+        if self._clock.boot_s() < self._hopeless_until_s:
+            return False
         if not self._waiting:
             self._waiting_since_s = self._clock.boot_s()
             self.on_wait()
@@ -97,6 +111,8 @@
             stack.enter_context(contextlib.suppress(TimeoutError))
             async with asyncio.timeout(within_s):
                 await self._until_valid()
+        if not self.is_valid():
+            self._hopeless_until_s = self._clock.boot_s() + _HOPELESS_S
         return self.is_valid()
 
     def _ends_wait(self) -> None:
--- a/libraries/entry/src/sardinepier/entry/intake.py
+++ b/libraries/entry/src/sardinepier/entry/intake.py
@@ -7,7 +7,7 @@
 from aiohttp import web_request
 
 from sardinepier.entry import (
-    admittance,
+    authentication,
     context,
     model,
     refusals,
@@ -33,7 +33,7 @@
     def __init__(self, shared: context.EntryContext) -> None:
         """Work with the daemon's collaborators."""
         self._shared = shared
-        self._admittance = admittance.Admittance(shared)
+        self._authenticator = authentication.Authenticator(shared)
         names = shared.names
         self._own = frozenset(
             name.lower()
@@ -50,12 +50,12 @@
         """Return the whole request with its route.
 
         Raises ``NotConfiguredError``, ``UnknownRouteError``, the refusals of
-        :class:`admittance.Admittance`, ``BodyTooLargeError`` and
+        :class:`authentication.Authenticator`, ``BodyTooLargeError`` and
         ``BadRequestError``.
         """
         arrived_s = self._shared.clock.monotonic_s()
         await self._shared.services.configured(_FIRST_S)
-        await self._admittance.prepare()
+        await self._authenticator.await_confirmation()
         routes = self._shared.services.routes()
         route = _route(routes, request)
         if route is None:
@@ -63,7 +63,7 @@
                 'No route of this host begins the path',
                 'Use a path that the configuration in force names',
             )
-        customer = self._admittance.customer_of(request, route)
+        customer = self._authenticator.customer_of(request, route)
         caller_deadline_s = arrived_s + self._patience_s(request)
         content = await self._body(request, caller_deadline_s)
         return works.Work(
--- a/libraries/entry/tests/cover/test_entry_customers.py
+++ b/libraries/entry/tests/cover/test_entry_customers.py
@@ -236,6 +236,19 @@
         _, held = self.made()
         assert not await held.wait(0.01)
 
+    async def test_after_one_in_vain_nobody_waits_for_a_while(self):
+        clock, held = self.made()
+        await held.wait(0.01)
+        held.on_wait = pytest.fail
+        assert not await held.wait(given.PATIENCE_S)
+        clock.advance(1.1)
+        asked = []
+        held.on_wait = lambda: asked.append(True)
+        assert not await held.wait(0.01)
+        assert asked
+        held.note(held.now_s())
+        assert await held.wait(given.PATIENCE_S)
+
 
 async def test_without_a_confirmation_no_request_with_a_key_runs(known):
     held = known.shared.services
