Take back that zones tell each other of very many failures

Ruled out with it: that the other zones hear too late or not at all. What is left: that those that hear have no request for the idle targets, that the targets are on trial or avoided, or that too many were idle before the moment from which many fail.

--- a/libraries/entry/src/sardinepier/entry/recent_failures.py
+++ b/libraries/entry/src/sardinepier/entry/recent_failures.py
@@ -10,14 +10,7 @@
 idle: the users allow a tenth of the requests to fail while some are. On calm days
 two to four in a hundred fail."""
 
-_TOLD_SHARE: Final = 0.2
-"""Share from which other daemons are told: one zone of some is then enough for a
-tenth of all requests. Less than that comes and goes by chance."""
-
 _MEMORY_S: Final = 2.0
-_HEARD_S: Final = 1.0
-"""How long it holds that many fail elsewhere: others tell of it five times as often."""
-
 _ENOUGH: Final = 4.0
 """Attempts within the memory below which their share says little."""
 
@@ -34,7 +27,6 @@
         self._attempts = 0.0
         self._failures = 0.0
         self._updated_s = clock.monotonic_s()
-        self._heard_until_s = clock.monotonic_s()
 
     def note(self, *, is_failure: bool) -> None:
         """Take in how one attempt ended."""
@@ -42,29 +34,12 @@
         self._attempts += 1
         self._failures += is_failure
 
-    def heard_of_many(self) -> None:
-        """Take in that many of another daemon's attempts fail."""
-        self._heard_until_s = self._clock.monotonic_s() + _HEARD_S
-
     def are_many(self) -> bool:
-        """Tell whether enough fail to use every target that may do.
-
-        Anywhere: the users count a service over all zones, and where one zone
-        can't reach its targets the targets of the others have to be in use.
-        """
-        if self._clock.monotonic_s() < self._heard_until_s:
-            return True
-        return self._is_above(_FAILING_SHARE)
-
-    def are_many_here(self) -> bool:
-        """Tell whether so many of its own fail that others are told."""
-        return self._is_above(_TOLD_SHARE)
-
-    def _is_above(self, share: float) -> bool:
+        """Tell whether enough fail to use every target that may do."""
         self._fade()
         if self._attempts < _ENOUGH:
             return False
-        return self._failures > share * self._attempts
+        return self._failures > _FAILING_SHARE * self._attempts
 
     def _fade(self) -> None:
         now_s = self._clock.monotonic_s()
--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -80,7 +80,6 @@
         self.shares_zone = False
         self.lost_zones: frozenset[ids.ZoneName] = frozenset()
         self._overlooked = overlooked.Overlooked(clock, least_used_share)
-        self.recent = self._overlooked.recent
         self._usual_bytes = 0.0
         self._hedge_delay = hedging.HedgeDelay(_HEDGE_PERCENTILE)
         # No floor: many daemons with a few requests each would use it, and
--- a/libraries/zones/src/sardinepier/zones/belief_telling.py
+++ b/libraries/zones/src/sardinepier/zones/belief_telling.py
@@ -73,36 +73,10 @@
         if now_s < self._sign_due_s:
             return
         self._sign_due_s = now_s + _SIGN_S
-        report = messages.BeliefReport(
-            self._due_for_other_zones(now_s),
-            failing=self._failing_here(),
-        )
+        report = messages.BeliefReport(self._due_for_other_zones(now_s))
         for member in self._carriers.of_other_zones():
             self._network.send(member.peer_address, report)
 
-    def failing_for_own_zone(self) -> tuple[ids.ServiceName, ...]:
-        """Return the services of which many requests fail.
-
-        The first carrier alone hears of other zones, and tells of them too.
-        """
-        if not self._carriers.is_first():
-            return self._failing_here()
-        return tuple(
-            pool.name for pool in self._held.pools() if pool.recent.are_many()
-        )
-
-    def take_failing(self, names: tuple[ids.ServiceName, ...]) -> None:
-        """Take in of which services many requests fail elsewhere."""
-        for name in names:
-            self._held.pool(name).recent.heard_of_many()
-
-    def _failing_here(self) -> tuple[ids.ServiceName, ...]:
-        return tuple(
-            pool.name
-            for pool in self._held.pools()
-            if pool.recent.are_many_here()
-        )
-
     def _due_for_other_zones(
         self,
         now_s: float,
@@ -133,7 +107,6 @@
     ) -> None:
         if zone is not None:
             self.lost_zones.heard(zone)
-        self.take_failing(report.failing)
         beliefs.take_in(
             self._held,
             self._clock,
@@ -152,6 +125,6 @@
         """
         if self._carriers.is_first():
             return
-        passed_on = messages.BeliefReport(report.beliefs, zone, report.failing)
+        passed_on = messages.BeliefReport(report.beliefs, zone)
         for member in self._carriers.of_own_zone()[:1]:
             self._network.send(member.peer_address, passed_on)
--- a/libraries/zones/src/sardinepier/zones/messages.py
+++ b/libraries/zones/src/sardinepier/zones/messages.py
@@ -41,8 +41,7 @@
     ``beliefs`` are those that changed since its last beat.
     ``hands_over`` says that the sender can't reach targets and that another
     daemon shall carry the zone for a while. ``carriers`` is how many there
-    shall be, which counts when it comes from the first of them. ``failing`` are
-    the services of which many requests fail, at the sender or in other zones.
+    shall be, which counts when it comes from the first of them.
     """
 
     configuration_version: int
@@ -53,7 +52,6 @@
     hands_over: bool = False
     load: Load = Load()
     carriers: int = 1
-    failing: tuple[ids.ServiceName, ...] = ()
 
 
 class BeliefReport(messages.Message, frozen=True):
@@ -61,13 +59,11 @@
 
     Daemons beside the carriers report what they saw to the carriers of their
     zone, and carriers report to those of other zones. ``of_zone`` names the zone
-    that a report came from when a neighbour passes it on. ``failing`` are the
-    services of which many of the sender's own requests fail.
+    that a report came from when a neighbour passes it on.
     """
 
     beliefs: tuple[BeliefNews, ...]
     of_zone: ids.ZoneName | None = None
-    failing: tuple[ids.ServiceName, ...] = ()
 
 
 class ConfirmationRequest(messages.Message, frozen=True):
--- a/libraries/zones/src/sardinepier/zones/sharing.py
+++ b/libraries/zones/src/sardinepier/zones/sharing.py
@@ -181,7 +181,6 @@
             hands_over=notice.hands_over,
             load=self._role.load.own(),
             carriers=self._carriers.count,
-            failing=self._telling.failing_for_own_zone(),
         )
 
     def _on_beat(
@@ -195,4 +194,3 @@
             self._carriers.fitness.stands_down(sender.instance_id)
         self._news.compare(sender, beat)
         self._telling.take_from_zone(beat.beliefs)
-        self._telling.take_failing(beat.failing)
