--- a/libraries/routing/src/sardinepier/routing/fleet_limits.py
+++ b/libraries/routing/src/sardinepier/routing/fleet_limits.py
@@ -83,6 +83,11 @@
         self._newest_s = -math.inf
         self._changed: set[ids.CustomerName] = set()
 
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether no customer has a limit."""
+        return not self._limits
+
     def set(
         self,
         limits: Mapping[ids.CustomerName, fleet_bucket.Limit],
--- a/libraries/zones/src/sardinepier/zones/usage_sharing.py
+++ b/libraries/zones/src/sardinepier/zones/usage_sharing.py
@@ -39,7 +39,9 @@
         peer_network.subscribe(messages.UsageNews, self._on_news)
 
     def step(self) -> None:
-        """Tell what is new, if it is time."""
+        """Tell what is new, if it is time and anybody has a limit."""
+        if self._limits.is_empty:
+            return
         self._limits.is_informed = self._carriers.is_carrier()
         now_s = self._clock.monotonic_s()
         if now_s < self._due_s:
--- a/libraries/zones/tests/cover/test_zones_usage.py
+++ b/libraries/zones/tests/cover/test_zones_usage.py
@@ -4,6 +4,7 @@
 
 from sardinepier.core import ids
 from sardinepier.entry import model
+from sardinepier.zones import messages
 
 CUSTOMER = ids.CustomerName('library')
 LIMIT_PER_S = 20.0
@@ -69,3 +70,17 @@
     await let_through(zone, (first, second), 3.0)
     first.held.limits.is_informed = False
     assert first.held.limits._knows_others(zone.clock.monotonic_s())
+
+
+async def test_without_limits_nothing_is_told(monkeypatch):
+    zone = given.Zone(count=3, zones=('z1', 'far'))
+    await given.with_targets(zone)
+    sent = []
+    monkeypatch.setattr(
+        type(zone.daemons[0].network),
+        'send',
+        lambda network, peer, message: sent.append(type(message)),
+    )
+    await zone.run(1.0)
+    assert sent
+    assert messages.UsageNews not in sent
