--- a/libraries/routing/src/sardinepier/routing/fleet_bucket.py
+++ b/libraries/routing/src/sardinepier/routing/fleet_bucket.py
@@ -104,7 +104,7 @@
         """Return the token of a request that did not run."""
         self._advance(now_s)
         self.spent -= 1
-        self._level = min(self.limit.burst, self._level + 1)
+        self._change(1)
 
     def told(self, now_s: float) -> Usage:
         """Return what to tell others."""
--- a/libraries/zones/src/sardinepier/zones/lapses.py
+++ b/libraries/zones/src/sardinepier/zones/lapses.py
@@ -89,7 +89,8 @@
         """Return ``fresh``, with what may only have lapsed from ``held``.
 
         ``asked_s`` is when this daemon asked for it, by its clock. Nothing is
-        kept unless its own reading failed since anybody's succeeded. A target
+        kept unless its own reading failed since anybody's succeeded, or the
+        platform was restored from a copy. A target
         that ``held`` shows as draining is not kept, nor one that is listed as
         started anew, nor one whose entry is among the ``unusable``: that one
         is there, and names no target.
