Keep the memory of recent good answers in a module of its own

The quarantine gets questions to answer beside its marks; which requests were answered of late is a concept of its own. No change of behaviour: the tests of once pass as before.

--- a/libraries/once/src/sardinepier/once/quarantine.py
+++ b/libraries/once/src/sardinepier/once/quarantine.py
@@ -18,6 +18,7 @@
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
 from sardinepier.once import errors, marks
+from sardinepier.once.internal import recent_answers
 
 _LONGEST_FACTOR: Final = 16
 _TARGETS_A_MARK: Final = 4
@@ -82,9 +83,11 @@
         self._options = options or QuarantineOptions()
         self._entries: dict[int, _Entry] = {}
         self._lost_until_s: dict[ids.TargetId, float] = {}
-        self._good: set[int] = set()
-        self._good_before: set[int] = set()
-        self._good_turn_s = clock.monotonic_s() + self._options.mark_s
+        self._good = recent_answers.RecentAnswers(
+            clock,
+            self._options.mark_s,
+            self._options.good_capacity,
+        )
 
     def admit(self, fingerprint: int) -> None:
         """Let a request go to a target, or raise ``QuarantinedError``.
@@ -114,9 +117,7 @@
         """Note that a target answered the request, which clears it."""
         if self._entries:
             self._entries.pop(fingerprint, None)
-        self._good.add(fingerprint)
-        if len(self._good) >= self._options.good_capacity:
-            self._turn_good()
+        self._good.note(fingerprint)
 
     def released(self, fingerprint: int) -> None:
         """Note that the request ended without having run."""
@@ -138,7 +139,7 @@
         now_s = self._clock.monotonic_s()
         until_s = now_s + self._options.mark_s
         self._note_loss(target_id, now_s, until_s)
-        if not target_healthy_otherwise or self._was_good(fingerprint, now_s):
+        if not target_healthy_otherwise or self._good.has(fingerprint):
             self.released(fingerprint)
             return False
         entry = self._entry(fingerprint, now_s)
@@ -198,7 +199,7 @@
         )
 
     def _take(self, mark: marks.CrashMark, now_s: float) -> None:
-        if self._was_good(mark.fingerprint, now_s):
+        if self._good.has(mark.fingerprint):
             return
         entry = self._entry(mark.fingerprint, now_s)
         until_s = now_s + min(mark.remaining_s, self._options.mark_s)
@@ -224,17 +225,6 @@
         )
         return True
 
-    def _was_good(self, fingerprint: int, now_s: float) -> bool:
-        if now_s >= self._good_turn_s:
-            self._turn_good()
-        return fingerprint in self._good or fingerprint in self._good_before
-
-    def _turn_good(self) -> None:
-        """Forget the older half of the good answers."""
-        self._good_before = self._good
-        self._good = set()
-        self._good_turn_s = self._clock.monotonic_s() + self._options.mark_s
-
     def _is_outage(self, own: set[ids.TargetId], now_s: float) -> bool:
         known = own | _accounted_for(self._entries.values(), now_s)
         others = [
