Let a target that another request crashed speak against the next one

Callers saw: one of a series of requests that crash targets ended three of them, where two are allowed, and cut all that the third had in hand.

Cause: a target that lost its connections within ten seconds before told nothing of the request it ran. Meant for targets that keep going down by themselves, this counted crashes by other requests as well.

The new test failed in 6 of 8 cases, that of the entry path failed too.

Change: an earlier loss doesn't count against the target while a request lost there is under suspicion, here or at another daemon. This fits since the request, not the target, is what the losses have in common; a good answer to it turns that round.

--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -28,7 +28,7 @@
 
 _DOUBTFUL: Final = 0.5
 """Above this chance that the target fails by itself, a lost connection says
-nothing about the request."""
+nothing about the request, unless another request accounts for the doubt."""
 
 
 class Forwarding:
@@ -156,10 +156,11 @@
                 is_beside=is_beside,
             ).run()
         except errors.ConnectionLostError:
+            target_id = record.listed.target_id
             quarantine.crashed(
                 item.fingerprint,
-                record.listed.target_id,
-                is_fine,
+                target_id,
+                is_fine or quarantine.accounts_for(target_id),
             )
             raise
         except BaseException:
--- a/libraries/entry/tests/cover/test_entry_callers.py
+++ b/libraries/entry/tests/cover/test_entry_callers.py
@@ -1,6 +1,7 @@
 """What callers do, and what becomes of their requests."""
 
 import asyncio
+import collections
 
 import entry_support as given
 from sardinepier.entry import model
@@ -142,3 +143,17 @@
     statuses = [(await entry.ask('/once/7', 'POST'))[0] for _ in range(6)]
     assert entry.ran <= 3
     assert statuses[-1] == 503
+
+
+async def test_each_of_several_requests_crashes_two_targets_at_most(entry):
+    """Guards against a third target: the crash before hid the next one."""
+    targets = [given.RawTarget(f't{number}', ['reset']) for number in range(6)]
+    await entry.use(*targets)
+    for name in ('a', 'b', 'c', 'd'):
+        for _ in range(6):
+            await entry.ask(f'/books/{name}', 'POST', b'deadly')
+    lines = collections.Counter(
+        line for target in targets for line, _, _ in target.seen
+    )
+    assert len(lines) == 4
+    assert max(lines.values()) <= 2, lines
--- a/libraries/gateway/src/sardinepier/gateway/exchange.py
+++ b/libraries/gateway/src/sardinepier/gateway/exchange.py
@@ -151,10 +151,16 @@
         self._end(end, None)
 
     def _suspect_crash(self) -> evidence.AttemptEnd:
-        held = self._context.quarantine.crashed(
+        quarantine = self._context.quarantine
+        held = quarantine.crashed(
             self._item.fingerprint,
             self._target_id,
-            self._item.runtime.is_fine_otherwise(self._target_id),
+            self._item.runtime.is_fine_otherwise(
+                self._target_id,
+                earlier_is_accounted_for=quarantine.accounts_for(
+                    self._target_id,
+                ),
+            ),
         )
         if not held:
             return evidence.AttemptEnd.CONNECTION_LOST
--- a/libraries/gateway/src/sardinepier/gateway/service_runtime.py
+++ b/libraries/gateway/src/sardinepier/gateway/service_runtime.py
@@ -159,17 +159,24 @@
         self.slots.release(target_id)
         self.queue.wake()
 
-    def is_fine_otherwise(self, target_id: ids.TargetId) -> bool:
+    def is_fine_otherwise(
+        self,
+        target_id: ids.TargetId,
+        *,
+        earlier_is_accounted_for: bool = False,
+    ) -> bool:
         """Note a lost connection; True if the target seemed healthy.
 
         One under suspicion that still gets work counts as healthy: one crash
         is enough for that, and the next request that crashes it is to be held
-        back after as many targets as the first.
+        back after as many targets as the first. An earlier loss counts
+        against the target unless ``earlier_is_accounted_for`` by a request
+        that is suspected of crashing it.
         """
-        first = self.losses.note(target_id)
+        is_first = self.losses.note(target_id) or earlier_is_accounted_for
         standing = self.health.standing(target_id)
         is_ejected = standing.state is targets.TargetState.EJECTED
-        return first and standing.weight > 0 and not is_ejected
+        return is_first and standing.weight > 0 and not is_ejected
 
     def hedge_policy(self, route: model.RouteSettings) -> hedging.HedgePolicy:
         """Return when to hedge a request of ``route``."""
--- a/libraries/gateway/tests/conftest.py
+++ b/libraries/gateway/tests/conftest.py
@@ -425,6 +425,12 @@
             one['ticket'] for one in found if one['ticket'].startswith(own)
         )
 
+    def runs_by_line(self):
+        """Return how many targets got each request, by its first line."""
+        return collections.Counter(
+            seen.line for target in self.targets for seen in target.seen
+        )
+
     def runs(self):
         return sum((one.ran for one in self.targets), collections.Counter())
 
--- a/libraries/gateway/tests/cover/test_gateway_targets.py
+++ b/libraries/gateway/tests/cover/test_gateway_targets.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from sardinepier.core import clock as clocks
 from sardinepier.gateway import connections
 from sardinepier.health import targets
 from sardinepier.telemetry import daemon_events, target_events
@@ -70,6 +71,36 @@
     assert runtime.is_fine_otherwise(suspected[0])
 
 
+@pytest.mark.parametrize('gap_s', [0.0, 0.9, 1.1, 4.0])
+@pytest.mark.parametrize('method', ['GET', 'PUT'])
+async def test_each_of_several_requests_crashes_two_targets_at_most(
+    world,
+    method,
+    gap_s,
+):
+    """Guards against a third target: the crash before hid the next one."""
+    await world.add_targets('ok', 'ok', 'ok', 'ok')
+    clock = clocks.ManualClock(100.0)
+    await world.add_gateway(clock=clock)
+    for name in ('a', 'b', 'c', 'd'):
+        for number in range(5):
+            await _send_poison(world, method, name, number)
+        clock.advance(gap_s)
+    runs = world.runs_by_line()
+    assert len(runs) == 4
+    assert max(runs.values()) <= 2, runs
+
+
+async def _send_poison(world, method, name, number):
+    path = f'/books/books/poison-{name}'
+    headers = {}
+    if method == 'PUT':
+        path = f'/books/postings/poison-{name}'
+        key = f'{await world.ticket()}.{name}{number}'
+        headers = {'Idempotency-Key': key}
+    await world.send(method, path, headers=headers)
+
+
 async def test_keys_of_one_caller_crash_two_targets_at_most(world):
     await world.add_targets('ok', 'ok', 'ok', 'ok')
     await world.add_gateway()
--- a/libraries/once/src/sardinepier/once/quarantine.py
+++ b/libraries/once/src/sardinepier/once/quarantine.py
@@ -119,6 +119,20 @@
             self._entries.pop(fingerprint, None)
         self._good.note(fingerprint)
 
+    def accounts_for(self, target_id: ids.TargetId) -> bool:
+        """Tell whether a request under suspicion was lost on the target.
+
+        That request may be why the target went down. A loss that follows
+        then doesn't show that the target keeps going down by itself. A good
+        answer to the request ends the suspicion.
+        """
+        now_s = self._clock.monotonic_s()
+        return any(
+            known.get(target_id, 0) > now_s
+            for entry in self._entries.values()
+            for known in (entry.own, entry.heard)
+        )
+
     def released(self, fingerprint: int) -> None:
         """Note that the request ended without having run."""
         entry = self._entries.get(fingerprint)
--- a/libraries/once/tests/cover/test_once_quarantine.py
+++ b/libraries/once/tests/cover/test_once_quarantine.py
@@ -141,3 +141,26 @@
     for number in range(50):
         lose(held, number + 600, f't{number}')
     assert len(held.report().marks) == OPTIONS.reported_marks
+
+
+def test_a_request_under_suspicion_accounts_for_its_targets(held, clock):
+    """Guards against a third target: the crash before hid the next one."""
+    lose(held, POISON, 'a')
+    assert held.accounts_for('a')
+    assert not held.accounts_for('b')
+    clock.advance(OPTIONS.mark_s + 1)
+    assert not held.accounts_for('a')
+
+
+def test_a_request_with_a_good_answer_accounts_for_nothing(held):
+    """The target went down by itself, and keeps doing so."""
+    lose(held, POPULAR, 'a')
+    held.answered(POPULAR)
+    assert not held.accounts_for('a')
+
+
+def test_what_peers_suspect_accounts_for_a_loss_here(held, clock):
+    peer = quarantine.Quarantine(clock, OPTIONS)
+    lose(peer, POISON, 'a')
+    held.heard(PEER, peer.report())
+    assert held.accounts_for('a')
