Keep a request off targets that it crashed while there are others

Callers saw: one request ran three times, once on one target and twice on another, which had been started anew in between.

Cause: a second crash of the same target is no further mark, and nothing kept the request from going there again.

Change: a request under suspicion goes to targets on which it was not lost, by marks of this daemon and of others, while there are any. Its second try then tells its fault from the target's.

Ruled out: counting a second crash of one target as a mark, which holds back what one flapping target dropped twice.

--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -83,6 +83,10 @@
     ) -> target_record.TargetRecord:
         item.require_time(self._shared.clock)
         self._shared.quarantine.admit(item.fingerprint)
+        # Crashing a target twice takes it down twice and tells nothing new.
+        lost_on = self._shared.quarantine.lost_on(item.fingerprint)
+        if lost_on and pool.has_target_beside(history.tried | lost_on):
+            history.tried |= lost_on
         try:
             return await pool.acquire(
                 admission.Work(
--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -127,7 +127,8 @@
         too long. The slot is reserved until ``started``, which must follow
         before anything else is awaited.
         """
-        self._require_target(wish.tried)
+        if not self.has_target_beside(wish.tried):
+            raise _no_target(self.name)
         target_id = await self._queue.acquire(
             work,
             lambda: self._choose(wish),
@@ -234,12 +235,12 @@
             return delay_ms / _MS_PER_S
         return _FIRST_HEDGE_FACTOR * self.usual_s or None
 
-    def _require_target(self, tried: Collection[ids.TargetId]) -> None:
-        if all(
-            record.listed.target_id in tried
+    def has_target_beside(self, tried: Collection[ids.TargetId]) -> bool:
+        """Tell whether any target is not among ``tried``."""
+        return any(
+            record.listed.target_id not in tried
             for record in self.targets.records()
-        ):
-            raise _no_target(self.name)
+        )
 
     def _choose(self, wish: wishes.Wish) -> ids.TargetId | None:
         now_s = self._clock.monotonic_s()
--- a/libraries/entry/tests/cover/test_entry_callers.py
+++ b/libraries/entry/tests/cover/test_entry_callers.py
@@ -157,3 +157,19 @@
     )
     assert len(lines) == 4
     assert max(lines.values()) <= 2, lines
+
+
+async def test_a_request_does_not_return_to_a_target_that_it_crashed(entry):
+    """Guards against a third crash: one target twice, and another one."""
+    deadly = given.RawTarget('t1', ['reset', 'ok'])
+    await entry.use(deadly)
+    await entry.ask('/once/7', 'POST')
+    other = given.RawTarget('t2')
+    await entry.use(deadly, other)
+    records = entry.shared.services.pool(given.SERVICE).targets
+    now_s = entry.shared.clock.monotonic_s()
+    for _ in range(4):
+        records.find('t1').belief.answered(now_s)
+        records.find('t2').belief.failed(now_s, is_early=False)
+    status, _, _ = await entry.ask('/once/7', 'POST')
+    assert (status, deadly.ran, other.ran) == (200, 1, 1)
--- a/libraries/entry/tests/entry_support.py
+++ b/libraries/entry/tests/entry_support.py
@@ -189,14 +189,17 @@
         self.server = server
         self.port = port
         self.targets = []
+        self.lists = 0
 
     async def use(self, *targets):
+        self.lists += 1
         for target in targets:
-            await target.start()
+            if target.server is None:
+                await target.start()
         self.targets = list(targets)
         self.shared.services.offer_targets(
             model.TargetList(
-                1,
+                self.lists,
                 tuple(listed(one.name, one.port) for one in targets),
             ),
         )
--- a/libraries/gateway/src/sardinepier/gateway/forwarding.py
+++ b/libraries/gateway/src/sardinepier/gateway/forwarding.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+from collections.abc import Collection
 from typing import Final
 
 from sardinepier.core import errors as core_errors
@@ -32,7 +33,11 @@
 
 @dataclasses.dataclass(slots=True)
 class _History:
-    """What the attempts of one request came to so far."""
+    """What the attempts of one request came to so far.
+
+    ``tried`` are the targets that shall not get it any more. Those on which
+    an earlier send was lost are among them while there are others.
+    """
 
     tried: set[ids.TargetId] = dataclasses.field(default_factory=set)
     attempts: int = 0
@@ -103,15 +108,25 @@
         if not self._context.wake_guard.check():
             await self._context.wake_guard.ready(item.deadline_s)
         item.require_time(self._context.clock)
-        if not self._has_target(item, history):
+        if not self._has_target(item, history.tried):
             raise _no_target(item)
         self._context.quarantine.admit(item.fingerprint)
+        self._avoid_crashed(item, history)
         try:
             return await self._wait_for_slot(item, history)
         except BaseException:
             self._context.quarantine.released(item.fingerprint)
             raise
 
+    def _avoid_crashed(self, item: work.Work, history: _History) -> None:
+        """Keep the request off targets that it crashed, if others are left.
+
+        Crashing a target twice takes it down twice and tells nothing new.
+        """
+        lost_on = self._context.quarantine.lost_on(item.fingerprint)
+        if lost_on and self._has_target(item, history.tried | lost_on):
+            history.tried |= lost_on
+
     async def _wait_for_slot(
         self,
         item: work.Work,
@@ -156,7 +171,7 @@
         Targets may go while the request waits: it is then told at once.
         """
         target_id = self._reserve(item, history)
-        if target_id is None and not self._has_target(item, history):
+        if target_id is None and not self._has_target(item, history.tried):
             return service_runtime.NO_TARGET
         return target_id
 
@@ -182,9 +197,13 @@
         standing = item.runtime.health.standing(target_id)
         return standing.state is not targets.TargetState.TRIAL
 
-    def _has_target(self, item: work.Work, history: _History) -> bool:
+    def _has_target(
+        self,
+        item: work.Work,
+        tried: Collection[ids.TargetId],
+    ) -> bool:
         return any(
-            target_id not in history.tried and self._suits(item, target_id)
+            target_id not in tried and self._suits(item, target_id)
             for target_id in item.runtime.health.selectable()
         )
 
@@ -218,7 +237,7 @@
     def _has_room(self, item: work.Work, history: _History) -> bool:
         if history.attempts >= _MOST_ATTEMPTS:
             return False
-        return self._has_target(item, history)
+        return self._has_target(item, history.tried)
 
     def _may_improve(
         self,
--- a/libraries/once/src/sardinepier/once/quarantine.py
+++ b/libraries/once/src/sardinepier/once/quarantine.py
@@ -119,6 +119,13 @@
             self._entries.pop(fingerprint, None)
         self._good.note(fingerprint)
 
+    def lost_on(self, fingerprint: int) -> frozenset[ids.TargetId]:
+        """Return the targets on which the request was lost of late."""
+        entry = self._entries.get(fingerprint)
+        if entry is None:
+            return frozenset()
+        return frozenset(entry.targets(self._clock.monotonic_s()))
+
     def accounts_for(self, target_id: ids.TargetId) -> bool:
         """Tell whether a request under suspicion was lost on the target.
 
