Ask right before the first byte whether a request is held back

Callers saw: one request ended a third target seconds after it was held back.

Cause: whether it is held back was asked once, before it waits for a slot and a connection. Marks that came meanwhile changed nothing.

The new test, in which marks come while a request waits, failed before.

Change: one more question right before the first byte, on both paths. Nothing was sent by then, so that the refusal not-run is true. Which targets were lost went to a module of its own, as the class had too many methods.

--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -161,6 +161,7 @@
         """
         self._item.require_time(self._shared.clock)
         self._pool.targets.require(self._record)
+        self._shared.quarantine.require_free(self._item.fingerprint)
         self._is_sent = True
         self._item.was_sent = True
 
--- a/libraries/gateway/src/sardinepier/gateway/exchange.py
+++ b/libraries/gateway/src/sardinepier/gateway/exchange.py
@@ -102,11 +102,12 @@
         """Allow the first byte, unless time or a pause came between.
 
         Nor does a target get it that began to leave while a connection to
-        it was made.
+        it was made, or any target what is held back since it was let through.
         """
         self._context.wake_guard.require()
         self._item.require_time(self._context.clock)
         self._require_staying()
+        self._context.quarantine.require_free(self._item.fingerprint)
         self._is_sent = True
 
     def _require_staying(self) -> None:
--- a/libraries/gateway/tests/cover/test_gateway_held_back.py
+++ b/libraries/gateway/tests/cover/test_gateway_held_back.py
@@ -1,14 +1,24 @@
 """Where a request goes that may crash its targets, and when it no longer may."""
 
+import asyncio
+import json
+
 import pytest
 
 from sardinepier.core import ids
 from sardinepier.gateway import work
 from sardinepier.once import marks
 
+POISON = 'GET /books/poison HTTP/1.1'
 PEER = ids.InstanceId('d2~0000000000000000')
 
 
+async def until(condition):
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
 @pytest.mark.parametrize('is_told_by_a_peer', [False, True])
 async def test_a_request_does_not_return_to_a_target_that_it_crashed(
     world,
@@ -39,6 +49,29 @@
     assert answer.status == 200
 
 
+async def test_what_is_held_back_while_it_waits_does_not_run(world):
+    """Guards against a third target: marks come while a request waits."""
+    target = await world.add_target('hang')
+    gateway = await world.add_gateway(slots=1)
+    first = asyncio.ensure_future(world.send('GET', '/books/books/1'))
+    await until(lambda: target.seen)
+    waiting = asyncio.ensure_future(world.send('GET', '/books/books/poison'))
+    await until(lambda: len(gateway.runtime().queue))
+    _hear(
+        gateway,
+        work.fingerprint('books', 'GET', '/books/poison', b''),
+        't8',
+        't9',
+    )
+    target.released.set()
+    await first
+    answer, content = await waiting
+    assert answer.status == 503
+    assert answer.headers['Sardinepier-Outcome'] == 'not-run'
+    assert json.loads(content)['type'].endswith('quarantined')
+    assert world.runs_by_line()[POISON] == 0
+
+
 def _hear(gateway, fingerprint, *lost_on):
     report = marks.QuarantineReport(
         (marks.CrashMark(fingerprint, lost_on, 60.0),),
--- a/libraries/once/src/sardinepier/once/quarantine.py
+++ b/libraries/once/src/sardinepier/once/quarantine.py
@@ -18,7 +18,7 @@
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
 from sardinepier.once import errors, marks
-from sardinepier.once.internal import recent_answers
+from sardinepier.once.internal import lost_targets, recent_answers
 
 _LONGEST_FACTOR: Final = 16
 _TARGETS_A_MARK: Final = 4
@@ -82,7 +82,7 @@
         self._clock = clock
         self._options = options or QuarantineOptions()
         self._entries: dict[int, _Entry] = {}
-        self._lost_until_s: dict[ids.TargetId, float] = {}
+        self._lost_targets = lost_targets.LostTargets(self._options.capacity)
         self._good = recent_answers.RecentAnswers(
             clock,
             self._options.mark_s,
@@ -104,15 +104,22 @@
             return
         wait_s = max(entry.held_until_s, entry.trial_until_s) - now_s
         if wait_s > 0:
-            raise errors.QuarantinedError(
-                'This request was lost on targets that were fine otherwise, '
-                'so it is held back',
-                'Send it again after the stated time, or change it if it is '
-                'at fault',
-                wait_s,
-            )
+            raise _held_back(wait_s)
         entry.trial_until_s = now_s + self._options.trial_s
 
+    def require_free(self, fingerprint: int) -> None:
+        """Raise ``QuarantinedError`` if the request is held back by now.
+
+        Marks may come while a request that was let through waits for a slot
+        or a connection. Ask right before its first byte is sent.
+        """
+        entry = self._entries.get(fingerprint)
+        if entry is None:
+            return
+        wait_s = entry.held_until_s - self._clock.monotonic_s()
+        if wait_s > 0:
+            raise _held_back(wait_s)
+
     def answered(self, fingerprint: int) -> None:
         """Note that a target answered the request, which clears it."""
         if self._entries:
@@ -159,7 +166,7 @@
         """
         now_s = self._clock.monotonic_s()
         until_s = now_s + self._options.mark_s
-        self._note_loss(target_id, now_s, until_s)
+        self._lost_targets.note(target_id, now_s, until_s)
         if not target_healthy_otherwise or self._good.has(fingerprint):
             self.released(fingerprint)
             return False
@@ -185,7 +192,7 @@
                 max(own.values()) - now_s,
             )
             for fingerprint, entry in self._entries.items()
-            if (own := _counting(entry.own, now_s))
+            if (own := lost_targets.counting(entry.own, now_s))
         ]
         newest.sort(key=lambda mark: -mark.remaining_s)
         return marks.QuarantineReport(
@@ -225,7 +232,7 @@
         entry = self._entry(mark.fingerprint, now_s)
         until_s = now_s + min(mark.remaining_s, self._options.mark_s)
         known = entry.targets(now_s)
-        entry.heard = _counting(entry.heard, now_s)
+        entry.heard = lost_targets.counting(entry.heard, now_s)
         for target in mark.targets[:_TARGETS_A_MARK]:
             entry.heard[target] = max(until_s, entry.heard.get(target, 0))
         entry.expires_at_s = max(entry.expires_at_s, until_s)
@@ -248,25 +255,8 @@
 
     def _is_outage(self, own: set[ids.TargetId], now_s: float) -> bool:
         known = own | _accounted_for(self._entries.values(), now_s)
-        others = [
-            target
-            for target, until_s in self._lost_until_s.items()
-            if until_s > now_s and target not in known
-        ]
-        return len(others) > self._options.outage_targets
-
-    def _note_loss(
-        self,
-        target_id: ids.TargetId,
-        now_s: float,
-        until_s: float,
-    ) -> None:
-        self._lost_until_s.pop(target_id, None)
-        self._lost_until_s[target_id] = until_s
-        if len(self._lost_until_s) > self._options.capacity:
-            self._lost_until_s = _counting(self._lost_until_s, now_s)
-        if len(self._lost_until_s) > self._options.capacity:
-            del self._lost_until_s[next(iter(self._lost_until_s))]
+        others = self._lost_targets.count_beside(known, now_s)
+        return others > self._options.outage_targets
 
     def _entry(self, fingerprint: int, now_s: float) -> _Entry:
         entry = self._entries.get(fingerprint)
@@ -289,15 +279,13 @@
         del self._entries[least[0]]
 
 
-def _counting(
-    deadlines: dict[ids.TargetId, float],
-    now_s: float,
-) -> dict[ids.TargetId, float]:
-    return {
-        target: until_s
-        for target, until_s in deadlines.items()
-        if until_s > now_s
-    }
+def _held_back(wait_s: float) -> errors.QuarantinedError:
+    return errors.QuarantinedError(
+        'This request was lost on targets that were fine otherwise, so it is '
+        'held back',
+        'Send it again after the stated time, or change it if it is at fault',
+        wait_s,
+    )
 
 
 def _accounted_for(
