Let a daemon that knows nobody yet count as one of many

Callers saw: after a loss of all power a customer far beyond its limit had 163 requests run in five seconds, of 162 allowed. That takes slots from others.

Cause: a daemon that starts knows nobody, takes itself for its zone's carrier and counts a customer's requests against the whole limit. What it let through before it was first heard was never subtracted, and news went to the carriers known at that moment alone.

Change: for 1.5 s, unless one that knows others is heard, one request of a customer for each daemon; those of new daemons are subtracted in full; carriers that come to be known are told all.

Not built: to ask a carrier for a token.

--- a/libraries/routing/src/sardinepier/routing/fleet_bucket.py
+++ b/libraries/routing/src/sardinepier/routing/fleet_bucket.py
@@ -116,14 +116,23 @@
         source: ids.InstanceId,
         usage: Usage,
         now_s: float,
+        *,
+        is_new: bool = False,
     ) -> None:
-        """Take in what another daemon tells."""
+        """Take in what another daemon tells.
+
+        ``is_new`` says that it started less than a window ago: all that it let
+        through counts, and it knows no more of others than this one.
+        """
         self._advance(now_s)
         other = self._others.get(source)
         if other is None:
-            # What it let through before is in the level that it tells.
             self._others[source] = _Other(usage.spent, now_s)
-            self._level = min(self._level, usage.level)
+            if is_new:
+                self._change(-usage.spent)
+            else:
+                # What it let through before is in the level that it tells.
+                self._level = min(self._level, usage.level)
             return
         spent = usage.spent - other.spent
         passed_s = max(_ROUNDING, now_s - other.told_s)
--- a/libraries/routing/src/sardinepier/routing/fleet_limits.py
+++ b/libraries/routing/src/sardinepier/routing/fleet_limits.py
@@ -29,6 +29,10 @@
 """Requests of one customer that a daemon lets through which hears nothing of
 others: it is one of many, and gets few."""
 
+_SETTLING_LEVEL: Final = 1.0
+"""The same at first, while all may have just started: then each of many gets the
+customer's requests."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Leeway:
@@ -71,6 +75,7 @@
         """Start without limits."""
         self.is_informed = True
         self._clock = clock
+        self._started_s = clock.monotonic_s()
         self._leeway = leeway
         self._limits: Mapping[ids.CustomerName, fleet_bucket.Limit] = {}
         self._lower_at_s: dict[ids.CustomerName, float] = {}
@@ -81,6 +86,7 @@
         self._told_s: dict[ids.InstanceId, float] = {}
         self._zones: dict[ids.InstanceId, ids.ZoneName] = {}
         self._newest_s = -math.inf
+        self._settled_at_s = -math.inf
         self._changed: set[ids.CustomerName] = set()
 
     @property
@@ -101,6 +107,14 @@
         for name, bucket in self._buckets.items():
             self._change(name, bucket, now_s)
 
+    def settle_within(self, settles_s: float) -> None:
+        """Count as one of many until others are known, so long at most.
+
+        Where all daemons start at once none hears of others for a while, and
+        each gets a part of a customer's requests.
+        """
+        self._settled_at_s = self._started_s + settles_s
+
     def take(self, customer: ids.CustomerName) -> float:
         """Let a request through, and return 0, or in how many seconds to try."""
         if customer not in self._limits:
@@ -108,6 +122,8 @@
         now_s = self._clock.monotonic_s()
         if not self._knows_others(now_s):
             wait_s = self._small_bucket(customer, now_s).take(now_s)
+            if wait_s and self._is_settling(now_s):
+                return min(wait_s, self._settled_at_s - now_s)
             if wait_s:
                 return wait_s
         wait_s = self._bucket(customer, now_s).take(now_s)
@@ -122,12 +138,32 @@
             bucket.give_back(self._clock.monotonic_s())
             self._changed.add(customer)
 
-    def take_news(self) -> dict[ids.CustomerName, fleet_bucket.Usage]:
-        """Return what changed since the last call, to be told to others."""
+    def age_s(self) -> float:
+        """Return for how long this daemon has counted."""
+        return self._clock.monotonic_s() - self._started_s
+
+    def is_settled(self) -> bool:
+        """Tell whether this daemon had time to hear of others."""
+        return not self._is_settling(self._clock.monotonic_s())
+
+    def take_news(
+        self,
+        *,
+        is_all: bool = False,
+    ) -> dict[ids.CustomerName, fleet_bucket.Usage]:
+        """Return what changed since the last call, to be told to others.
+
+        With ``is_all`` it is all that was ever let through, for those who
+        have not been told before.
+        """
         now_s = self._clock.monotonic_s()
-        changed = self._changed & self._buckets.keys()
+        wanted = self._changed & self._buckets.keys()
+        if is_all:
+            wanted |= {
+                name for name, bucket in self._buckets.items() if bucket.spent
+            }
         self._changed = set()
-        return {name: self._buckets[name].told(now_s) for name in changed}
+        return {name: self._buckets[name].told(now_s) for name in wanted}
 
     def heard(
         self,
@@ -136,17 +172,29 @@
         news: Mapping[ids.CustomerName, fleet_bucket.Usage],
         *,
         goes_on: bool = True,
+        age_s: float = math.inf,
+        is_settled: bool = True,
     ) -> None:
         """Take in the news of another daemon; it is complete.
 
         ``goes_on`` says that it will tell again soon, with news or without, so
-        that its silence means something.
+        that its silence means something. ``age_s`` is how long ago it started,
+        and ``is_settled`` whether it knows others.
         """
         now_s = self._clock.monotonic_s()
+        is_new = age_s < self._leeway.window_s
         for customer, usage in news.items():
             if customer in self._limits:
-                self._bucket(customer, now_s).heard(source, usage, now_s)
-        self._newest_s = now_s
+                self._bucket(customer, now_s).heard(
+                    source,
+                    usage,
+                    now_s,
+                    is_new=is_new,
+                )
+        if goes_on and is_settled:
+            self._settled_at_s = -math.inf
+        if not self._is_settling(now_s):
+            self._newest_s = now_s
         self._told_s[source] = now_s
         self._heard_s[source] = now_s if goes_on else math.inf
         self._zones[source] = zone
@@ -170,8 +218,13 @@
             bucket.set_limit(limit, now_s)
 
     def _knows_others(self, now_s: float) -> bool:
+        if self._is_settling(now_s):
+            return False
         return self.is_informed or now_s - self._newest_s < _KNOWS_S
 
+    def _is_settling(self, now_s: float) -> bool:
+        return now_s < self._settled_at_s
+
     def _bucket(
         self,
         customer: ids.CustomerName,
@@ -199,7 +252,10 @@
         bucket = self._beside.get(customer)
         if bucket is None:
             limit = fleet_bucket.Limit(_BESIDE_PER_S, _BESIDE_BURST)
-            bucket = fleet_bucket.FleetBucket(limit, _BESIDE_BURST, now_s, {})
+            level = _BESIDE_BURST
+            if self._is_settling(now_s):
+                level = _SETTLING_LEVEL
+            bucket = fleet_bucket.FleetBucket(limit, level, now_s, {})
             self._beside[customer] = bucket
         return bucket
 
--- a/libraries/routing/tests/cover/test_routing_fleet_limits.py
+++ b/libraries/routing/tests/cover/test_routing_fleet_limits.py
@@ -304,3 +304,29 @@
             fleet.restart(place)
         fleet.run(1.5, {HOT: 100})
     assert fleet.most_in_a_window(HOT) <= fleet.bound(HOT)
+
+
+@pytest.mark.parametrize(('age_s', 'left'), [(1.0, 3), (60.0, 5)])
+def test_what_a_new_daemon_let_through_counts(age_s, left):
+    """One that started long ago tells a level with its requests in it."""
+    clock = clocks.ManualClock(100.0)
+    limits = fleet_limits.FleetLimits(clock, LEEWAY)
+    limits.set({CALM: fleet_bucket.Limit(1.0, 6.0)})
+    limits.heard(
+        ids.InstanceId('other'),
+        ids.ZoneName('z1'),
+        {CALM: fleet_bucket.Usage(3, 5)},
+        age_s=age_s,
+    )
+    assert sum(not limits.take(CALM) for _ in range(10)) == left
+
+
+def test_one_that_knows_others_needs_no_time_to_settle():
+    clock = clocks.ManualClock(100.0)
+    limits = fleet_limits.FleetLimits(clock, LEEWAY)
+    limits.set(LIMITS)
+    limits.settle_within(1.5)
+    assert sum(not limits.take(HOT) for _ in range(10)) == 1
+    assert limits.take(HOT) <= 1.5
+    limits.heard(ids.InstanceId('other'), ids.ZoneName('z1'), {})
+    assert sum(not limits.take(HOT) for _ in range(10)) == 10
--- a/libraries/zones/src/sardinepier/zones/usage_sharing.py
+++ b/libraries/zones/src/sardinepier/zones/usage_sharing.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from sardinepier.core import clock as clocks
+from sardinepier.core import ids
 from sardinepier.entry import services
 from sardinepier.routing import fleet_bucket
 from sardinepier.wire import messages as wire_messages
@@ -13,6 +14,12 @@
 """Pace of news. What customers send beyond their limits within it is let through
 once, and paid back."""
 
+_SETTLES_S: Final = 1.5
+"""How long after its start a daemon may take itself for its zone's carrier because it
+knows nobody yet."""
+
+_MS_PER_S: Final = 1000
+
 
 class UsageSharing:
     """Sends the news of one daemon, and takes in those of others.
@@ -36,6 +43,8 @@
         self._clock = clock
         self._due_s = clock.monotonic_s()
         self._went_on = False
+        self._told: frozenset[ids.InstanceId] = frozenset()
+        self._limits.settle_within(_SETTLES_S)
         peer_network.subscribe(messages.UsageNews, self._on_news)
 
     def step(self) -> None:
@@ -47,28 +56,30 @@
         if now_s < self._due_s:
             return
         self._due_s = now_s + _INTERVAL_S
-        news = self._limits.take_news()
+        others = (
+            *carriers.beside_own(self._carriers),
+            *self._carriers.of_other_zones(self._carriers.count),
+        )
+        named = frozenset(member.instance_id for member in others)
+        # Those who were not told before have to know of all that was let
+        # through: after a start nobody is known for a while.
+        news = self._limits.take_news(is_all=not named <= self._told)
+        self._told = named
         goes_on = self._carriers.is_carrier()
         if not news and not goes_on and not self._went_on:
             return
         self._went_on = goes_on
-        self._tell(
-            messages.UsageNews(
-                tuple(
-                    messages.CustomerUsage(customer, usage.spent, usage.level)
-                    for customer, usage in news.items()
-                ),
-                goes_on,
+        told = messages.UsageNews(
+            tuple(
+                messages.CustomerUsage(customer, usage.spent, usage.level)
+                for customer, usage in news.items()
             ),
-        )
-
-    def _tell(self, news: messages.UsageNews) -> None:
-        others = (
-            *carriers.beside_own(self._carriers),
-            *self._carriers.of_other_zones(self._carriers.count),
+            goes_on,
+            int(self._limits.age_s() * _MS_PER_S),
+            self._limits.is_settled(),
         )
         for member in others:
-            self._network.send(member.peer_address, news)
+            self._network.send(member.peer_address, told)
 
     def _on_news(
         self,
@@ -86,4 +97,6 @@
                 for told in news.usages
             },
             goes_on=news.goes_on,
+            age_s=news.age_ms / _MS_PER_S,
+            is_settled=news.is_settled,
         )
--- a/libraries/zones/tests/cover/test_zones_usage.py
+++ b/libraries/zones/tests/cover/test_zones_usage.py
@@ -1,5 +1,8 @@
 """One limit of a customer over the carriers of several zones."""
 
+import random
+
+import pytest
 import zones_support as given
 
 from sardinepier.core import ids
@@ -8,6 +11,11 @@
 
 CUSTOMER = ids.CustomerName('library')
 LIMIT_PER_S = 20.0
+WINDOW_S = 5.0
+MOST_IN_A_WINDOW = (LIMIT_PER_S * WINDOW_S + LIMIT_PER_S) * 1.25 + 20
+DARK_S = 0.75
+MET_AFTER_S = 1.1
+STEP_S = 0.05
 
 
 def with_limit(version):
@@ -84,3 +92,36 @@
     await zone.run(1.0)
     assert sent
     assert messages.UsageNews not in sent
+
+
+@pytest.mark.parametrize('sent_per_s', [80, 140, 400])
+@pytest.mark.parametrize('seed', range(3))
+async def test_a_limit_holds_over_a_start_of_all(seed, sent_per_s):
+    """Guards against a daemon that knows nobody using a whole limit.
+
+    The pattern: a fleet loses its power while one customer sends far beyond its
+    limit. All start at once, know each other after a second, and the customer's
+    requests come to all of them until half a second later.
+    """
+    drawn = random.Random(seed)
+    zone = given.Zone(count=10, zones=('z1', 'far', 'farther'))
+    zone.platform.configuration = with_limit(1)
+    zone.platform.targets = given.target_list(1, 't1')
+    for one in zone.daemons:
+        one.held.offer_configuration(with_limit(1))
+    zone.fleet.has_met = False
+    through = 0
+    for step in range(round((WINDOW_S - DARK_S) / STEP_S)):
+        now_s = step * STEP_S
+        if now_s >= MET_AFTER_S and not zone.fleet.has_met:
+            zone.fleet.meet()
+        is_gathered = now_s >= MET_AFTER_S + 0.5
+        asked = carriers_of(zone) if is_gathered else zone.daemons
+        for _ in range(round(sent_per_s * STEP_S)):
+            through += not drawn.choice(asked).held.limits.take(CUSTOMER)
+        await zone.run(STEP_S)
+        left_s = WINDOW_S - DARK_S - now_s - STEP_S
+        before_the_loss = LIMIT_PER_S * left_s
+        assert through + before_the_loss <= MOST_IN_A_WINDOW
+    # Whoever carries the zones serves the customer again.
+    assert through >= LIMIT_PER_S
