--- a/libraries/routing/src/sardinepier/routing/fleet_limits.py
+++ b/libraries/routing/src/sardinepier/routing/fleet_limits.py
@@ -2,12 +2,13 @@
 
 import dataclasses
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import Final
 
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
 from sardinepier.routing import fleet_bucket
+from sardinepier.routing.internal import other_daemons
 
 _START_SHARE: Final = 0.35
 """Of the leeway, for what a daemon that starts lets through before it hears what
@@ -16,14 +17,6 @@
 _KNOWS_S: Final = 10.0
 """How long after the last news of others this daemon goes by what it heard."""
 
-_FORGET_S: Final = 30.0
-"""How long a daemon that fell silent is taken to go on as before, unless
-another one is heard in its place: it may be cut off with its callers."""
-
-_REPLACED_S: Final = 2.0
-"""How long after the last news of a daemon another one of its zone has to be
-heard to be taken for its successor."""
-
 _BESIDE_BURST: Final = 2.0
 _BESIDE_PER_S: Final = 0.2
 """Requests of one customer that a daemon lets through which hears nothing of
@@ -81,10 +74,7 @@
         self._lower_at_s: dict[ids.CustomerName, float] = {}
         self._buckets: dict[ids.CustomerName, fleet_bucket.FleetBucket] = {}
         self._beside: dict[ids.CustomerName, fleet_bucket.FleetBucket] = {}
-        # Those that tell only now and then are never silent: infinity.
-        self._heard_s: dict[ids.InstanceId, float] = {}
-        self._told_s: dict[ids.InstanceId, float] = {}
-        self._zones: dict[ids.InstanceId, ids.ZoneName] = {}
+        self._others = other_daemons.OtherDaemons()
         self._newest_s = -math.inf
         self._settled_at_s = -math.inf
         self._changed: set[ids.CustomerName] = set()
@@ -195,10 +185,9 @@
             self._settled_at_s = -math.inf
         if not self._is_settling(now_s):
             self._newest_s = now_s
-        self._told_s[source] = now_s
-        self._heard_s[source] = now_s if goes_on else math.inf
-        self._zones[source] = zone
-        self._forget_replaced(zone, now_s)
+        for gone in self._others.note(source, zone, now_s, goes_on=goes_on):
+            for bucket in self._buckets.values():
+                bucket.forget(gone)
 
     def _change(
         self,
@@ -237,7 +226,7 @@
                 limit,
                 self._leeway.start_level(limit),
                 now_s,
-                self._heard_s,
+                self._others.heard_s,
             )
             self._buckets[customer] = bucket
         if customer in self._lower_at_s:
@@ -258,20 +247,3 @@
             bucket = fleet_bucket.FleetBucket(limit, level, now_s, {})
             self._beside[customer] = bucket
         return bucket
-
-    def _forget_replaced(self, zone: ids.ZoneName, now_s: float) -> None:
-        """Forget those of ``zone`` that others, who were heard now, replace."""
-        self._forget(
-            source
-            for source, heard_s in self._told_s.items()
-            if now_s - heard_s > _FORGET_S
-            or (self._zones[source] == zone and now_s - heard_s > _REPLACED_S)
-        )
-
-    def _forget(self, sources: Iterable[ids.InstanceId]) -> None:
-        for source in tuple(sources):
-            del self._told_s[source]
-            del self._heard_s[source]
-            del self._zones[source]
-            for bucket in self._buckets.values():
-                bucket.forget(source)
--- a/libraries/zones/tests/cover/test_zones_usage.py
+++ b/libraries/zones/tests/cover/test_zones_usage.py
@@ -117,8 +117,10 @@
             zone.fleet.meet()
         is_gathered = now_s >= MET_AFTER_S + 0.5
         asked = carriers_of(zone) if is_gathered else zone.daemons
-        for _ in range(round(sent_per_s * STEP_S)):
-            through += not drawn.choice(asked).held.limits.take(CUSTOMER)
+        through += sum(
+            not drawn.choice(asked).held.limits.take(CUSTOMER)
+            for _ in range(round(sent_per_s * STEP_S))
+        )
         await zone.run(STEP_S)
         left_s = WINDOW_S - DARK_S - now_s - STEP_S
         before_the_loss = LIMIT_PER_S * left_s
