Hold a request back where another daemon does

Callers saw: a request that one daemon held back after two targets ran on a third, and once on a fourth, through daemons that knew both marks.

Cause: each daemon judges marks alone, and one that lost more than two targets of late takes the marks for an outage. Marks were told, holds were not.

Change: a mark tells for how long its author holds the request back, and whoever hears it does the same. Only authors of marks tell, so that holds run out.

Ruled out: telling of the outage instead; the daemons that see one are right for what they saw themselves.

--- a/libraries/once/src/sardinepier/once/quarantine.py
+++ b/libraries/once/src/sardinepier/once/quarantine.py
@@ -63,6 +63,11 @@
             if until_s > now_s
         }
 
+    def hold_until(self, held_until_s: float) -> None:
+        """Hold the request back until then at least."""
+        self.held_until_s = max(self.held_until_s, held_until_s)
+        self.expires_at_s = max(self.expires_at_s, held_until_s)
+
 
 class Quarantine:
     """Decides by fingerprint whether a request may go to a target.
@@ -190,6 +195,7 @@
                 fingerprint,
                 tuple(own)[-_TARGETS_A_MARK:],
                 max(own.values()) - now_s,
+                max(0.0, entry.held_until_s - now_s),
             )
             for fingerprint, entry in self._entries.items()
             if (own := lost_targets.counting(entry.own, now_s))
@@ -238,6 +244,9 @@
         entry.expires_at_s = max(entry.expires_at_s, until_s)
         if entry.targets(now_s) - known:
             self._judge(mark.fingerprint, entry, now_s)
+        # What looks like an outage from here may not look so from there.
+        longest_s = self._options.hold_s * _LONGEST_FACTOR
+        entry.hold_until(now_s + min(mark.held_s, longest_s))
 
     def _judge(self, fingerprint: int, entry: _Entry, now_s: float) -> bool:
         targets = entry.targets(now_s)
--- a/libraries/once/tests/cover/test_once_quarantine.py
+++ b/libraries/once/tests/cover/test_once_quarantine.py
@@ -164,3 +164,26 @@
     lose(peer, POISON, 'a')
     held.heard(PEER, peer.report())
     assert held.accounts_for('a')
+
+
+def test_what_one_daemon_holds_back_others_do(held, clock):
+    """Guards against a third target: others took the losses for an outage."""
+    peer = quarantine.Quarantine(clock, OPTIONS)
+    for number, target in enumerate('wxyz'):
+        lose(held, 100 + number, target)
+    lose(peer, POISON, 'a', 'b')
+    held.heard(PEER, peer.report())
+    assert is_held(held, POISON)
+    clock.advance(OPTIONS.hold_s + 0.1)
+    assert not is_held(held, POISON)
+
+
+def test_daemons_do_not_hold_back_for_each_other_for_ever(held, clock):
+    peer = quarantine.Quarantine(clock, OPTIONS)
+    for one, target in ((held, 'a'), (peer, 'b')):
+        lose(one, POISON, target)
+    for _ in range(200):
+        held.heard(PEER, peer.report())
+        peer.heard(PEER, held.report())
+        clock.advance(0.1)
+    assert not is_held(held, POISON)
