Count a lost target towards an outage until it answers

Callers saw: a request ran on three targets while others that crash targets, and run only once, came beside it.

Cause: marks lead to no hold while more than two other targets were lost, and a target counted for a minute, also when it had answered again long since.

The new test does not pass without the change, whose argument it uses.

Change: a good answer of a target ends its part in an outage.

Ruled out: not to count targets that a request under suspicion was lost on: in an outage all requests that run only once stay under suspicion.

--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -170,7 +170,7 @@
         except BaseException:
             quarantine.released(item.fingerprint)
             raise
-        quarantine.answered(item.fingerprint)
+        quarantine.answered(item.fingerprint, record.listed.target_id)
         return answer
 
 
--- a/libraries/gateway/src/sardinepier/gateway/exchange.py
+++ b/libraries/gateway/src/sardinepier/gateway/exchange.py
@@ -130,13 +130,19 @@
             return
         runtime.losses.answered(self._target_id)
         runtime.hedge_delay(self._item.route.name).observe(latency_ms)
-        self._context.quarantine.answered(self._item.fingerprint)
+        self._note_good_answer()
         self._end(evidence.AttemptEnd.ANSWERED, latency_ms)
 
+    def _note_good_answer(self) -> None:
+        self._context.quarantine.answered(
+            self._item.fingerprint,
+            self._target_id,
+        )
+
     def _rest_ended(self, error: BaseException | None) -> None:
         """Take in how the rest of a long answer ended."""
         if error is None:
-            self._context.quarantine.answered(self._item.fingerprint)
+            self._note_good_answer()
             self._end(evidence.AttemptEnd.ANSWERED, None)
         else:
             self._end_by(error)
--- a/libraries/once/src/sardinepier/once/internal/lost_targets.py
+++ b/libraries/once/src/sardinepier/once/internal/lost_targets.py
@@ -1,4 +1,4 @@
-"""Which targets lost a connection of late, whatever request it held."""
+"""Which targets lost a connection of late and have not answered since."""
 
 from collections.abc import Collection
 
@@ -30,6 +30,10 @@
         if len(self._until_s) > self._capacity:
             del self._until_s[next(iter(self._until_s))]
 
+    def answered(self, target_id: ids.TargetId) -> None:
+        """Forget the loss of a target that has answered since."""
+        self._until_s.pop(target_id, None)
+
     def count_beside(
         self,
         known: Collection[ids.TargetId],
--- a/libraries/once/src/sardinepier/once/quarantine.py
+++ b/libraries/once/src/sardinepier/once/quarantine.py
@@ -125,8 +125,17 @@
         if wait_s > 0:
             raise _held_back(wait_s)
 
-    def answered(self, fingerprint: int) -> None:
-        """Note that a target answered the request, which clears it."""
+    def answered(
+        self,
+        fingerprint: int,
+        target_id: ids.TargetId | None = None,
+    ) -> None:
+        """Note that a target answered the request, which clears it.
+
+        The target is back, if it was lost before: an outage keeps it away.
+        """
+        if target_id is not None:
+            self._lost_targets.answered(target_id)
         if self._entries:
             self._entries.pop(fingerprint, None)
         self._good.note(fingerprint)
--- a/libraries/once/tests/cover/test_once_quarantine.py
+++ b/libraries/once/tests/cover/test_once_quarantine.py
@@ -187,3 +187,11 @@
         peer.heard(PEER, held.report())
         clock.advance(0.1)
     assert not is_held(held, POISON)
+
+
+def test_targets_that_answer_again_are_no_outage(held):
+    """Guards against a third target: requests that nobody sends again."""
+    for number, target in enumerate('wxyz'):
+        lose(held, 100 + number, target)
+        held.answered(POPULAR, target)
+    assert lose(held, POISON, 'a', 'b') == [False, True]
