Claim no deaths at first contact while most of the fleet seems dead

Cause: a daemon that knows nobody alive probes known addresses and tells each who it holds for dead there. It forgets such claims once it hears from one that it holds for dead, which is after those probes.

Change: no such claims while at least half of the fleet seems dead, the condition by which they are forgotten. Whoever lives answers, which tells the same.

Ruled out: claims by exchange of tables, which were not involved.

--- a/libraries/membership/src/sardinepier/membership/internal/knowledge.py
+++ b/libraries/membership/src/sardinepier/membership/internal/knowledge.py
@@ -48,7 +48,7 @@
         held = self.table.get(sender.instance_id)
         if held is not None and not held.is_dead:
             return True
-        if len(self.table.dead) >= self.table.live_count:
+        if self.table.seems_cut_off:
             for dead in self.table.dead:
                 self.news.rumors.drop(dead.instance_id)
             self.table.dead.clear()
--- a/libraries/membership/src/sardinepier/membership/internal/news.py
+++ b/libraries/membership/src/sardinepier/membership/internal/news.py
@@ -73,7 +73,13 @@
         self,
         address: messages.PeerAddress,
     ) -> tuple[kinds.MemberUpdate, ...]:
-        """Return what a daemon at ``address``, whoever it is, should know."""
+        """Return what a daemon at ``address``, whoever it is, should know.
+
+        One that seems cut off itself claims no deaths: whoever lives would
+        have to refute them, and its answer tells as much.
+        """
+        if self._table.seems_cut_off:
+            return self.own_update()
         dead_there = self.updates(
             held
             for held in self._table.dead
--- a/libraries/membership/src/sardinepier/membership/internal/table.py
+++ b/libraries/membership/src/sardinepier/membership/internal/table.py
@@ -74,6 +74,14 @@
         """The record of this daemon."""
         return self._entries[self._own_id].record
 
+    @property
+    def seems_cut_off(self) -> bool:
+        """Tell whether at least half of the fleet seems dead from here.
+
+        Then it is more likely this daemon that the others lost.
+        """
+        return len(self.dead) >= self.live_count
+
     @property
     def live_count(self) -> int:
         """How many records are not dead, this daemon's included."""
--- a/libraries/membership/tests/cover/test_membership_mechanisms.py
+++ b/libraries/membership/tests/cover/test_membership_mechanisms.py
@@ -95,6 +95,19 @@
     assert refuted <= {5}
 
 
+@pytest.mark.parametrize('seed', range(2, 26))
+def test_one_that_is_back_makes_nobody_refute_a_death(settled_fleet, seed):
+    """Guards against claims that the one cut off sends before any answer."""
+    fleet = settled_fleet(12, seed=seed, dead_keep_s=40)
+    _isolate(fleet, 5)
+    fleet.tick(60)
+    fleet.hub.heal_all()
+    fleet.ticks_until(fleet.agree, limit=40)
+    fleet.tick(20)
+    for index, daemon in fleet.running.items():
+        assert index == 5 or not daemon.own.incarnation
+
+
 def test_a_suspect_is_not_dead_because_its_observer_slept(fleet):
     _isolate(fleet, 7)
     fleet.hub.heal(fleet.address(1), fleet.address(7))
