Read what targets say of themselves, and tell it in a line

Cause: no module reads from an answer that a target leaves, rests or names a limit, so that the lines could not tell a statement that nobody reads from one that is read and lost. One typed statement is read from the head of each answer of a target, and a change of it has a line with the request's id. Nothing decides by it yet.

--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import http
 from typing import Final
 
 from aiohttp import client_reqrep
@@ -14,7 +15,7 @@
     target_record,
 )
 from sardinepier.entry import work as works
-from sardinepier.gateway import connections, errors
+from sardinepier.gateway import connections, errors, statements
 
 _CONNECT_S: Final = 0.35
 """A connection within a region takes a few milliseconds. One that takes this
@@ -122,7 +123,7 @@
             ),
         )
         self._record.reached()
-        self._note_load(response)
+        self._hear(response)
         try:
             answer = await answers.read(
                 response,
@@ -170,14 +171,30 @@
         echoed = headers.get(self._shared.names.attempt_id)
         return echoed is None or echoed == self._item.request_id
 
-    def _note_load(self, response: client_reqrep.ClientResponse) -> None:
-        load = answers.load_of(response, self._shared.names)
+    def _hear(self, response: client_reqrep.ClientResponse) -> None:
+        """Take in what the target says of itself, whatever it answered.
+
+        An answer 421 is that of another target at the same address.
+        """
+        if response.status == http.HTTPStatus.MISDIRECTED_REQUEST:
+            return
+        shared = self._shared
+        load = answers.load_of(response, shared.names)
         if load is not None:
             self._record.heard_load(
                 load.running,
                 load.waiting,
-                self._shared.clock.monotonic_s(),
+                shared.clock.monotonic_s(),
             )
+        told = statements.read(
+            response.status,
+            response.headers,
+            shared.names,
+            shared.clock,
+        )
+        if told != self._record.stated:
+            self._record.stated = told
+            shared.decisions.stated(self._item, self._record, told)
 
     def _blame(self, error: errors.GatewayError) -> None:
         """Take in what an attempt without an answer says of the target."""
--- a/libraries/entry/src/sardinepier/entry/decisions.py
+++ b/libraries/entry/src/sardinepier/entry/decisions.py
@@ -10,9 +10,11 @@
 from sardinepier.core import clock as clocks
 from sardinepier.entry import events, services, target_record
 from sardinepier.entry import work as works
+from sardinepier.gateway import statements
 from sardinepier.telemetry import line_budget, logs
 
 _MS_PER_S: Final = 1000
+_NO_LIMIT: Final = -1.0
 _SENT_PER_S: Final = 60.0
 """Lines about attempts: a carrier's usual traffic and half as much again. At
 forty microseconds each that is a quarter of a hundredth of a processor."""
@@ -69,6 +71,29 @@
             logs.tell(self._sent_line(item, choice, now_s))
         return choice
 
+    def stated(
+        self,
+        item: works.Work,
+        record: target_record.TargetRecord,
+        told: statements.Statement,
+    ) -> None:
+        """Tell what a target said of itself."""
+        if not self._failed.allows():
+            return
+        rest_s = told.rests_until_s - self._clock.monotonic_s()
+        logs.tell(
+            events.TargetStated(
+                request_id=item.request_id,
+                service=item.service,
+                target=record.listed.target_id,
+                is_leaving=told.is_leaving,
+                limit_per_s=(
+                    _NO_LIMIT if told.limit_per_s is None else told.limit_per_s
+                ),
+                rest_ms=_ms(max(0.0, rest_s)),
+            ),
+        )
+
     def attempt_failed(
         self,
         item: works.Work,
--- a/libraries/entry/src/sardinepier/entry/dialect.py
+++ b/libraries/entry/src/sardinepier/entry/dialect.py
@@ -16,7 +16,8 @@
     names the only target start that may run the request. ``not_run`` marks an
     answer of a target that did not run it. ``signature`` proves that an
     answer is a target's own. ``load`` is the target's running and waiting
-    requests and its slots. ``credentials`` holds a caller's key, behind
+    requests and its slots. ``leaving`` and ``limit`` are told by targets as
+    :mod:`sardinepier.gateway.statements` reads them. ``credentials`` holds a caller's key, behind
     ``key_scheme`` and a space. ``customer`` tells targets whose request it is.
     """
 
@@ -28,4 +29,6 @@
     load: str = 'Sardinepier-Load'
     credentials: str = 'Authorization'
     key_scheme: str = 'Bearer'
+    leaving: str = 'Sardinepier-Leaving'
+    limit: str = 'Sardinepier-Limit'
     customer: str = 'Sardinepier-Customer'
--- a/libraries/entry/src/sardinepier/entry/events.py
+++ b/libraries/entry/src/sardinepier/entry/events.py
@@ -83,6 +83,21 @@
     targets_age_ms: int
 
 
+class TargetStated(line_events.LineEvent, frozen=True):
+    """A target told something else of itself than in its answer before.
+
+    ``limit_per_s`` is -1 when it names no limit, and ``rest_ms`` 0 when it asks
+    for no rest. ``request_id`` names the request that it answered.
+    """
+
+    request_id: str
+    service: str
+    target: str
+    is_leaving: bool
+    limit_per_s: float
+    rest_ms: int
+
+
 class AttemptFailed(line_events.LineEvent, frozen=True):
     """An attempt got no good answer."""
 
--- a/libraries/entry/src/sardinepier/entry/target_record.py
+++ b/libraries/entry/src/sardinepier/entry/target_record.py
@@ -7,6 +7,7 @@
 import yarl
 
 from sardinepier.entry import model
+from sardinepier.gateway import statements
 from sardinepier.health import belief
 
 _SMOOTHING: Final = 0.2
@@ -65,6 +66,7 @@
     ``failed_connects`` counts the connections that timed out since it was
     last heard, and ``avoided_until_s`` is what came of them. Connections to
     its address that are older than ``known_since_s`` go to an earlier start.
+    ``stated`` is what its newest answer told of it.
     """
 
     listed: model.ListedTarget
@@ -85,6 +87,7 @@
     last_used_s: float = 0.0
     failed_connects: int = 0
     avoided_until_s: float = 0.0
+    stated: statements.Statement = statements.SILENT
 
     def was_tried(self) -> bool:
         """Tell whether anybody of whom this daemon hears gave it a request."""
--- a/libraries/entry/tests/cover/test_entry_lines.py
+++ b/libraries/entry/tests/cover/test_entry_lines.py
@@ -154,3 +154,19 @@
     assert lines.of('lines-dropped') == [{'sent': 1, 'failed': 0}]
     told.tell_dropped()
     assert len(lines.of('lines-dropped')) == 1
+
+
+async def test_what_a_target_says_of_itself_has_a_line_when_it_changes(
+    entry,
+    lines,
+):
+    limited = given.telling(f'{given.NAMES.limit}: 2.5')
+    leaving = given.telling(f'{given.NAMES.leaving}: 1')
+    await entry.use(given.RawTarget('t1', ['ok', limited, limited, leaving]))
+    for _ in range(4):
+        await entry.ask()
+    told = [
+        (one['target'], one['limit_per_s'], one['is_leaving'], one['rest_ms'])
+        for one in lines.of('target-stated')
+    ]
+    assert told == [('t1', 2.5, False, 0), ('t1', -1.0, True, 0)]
--- a/libraries/entry/tests/entry_support.py
+++ b/libraries/entry/tests/entry_support.py
@@ -68,7 +68,8 @@
 class RawTarget:
     """A target whose next answers are scripted, ``behaviours`` in turn.
 
-    The last one stays in force. Each request that it reads is kept, and
+    Each is a name in ``ANSWERS`` or a function from the name of an attempt to the
+    bytes of its answer. The last one stays in force. Each request that it reads is kept, and
     those that it works on are counted as run.
     """
 
@@ -120,7 +121,7 @@
         if behaviour == 'reset':
             writer.transport.abort()
             return False
-        writer.write(ANSWERS[behaviour](echo))
+        writer.write(ANSWERS.get(behaviour, behaviour)(echo))
         if behaviour == 'until-reset':
             await writer.drain()
             await asyncio.sleep(0.05)
@@ -170,6 +171,12 @@
 }
 """What a target writes, by its behaviour."""
 
+
+def telling(*lines, status='200 OK'):
+    """Return a behaviour whose answers have further header lines."""
+    return lambda echo: answer(echo, status, extra='\r\n'.join(lines))
+
+
 ENDING = frozenset(('short', 'garbage', 'until-end', 'until-reset', 'closing'))
 """Behaviours after which the target ends the connection."""
 
--- /dev/null
+++ b/libraries/gateway/tests/cover/test_gateway_statements.py
@@ -0,0 +1,83 @@
+"""What targets say of themselves, well or badly written."""
+
+import dataclasses
+
+import multidict
+import pytest
+from sardinepier.core import clock as clocks
+from sardinepier.gateway import statements
+
+RETRY = 'Retry-After'
+LEAVING = 'Leaving'
+LIMIT = 'Limit'
+
+
+@dataclasses.dataclass(frozen=True)
+class Names:
+    leaving: str = LEAVING
+    limit: str = LIMIT
+
+
+def read(*told, status=503):
+    clock = clocks.ManualClock(1000.0)
+    said = statements.read(
+        status,
+        multidict.CIMultiDictProxy(multidict.CIMultiDict(told)),
+        Names(),
+        clock,
+    )
+    rest_s = max(0.0, said.rests_until_s - clock.monotonic_s())
+    return said.is_leaving, rest_s, said.limit_per_s
+
+
+SILENT = (False, 0.0, None)
+
+CASES = (
+    # Well written.
+    ((), SILENT),
+    (((LEAVING, '1'),), (True, 0.0, None)),
+    (((LIMIT, '2.8'),), (False, 0.0, 2.8)),
+    (((LIMIT, ' 12 '),), (False, 0.0, 12.0)),
+    (((RETRY, '3'),), (False, 3.0, None)),
+    (((RETRY, '0.25'),), (False, 0.25, None)),
+    (((RETRY, 'Thu, 01 Jan 1970 00:16:45 GMT'),), (False, 5.0, None)),
+    (
+        ((RETRY, '4'), (LIMIT, '1'), (LEAVING, '1')),
+        (True, 4.0, 1.0),
+    ),
+    # A most, and a least.
+    (((RETRY, '31536000'),), (False, 30.0, None)),
+    (((RETRY, 'Fri, 01 Jan 2100 00:00:00 GMT'),), (False, 30.0, None)),
+    (((LIMIT, '0'),), (False, 0.0, 0.1)),
+    (((LIMIT, '0.0001'),), (False, 0.0, 0.1)),
+    # Says nothing.
+    (((LEAVING, '0'),), SILENT),
+    (((LEAVING, ''),), SILENT),
+    (((LEAVING, '1'), (LEAVING, '0')), SILENT),
+    (((RETRY, '0'),), SILENT),
+    (((RETRY, 'soon'),), SILENT),
+    (((RETRY, '-3'),), SILENT),
+    (((RETRY, 'nan'),), SILENT),
+    (((RETRY, 'inf'),), SILENT),
+    (((RETRY, '1e999'),), SILENT),
+    (((RETRY, '9' * 4000),), SILENT),
+    (((RETRY, '\u0663'),), SILENT),
+    (((RETRY, '3'), (RETRY, '9')), SILENT),
+    (((RETRY, 'Thu, 01 Jan 1970 00:00:10 GMT'),), SILENT),
+    (((RETRY, 'Thu, 99 Foo 1970 00:00:10 GMT'),), SILENT),
+    (((LIMIT, '-1'),), SILENT),
+    (((LIMIT, 'nan'),), SILENT),
+    (((LIMIT, 'many'),), SILENT),
+    (((LIMIT, '1e3'),), SILENT),
+    (((LIMIT, '9' * 4000),), SILENT),
+    (((LIMIT, '1'), (LIMIT, '5')), SILENT),
+)
+
+
+@pytest.mark.parametrize(('told', 'expected'), CASES)
+def test_what_can_not_be_read_says_nothing(told, expected):
+    assert read(*told) == pytest.approx(expected)
+
+
+def test_only_a_503_asks_for_rest():
+    assert read((RETRY, '3'), status=200) == SILENT
