Add a failing test of the limits that targets name

What callers and targets see: a target that names a limit in its answers is as sure as any other, so that it goes on getting its part. The emulator has targets that name limits, leave and ask for rest, several daemons a zone, and a watch that counts what arrives from daemons that were told.

--- a/libraries/workbench/src/sardinepier/workbench/policy/scenario.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/scenario.py
@@ -99,6 +99,15 @@
     BURST = 'burst'
     """Callers come ``strength`` times as often; the service doesn't count."""
 
+    LIMIT = 'limit'
+    """They name a limit of ``strength`` requests a second in their answers."""
+
+    LEAVE = 'leave'
+    """They say in their answers that they leave."""
+
+    REST = 'rest'
+    """They refuse all that they get, and ask for ``strength`` seconds of rest."""
+
     RESTART = 'restart'
     """All daemons are gone, and know nothing when they are back."""
 
@@ -115,15 +124,17 @@
 
 
 class Scenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Zones with one daemon each that carries them, targets and callers.
+    """Zones with daemons, targets and callers.
 
-    ``in_zone_s`` and ``cross_zone_s`` are one way.
+    ``in_zone_s`` and ``cross_zone_s`` are one way. Of each zone's
+    ``daemons_a_zone`` each gets as many requests as the others.
     """
 
     duration_s: float
     services: tuple[Service, ...]
     classes: tuple[RequestClass, ...]
     zones: tuple[str, ...] = ('a', 'b', 'c')
+    daemons_a_zone: int = 1
     in_zone_s: float = 0.0002
     cross_zone_s: float = 0.0014
     retry_percent: float = 18.0
--- a/libraries/workbench/src/sardinepier/workbench/policy/tally.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/tally.py
@@ -5,7 +5,7 @@
 import math
 from typing import Final
 
-from sardinepier.workbench.policy import floor
+from sardinepier.workbench.policy import asked, floor
 
 _WINDOW_S: Final = 2.0
 _BEST_NINES: Final = 0.005
@@ -65,6 +65,7 @@
     def __init__(self) -> None:
         """Start without any."""
         self.floor = floor.Floor()
+        self.asked = asked.Asked()
         self.total = Count()
         self.by_class: dict[str, Count] = collections.defaultdict(Count)
         self.by_window: dict[int, Count] = collections.defaultdict(Count)
--- a/libraries/workbench/src/sardinepier/workbench/policy/targets.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/targets.py
@@ -27,11 +27,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
-    """What a target answers, with its load at that moment."""
+    """What a target answers, with its load at that moment.
+
+    ``rest_s`` is for how long it asks not to be asked again.
+    """
 
     status: int
     has_run: bool
     load: str
+    rest_s: float = 0.0
 
 
 class Target:
@@ -39,6 +43,8 @@
 
     ``sheds`` is the share of requests that it refuses whatever its load,
     ``slowness`` by how much longer it works, and ``is_gone`` that it is down.
+    ``limit_per_s`` is the limit that it names, ``is_leaving`` says that it tells so,
+    and ``rest_s`` that it refuses all and asks for rest.
     ``asked_s`` is when it last got a request, and ``failed_s`` when it last
     failed one by itself.
     """
@@ -54,6 +60,9 @@
         self.sheds = 0.0
         self.slowness = 1.0
         self.is_gone = False
+        self.limit_per_s: float | None = None
+        self.is_leaving = False
+        self.rest_s = 0.0
         self.asked_s = -math.inf
         self.failed_s = -math.inf
         self._service = service
@@ -70,6 +79,9 @@
         self.asked_s = asyncio.get_running_loop().time()
         if self.is_gone:
             raise ResetError('gone')
+        if self.rest_s:
+            refusal = self._reply(_FULL, has_run=False)
+            return dataclasses.replace(refusal, rest_s=self.rest_s)
         if self._random.random() < self.sheds:
             return self._reply(_FULL, has_run=False)
         if self._fails_now():
--- /dev/null
+++ b/libraries/workbench/tests/cover/test_policy_asked.py
@@ -0,0 +1,62 @@
+"""What targets ask for in their answers, under the load of a busy service."""
+
+import pytest
+from sardinepier.workbench.policy import asked, play, scenario
+
+SECONDS = 16.0
+AT_S = 4.0
+THIRD = 1 / 3
+
+
+def busy(kind, strength, share=THIRD, daemons_a_zone=1, per_s=80.0, targets=5):
+    """Return a busy service of which some targets ask for something."""
+    return scenario.Scenario(
+        duration_s=SECONDS,
+        services=(scenario.Service('desk', targets, error_share=0.012),),
+        classes=(
+            scenario.RequestClass('read', 'desk', per_s / 4, True, 0.2),
+            scenario.RequestClass('write', 'desk', per_s, False, 0.2),
+        ),
+        disturbances=(
+            scenario.Disturbance(
+                kind,
+                AT_S,
+                SECONDS,
+                'desk',
+                share=share,
+                strength=strength,
+            ),
+        ),
+        daemons_a_zone=daemons_a_zone,
+    )
+
+
+@pytest.mark.parametrize('limit_per_s', [1.0, 2.8])
+@pytest.mark.parametrize('daemons_a_zone', [1, 3, 33])
+def test_a_target_gets_no_more_than_the_limit_that_it_names(
+    limit_per_s,
+    daemons_a_zone,
+):
+    """Guards against a limit that each daemon, or none, keeps to alone.
+
+    The pattern: a third of a busy service's targets name a limit. They answer
+    well, so that they are as sure as the others. Requests come to all daemons.
+    """
+    setup = busy(scenario.Trouble.LIMIT, limit_per_s, THIRD, daemons_a_zone)
+    assert play.play(setup, 1).asked.most_over_limit() <= 1
+
+
+def test_the_watch_allows_what_the_users_allow():
+    watch = asked.Asked()
+    watch.limited('t', 'd', 10.0, 1.0)
+    watch.limited('t', 'e', 15.9, 1.0)
+    for _ in range(11):
+        watch.arrived('t', 'd', 11.0)
+    for _ in range(11):
+        watch.arrived('t', 'd', 16.0)
+        watch.arrived('t', 'e', 16.0)
+    assert watch.most_over_limit() == 1
+    watch.arrived('t', 'd', 19.9)
+    assert watch.most_over_limit() > 1
+    watch.unlimited('t')
+    assert watch.most_over_limit() == 0
