Share the limit that a target names among the carriers of its zone

Cause: what a target says of itself in an answer is no part of what a daemon knows of it, and no daemon sees the sum over all. One instance alone sent eight requests in 2.7 s, all as the surest target; for another target no instance sent more than two, and the sum broke the rule.

Ruled out: a limit that is read and lost (no module names the header); turns and second attempts (17 of 18 sends were first choices).

Change: the newest statement is kept with the target's record. The carriers of the target's zone send to it, an equal part each, or one of them all of it where parts are too small to be kept; the others pass it by. Daemons tell each other that there is a limit, of the zone and across zones, and that it has ended; one that nobody hears any more lapses after 30 s. When no target wants a request in time it is refused at once, with the time at which there is room; whoever waits when targets close is refused, too.

--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -192,8 +192,8 @@
             shared.names,
             shared.clock,
         )
-        if told != self._record.stated:
-            self._record.stated = told
+        self._record.stated_source = target_record.BeliefSource.OWN
+        if self._record.stated.hear(told, shared.clock.monotonic_s()):
             shared.decisions.stated(self._item, self._record, told)
 
     def _blame(self, error: errors.GatewayError) -> None:
--- /dev/null
+++ b/libraries/entry/src/sardinepier/entry/openings.py
@@ -0,0 +1,60 @@
+"""When the targets of a service want requests, by what they asked for."""
+
+import math
+import random
+from collections.abc import Collection, Iterable
+from typing import Final
+
+from sardinepier.core import ids
+from sardinepier.entry import target_record
+from sardinepier.routing import waiting_line
+
+_RETRY_AFTER_S: Final = 0.2
+"""After which slots came free, or a list of targets may have changed."""
+
+_SPREAD: Final = 1.5
+
+Records = Collection[target_record.TargetRecord]
+
+
+def earliest_s(
+    records: Iterable[target_record.TargetRecord],
+    tried: Collection[ids.TargetId],
+    now_s: float,
+) -> float:
+    """Return from when on a target beside ``tried`` wants a request.
+
+    It is infinite when none ever will, as far as this daemon knows.
+    """
+    return min(
+        (
+            record.stated.opens_at_s(now_s)
+            for record in records
+            if record.listed.target_id not in tried
+        ),
+        default=math.inf,
+    )
+
+
+def opening(records: Records, now_s: float) -> waiting_line.Opening:
+    """Return when the targets want requests again, and how many."""
+    opens_at_s = earliest_s(records, (), now_s)
+    if opens_at_s <= now_s or not records:
+        return waiting_line.OPEN
+    per_s = sum(record.stated.own_per_s for record in records)
+    interval_s = 1 / per_s if per_s else 0.0
+    return waiting_line.Opening(opens_at_s - now_s, interval_s)
+
+
+def retry_after_s(
+    records: Records,
+    now_s: float,
+    random_source: random.Random,
+) -> float:
+    """Return when a new try makes sense, at this daemon or another one.
+
+    It is spread, so that callers refused together don't return together.
+    """
+    waits_s = [record.stated.wait_s(now_s) for record in records]
+    least_s = max(_RETRY_AFTER_S, min(waits_s, default=0.0))
+    return least_s * random_source.uniform(1, _SPREAD)
--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -16,6 +16,7 @@
     target_table,
     wishes,
 )
+from sardinepier.entry import openings as target_openings
 from sardinepier.health import belief
 from sardinepier.routing import admission, budget, hedging
 
@@ -44,12 +45,6 @@
 its target. A second attempt began beside it before, when nineteen in twenty have
 an answer, and has brought one since."""
 
-_DOUBTFUL: Final = 0.1
-"""Chance of failure above which a target gets one request at a time until it
-is seen how that one goes."""
-
-_RETRY_AFTER_S: Final = 0.2
-
 
 class ServicePool:
     """Chooses targets of one service and learns from what they answer.
@@ -105,6 +100,10 @@
             _QUEUE_LENGTH,
             random_source,
             self._give_back,
+            lambda: target_openings.opening(
+                self.targets.records(),
+                clock.monotonic_s(),
+            ),
         )
 
     def set_targets(self, listed: Iterable[model.ListedTarget]) -> None:
@@ -127,15 +126,20 @@
         too long. The slot is reserved until ``started``, which must follow
         before anything else is awaited.
         """
-        if not self.has_target_beside(wish.tried):
-            raise _no_target(self.name)
+        opens_at_s = target_openings.earliest_s(
+            self.targets.records(),
+            wish.tried,
+            self._clock.monotonic_s(),
+        )
+        if opens_at_s >= work.deadline_s:
+            raise self.no_target()
         target_id = await self._queue.acquire(
             work,
             lambda: self._choose(wish),
         )
         record = self.targets.find(target_id)
         if record is None:
-            raise _no_target(self.name)
+            raise self.no_target()
         return record
 
     def try_acquire(
@@ -156,7 +160,7 @@
 
     def release(self, record: target_record.TargetRecord) -> None:
         """Give back a slot that was reserved and not used."""
-        record.reserved -= 1
+        self._give_back(record.listed.target_id)
         self._queue.wake()
 
     def finished(self, record: target_record.TargetRecord, number: int) -> None:
@@ -242,17 +246,33 @@
             for record in self.targets.records()
         )
 
+    def no_target(self) -> refusals.NoTargetError:
+        """Return the refusal of a request that no target may get."""
+        return refusals.NoTargetError(
+            f'Service {self.name} has no target that may take this request',
+            'Send it again after the stated time',
+            target_openings.retry_after_s(
+                self.targets.records(),
+                self._clock.monotonic_s(),
+                self._random,
+            ),
+        )
+
     def _choose(self, wish: wishes.Wish) -> ids.TargetId | None:
         now_s = self._clock.monotonic_s()
+        known = [
+            record for record in self.targets.records() if record.is_open(now_s)
+        ]
         wanted = [
             record
-            for record in self.targets.records()
+            for record in known
             if record.listed.target_id not in wish.tried
         ]
         free = [
             record
             for record in wanted
-            if record.has_room(now_s) and not self._is_on_trial(record, now_s)
+            if record.has_room(now_s)
+            and not record.is_on_trial(now_s, self.usual_s)
         ]
         situation = preference.Situation(
             self._zone,
@@ -262,7 +282,6 @@
             shares_zone=self.shares_zone,
             lost_zones=self.lost_zones,
         )
-        known = self.targets.records()
         due = self._overlooked.find(free, known, wish, situation)
         chosen = due or preference.surest(
             free,
@@ -275,32 +294,14 @@
             return None
         chosen.has_turn = chosen is due
         chosen.reserved += 1
+        chosen.stated.take(now_s)
         return chosen.listed.target_id
 
-    def _is_on_trial(
-        self,
-        record: target_record.TargetRecord,
-        now_s: float,
-    ) -> bool:
-        """Tell whether a doubtful target has a request it may yet fail.
-
-        Others wait for what becomes of that one, which shows in a moment.
-        """
-        chance = record.failure_chance(now_s, self.usual_s)
-        return chance > _DOUBTFUL and record.is_unsettled(now_s)
-
     def _give_back(self, target_id: ids.TargetId) -> None:
         record = self.targets.find(target_id)
         if record is not None:
             record.reserved -= 1
-
-
-def _no_target(name: ids.ServiceName) -> refusals.NoTargetError:
-    return refusals.NoTargetError(
-        f'Service {name} has no target that may take this request',
-        'Send it again after the stated time',
-        _RETRY_AFTER_S,
-    )
+            record.stated.give_back()
 
 
 def _tell_nobody(is_good: bool) -> None:
--- a/libraries/entry/src/sardinepier/entry/target_record.py
+++ b/libraries/entry/src/sardinepier/entry/target_record.py
@@ -6,8 +6,7 @@
 
 import yarl
 
-from sardinepier.entry import model
-from sardinepier.gateway import statements
+from sardinepier.entry import model, target_statements
 from sardinepier.health import belief
 
 _SMOOTHING: Final = 0.2
@@ -37,6 +36,11 @@
 """How long a target's own count of its load is believed."""
 
 
+_DOUBTFUL: Final = 0.1
+"""Chance of failure above which a target gets one request at a time until it
+is seen how that one goes."""
+
+
 class BeliefSource(enum.Enum):
     """Who saw the newest outcome that a belief rests on."""
 
@@ -66,7 +70,7 @@
     ``failed_connects`` counts the connections that timed out since it was
     last heard, and ``avoided_until_s`` is what came of them. Connections to
     its address that are older than ``known_since_s`` go to an earlier start.
-    ``stated`` is what its newest answer told of it.
+    ``stated`` is what it asked for in its answers, ``stated_source`` to whom.
     """
 
     listed: model.ListedTarget
@@ -87,7 +91,10 @@
     last_used_s: float = 0.0
     failed_connects: int = 0
     avoided_until_s: float = 0.0
-    stated: statements.Statement = statements.SILENT
+    stated_source: BeliefSource = BeliefSource.NOBODY
+    stated: target_statements.TargetStatements = dataclasses.field(
+        default_factory=target_statements.TargetStatements,
+    )
 
     def was_tried(self) -> bool:
         """Tell whether anybody of whom this daemon hears gave it a request."""
@@ -108,10 +115,14 @@
 
     def has_room(self, now_s: float) -> bool:
         """Tell whether one more request would be worked on at once."""
-        if now_s < self.full_until_s:
+        if now_s < self.full_until_s or not self.is_open(now_s):
             return False
         return self.in_flight(now_s) < self.listed.slots
 
+    def is_open(self, now_s: float) -> bool:
+        """Tell whether what it asked for allows a request now."""
+        return self.stated.opens_at_s(now_s) <= now_s
+
     def is_avoided(self, now_s: float) -> bool:
         """Tell whether the way to it was lost a moment ago."""
         return now_s < self.avoided_until_s
@@ -146,6 +157,14 @@
         newest_s = next(reversed(self.started_s.values()), 0.0)
         return self.reserved > 0 or now_s - newest_s < _SETTLED_S
 
+    def is_on_trial(self, now_s: float, usual_s: float) -> bool:
+        """Tell whether a doubtful target has a request it may yet fail.
+
+        Others wait for what becomes of that one, which shows in a moment.
+        """
+        chance = self.failure_chance(now_s, usual_s)
+        return chance > _DOUBTFUL and self.is_unsettled(now_s)
+
     def not_reached(self, now_s: float) -> None:
         """Take in that a connection timed out.
 
--- /dev/null
+++ b/libraries/entry/src/sardinepier/entry/target_statements.py
@@ -0,0 +1,105 @@
+"""What one target asked for, and when this daemon may send it a request.
+
+A limit is one on the sum over all daemons. Each has a part of it, most of them none,
+and spaces its requests evenly.
+"""
+
+import math
+from typing import Final
+
+from sardinepier.gateway import statements
+
+_KEPT_S: Final = 30.0
+"""How long a limit is believed that nobody heard again. The daemon that sends to
+the target hears it with each answer and passes it on, so that it only lapses
+where nobody sends or passes on anything."""
+
+
+class TargetStatements:
+    """The statements of one start of a target, and the pace that they allow.
+
+    For example::
+
+        stated.hear(told, now_s)
+        if stated.opens_at_s(now_s) <= now_s:
+            stated.take(now_s)
+
+    ``newest`` was told at ``heard_s``, to this daemon or to another one.
+    ``part``, 0 to 1, is how much of the target's limit is this daemon's.
+    """
+
+    def __init__(self) -> None:
+        """Start with a target that asked for nothing."""
+        self.newest = statements.SILENT
+        self.heard_s = 0.0
+        self.part = 1.0
+        self._was_heard = False
+        self._lapses_at_s = 0.0
+        self._next_s = 0.0
+
+    @property
+    def was_heard(self) -> bool:
+        """Tell whether the target ever asked for anything."""
+        return self._was_heard
+
+    @property
+    def interval_s(self) -> float:
+        """Return the time between two requests, 0.0 without a limit."""
+        limit_per_s = self.newest.limit_per_s
+        return 0.0 if limit_per_s is None else 1 / limit_per_s
+
+    @property
+    def own_per_s(self) -> float:
+        """Return what this daemon may send of the limit, 0.0 without one."""
+        return self.part * (self.newest.limit_per_s or 0.0)
+
+    def hear(self, told: statements.Statement, heard_s: float) -> bool:
+        """Take in what the target told; tell whether that is anything new.
+
+        What was told before what is known already is passed over.
+        """
+        if heard_s < self.heard_s:
+            return False
+        is_new = told != self.newest
+        if self.newest.limit_per_s is None and told.limit_per_s is not None:
+            self._next_s = heard_s + 1 / told.limit_per_s
+        self._was_heard |= told != statements.SILENT
+        self.newest = told
+        self.heard_s = heard_s
+        self._lapses_at_s = heard_s + _KEPT_S
+        return is_new
+
+    def opens_at_s(self, now_s: float) -> float:
+        """Return from when on this daemon may send a request.
+
+        It is infinite while others have all of the target's limit.
+        """
+        if self.newest.limit_per_s is None:
+            return now_s
+        if self.part or now_s >= self._lapses_at_s:
+            return self._next_s
+        return math.inf
+
+    def wait_s(self, now_s: float) -> float:
+        """Return in how many seconds the target wants a request of anybody.
+
+        When others send to it, that is taken to be its usual interval.
+        """
+        opens_at_s = self.opens_at_s(now_s)
+        if math.isinf(opens_at_s):
+            return self.interval_s
+        return max(0.0, opens_at_s - now_s)
+
+    def take(self, now_s: float) -> None:
+        """Count a request that is about to be sent."""
+        if self.newest.limit_per_s is not None:
+            # One that comes late, for want of requests, may be made up for.
+            interval_s = self._own_interval_s()
+            self._next_s = max(self._next_s, now_s - interval_s) + interval_s
+
+    def give_back(self) -> None:
+        """Return what was counted for a request that was not sent."""
+        self._next_s -= self._own_interval_s()
+
+    def _own_interval_s(self) -> float:
+        return self.interval_s / (self.part or 1.0)
--- a/libraries/routing/src/sardinepier/routing/admission.py
+++ b/libraries/routing/src/sardinepier/routing/admission.py
@@ -42,11 +42,14 @@
         length: int,
         random_source: random.Random,
         release: Callable[[ids.TargetId], None],
+        opening: Callable[[], waiting_line.Opening] = waiting_line.always_open,
         *,
         recheck_interval_s: float = _RECHECK_INTERVAL_S,
     ) -> None:
         """Let at most ``length`` requests wait; 0 means that none waits.
 
+        ``opening`` tells when the targets want requests.
+
         Raises :class:`errors.RoutingOptionError` when ``length`` is negative
         or the interval isn't positive.
         """
@@ -56,6 +59,7 @@
             local_clock,
             length,
             random_source,
+            opening,
         )
         self._release = release
         self._recheck_interval_s = recheck_interval_s
--- a/libraries/routing/src/sardinepier/routing/waiting_line.py
+++ b/libraries/routing/src/sardinepier/routing/waiting_line.py
@@ -10,6 +10,7 @@
 import dataclasses
 import math
 import random
+from collections.abc import Callable
 from typing import Final, Protocol
 
 from sardinepier.core import clock, ids
@@ -44,6 +45,30 @@
     best_begun_by_s: float = math.inf
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Opening:
+    """When targets that want no request now want one again.
+
+    The first is wanted in ``wait_s`` seconds, and each further one after
+    ``interval_s`` more. All are wanted now when both are 0.
+    """
+
+    wait_s: float = 0.0
+    interval_s: float = 0.0
+
+    def wait_behind_s(self, ahead: int) -> float:
+        """Return how long a request waits at least behind ``ahead`` others."""
+        return self.wait_s + ahead * self.interval_s
+
+
+OPEN: Final = Opening()
+
+
+def always_open() -> Opening:
+    """Return that targets want requests at any time."""
+    return OPEN
+
+
 class Waiter(Protocol):
     """A request in the line. It ends by exactly one grant or refusal."""
 
@@ -81,10 +106,12 @@
         local_clock: clock.Clock,
         length: int,
         random_source: random.Random,
+        opening: Callable[[], Opening] = always_open,
     ) -> None:
         """Allow at most ``length`` waiters; 0 means that nobody waits.
 
-        Raises :class:`errors.RoutingOptionError` when ``length`` is negative.
+        ``opening`` tells when the targets want requests, whatever free slots
+        they have. Raises :class:`errors.RoutingOptionError` when ``length`` is negative.
         """
         checks.not_negative('length', length)
         self._clock = local_clock
@@ -94,6 +121,7 @@
         self._arrivals = 0
         self._estimate = wait_estimate.WaitEstimate()
         self._next_late_s = math.inf
+        self._opening = opening
 
     def __len__(self) -> int:
         """Return how many wait now."""
@@ -140,6 +168,7 @@
     def serve(self) -> None:
         """Refuse whom the deadline beats, then hand out the free slots."""
         self._refuse_hopeless()
+        self._refuse_without_opening()
         self._put_late_ones_behind()
         position = 0
         while position < len(self._places):
@@ -183,8 +212,9 @@
 
     def _is_too_late(self, work: Work, ahead: int) -> bool:
         now_s = self._clock.monotonic_s()
-        start_s = now_s + _CAUTION * self._estimate.wait_s(ahead)
-        return start_s >= self.give_up_s(work)
+        likely_s = _CAUTION * self._estimate.wait_s(ahead)
+        least_s = self._opening().wait_behind_s(ahead)
+        return now_s + max(likely_s, least_s) >= self.give_up_s(work)
 
     def _make_room(self, waiter: Waiter) -> bool:
         if len(self._places) < self._length:
@@ -218,6 +248,22 @@
                 late = self._places.pop(position)
                 late.waiter.refuse(self._refusals.late(self._likely_wait_s()))
 
+    def _refuse_without_opening(self) -> None:
+        """Refuse those who come too late, however soon a slot is free."""
+        opening = self._opening()
+        if opening is OPEN:
+            return
+        now_s = self._clock.monotonic_s()
+        position = 0
+        while position < len(self._places):
+            waiter = self._places[position].waiter
+            start_s = now_s + opening.wait_behind_s(position)
+            if start_s < self.give_up_s(waiter.work):
+                position += 1
+            else:
+                self._places.pop(position)
+                waiter.refuse(self._refusals.late(self._likely_wait_s()))
+
     def _first_after(self, rank: _Rank) -> int:
         return bisect.bisect(
             self._places,
@@ -227,7 +273,10 @@
 
     def _likely_wait_s(self) -> float:
         behind_all_s = self._estimate.wait_s(len(self._places) + 1)
-        return max(behind_all_s, self._estimate.service_s)
+        least_s = self._opening().wait_behind_s(len(self._places))
+        if math.isinf(least_s):
+            least_s = 0.0
+        return max(behind_all_s, least_s, self._estimate.service_s)
 
 
 def _rank_of(place: _Place) -> _Rank:
--- a/libraries/workbench/src/sardinepier/workbench/policy/asked.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/asked.py
@@ -107,7 +107,7 @@
         came = 0.0
         for limit in self._limits.values():
             took += limit.per_s * (until_s - limit.since_s - _LIMIT_SETTLES_S)
-            came += len(_settled(limit))
+            came += bisect.bisect(_settled(limit), until_s)
         return came / took if took else 0.0
 
     def most_while_resting(self) -> int:
--- a/libraries/workbench/src/sardinepier/workbench/policy/play.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/play.py
@@ -33,8 +33,9 @@
 
 _FINGERPRINTS: Final = 1e12
 
-_Unharmed = float | bool | None
-_HARMS: Final[Mapping[scenario.Trouble, tuple[str, _Unharmed]]] = {
+_Harms = Mapping[scenario.Trouble, tuple[str, float | bool | None]]
+
+_HARMS: Final[_Harms] = {
     scenario.Trouble.SHED: ('sheds', 0.0),
     scenario.Trouble.SLOW: ('slowness', 1.0),
     scenario.Trouble.CRASH: ('is_gone', False),
--- a/libraries/zones/src/sardinepier/zones/belief_telling.py
+++ b/libraries/zones/src/sardinepier/zones/belief_telling.py
@@ -11,7 +11,13 @@
 from sardinepier.entry import services, target_record
 from sardinepier.wire import messages as wire_messages
 from sardinepier.wire import network
-from sardinepier.zones import beliefs, carriers, lost_zones, messages
+from sardinepier.zones import (
+    beliefs,
+    carriers,
+    lost_zones,
+    messages,
+    statements,
+)
 
 _OTHER_ZONES_S: Final = 0.5
 """Pace of news to other zones, where bytes are dear."""
@@ -40,6 +46,8 @@
         self._clock = clock
         self._zone_news = beliefs.for_own_zone(held, clock)
         self._other_news = beliefs.for_other_zones(held, clock)
+        self._zone_stated = statements.for_own_zone(held, clock)
+        self._other_stated = statements.for_other_zones(held, clock)
         self._other_news_due_s = clock.monotonic_s()
         self._sign_due_s = clock.monotonic_s()
         self.lost_zones = lost_zones.LostZones(clock)
@@ -49,21 +57,24 @@
         """Return what is new for the own zone; each is returned once."""
         return self._zone_news.take()
 
-    def take_from_zone(self, news: tuple[messages.BeliefNews, ...]) -> None:
+    def stated_for_own_zone(self) -> tuple[messages.StatedNews, ...]:
+        """Return what targets said anew; each is returned once."""
+        return self._zone_stated.take()
+
+    def take_from_zone(
+        self,
+        told: messages.ZoneBeat | messages.BeliefReport,
+    ) -> None:
         """Take in what another daemon of the zone saw."""
-        beliefs.take_in(
-            self._held,
-            self._clock,
-            news,
-            target_record.BeliefSource.ZONE,
-        )
+        self._take_in(told, target_record.BeliefSource.ZONE)
 
     def to_carriers(self) -> None:
         """Tell the carriers of the own zone what is new, if anything is."""
         news = self._zone_news.take()
-        if not news:
+        stated = self._zone_stated.take()
+        if not news and not stated:
             return
-        report = messages.BeliefReport(news)
+        report = messages.BeliefReport(news, stated=stated)
         for member in self._carriers.of_own_zone():
             self._network.send(member.peer_address, report)
 
@@ -73,7 +84,10 @@
         if now_s < self._sign_due_s:
             return
         self._sign_due_s = now_s + _SIGN_S
-        report = messages.BeliefReport(self._due_for_other_zones(now_s))
+        report = messages.BeliefReport(
+            self._due_for_other_zones(now_s),
+            stated=self._other_stated.take(),
+        )
         for member in self._carriers.of_other_zones():
             self._network.send(member.peer_address, report)
 
@@ -98,7 +112,7 @@
         elif report.of_zone is not None:
             self._from_other_zone(report.of_zone, report)
         else:
-            self.take_from_zone(report.beliefs)
+            self.take_from_zone(report)
 
     def _from_other_zone(
         self,
@@ -107,12 +121,15 @@
     ) -> None:
         if zone is not None:
             self.lost_zones.heard(zone)
-        beliefs.take_in(
-            self._held,
-            self._clock,
-            report.beliefs,
-            target_record.BeliefSource.OTHER_ZONE,
-        )
+        self._take_in(report, target_record.BeliefSource.OTHER_ZONE)
+
+    def _take_in(
+        self,
+        told: messages.ZoneBeat | messages.BeliefReport,
+        source: target_record.BeliefSource,
+    ) -> None:
+        beliefs.take_in(self._held, self._clock, told.beliefs, source)
+        statements.take_in(self._held, self._clock, told.stated, source)
 
     def _pass_on(
         self,
@@ -125,6 +142,6 @@
         """
         if self._carriers.is_first():
             return
-        passed_on = messages.BeliefReport(report.beliefs, zone)
+        passed_on = messages.BeliefReport(report.beliefs, zone, report.stated)
         for member in self._carriers.of_own_zone()[:1]:
             self._network.send(member.peer_address, passed_on)
--- a/libraries/zones/src/sardinepier/zones/carriers.py
+++ b/libraries/zones/src/sardinepier/zones/carriers.py
@@ -23,6 +23,7 @@
     def __init__(self, fleet: view.View, clock: clocks.Clock) -> None:
         """Name one carrier a zone until another number is set."""
         self.fitness = fitness.Fitness(clock)
+        self.own_id = fleet.own.instance_id
         self._fleet = fleet
         self._count = 1
         self._ranking = ranking.Ranking(fleet)
--- a/libraries/zones/src/sardinepier/zones/messages.py
+++ b/libraries/zones/src/sardinepier/zones/messages.py
@@ -19,6 +19,17 @@
     age_ms: int
 
 
+class StatedNews(msgspec.Struct, frozen=True, array_like=True):
+    """What a target said of itself, ``age_ms`` ago.
+
+    ``limit_per_s`` is None when it named no limit.
+    """
+
+    target_id: ids.TargetId
+    age_ms: int
+    limit_per_s: float | None = None
+
+
 class Load(msgspec.Struct, frozen=True, array_like=True):
     """What a carrier has to do.
 
@@ -41,7 +52,8 @@
     ``beliefs`` are those that changed since its last beat.
     ``hands_over`` says that the sender can't reach targets and that another
     daemon shall carry the zone for a while. ``carriers`` is how many there
-    shall be, which counts when it comes from the first of them.
+    shall be, which counts when it comes from the first of them. ``stated`` is
+    what targets said of themselves since its last beat.
     """
 
     configuration_version: int
@@ -52,10 +64,11 @@
     hands_over: bool = False
     load: Load = Load()
     carriers: int = 1
+    stated: tuple[StatedNews, ...] = ()
 
 
 class BeliefReport(messages.Message, frozen=True):
-    """Beliefs that changed, from a daemon that does not beat to the reader.
+    """Beliefs and statements, from a daemon that does not beat to the reader.
 
     Daemons beside the carriers report what they saw to the carriers of their
     zone, and carriers report to those of other zones. ``of_zone`` names the zone
@@ -64,6 +77,7 @@
 
     beliefs: tuple[BeliefNews, ...]
     of_zone: ids.ZoneName | None = None
+    stated: tuple[StatedNews, ...] = ()
 
 
 class ConfirmationRequest(messages.Message, frozen=True):
--- a/libraries/zones/src/sardinepier/zones/sharing.py
+++ b/libraries/zones/src/sardinepier/zones/sharing.py
@@ -24,6 +24,7 @@
     role,
     zone_load,
 )
+from sardinepier.zones import limit_parts as parts
 from sardinepier.zones import news as zone_news
 from sardinepier.zones import usage_sharing
 
@@ -90,6 +91,7 @@
             held,
             clock,
         )
+        self._limit_parts = parts.LimitParts(held, chosen)
         self._role = role.Role(held, chosen, load, clock)
         self._stirred = asyncio.Event()
         peer_network.subscribe(messages.ZoneBeat, self._on_beat)
@@ -148,6 +150,7 @@
         self._exchange_with_other_zones()
         self._confirming.step()
         self._usage.step()
+        self._limit_parts.assign()
 
     def _exchange_with_other_zones(self) -> None:
         """Tell them what is new, and take over the turns of lost ones.
@@ -181,6 +184,7 @@
             hands_over=notice.hands_over,
             load=self._role.load.own(),
             carriers=self._carriers.count,
+            stated=self._telling.stated_for_own_zone(),
         )
 
     def _on_beat(
@@ -193,4 +197,4 @@
         if beat.hands_over:
             self._carriers.fitness.stands_down(sender.instance_id)
         self._news.compare(sender, beat)
-        self._telling.take_from_zone(beat.beliefs)
+        self._telling.take_from_zone(beat)
--- /dev/null
+++ b/libraries/zones/src/sardinepier/zones/statements.py
@@ -0,0 +1,158 @@
+"""Passing on what targets say of themselves, so that it need not be met twice."""
+
+from typing import Final
+
+from sardinepier.core import clock as clocks
+from sardinepier.core import ids
+from sardinepier.entry import services, target_record
+from sardinepier.gateway import statements
+from sardinepier.zones import messages
+
+_Source = target_record.BeliefSource
+_MS_PER_S: Final = 1000
+_AGAIN_S: Final = 1.0
+"""Pace at which a statement that goes on is passed on again: it must not lapse
+where nobody hears the target itself."""
+
+_OLDEST_NEWS_S: Final = 5.0
+
+
+class StatementNews:
+    """Tells what targets said since it last told, to one audience.
+
+    What came from one of the ``sources`` is told, again and again while it goes
+    on. Of others only changes are told, when they are ``relayed``: as news seems
+    younger on its way, it would else go round in circles for ever.
+    """
+
+    def __init__(
+        self,
+        held: services.Services,
+        clock: clocks.Clock,
+        sources: frozenset[target_record.BeliefSource],
+        *,
+        relayed: frozenset[target_record.BeliefSource],
+    ) -> None:
+        """Start without having told anything."""
+        self._held = held
+        self._clock = clock
+        self._sources = sources
+        self._relayed = relayed
+        self._told: dict[ids.TargetId, _Told] = {}
+
+    def take(self) -> tuple[messages.StatedNews, ...]:
+        """Return the news; each is returned once."""
+        now_s = self._clock.monotonic_s()
+        before = self._told
+        self._told = {}
+        news = []
+        for record in _with_statements(self._held):
+            target_id = record.listed.target_id
+            told = before.get(target_id, _NEVER)
+            if self._is_due(record, told, now_s):
+                told = _Told(record, now_s)
+                news.append(_news_of(record, now_s))
+            self._told[target_id] = told
+        return tuple(news)
+
+    def _is_due(
+        self,
+        record: target_record.TargetRecord,
+        told: '_Told',
+        now_s: float,
+    ) -> bool:
+        source = record.stated_source
+        if told.limit_per_s != record.stated.newest.limit_per_s:
+            return source in self._sources or source in self._relayed
+        if source not in self._sources:
+            return False
+        is_newer = record.stated.heard_s > told.heard_s
+        return is_newer and now_s - told.at_s >= _AGAIN_S
+
+
+class _Told:
+    """What was told of one target, and when."""
+
+    __slots__ = ('at_s', 'heard_s', 'limit_per_s')
+
+    def __init__(
+        self,
+        record: target_record.TargetRecord | None,
+        at_s: float,
+    ) -> None:
+        self.at_s = at_s
+        self.heard_s = record.stated.heard_s if record else at_s
+        self.limit_per_s = record.stated.newest.limit_per_s if record else None
+
+
+_NEVER: Final = _Told(None, 0.0)
+
+
+def for_own_zone(
+    held: services.Services,
+    clock: clocks.Clock,
+) -> StatementNews:
+    """Return news for the own zone, also what others reported here."""
+    return StatementNews(
+        held,
+        clock,
+        frozenset((_Source.OWN, _Source.OTHER_ZONE)),
+        relayed=frozenset((_Source.ZONE,)),
+    )
+
+
+def for_other_zones(
+    held: services.Services,
+    clock: clocks.Clock,
+) -> StatementNews:
+    """Return news for other zones of what was heard in this one."""
+    sources = frozenset((_Source.OWN, _Source.ZONE))
+    return StatementNews(held, clock, sources, relayed=frozenset())
+
+
+def take_in(
+    held: services.Services,
+    clock: clocks.Clock,
+    news: tuple[messages.StatedNews, ...],
+    source: target_record.BeliefSource,
+) -> None:
+    """Go by what others heard later than this daemon."""
+    if not news:
+        return
+    now_s = clock.monotonic_s()
+    by_target = {
+        record.listed.target_id: record
+        for pool in held.pools()
+        for record in pool.targets.records()
+    }
+    for one in news:
+        record = by_target.get(one.target_id)
+        age_s = one.age_ms / _MS_PER_S
+        if record is None or age_s > _OLDEST_NEWS_S:
+            continue
+        if now_s - age_s > record.stated.heard_s:
+            told = statements.Statement(limit_per_s=one.limit_per_s)
+            record.stated.hear(told, now_s - age_s)
+            record.stated_source = source
+
+
+def _with_statements(
+    held: services.Services,
+) -> list[target_record.TargetRecord]:
+    return [
+        record
+        for pool in held.pools()
+        for record in pool.targets.records()
+        if record.stated.was_heard
+    ]
+
+
+def _news_of(
+    record: target_record.TargetRecord,
+    now_s: float,
+) -> messages.StatedNews:
+    return messages.StatedNews(
+        record.listed.target_id,
+        round((now_s - record.stated.heard_s) * _MS_PER_S),
+        record.stated.newest.limit_per_s,
+    )
--- /dev/null
+++ b/libraries/zones/tests/cover/test_zones_limits.py
@@ -0,0 +1,95 @@
+"""The limits that targets name, over the daemons of several zones."""
+
+import math
+
+import pytest
+import zones_support as given
+from sardinepier.core import ids
+from sardinepier.entry import target_record
+from sardinepier.gateway import statements
+
+TARGET = 't1'
+
+
+def record_of(daemon):
+    return daemon.held.pool(given.SERVICE).targets.find(ids.TargetId(TARGET))
+
+
+def hear(daemon, limit_per_s):
+    record = record_of(daemon)
+    told = statements.Statement(limit_per_s=limit_per_s)
+    record.stated_source = target_record.BeliefSource.OWN
+    record.stated.hear(told, daemon.clock.monotonic_s())
+
+
+def limits(daemons):
+    return {record_of(one).stated.newest.limit_per_s for one in daemons}
+
+
+def parts(daemons):
+    return [record_of(one).stated.part for one in daemons]
+
+
+async def zones_with_a_target(*zones, count=4, carriers=1):
+    zone = given.Zone(count, zones)
+    for one in zone.daemons:
+        one.carriers.set_count(carriers)
+    await given.with_targets(zone, TARGET)
+    return zone
+
+
+@pytest.mark.parametrize('place', [0, 3, 4, 7])
+async def test_what_one_daemon_is_told_all_know_within_a_second(place):
+    """Guards against each of many daemons that meets a target's limit anew.
+
+    The pattern: requests of one service come to a hundred daemons, and one of
+    them, a carrier or not, of the target's zone or not, hears the limit.
+    """
+    zone = await zones_with_a_target('z1', 'far')
+    hear(zone.daemons[place], 2.0)
+    await zone.run(1.0)
+    assert limits(zone.daemons) == {2.0}
+    hear(zone.daemons[place], None)
+    await zone.run(1.0)
+    assert limits(zone.daemons) == {None}
+
+
+async def test_a_limit_that_nobody_hears_again_lapses_everywhere():
+    """Guards against news of a limit that goes round in circles for ever."""
+    zone = await zones_with_a_target('z1', 'far')
+    hear(zone.daemons[0], 2.0)
+    await zone.run(5.0)
+    opens = [_opens_in_s(one) for one in zone.daemons]
+    assert math.inf in opens
+    await zone.run(27.0)
+    assert all(_opens_in_s(one) <= 0 for one in zone.daemons)
+
+
+@pytest.mark.parametrize('limit_per_s', [0.1, 1.0, 2.8, 50.0])
+@pytest.mark.parametrize('zones', [('z1',), ('z1', 'far'), ('far', 'farther')])
+async def test_the_parts_of_all_daemons_are_the_whole_limit(
+    zones,
+    limit_per_s,
+):
+    """Guards against a limit that two daemons use, or none, also without a
+    daemon in the target's zone.
+    """
+    zone = await zones_with_a_target(*zones)
+    hear(zone.daemons[1], limit_per_s)
+    await zone.run(1.0)
+    assert sum(parts(zone.daemons)) == pytest.approx(1.0)
+
+
+async def test_another_carrier_takes_over_the_part_of_one_that_is_gone():
+    zone = await zones_with_a_target('z1', 'far')
+    hear(zone.daemons[0], 1.0)
+    await zone.run(1.0)
+    gone = zone.daemons[parts(zone.daemons).index(1.0)]
+    zone.stop(gone)
+    await zone.run(2.0)
+    assert sum(parts(zone.living())) == pytest.approx(1.0)
+
+
+def _opens_in_s(daemon):
+    now_s = daemon.clock.monotonic_s()
+    return record_of(daemon).stated.opens_at_s(now_s) - now_s
