--- a/libraries/workbench/tests/cover/test_policy_asked.py
+++ b/libraries/workbench/tests/cover/test_policy_asked.py
@@ -46,6 +46,17 @@
     assert play.play(setup, 1).asked.most_over_limit() <= 1
 
 
+@pytest.mark.parametrize('daemons_a_zone', [1, 3])
+def test_a_target_that_said_it_leaves_gets_nothing_after_that(daemons_a_zone):
+    """Guards against a leaving target that has its turn like any idle one.
+
+    The pattern: targets leave while the platform is away, so that its list does
+    not change, and say so in their answers only. Requests come to all daemons.
+    """
+    setup = busy(scenario.Trouble.LEAVE, 1, THIRD, daemons_a_zone, per_s=20.0)
+    assert play.play(setup, 1).asked.after_leaving == 0
+
+
 def test_the_watch_allows_what_the_users_allow():
     watch = asked.Asked()
     watch.limited('t', 'd', 10.0, 1.0)
