Give nothing more to a target that said in an answer that it leaves

What was seen: requests reached a target 2,967 and 4,876 ms after an answer had told the instance that sent them that it leaves; 2,000 are allowed.

Cause: only the list of targets says who leaves, and it does not change while the platform is away. All 15 requests were turns of an idle target, from instances beside the carriers.

Ruled out: a list that undoes what was heard (none came between 8.9 and 19 s); turns alone (in the emulator with one daemon a zone first choices reach it, too).

Change: whatever the answer, a start of a target that says it leaves is out of use for good. A list that is older or kept has no effect; another start of the target begins without it. The last check before the first byte knows it. The zone and the carriers of other zones are told, for five seconds, as messages may be lost.

--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -195,6 +195,8 @@
         self._record.stated_source = target_record.BeliefSource.OWN
         if self._record.stated.hear(told, shared.clock.monotonic_s()):
             shared.decisions.stated(self._item, self._record, told)
+        if told.is_leaving:
+            self._pool.targets.leave(self._record)
 
     def _blame(self, error: errors.GatewayError) -> None:
         """Take in what an attempt without an answer says of the target."""
--- a/libraries/entry/src/sardinepier/entry/target_table.py
+++ b/libraries/entry/src/sardinepier/entry/target_table.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Collection, Iterable
+from typing import Final
 
 import yarl
 
@@ -12,8 +13,18 @@
 from sardinepier.health import belief
 
 
+_MOST_LEFT: Final = 4096
+"""Starts of targets remembered that said they leave: more than a service replaces
+within the time that any list of targets may be old."""
+
+
 class TargetTable:
-    """Keeps what is known of each target while it is listed."""
+    """Keeps what is known of each target while it is listed.
+
+    A target that said that it leaves is out of use for good, whatever a list says
+    that is older or was kept while the platform is away. Another start of it has
+    another name here.
+    """
 
     def __init__(
         self,
@@ -26,6 +37,7 @@
         self._random = random_source
         self._options = options
         self._records: dict[ids.TargetId, target_record.TargetRecord] = {}
+        self._left: dict[ids.TargetId, target_record.TargetRecord] = {}
 
     def set(self, listed: Iterable[model.ListedTarget]) -> None:
         """Replace the targets; those that stay keep what is known of them.
@@ -37,7 +49,8 @@
         is_first = not self._records
         kept: dict[ids.TargetId, target_record.TargetRecord] = {}
         for one in listed:
-            if one.state is model.TargetState.READY:
+            is_ready = one.state is model.TargetState.READY
+            if is_ready and one.target_id not in self._left:
                 record = self._record(one, now_s)
                 record.warm_at_s = now_s + one.warm_in_s
                 record.was_used |= is_first
@@ -63,6 +76,18 @@
         """Return all targets in use."""
         return self._records.values()
 
+    def leave(self, record: target_record.TargetRecord) -> None:
+        """Give nothing more to a target that said that it leaves."""
+        target_id = record.listed.target_id
+        self._left.setdefault(target_id, record)
+        if len(self._left) > _MOST_LEFT:
+            self._left.pop(next(iter(self._left)))
+        self.drop(target_id)
+
+    def left(self) -> Collection[target_record.TargetRecord]:
+        """Return the targets that said that they leave, oldest first."""
+        return self._left.values()
+
     def drop(self, target_id: ids.TargetId) -> None:
         """Give nothing more to a target that is leaving or gone."""
         self._records.pop(target_id, None)
--- a/libraries/entry/tests/cover/test_entry_statements.py
+++ b/libraries/entry/tests/cover/test_entry_statements.py
@@ -11,6 +11,7 @@
 
 ONCE = '/once/1'
 LIMIT = given.NAMES.limit
+LEAVING = given.telling(f'{given.NAMES.leaving}: 1')
 
 
 def limit_of(per_s):
@@ -122,3 +123,106 @@
     assert stated.hear(statements.Statement(limit_per_s=1.0), 100.0)
     assert not stated.hear(statements.SILENT, 99.0)
     assert stated.newest.limit_per_s == 1.0
+
+
+LEAVING_ANSWERS = (
+    LEAVING,
+    given.telling(f'{given.NAMES.leaving}: 1', status='500 Bad'),
+    given.telling(
+        f'{given.NAMES.leaving}: 1',
+        f'{given.NAMES.not_run}: 1',
+        status='503 Full',
+    ),
+    # Truncated, and without the proof of a target.
+    lambda echo: LEAVING(echo)[:-4],
+    lambda echo: given.answer(
+        echo,
+        signed=False,
+        extra=f'{given.NAMES.leaving}: 1',
+    ),
+)
+
+
+@pytest.mark.parametrize('answer', LEAVING_ANSWERS)
+async def test_whatever_the_answer_a_leaving_target_gets_nothing_more(
+    entry,
+    answer,
+):
+    """Guards against a statement that is read from good answers only."""
+    leaving = given.RawTarget('t1', [answer])
+    other = given.RawTarget('t2')
+    await entry.use(leaving, other)
+    record_of(entry, 't2').belief.failed(
+        entry.shared.clock.monotonic_s(),
+        is_early=False,
+    )
+    for _ in range(10):
+        await entry.ask()
+    assert len(leaving.seen) == 1
+    # Neither a list nor an entry that is kept undoes it.
+    await entry.use(leaving, other, given.RawTarget('t3'))
+    assert record_of(entry, 't3') is not None
+    assert record_of(entry, 't1') is None
+
+
+async def test_another_start_of_a_target_that_left_is_used(entry):
+    target = given.RawTarget('t1', [LEAVING, 'ok'])
+    await entry.use(target)
+    await entry.ask()
+    assert (await entry.ask())[0] == 503
+    target.name = 't1-again'
+    await entry.use(target)
+    assert (await entry.ask())[0] == 200
+
+
+async def test_what_another_target_at_the_address_says_is_not_its_own(entry):
+    moved = given.telling(
+        f'{given.NAMES.leaving}: 1',
+        status='421 Misdirected Request',
+    )
+    await entry.use(given.RawTarget('t1', [moved, 'ok']))
+    await entry.ask()
+    await entry.use(*entry.targets, given.RawTarget('t2'))
+    assert record_of(entry, 't1') is not None
+
+
+async def test_a_late_answer_to_another_request_is_not_heard(entry):
+    """Guards against a statement that came with another request's answer."""
+
+    def late_extra(echo):
+        extra = f'{given.NAMES.leaving}: 1'
+        return b''.join(
+            (given.answer('another', extra=extra), given.answer(echo))
+        )
+
+    await entry.use(given.RawTarget('t1', [late_extra, 'ok']))
+    for _ in range(3):
+        assert (await entry.ask())[0] == 200
+
+
+async def test_leaving_0_is_no_leaving(entry):
+    stays = given.telling(f'{given.NAMES.leaving}: 0')
+    await entry.use(given.RawTarget('t1', [stays]))
+    for _ in range(3):
+        assert (await entry.ask())[0] == 200
+
+
+class HalfAnswering(given.RawTarget):
+    """Keeps the end of its answer back until the gate opens."""
+
+    async def _answer(self, behaviour, headers, reader, writer):
+        whole = LEAVING(headers[given.NAMES.attempt_id])
+        writer.write(whole[:-4])
+        await self.gate.wait()
+        writer.write(whole[-4:])
+        return True
+
+
+async def test_the_head_of_a_long_answer_is_heard_before_its_end(entry):
+    """Guards against a statement that waits for the end of an answer."""
+    target = HalfAnswering('t1')
+    await entry.use(target)
+    asking = asyncio.create_task(entry.ask())
+    await given.until(lambda: record_of(entry, 't1') is None)
+    target.gate.set()
+    assert (await asking)[0] == 200
--- a/libraries/zones/src/sardinepier/zones/messages.py
+++ b/libraries/zones/src/sardinepier/zones/messages.py
@@ -22,12 +22,13 @@
 class StatedNews(msgspec.Struct, frozen=True, array_like=True):
     """What a target said of itself, ``age_ms`` ago.
 
-    ``limit_per_s`` is None when it named no limit.
+    ``limit_per_s`` is None when it named no limit. One that leaves stays so.
     """
 
     target_id: ids.TargetId
     age_ms: int
     limit_per_s: float | None = None
+    is_leaving: bool = False
 
 
 class Load(msgspec.Struct, frozen=True, array_like=True):
--- a/libraries/zones/src/sardinepier/zones/statements.py
+++ b/libraries/zones/src/sardinepier/zones/statements.py
@@ -61,19 +61,24 @@
         told: '_Told',
         now_s: float,
     ) -> bool:
+        if now_s - record.stated.heard_s >= _OLDEST_NEWS_S:
+            return False
         source = record.stated_source
-        if told.limit_per_s != record.stated.newest.limit_per_s:
+        if told.differs_from(record.stated.newest):
             return source in self._sources or source in self._relayed
         if source not in self._sources:
             return False
+        if now_s - told.at_s < _AGAIN_S:
+            return False
+        # A target that leaves is not heard again, and news may be lost.
         is_newer = record.stated.heard_s > told.heard_s
-        return is_newer and now_s - told.at_s >= _AGAIN_S
+        return is_newer or record.stated.newest.is_leaving
 
 
 class _Told:
     """What was told of one target, and when."""
 
-    __slots__ = ('at_s', 'heard_s', 'limit_per_s')
+    __slots__ = ('at_s', 'heard_s', 'statement')
 
     def __init__(
         self,
@@ -82,7 +87,15 @@
     ) -> None:
         self.at_s = at_s
         self.heard_s = record.stated.heard_s if record else at_s
-        self.limit_per_s = record.stated.newest.limit_per_s if record else None
+        self.statement = record.stated.newest if record else statements.SILENT
+
+    def differs_from(self, newest: statements.Statement) -> bool:
+        """Tell whether others would go by something else now."""
+        before = self.statement
+        return (
+            before.limit_per_s != newest.limit_per_s
+            or before.is_leaving != newest.is_leaving
+        )
 
 
 _NEVER: Final = _Told(None, 0.0)
@@ -120,20 +133,26 @@
     if not news:
         return
     now_s = clock.monotonic_s()
-    by_target = {
-        record.listed.target_id: record
+    tables = {
+        record.listed.target_id: pool.targets
         for pool in held.pools()
         for record in pool.targets.records()
     }
     for one in news:
-        record = by_target.get(one.target_id)
+        table = tables.get(one.target_id)
+        record = table.find(one.target_id) if table else None
         age_s = one.age_ms / _MS_PER_S
-        if record is None or age_s > _OLDEST_NEWS_S:
+        if table is None or record is None or age_s > _OLDEST_NEWS_S:
             continue
         if now_s - age_s > record.stated.heard_s:
-            told = statements.Statement(limit_per_s=one.limit_per_s)
+            told = statements.Statement(
+                is_leaving=one.is_leaving,
+                limit_per_s=one.limit_per_s,
+            )
             record.stated.hear(told, now_s - age_s)
             record.stated_source = source
+        if one.is_leaving:
+            table.leave(record)
 
 
 def _with_statements(
@@ -142,7 +161,7 @@
     return [
         record
         for pool in held.pools()
-        for record in pool.targets.records()
+        for record in (*pool.targets.records(), *pool.targets.left())
         if record.stated.was_heard
     ]
 
@@ -155,4 +174,5 @@
         record.listed.target_id,
         round((now_s - record.stated.heard_s) * _MS_PER_S),
         record.stated.newest.limit_per_s,
+        record.stated.newest.is_leaving,
     )
--- a/libraries/zones/tests/cover/test_zones_limits.py
+++ b/libraries/zones/tests/cover/test_zones_limits.py
@@ -22,6 +22,14 @@
     record.stated.hear(told, daemon.clock.monotonic_s())
 
 
+def hear_leaving(daemon):
+    record = record_of(daemon)
+    record.stated_source = target_record.BeliefSource.OWN
+    told = statements.Statement(is_leaving=True)
+    record.stated.hear(told, daemon.clock.monotonic_s())
+    daemon.held.pool(given.SERVICE).targets.leave(record)
+
+
 def limits(daemons):
     return {record_of(one).stated.newest.limit_per_s for one in daemons}
 
@@ -54,6 +62,36 @@
     assert limits(zone.daemons) == {None}
 
 
+@pytest.mark.parametrize('place', [0, 3, 4, 7])
+async def test_what_leaves_for_one_daemon_leaves_for_all(place):
+    """Guards against each daemon that has to meet a leaving target itself."""
+    zone = await zones_with_a_target('z1', 'far')
+    hear_leaving(zone.daemons[place])
+    await zone.run(1.0)
+    assert not any(map(record_of, zone.daemons))
+    # A list of the platform that still has it undoes nothing.
+    zone.platform.targets = given.target_list(2, TARGET, 't2')
+    await zone.run(2.0)
+    assert 't2' in zone.daemons[0].target_names
+    assert not any(map(record_of, zone.daemons))
+
+
+async def test_news_of_a_leaving_target_end(monkeypatch):
+    """Guards against news of each target that ever left in each beat."""
+    zone = await zones_with_a_target('z1', 'far')
+    hear_leaving(zone.daemons[0])
+    await zone.run(8.0)
+    sent = []
+    monkeypatch.setattr(
+        type(zone.daemons[0].network),
+        'send',
+        lambda network, peer, message: sent.append(message),
+    )
+    await zone.run(2.0)
+    assert sent
+    assert not [one for one in sent if getattr(one, 'stated', ())]
+
+
 async def test_a_limit_that_nobody_hears_again_lapses_everywhere():
     """Guards against news of a limit that goes round in circles for ever."""
     zone = await zones_with_a_target('z1', 'far')
