--- a/libraries/workbench/tests/cover/test_policy_asked.py
+++ b/libraries/workbench/tests/cover/test_policy_asked.py
@@ -57,6 +57,18 @@
     assert play.play(setup, 1).asked.after_leaving == 0
 
 
+@pytest.mark.parametrize('share', [THIRD, 1.0])
+@pytest.mark.parametrize('daemons_a_zone', [1, 3])
+def test_a_target_that_asked_for_rest_is_left_alone(daemons_a_zone, share):
+    """Guards against a pause of a tenth of a second whatever a target asked for.
+
+    The pattern: a third, or all, of a busy service's targets turn away what they
+    get, and each time ask for four seconds of rest.
+    """
+    setup = busy(scenario.Trouble.REST, 4.0, share, daemons_a_zone)
+    assert play.play(setup, 1).asked.most_while_resting() <= 2
+
+
 def test_the_watch_allows_what_the_users_allow():
     watch = asked.Asked()
     watch.limited('t', 'd', 10.0, 1.0)
--- a/libraries/zones/tests/cover/test_zones_limits.py
+++ b/libraries/zones/tests/cover/test_zones_limits.py
@@ -89,7 +89,8 @@
     )
     await zone.run(2.0)
     assert sent
-    assert not [one for one in sent if getattr(one, 'stated', ())]
+    news = [getattr(one, 'stated', ()) for one in sent]
+    assert not any(news)
 
 
 async def test_a_limit_that_nobody_hears_again_lapses_everywhere():
