Leave a target alone for as long as it asks for rest

What was seen: a target had asked an instance for 3 s of rest and got 6 requests from it in that time; two are allowed. Each costs a further attempt, so that callers pay for it where the retry budget runs out.

Cause: a target that turned a request away was left alone for 0.1 s whatever it said.

Ruled out: other instances (one sent all six), turns and second attempts alone (first choices were among them).

Change: the time until which a target wants nothing is kept with its record and is part of when it opens: it is no candidate for first choices, turns, second attempts or repeats, and the check before the first byte knows it. After its rest it gets one request until that is answered. When all rest, requests are refused at once, those that wait too, and a refusal names the time at which a target wants requests again.

--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -25,6 +25,7 @@
 _MS_PER_S: Final = 1000
 _OK: Final = 'ok'
 _FAILURE: Final = 'target_failed'
+_NOT_TO_BLAME: Final = (errors.TargetLeftError, errors.TargetRestsError)
 
 
 class Attempt:
@@ -154,7 +155,7 @@
         ]
 
     def _permit(self) -> None:
-        """Allow the first byte, unless the time ran out or the target left.
+        """Allow the first byte, unless time ran out or the target wants nothing.
 
         Since it was chosen a connection was made, which takes up to a third
         of a second, and longer on a busy instance: of the two seconds that
@@ -195,6 +196,7 @@
         self._record.stated_source = target_record.BeliefSource.OWN
         if self._record.stated.hear(told, shared.clock.monotonic_s()):
             shared.decisions.stated(self._item, self._record, told)
+        self._record.stated.answered(told)
         if told.is_leaving:
             self._pool.targets.leave(self._record)
 
@@ -204,7 +206,7 @@
             self._pool.targets.drop(self._record.listed.target_id)
         elif isinstance(error, errors.ShedError):
             self._pool.full(self._record)
-        elif isinstance(error, errors.TargetLeftError):
+        elif isinstance(error, _NOT_TO_BLAME):
             return
         elif isinstance(error, errors.AnswerOverdueError):
             self._overdue()
--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -52,7 +52,7 @@
         except core_errors.SardinepierError as error:
             if history.has_nothing():
                 pool.refused()
-            return history.ended_by(error)
+            return history.ended_by(error, pool.retry_after_s())
 
     async def _attempts(
         self,
--- a/libraries/entry/src/sardinepier/entry/last_resort.py
+++ b/libraries/entry/src/sardinepier/entry/last_resort.py
@@ -1,25 +1,22 @@
 """What a caller is told when no attempt brought a good answer."""
 
-from typing import Final
-
 from sardinepier.core import errors as core_errors
 from sardinepier.entry import answers, refusals
 from sardinepier.gateway import errors
 from sardinepier.once import errors as once_errors
 from sardinepier.routing import errors as routing_errors
 
-_RETRY_AFTER_S: Final = 0.2
-
 
 def last_resort(
     answer: answers.Answer | None,
     failure: errors.UnknownFateError | None,
     error: core_errors.SardinepierError,
+    retry_after_s: float,
 ) -> answers.Answer:
     """Return the failure that a target answered, or raise what is known.
 
     ``failure`` is what an earlier attempt ended by, ``error`` what ended the
-    last one.
+    last one. ``retry_after_s`` is when targets want requests again.
     """
     if answer is not None:
         return answer
@@ -32,10 +29,13 @@
             failure.what,
             failure.remedy,
         ) from error
-    raise _not_run(error) from error
+    raise _not_run(error, retry_after_s) from error
 
 
-def _not_run(error: core_errors.SardinepierError) -> refusals.NotRunError:
+def _not_run(
+    error: core_errors.SardinepierError,
+    retry_after_s: float,
+) -> refusals.NotRunError:
     if isinstance(error, refusals.NotRunError):
         return error
     if isinstance(error, routing_errors.RefusalError):
@@ -50,4 +50,4 @@
             error.remedy,
             error.retry_after_s,
         )
-    return refusals.NoTargetError(error.what, error.remedy, _RETRY_AFTER_S)
+    return refusals.NoTargetError(error.what, error.remedy, retry_after_s)
--- a/libraries/entry/src/sardinepier/entry/repeats.py
+++ b/libraries/entry/src/sardinepier/entry/repeats.py
@@ -47,9 +47,21 @@
         """Tell whether no attempt ran, as far as is known."""
         return self.failure is None and self.answer is None
 
-    def ended_by(self, error: core_errors.SardinepierError) -> answers.Answer:
-        """Return a target's failing answer, or raise what the caller is told."""
-        return last_resort.last_resort(self.answer, self.failure, error)
+    def ended_by(
+        self,
+        error: core_errors.SardinepierError,
+        retry_after_s: float,
+    ) -> answers.Answer:
+        """Return a target's failing answer, or raise what the caller is told.
+
+        ``retry_after_s`` is told where nothing ran for want of a target.
+        """
+        return last_resort.last_resort(
+            self.answer,
+            self.failure,
+            error,
+            retry_after_s,
+        )
 
 
 def has_attempts_left(item: works.Work, ran: int) -> bool:
--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -132,14 +132,14 @@
             self._clock.monotonic_s(),
         )
         if opens_at_s >= work.deadline_s:
-            raise self.no_target()
+            raise _no_target(self)
         target_id = await self._queue.acquire(
             work,
             lambda: self._choose(wish),
         )
         record = self.targets.find(target_id)
         if record is None:
-            raise self.no_target()
+            raise _no_target(self)
         return record
 
     def try_acquire(
@@ -246,16 +246,12 @@
             for record in self.targets.records()
         )
 
-    def no_target(self) -> refusals.NoTargetError:
-        """Return the refusal of a request that no target may get."""
-        return refusals.NoTargetError(
-            f'Service {self.name} has no target that may take this request',
-            'Send it again after the stated time',
-            target_openings.retry_after_s(
-                self.targets.records(),
-                self._clock.monotonic_s(),
-                self._random,
-            ),
+    def retry_after_s(self) -> float:
+        """Return when targets want requests again, here or elsewhere."""
+        return target_openings.retry_after_s(
+            self.targets.records(),
+            self._clock.monotonic_s(),
+            self._random,
         )
 
     def _choose(self, wish: wishes.Wish) -> ids.TargetId | None:
@@ -304,5 +300,13 @@
             record.stated.give_back()
 
 
+def _no_target(pool: ServicePool) -> refusals.NoTargetError:
+    return refusals.NoTargetError(
+        f'Service {pool.name} has no target that may take this request',
+        'Send it again after the stated time',
+        pool.retry_after_s(),
+    )
+
+
 def _tell_nobody(is_good: bool) -> None:
     """Stand in for ``on_outcome`` while nobody listens."""
--- a/libraries/entry/src/sardinepier/entry/target_record.py
+++ b/libraries/entry/src/sardinepier/entry/target_record.py
@@ -117,7 +117,8 @@
         """Tell whether one more request would be worked on at once."""
         if now_s < self.full_until_s or not self.is_open(now_s):
             return False
-        return self.in_flight(now_s) < self.listed.slots
+        slots = 1 if self.stated.is_returning(now_s) else self.listed.slots
+        return self.in_flight(now_s) < slots
 
     def is_open(self, now_s: float) -> bool:
         """Tell whether what it asked for allows a request now."""
--- a/libraries/entry/src/sardinepier/entry/target_statements.py
+++ b/libraries/entry/src/sardinepier/entry/target_statements.py
@@ -26,6 +26,8 @@
 
     ``newest`` was told at ``heard_s``, to this daemon or to another one.
     ``part``, 0 to 1, is how much of the target's limit is this daemon's.
+    ``rests_until_s`` is until when it wants nothing from this daemon; no later
+    statement shortens that.
     """
 
     def __init__(self) -> None:
@@ -33,6 +35,8 @@
         self.newest = statements.SILENT
         self.heard_s = 0.0
         self.part = 1.0
+        self.rests_until_s = 0.0
+        self._has_rested = False
         self._was_heard = False
         self._lapses_at_s = 0.0
         self._next_s = 0.0
@@ -67,17 +71,35 @@
         self.newest = told
         self.heard_s = heard_s
         self._lapses_at_s = heard_s + _KEPT_S
+        self.rests_until_s = max(self.rests_until_s, told.rests_until_s)
         return is_new
 
+    def answered(self, told: statements.Statement) -> None:
+        """Take in whether an answer to this daemon asked for rest."""
+        self._has_rested = told.rests_until_s > 0
+
+    def is_resting(self, now_s: float) -> bool:
+        """Tell whether the target wants nothing from this daemon now."""
+        return now_s < self.rests_until_s
+
+    def is_returning(self, now_s: float) -> bool:
+        """Tell whether its rest is over and no answer has come since.
+
+        It gets one request then: when it is still full, more would only be
+        turned away.
+        """
+        return self._has_rested and not self.is_resting(now_s)
+
     def opens_at_s(self, now_s: float) -> float:
         """Return from when on this daemon may send a request.
 
         It is infinite while others have all of the target's limit.
         """
+        opens_at_s = max(now_s, self.rests_until_s)
         if self.newest.limit_per_s is None:
-            return now_s
+            return opens_at_s
         if self.part or now_s >= self._lapses_at_s:
-            return self._next_s
+            return max(opens_at_s, self._next_s)
         return math.inf
 
     def wait_s(self, now_s: float) -> float:
--- a/libraries/entry/src/sardinepier/entry/target_table.py
+++ b/libraries/entry/src/sardinepier/entry/target_table.py
@@ -65,12 +65,21 @@
         return self._records.get(target_id)
 
     def require(self, record: target_record.TargetRecord) -> None:
-        """Raise ``TargetLeftError`` unless this start is still in use."""
+        """Raise unless this start still wants a request.
+
+        Raises ``TargetLeftError`` when it is out of use and
+        ``TargetRestsError`` when it asked for rest.
+        """
         if self._records.get(record.listed.target_id) is not record:
             raise errors.TargetLeftError(
                 f'The target {record.listed.target_id} has just left',
                 'Send the request to another one',
             )
+        if record.stated.is_resting(self._clock.monotonic_s()):
+            raise errors.TargetRestsError(
+                f'The target {record.listed.target_id} asked for rest',
+                'Send the request to another one',
+            )
 
     def records(self) -> Collection[target_record.TargetRecord]:
         """Return all targets in use."""
--- a/libraries/entry/tests/cover/test_entry_statements.py
+++ b/libraries/entry/tests/cover/test_entry_statements.py
@@ -226,3 +226,109 @@
     await given.until(lambda: record_of(entry, 't1') is None)
     target.gate.set()
     assert (await asking)[0] == 200
+
+
+def resting(seconds, status='503 Full'):
+    return given.telling(
+        f'Retry-After: {seconds}',
+        f'{given.NAMES.not_run}: 1',
+        status=status,
+    )
+
+
+async def test_a_target_that_asked_for_rest_is_left_alone_so_long(entry):
+    """Guards against a pause that is the same whatever a target asks for."""
+    tired, other = (
+        given.RawTarget('t1', [resting(1), 'ok']),
+        given.RawTarget('t2'),
+    )
+    await entry.use(tired, other)
+    loop = asyncio.get_running_loop()
+    while not tired.seen:
+        assert (await entry.ask(ONCE))[0] == 200
+    began_s = loop.time()
+    while loop.time() < began_s + 0.9:
+        assert (await entry.ask(ONCE))[0] == 200
+    assert len(tired.seen) == 1
+    await asyncio.sleep(0.2)
+    other.server.close()
+    record_of(entry, 't2').not_reached(entry.shared.clock.monotonic_s())
+    assert (await entry.ask(ONCE))[0] == 200
+    assert len(tired.seen) == 2
+
+
+async def test_when_all_rest_a_caller_is_told_how_long_at_once(entry):
+    """Guards against a refusal that names a time at which all still rest."""
+    await entry.use(
+        *(given.RawTarget(f't{one}', [resting(4)]) for one in range(3))
+    )
+    times = []
+    loop = asyncio.get_running_loop()
+    for _ in range(3):
+        began_s = loop.time()
+        status, headers, _ = await entry.ask(ONCE)
+        assert status == 503
+        times.append(float(headers['Retry-After']))
+        assert loop.time() - began_s < 1
+    assert all(3 < one <= 6 for one in times), times
+    assert sum(len(target.seen) for target in entry.targets) == 3
+
+
+async def test_a_request_that_waits_is_refused_when_all_rest(entry):
+    """Guards against requests that were queued before the target asked for rest."""
+    target = given.RawTarget('t1', ['gated', 'gated', 'gated', resting(9)])
+    await entry.use(target)
+    asking = [asyncio.create_task(entry.ask(ONCE)) for _ in range(4)]
+    await given.until(lambda: len(target.seen) == 3)
+    pool = entry.shared.services.pool(given.SERVICE)
+    record = record_of(entry, 't1')
+    now_s = entry.shared.clock.monotonic_s()
+    record.stated.hear(statements.Statement(rests_until_s=now_s + 9), now_s)
+    await given.until(lambda: any(one.done() for one in asking))
+    statuses = [one.result()[0] for one in asking if one.done()]
+    assert statuses == [503]
+    target.gate.set()
+    await asyncio.gather(*asking)
+    assert pool.targets.find('t1') is record
+
+
+BAD_RESTS = (
+    'soon',
+    '-3',
+    'nan',
+    '1e999',
+    '9' * 4000,
+    '0',
+    'Thu, 01 Jan 1970 00:00:10 GMT',
+    '5\r\nRetry-After: 1',
+)
+
+
+@pytest.mark.parametrize('text', BAD_RESTS)
+async def test_a_rest_that_can_not_be_read_costs_no_service(entry, text):
+    bad = given.RawTarget('t1', [resting(text), 'ok'])
+    await entry.use(bad, given.RawTarget('t2'), given.RawTarget('t3'))
+    for _ in range(10):
+        assert (await entry.ask(ONCE))[0] == 200
+    assert record_of(entry, 't1').stated.rests_until_s == 0
+
+
+async def test_a_target_gets_one_request_after_its_rest(entry):
+    """Guards against a burst that is turned away at the end of each rest."""
+    target = given.RawTarget('t1', [resting(0.3), 'gated'])
+    await entry.use(target)
+    await entry.ask(ONCE)
+    await asyncio.sleep(0.4)
+    asking = [asyncio.create_task(entry.ask(ONCE)) for _ in range(3)]
+    await given.until(lambda: len(target.seen) == 2)
+    await asyncio.sleep(0.1)
+    assert len(target.seen) == 2
+    target.gate.set()
+    assert {(await one)[0] for one in asking} == {200}
+
+
+async def test_a_rest_named_with_200_is_none(entry):
+    target = given.RawTarget('t1', [given.telling('Retry-After: 5')])
+    await entry.use(target)
+    for _ in range(3):
+        assert (await entry.ask(ONCE))[0] == 200
--- a/libraries/gateway/src/sardinepier/gateway/errors.py
+++ b/libraries/gateway/src/sardinepier/gateway/errors.py
@@ -44,7 +44,15 @@
     """The target began to leave after it was chosen; nothing was sent."""
 
 
-NOTHING_ARRIVED: Final = (ConnectFailedError, TargetLeftError)
+class TargetRestsError(ProvedNotRunError):
+    """The target asked for rest after it was chosen; nothing was sent."""
+
+
+NOTHING_ARRIVED: Final = (
+    ConnectFailedError,
+    TargetLeftError,
+    TargetRestsError,
+)
 """What costs no target anything: going past one needs no budget."""
 
 
