Leave targets alone that ask for rest on the project's own interface, too

The same cause as on the platform: no module of the gateway read how long a target that turns requests away wants to rest; it backed off for 20 ms to 0.5 s. Retry-After with a status of 503, in seconds or as a date, now closes the target to this daemon until then: for choices, hedges and repeats, for those that wait, and at the last check before the first byte. A caller is refused at once when no target opens within its deadline, with the time at which one does.

Targets that say that they leave were served here already.

--- a/libraries/entry/src/sardinepier/entry/openings.py
+++ b/libraries/entry/src/sardinepier/entry/openings.py
@@ -56,5 +56,7 @@
     It is spread, so that callers refused together don't return together.
     """
     waits_s = [record.stated.wait_s(now_s) for record in records]
-    least_s = max(_RETRY_AFTER_S, min(waits_s, default=0.0))
-    return least_s * random_source.uniform(1, _SPREAD)
+    wait_s = min(waits_s, default=0.0)
+    if wait_s <= _RETRY_AFTER_S:
+        return _RETRY_AFTER_S
+    return wait_s * random_source.uniform(1, _SPREAD)
--- a/libraries/entry/src/sardinepier/entry/target_record.py
+++ b/libraries/entry/src/sardinepier/entry/target_record.py
@@ -6,7 +6,8 @@
 
 import yarl
 
-from sardinepier.entry import model, target_statements
+from sardinepier.entry import model
+from sardinepier.gateway import target_statements
 from sardinepier.health import belief
 
 _SMOOTHING: Final = 0.2
--- a/libraries/entry/tests/cover/test_entry_statements.py
+++ b/libraries/entry/tests/cover/test_entry_statements.py
@@ -6,8 +6,7 @@
 import pytest
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
-from sardinepier.entry import target_statements
-from sardinepier.gateway import statements
+from sardinepier.gateway import statements, target_statements
 
 ONCE = '/once/1'
 LIMIT = given.NAMES.limit
--- a/libraries/gateway/src/sardinepier/gateway/exchange.py
+++ b/libraries/gateway/src/sardinepier/gateway/exchange.py
@@ -5,11 +5,20 @@
 """
 
 import asyncio
+import dataclasses
 from typing import Final
 
+from aiohttp import client_reqrep
+
 from sardinepier.core import ids
 from sardinepier.gateway import context as contexts
-from sardinepier.gateway import errors, reading, target_answer, work
+from sardinepier.gateway import (
+    errors,
+    reading,
+    statements,
+    target_answer,
+    work,
+)
 from sardinepier.health import evidence, targets
 from sardinepier.telemetry import target_events
 
@@ -28,6 +37,14 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _StatementNames:
+    """The headers that the service's file names."""
+
+    leaving: str
+    limit: str = ''
+
+
 class Attempt:
     """One attempt of ``item`` at the target whose slot is reserved."""
 
@@ -95,9 +112,29 @@
         )
         if settings.draining_header in response.headers:
             item.runtime.mark_leaving(self._target_id)
-        reading.refuse_shed(response, settings.shed_reply)
+        self._hear(response)
+        reading.refuse_shed(
+            response,
+            settings.shed_reply,
+            item.runtime.stated.retry_after_s(
+                item.runtime.health.selectable(),
+            ),
+        )
         return await reading.read(response, item, self._rest_ended)
 
+    def _hear(self, response: client_reqrep.ClientResponse) -> None:
+        """Take in what the target says of itself, whatever it answered."""
+        settings = self._item.snapshot.settings
+        self._item.runtime.stated.hear(
+            self._target_id,
+            statements.read(
+                response.status,
+                response.headers,
+                _StatementNames(settings.draining_header),
+                self._context.clock,
+            ),
+        )
+
     def _permit(self) -> None:
         """Allow the first byte, unless time or a pause came between.
 
@@ -118,6 +155,12 @@
                 'Send the request to another one',
                 _RETRY_AFTER_S,
             )
+        if self._item.runtime.stated.is_resting(self._target_id):
+            raise errors.TargetRestsError(
+                f'The target {self._target_id} asked for rest',
+                'Send the request to another one',
+                _RETRY_AFTER_S,
+            )
 
     def _answered(self, status: int) -> None:
         runtime = self._item.runtime
--- a/libraries/gateway/src/sardinepier/gateway/forwarding.py
+++ b/libraries/gateway/src/sardinepier/gateway/forwarding.py
@@ -27,7 +27,6 @@
 _MOST_ATTEMPTS: Final = 3
 _MOST_LOST: Final = 2
 _FIRST_FAILURE_STATUS: Final = 500
-_RETRY_AFTER_S: Final = 1.0
 _WORTH_RETRYING: Final = (errors.ConnectionLostError, errors.BadAnswerError)
 
 
@@ -182,8 +181,14 @@
     ) -> ids.TargetId | None:
         runtime = item.runtime
         while True:
-            target_id = runtime.slots.reserve(runtime.chooser, history.tried)
-            if target_id is None or self._suits(item, target_id):
+            target_id = runtime.slots.reserve(
+                runtime.chooser,
+                history.tried | runtime.stated.closed(),
+            )
+            if target_id is None:
+                return None
+            if self._suits(item, target_id):
+                runtime.stated.take(target_id)
                 return target_id
             runtime.slots.release(target_id)
             history.tried.add(target_id)
@@ -202,8 +207,11 @@
         item: work.Work,
         tried: Collection[ids.TargetId],
     ) -> bool:
+        stated = item.runtime.stated
         return any(
-            target_id not in tried and self._suits(item, target_id)
+            target_id not in tried
+            and self._suits(item, target_id)
+            and stated.opens_at_s(target_id) < item.deadline_s
             for target_id in item.runtime.health.selectable()
         )
 
@@ -258,5 +266,5 @@
         f'Service {item.snapshot.settings.name} has no target that may take '
         'this request',
         'Send it again after the stated time',
-        _RETRY_AFTER_S,
+        item.runtime.stated.retry_after_s(item.runtime.health.selectable()),
     )
--- a/libraries/gateway/src/sardinepier/gateway/reading.py
+++ b/libraries/gateway/src/sardinepier/gateway/reading.py
@@ -10,7 +10,6 @@
 _NO_CONTENT: Final = frozenset((204, 304))
 _HEAD: Final = 'HEAD'
 _CHUNKED: Final = 'chunked'
-_SHED_RETRY_AFTER_S: Final = 1.0
 
 
 async def read(
@@ -37,8 +36,12 @@
 def refuse_shed(
     response: client_reqrep.ClientResponse,
     shed: model.ShedReply,
+    retry_after_s: float,
 ) -> None:
-    """Raise ``ShedError`` when this is the reply the service's file names."""
+    """Raise ``ShedError`` when this is the reply the service's file names.
+
+    ``retry_after_s`` is when a target of the service wants requests again.
+    """
     if response.status != shed.status:
         return
     if shed.header_value in response.headers.getall(shed.header_name, ()):
@@ -46,7 +49,7 @@
         raise errors.ShedError(
             'The target has too much work and did not run the request',
             'Send it again after the stated time',
-            _SHED_RETRY_AFTER_S,
+            retry_after_s,
         )
 
 
--- a/libraries/gateway/src/sardinepier/gateway/service_runtime.py
+++ b/libraries/gateway/src/sardinepier/gateway/service_runtime.py
@@ -7,7 +7,7 @@
 
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
-from sardinepier.gateway import losses, snapshots
+from sardinepier.gateway import losses, snapshots, stated_targets
 from sardinepier.health import service_health, targets
 from sardinepier.routing import (
     admission,
@@ -78,6 +78,10 @@
             parts.slot_options,
         )
         self.chooser = parts.make_chooser()
+        self.stated = stated_targets.StatedTargets(
+            parts.clock,
+            parts.random_source,
+        )
         self.losses = losses.LostConnections(parts.clock)
         self.snapshot = snapshots.ServiceSnapshot(settings)
         self._build()
@@ -113,7 +117,11 @@
     ) -> None:
         """Take the targets' starts from the platform's instance list."""
         if self._incarnations != listed:
+            before = self._incarnations
             self._incarnations = dict(listed)
+            self.stated.forget(
+                [one for one in listed if before.get(one) != listed[one]],
+            )
             self._apply_targets()
 
     def tick(self) -> None:
@@ -204,6 +212,7 @@
             settings.queue_length,
             self._parts.random_source,
             self._give_back,
+            lambda: self.stated.opening(self.health.selectable()),
         )
         self.retry_budget = budget.RetryBudget(
             clock,
@@ -224,6 +233,7 @@
     def _give_back(self, target_id: ids.TargetId) -> None:
         if target_id != NO_TARGET:
             self.slots.release(target_id)
+            self.stated.give_back(target_id)
 
     def _configure_health(self) -> None:
         self._parts.configure_health(
@@ -254,6 +264,7 @@
             for one in settings.targets
         )
         self.losses.keep(frozenset(self.snapshot.targets))
+        self.stated.keep(frozenset(self.snapshot.targets))
         names = {route.name for route in settings.routes}
         self._hedges = {
             name: delay for name, delay in self._hedges.items() if name in names
--- /dev/null
+++ b/libraries/gateway/src/sardinepier/gateway/stated_targets.py
@@ -0,0 +1,113 @@
+"""What the targets of one service asked for, and which want requests now."""
+
+import math
+import random
+from collections.abc import Collection
+from typing import Final
+
+from sardinepier.core import clock as clocks
+from sardinepier.core import ids
+from sardinepier.gateway import statements, target_statements
+from sardinepier.routing import waiting_line
+
+_RETRY_AFTER_S: Final = 1.0
+"""After which a target may be in service again, where none asked for more."""
+
+_SPREAD: Final = 1.5
+
+
+class StatedTargets:
+    """Keeps the statements of those targets that ever made any."""
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        random_source: random.Random,
+    ) -> None:
+        """Start with targets that asked for nothing."""
+        self._clock = clock
+        self._random = random_source
+        self._known: dict[ids.TargetId, target_statements.TargetStatements] = {}
+
+    def hear(self, target_id: ids.TargetId, told: statements.Statement) -> None:
+        """Take in what an answer of the target told."""
+        known = self._known.get(target_id)
+        if known is None:
+            if told == statements.SILENT:
+                return
+            known = target_statements.TargetStatements()
+            self._known[target_id] = known
+        known.hear(told, self._clock.monotonic_s())
+
+    def forget(self, gone: Collection[ids.TargetId]) -> None:
+        """Drop what was said by targets that are gone or started anew."""
+        for target_id in self._known.keys() & set(gone):
+            del self._known[target_id]
+
+    def keep(self, targets: Collection[ids.TargetId]) -> None:
+        """Drop what was said by all but these."""
+        self.forget(self._known.keys() - set(targets))
+
+    def closed(self) -> set[ids.TargetId]:
+        """Return the targets that want no request of this daemon now."""
+        now_s = self._clock.monotonic_s()
+        return {
+            target_id
+            for target_id, known in self._known.items()
+            if known.opens_at_s(now_s) > now_s
+        }
+
+    def is_resting(self, target_id: ids.TargetId) -> bool:
+        """Tell whether the target asked for rest until later than now."""
+        known = self._known.get(target_id)
+        return bool(known and known.is_resting(self._clock.monotonic_s()))
+
+    def take(self, target_id: ids.TargetId) -> None:
+        """Count a request that is about to be sent to the target."""
+        known = self._known.get(target_id)
+        if known is not None:
+            known.take(self._clock.monotonic_s())
+
+    def give_back(self, target_id: ids.TargetId) -> None:
+        """Return what was counted for a request that was not sent."""
+        known = self._known.get(target_id)
+        if known is not None:
+            known.give_back()
+
+    def opens_at_s(self, target_id: ids.TargetId) -> float:
+        """Return from when on the target wants a request of this daemon."""
+        return self._opens_at_s(target_id, self._clock.monotonic_s())
+
+    def retry_after_s(self, targets: Collection[ids.TargetId]) -> float:
+        """Return when one of them wants a request, of this daemon or others.
+
+        It is spread, so that callers refused together don't return together.
+        """
+        now_s = self._clock.monotonic_s()
+        wait_s = min(
+            (
+                self._known[one].wait_s(now_s) if one in self._known else 0.0
+                for one in targets
+            ),
+            default=0.0,
+        )
+        if wait_s <= _RETRY_AFTER_S:
+            return _RETRY_AFTER_S
+        return wait_s * self._random.uniform(1, _SPREAD)
+
+    def opening(
+        self,
+        targets: Collection[ids.TargetId],
+    ) -> waiting_line.Opening:
+        """Return when one of them wants requests again, and how many."""
+        now_s = self._clock.monotonic_s()
+        if not self._known or not targets:
+            return waiting_line.OPEN
+        opens_at_s = min(self._opens_at_s(one, now_s) for one in targets)
+        if opens_at_s <= now_s or math.isinf(opens_at_s):
+            return waiting_line.OPEN
+        return waiting_line.Opening(opens_at_s - now_s)
+
+    def _opens_at_s(self, target_id: ids.TargetId, now_s: float) -> float:
+        known = self._known.get(target_id)
+        return now_s if known is None else known.opens_at_s(now_s)
--- a/libraries/gateway/tests/conftest.py
+++ b/libraries/gateway/tests/conftest.py
@@ -106,6 +106,9 @@
         if behaviour == 'shed':
             writer.write(_head(503, 0, 'Not-Run: shed'))
             return True
+        if behaviour == 'tired':
+            writer.write(_head(503, 0, 'Not-Run: shed', 'Retry-After: 4'))
+            return True
         self.ran[seen.header('idempotency-key') or seen.line] += 1
         if behaviour == 'hang':
             await _either(self.released.wait(), reader.read(1))
--- /dev/null
+++ b/libraries/gateway/tests/cover/test_gateway_stated.py
@@ -0,0 +1,49 @@
+"""Targets that ask for less in their answers, on the project's own interface."""
+
+import asyncio
+
+from sardinepier.core import ids
+from sardinepier.gateway import statements
+
+
+async def test_a_target_that_asked_for_rest_is_left_alone(world):
+    """Guards against a back-off that is the same whatever a target asks for."""
+    await world.add_targets('tired', 'ok')
+    await world.add_gateway()
+    tired, _ = world.targets
+    for number in range(12):
+        answer, _ = await world.send('GET', f'/books/books/{number}')
+        assert answer.status == 200
+        await asyncio.sleep(0.1)
+    assert len(tired.seen) == 1
+
+
+async def test_when_all_rest_a_caller_is_told_how_long_at_once(world):
+    """Guards against a refusal that names a time at which all still rest."""
+    await world.add_targets('tired', 'tired')
+    await world.add_gateway()
+    loop = asyncio.get_running_loop()
+    for _ in range(3):
+        began_s = loop.time()
+        answer, _ = await world.send(
+            'GET',
+            '/books/books/1',
+            headers={'Sardinepier-Deadline-Ms': '2000'},
+        )
+        assert answer.status == 503
+        assert 3 < float(answer.headers['Retry-After']) <= 7
+        assert loop.time() - began_s < 1
+    assert [len(one.seen) for one in world.targets] == [1, 1]
+
+
+async def test_another_start_of_a_target_asked_for_nothing(world):
+    await world.add_targets('ok')
+    gateway = await world.add_gateway()
+    runtime = gateway.runtime()
+    target_id = world.targets[0].name
+    runtime.set_incarnations({target_id: ids.TargetIncarnation('1')})
+    until_s = gateway.clock.monotonic_s() + 9
+    runtime.stated.hear(target_id, statements.Statement(rests_until_s=until_s))
+    assert runtime.stated.closed() == {target_id}
+    runtime.set_incarnations({target_id: ids.TargetIncarnation('2')})
+    assert not runtime.stated.closed()
