Share the limits that targets name on the project's own interface, too

A service's file names the header (limit_header, Request-Limit by default), since no standard has one. The daemons of the service's group have equal parts, or one of them all of a limit that is too small for parts; those outside the group pass the target by. The rule is the one of the zones' carriers and moves to routing.limit_parts for both.

gateway_stated: the test of a target at its limit failed on the code before, and passes. Not shared here: what one daemon hears.

--- a/libraries/gateway/src/sardinepier/gateway/exchange.py
+++ b/libraries/gateway/src/sardinepier/gateway/exchange.py
@@ -42,7 +42,7 @@
     """The headers that the service's file names."""
 
     leaving: str
-    limit: str = ''
+    limit: str
 
 
 class Attempt:
@@ -130,7 +130,9 @@
             statements.read(
                 response.status,
                 response.headers,
-                _StatementNames(settings.draining_header),
+                _StatementNames(
+                    settings.draining_header, settings.limit_header
+                ),
                 self._context.clock,
             ),
         )
--- a/libraries/gateway/src/sardinepier/gateway/service_runtime.py
+++ b/libraries/gateway/src/sardinepier/gateway/service_runtime.py
@@ -108,6 +108,7 @@
         ``own`` is None when this daemon is not one of them.
         """
         self.slots.set_group(others, own)
+        self.stated.set_senders(others, own)
         self._group_size = len(others) + (own is not None)
         self._configure_health()
 
--- a/libraries/gateway/src/sardinepier/gateway/stated_targets.py
+++ b/libraries/gateway/src/sardinepier/gateway/stated_targets.py
@@ -8,7 +8,9 @@
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
 from sardinepier.gateway import statements, target_statements
-from sardinepier.routing import waiting_line
+from sardinepier.routing import limit_parts, waiting_line
+
+_ALONE: Final = ids.InstanceId('')
 
 _RETRY_AFTER_S: Final = 1.0
 """After which a target may be in service again, where none asked for more."""
@@ -17,18 +19,35 @@
 
 
 class StatedTargets:
-    """Keeps the statements of those targets that ever made any."""
+    """Keeps the statements of those targets that ever made any.
+
+    ``senders`` are the daemons that share the service, this one if it is among
+    them: each has its part of a limit.
+    """
 
     def __init__(
         self,
         clock: clocks.Clock,
         random_source: random.Random,
     ) -> None:
-        """Start with targets that asked for nothing."""
+        """Start with targets that asked for nothing, and one daemon."""
         self._clock = clock
         self._random = random_source
+        self._own = _ALONE
+        self._senders: tuple[ids.InstanceId, ...] = (_ALONE,)
         self._known: dict[ids.TargetId, target_statements.TargetStatements] = {}
 
+    def set_senders(
+        self,
+        others: Collection[ids.InstanceId],
+        own: ids.InstanceId | None,
+    ) -> None:
+        """Set which daemons send; ``own`` is None when this one does not."""
+        self._own = own or _ALONE
+        self._senders = (*others, *(() if own is None else (own,)))
+        for target_id in self._known:
+            self._assign(target_id)
+
     def hear(self, target_id: ids.TargetId, told: statements.Statement) -> None:
         """Take in what an answer of the target told."""
         known = self._known.get(target_id)
@@ -38,6 +57,7 @@
             known = target_statements.TargetStatements()
             self._known[target_id] = known
         known.hear(told, self._clock.monotonic_s())
+        self._assign(target_id)
 
     def forget(self, gone: Collection[ids.TargetId]) -> None:
         """Drop what was said by targets that are gone or started anew."""
@@ -106,8 +126,24 @@
         opens_at_s = min(self._opens_at_s(one, now_s) for one in targets)
         if opens_at_s <= now_s or math.isinf(opens_at_s):
             return waiting_line.OPEN
-        return waiting_line.Opening(opens_at_s - now_s)
+        per_s = sum(self._known[one].own_per_s for one in targets)
+        return waiting_line.Opening(
+            opens_at_s - now_s,
+            1 / per_s if per_s else 0.0,
+        )
 
     def _opens_at_s(self, target_id: ids.TargetId, now_s: float) -> float:
         known = self._known.get(target_id)
         return now_s if known is None else known.opens_at_s(now_s)
+
+    def _assign(self, target_id: ids.TargetId) -> None:
+        """Work out this daemon's part of the target's limit."""
+        known = self._known[target_id]
+        limit_per_s = known.newest.limit_per_s
+        if limit_per_s is not None:
+            known.part = limit_parts.part_of(
+                self._own,
+                self._senders,
+                target_id,
+                limit_per_s,
+            )
--- a/libraries/gateway/tests/conftest.py
+++ b/libraries/gateway/tests/conftest.py
@@ -155,6 +155,10 @@
         [_whole(content, more=['Draining: yes'])],
         True,
     ),
+    'limited': lambda content: (
+        [_whole(content, more=['Request-Limit: 0.2'])],
+        True,
+    ),
     'truncated': lambda content: ([_whole(content)[:-1]], False),
     'chunked': lambda content: (
         [CHUNKED, b'%x\r\n%s\r\n0\r\n\r\n' % (len(content), content)],
@@ -261,6 +265,7 @@
         'routes': ROUTES,
         'shed_reply': model.ShedReply(503, 'Not-Run', 'shed'),
         'draining_header': 'Draining',
+        'limit_header': 'Request-Limit',
         'health_path': '/health',
         'probe_interval_ms': 1000,
         'floor_percent': 50.0,
--- a/libraries/gateway/tests/cover/test_gateway_stated.py
+++ b/libraries/gateway/tests/cover/test_gateway_stated.py
@@ -1,6 +1,7 @@
 """Targets that ask for less in their answers, on the project's own interface."""
 
 import asyncio
+import collections
 
 from sardinepier.core import ids
 from sardinepier.gateway import statements
@@ -36,6 +37,37 @@
     assert [len(one.seen) for one in world.targets] == [1, 1]
 
 
+async def test_a_target_at_its_limit_is_passed_by(world):
+    """Guards against a limit that the choice of a target doesn't know."""
+    await world.add_targets('limited', 'ok')
+    await world.add_gateway()
+    limited, _ = world.targets
+    for number in range(12):
+        answer, _ = await world.send('GET', f'/books/books/{number}')
+        assert answer.status == 200
+    assert len(limited.seen) == 1
+
+
+async def test_the_daemons_of_a_group_share_a_limit(world):
+    """Guards against a limit that each daemon uses whole."""
+    await world.add_targets('ok')
+    gateway = await world.add_gateway()
+    stated = gateway.runtime().stated
+    target_id = world.targets[0].name
+    group = [ids.InstanceId(name) for name in ('a', 'b', 'c')]
+    parts = collections.Counter()
+    for limit_per_s in (2, 30):
+        told = statements.Statement(limit_per_s=limit_per_s)
+        for own in group:
+            others = [one for one in group if one != own]
+            stated.set_senders(others, own)
+            stated.hear(target_id, told)
+            parts[limit_per_s] += stated._known[target_id].part
+    assert parts == {2: 1, 30: 1}
+    stated.set_senders(group, None)
+    assert target_id in stated.closed()
+
+
 async def test_another_start_of_a_target_asked_for_nothing(world):
     await world.add_targets('ok')
     gateway = await world.add_gateway()
--- a/libraries/settings/src/sardinepier/settings/internal/schema.py
+++ b/libraries/settings/src/sardinepier/settings/internal/schema.py
@@ -93,6 +93,10 @@
     draining_header: words.HeaderName = 'Draining'
     """A target that sends this header, with any value, is leaving."""
 
+    limit_header: words.HeaderName = 'Request-Limit'
+    """By this header a target tells how many requests a second it takes from
+    all daemons together, for as long as it sends it."""
+
     health_path: words.PlainPath = '/health'
     """The path that a probe asks a target for."""
 
--- a/libraries/settings/src/sardinepier/settings/model.py
+++ b/libraries/settings/src/sardinepier/settings/model.py
@@ -123,6 +123,7 @@
     routes: tuple[RouteSettings, ...]
     shed_reply: ShedReply
     draining_header: str
+    limit_header: str
     health_path: str
     probe_interval_ms: int
     floor_percent: float
--- a/libraries/settings/tests/cover/test_settings_round_trip.py
+++ b/libraries/settings/tests/cover/test_settings_round_trip.py
@@ -72,6 +72,7 @@
         ),
     ),
     draining_header=HEADERS,
+    limit_header=HEADERS,
     health_path=strategies.just('/health/live'),
     probe_interval_ms=MILLISECONDS,
     floor_percent=PERCENTS,
--- a/libraries/zones/src/sardinepier/zones/limit_parts.py
+++ b/libraries/zones/src/sardinepier/zones/limit_parts.py
@@ -1,23 +1,13 @@
-"""Which part of a target's limit each daemon uses.
+"""The parts of one daemon in the limits that targets name.
 
-The limit is one on the sum of what all daemons send. Only those that carry the
-target's zone send to it, each an equal part, or one of them all of it where parts
-would be too small to be kept. No message is needed, and the sum holds for any number
-of daemons.
+Only those that carry a target's zone send to it while it names a limit.
 """
 
-from typing import Final
-
 from sardinepier.core import ids, rendezvous
 from sardinepier.entry import services
+from sardinepier.routing import limit_parts
 from sardinepier.zones import carriers, ranking
 
-_KEY: Final = 'limit/{0}'
-
-_LEAST_PART_PER_S: Final = 1.0
-"""A smaller part is none: whatever its part, a daemon may send a request or two at
-once, which add up over many."""
-
 
 class LimitParts:
     """Lets the request path of one daemon know its parts of the limits."""
@@ -37,30 +27,20 @@
             for record in pool.targets.records():
                 limit_per_s = record.stated.newest.limit_per_s
                 if limit_per_s is not None:
-                    record.stated.part = self._part(
-                        record.listed.target_id,
-                        record.listed.zone,
+                    target_id = record.listed.target_id
+                    senders = self._senders(target_id, record.listed.zone)
+                    record.stated.part = limit_parts.part_of(
+                        self._carriers.own_id,
+                        [member.instance_id for member in senders],
+                        target_id,
                         limit_per_s,
                     )
 
-    def _part(
+    def _senders(
         self,
         target_id: ids.TargetId,
         zone: ids.ZoneName,
-        limit_per_s: float,
-    ) -> float:
-        """Return the part of the limit that is this daemon's, 0 to 1."""
-        key = _KEY.format(target_id)
-        senders = [
-            str(member.instance_id) for member in self._senders(key, zone)
-        ]
-        if limit_per_s < _LEAST_PART_PER_S * len(senders):
-            senders = list(rendezvous.first(key, senders, 1))
-        if self._carriers.own_id in senders:
-            return 1 / len(senders)
-        return 0.0
-
-    def _senders(self, key: str, zone: ids.ZoneName) -> ranking.Members:
+    ) -> ranking.Members:
         """Return the carriers of ``zone``.
 
         For a zone without living daemons all daemons name the same other one.
@@ -69,5 +49,6 @@
         if not found or found[0].zone == zone:
             return found
         first = (*found[:1], *self._carriers.of_other_zones())
-        instead = rendezvous.first(key, {one.zone for one in first}, 1)
+        zones = {one.zone for one in first}
+        instead = rendezvous.first(limit_parts.key_of(target_id), zones, 1)
         return self._carriers.of_zone(ids.ZoneName(instead[0]))
