Let nothing wait for whoever reads the log

Cause: each line was written and flushed on the event loop; a full pipe stops the whole process. A reader that is gone brought a traceback for each line.

Change: a line is written at once while the pipe is ready, and in pieces that a ready pipe takes without a wait. What comes then is kept, 256 KB of lines about attempts and as many of all others, which go first; what has no place is dropped, counted, and told in lines-lost once there is room. Nothing is left to be written at an exit.

Ruled out: a thread that writes (a wake-up for each line); a descriptor that does not block (its flag is shared with whoever else has the pipe).

--- a/libraries/entry/src/sardinepier/entry/decisions.py
+++ b/libraries/entry/src/sardinepier/entry/decisions.py
@@ -68,7 +68,7 @@
             in_flight=record.in_flight(now_s),
         )
         if self._sent.allows():
-            logs.tell(self._sent_line(item, choice, now_s))
+            logs.tell(self._sent_line(item, choice, now_s), is_routine=True)
         return choice
 
     def stated(
--- a/libraries/telemetry/src/sardinepier/telemetry/internal/log_lines.py
+++ b/libraries/telemetry/src/sardinepier/telemetry/internal/log_lines.py
@@ -1,13 +1,17 @@
 """Turns a loguru record into one compact JSON line."""
 
 import traceback
-from collections.abc import Callable
-from typing import Any
+from typing import Any, Final, Protocol
 
 import loguru
 import msgspec
 
 
+_END: Final = b'\n'
+_LOST_EVENT: Final = 'lines-lost'
+_LOST_LEVEL: Final = 'warning'
+
+
 class _Line(msgspec.Struct, omit_defaults=True):
     time: str
     level: str
@@ -18,13 +22,24 @@
     traceback: str = ''
 
 
+class Emit(Protocol):
+    """Takes one line with its end, as UTF-8.
+
+    Returns how many lines were lost before it, once that can be told.
+    """
+
+    def __call__(self, line: bytes, *, is_routine: bool) -> int:
+        """Write the line, or keep it."""
+        ...
+
+
 class Writer:
     """A loguru sink that gives each line to ``emit``."""
 
     def __init__(
         self,
         instance_id: str,
-        emit: Callable[[str], None],
+        emit: Emit,
         *,
         with_traceback: bool,
     ) -> None:
@@ -47,8 +62,22 @@
             fields={name: _resolved(fields[name]) for name in fields},
             traceback=self._traceback_of(record),
         )
-        encoded = msgspec.json.encode(line, enc_hook=str)
-        self._emit(encoded.decode())
+        lost = self._emit(
+            _encoded(line), is_routine=extra.get('routine', False)
+        )
+        if lost:
+            self._tell_lost(line, lost)
+
+    def _tell_lost(self, last: _Line, lost: int) -> None:
+        told = msgspec.structs.replace(
+            last,
+            level=_LOST_LEVEL,
+            event=_LOST_EVENT,
+            message='',
+            fields={'lines': lost},
+            traceback='',
+        )
+        self._emit(_encoded(told), is_routine=False)
 
     def _traceback_of(self, record: 'loguru.Record') -> str:
         problem = record['exception']
@@ -57,5 +86,9 @@
         return ''.join(traceback.format_exception(*problem))
 
 
+def _encoded(line: _Line) -> bytes:
+    return msgspec.json.encode(line, enc_hook=str) + _END
+
+
 def _resolved(value: Any) -> Any:
     return value() if callable(value) else value
--- a/libraries/telemetry/src/sardinepier/telemetry/logs.py
+++ b/libraries/telemetry/src/sardinepier/telemetry/logs.py
@@ -26,7 +26,7 @@
     stamps,
     timeline,
 )
-from sardinepier.telemetry.internal import log_lines
+from sardinepier.telemetry.internal import line_stream, log_lines
 
 Plain = str | int | float | bool | None
 Field = Plain | Sequence[str] | Callable[[], Plain]
@@ -70,7 +70,9 @@
 ) -> None:
     """Send all log lines of this process to ``stream`` as JSON.
 
-    The default stream is standard error.
+    The default stream is standard error. Nothing waits for whoever reads it:
+    lines without room are kept for a while, then dropped, and the number of
+    those is told in a line ``lines-lost`` once there is room again.
 
     Lines of libraries that use the standard ``logging`` module are taken in
     as event ``library`` from level warning up: they would otherwise print
@@ -80,7 +82,7 @@
     chosen = parse_level(level)
     writer = log_lines.Writer(
         instance_id,
-        functools.partial(_write_line, stream),
+        _emitter(stream),
         with_traceback=chosen is Level.DEBUG,
     )
     loguru.logger.remove()
@@ -114,11 +116,16 @@
     message: str = '',
     *,
     level: Level = Level.INFO,
+    is_routine: bool = False,
 ) -> None:
-    """Write one line about a typed event."""
+    """Write one line about a typed event.
+
+    A routine one gives way to others where nobody takes the lines.
+    """
     loguru.logger.bind(
         event=line_events.name_of(type(told)),
         fields=line_events.fields_of(told),
+        routine=is_routine,
     ).log(level.name, message)
 
 
@@ -156,10 +163,37 @@
     ).log(level.name, '')
 
 
-def _write_line(stream: TextIO | None, line: str) -> None:
+def _emitter(stream: TextIO | None) -> log_lines.Emit:
+    """Return what writes lines to ``stream``, without waits if it is a file."""
+    chosen = sys.stderr if stream is None else stream
+    try:
+        lines = line_stream.LineStream(chosen.fileno())
+    except OSError:
+        # One in memory, which never makes its writer wait.
+        return functools.partial(_write_text, stream)
+    return functools.partial(_write_line, lines)
+
+
+def _write_line(
+    lines: line_stream.LineStream,
+    line: bytes,
+    *,
+    is_routine: bool,
+) -> int:
+    lines.write(line, is_routine=is_routine)
+    return lines.take_lost()
+
+
+def _write_text(
+    stream: TextIO | None,
+    line: bytes,
+    *,
+    is_routine: bool,
+) -> int:
     chosen = sys.stderr if stream is None else stream
-    chosen.write(f'{line}\n')
+    chosen.write(line.decode())
     chosen.flush()
+    return 0
 
 
 class _LibraryHandler(logging.Handler):
--- a/tests/adapter/instance_process.py
+++ b/tests/adapter/instance_process.py
@@ -51,7 +51,7 @@
     def address(self, name):
         return f'{self.ip}:{self.ports[name]}'
 
-    async def start(self):
+    async def start(self, stdout=asyncio.subprocess.PIPE):
         folders = [str(one) for one in LIBRARIES.glob('*/src')]
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -61,7 +61,7 @@
                 'SARDINEPIER_BOOT': str(self.path),
                 'PYTHONPATH': os.pathsep.join(folders),
             },
-            stdout=asyncio.subprocess.PIPE,
+            stdout=stdout,
         )
 
     async def get(self, listener, path):
