Keep the targets that ask for something apart from the others

Each look at when targets want requests asked all targets of a service, at each end of a request. The table of targets keeps those that ever asked, which are few, and takes in what is told at one place for the request path and the zone.

--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -193,12 +193,15 @@
             shared.names,
             shared.clock,
         )
-        self._record.stated_source = target_record.BeliefSource.OWN
-        if self._record.stated.hear(told, shared.clock.monotonic_s()):
-            shared.decisions.stated(self._item, self._record, told)
         self._record.stated.answered(told)
-        if told.is_leaving:
-            self._pool.targets.leave(self._record)
+        is_new = self._pool.targets.hear(
+            self._record,
+            told,
+            shared.clock.monotonic_s(),
+            target_record.BeliefSource.OWN,
+        )
+        if is_new:
+            shared.decisions.stated(self._item, self._record, told)
 
     def _blame(self, error: errors.GatewayError) -> None:
         """Take in what an attempt without an answer says of the target."""
--- a/libraries/entry/src/sardinepier/entry/openings.py
+++ b/libraries/entry/src/sardinepier/entry/openings.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from sardinepier.core import ids
-from sardinepier.entry import target_record
+from sardinepier.entry import target_record, target_table
 from sardinepier.routing import waiting_line
 
 _RETRY_AFTER_S: Final = 0.2
@@ -14,11 +14,9 @@
 
 _SPREAD: Final = 1.5
 
-Records = Collection[target_record.TargetRecord]
-
 
 def earliest_s(
-    records: Iterable[target_record.TargetRecord],
+    table: target_table.TargetTable,
     tried: Collection[ids.TargetId],
     now_s: float,
 ) -> float:
@@ -26,28 +24,31 @@
 
     It is infinite when none ever will, as far as this daemon knows.
     """
-    return min(
-        (
-            record.stated.opens_at_s(now_s)
-            for record in records
-            if record.listed.target_id not in tried
-        ),
-        default=math.inf,
-    )
-
-
-def opening(records: Records, now_s: float) -> waiting_line.Opening:
+    opens_at_s = math.inf
+    for record in table.records():
+        if record.listed.target_id not in tried:
+            opens_at_s = min(opens_at_s, record.stated.opens_at_s(now_s))
+            if opens_at_s <= now_s:
+                # Mostly the first one: few targets ask for anything.
+                return now_s
+    return opens_at_s
+
+
+def opening(
+    table: target_table.TargetTable,
+    now_s: float,
+) -> waiting_line.Opening:
     """Return when the targets want requests again, and how many."""
-    opens_at_s = earliest_s(records, (), now_s)
-    if opens_at_s <= now_s or not records:
+    opens_at_s = earliest_s(table, (), now_s)
+    if opens_at_s <= now_s or not table.records():
         return waiting_line.OPEN
-    per_s = sum(record.stated.own_per_s for record in records)
+    per_s = sum(record.stated.own_per_s for record in table.asking())
     interval_s = 1 / per_s if per_s else 0.0
     return waiting_line.Opening(opens_at_s - now_s, interval_s)
 
 
 def retry_after_s(
-    records: Records,
+    records: Iterable[target_record.TargetRecord],
     now_s: float,
     random_source: random.Random,
 ) -> float:
--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -101,7 +101,7 @@
             random_source,
             self._give_back,
             lambda: target_openings.opening(
-                self.targets.records(),
+                self.targets,
                 clock.monotonic_s(),
             ),
         )
@@ -127,7 +127,7 @@
         before anything else is awaited.
         """
         opens_at_s = target_openings.earliest_s(
-            self.targets.records(),
+            self.targets,
             wish.tried,
             self._clock.monotonic_s(),
         )
@@ -256,9 +256,8 @@
 
     def _choose(self, wish: wishes.Wish) -> ids.TargetId | None:
         now_s = self._clock.monotonic_s()
-        known = [
-            record for record in self.targets.records() if record.is_open(now_s)
-        ]
+        closed = self.targets.closed(now_s)
+        known = [one for one in self.targets.records() if one not in closed]
         wanted = [
             record
             for record in known
--- a/libraries/entry/src/sardinepier/entry/target_record.py
+++ b/libraries/entry/src/sardinepier/entry/target_record.py
@@ -116,15 +116,12 @@
 
     def has_room(self, now_s: float) -> bool:
         """Tell whether one more request would be worked on at once."""
-        if now_s < self.full_until_s or not self.is_open(now_s):
+        if now_s < self.full_until_s:
             return False
-        slots = 1 if self.stated.is_returning(now_s) else self.listed.slots
+        # When it is still full after its rest, more would only be refused.
+        slots = 1 if self.stated.has_rested else self.listed.slots
         return self.in_flight(now_s) < slots
 
-    def is_open(self, now_s: float) -> bool:
-        """Tell whether what it asked for allows a request now."""
-        return self.stated.opens_at_s(now_s) <= now_s
-
     def is_avoided(self, now_s: float) -> bool:
         """Tell whether the way to it was lost a moment ago."""
         return now_s < self.avoided_until_s
--- a/libraries/entry/src/sardinepier/entry/target_table.py
+++ b/libraries/entry/src/sardinepier/entry/target_table.py
@@ -9,7 +9,7 @@
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
 from sardinepier.entry import model, target_record
-from sardinepier.gateway import errors
+from sardinepier.gateway import errors, statements
 from sardinepier.health import belief
 
 
@@ -37,6 +37,7 @@
         self._random = random_source
         self._options = options
         self._records: dict[ids.TargetId, target_record.TargetRecord] = {}
+        self._asking: dict[ids.TargetId, target_record.TargetRecord] = {}
         self._left: dict[ids.TargetId, target_record.TargetRecord] = {}
 
     def set(self, listed: Iterable[model.ListedTarget]) -> None:
@@ -56,6 +57,8 @@
                 record.was_used |= is_first
                 kept[one.target_id] = record
         self._records = kept
+        for gone in self._asking.keys() - kept.keys():
+            del self._asking[gone]
 
     def find(
         self,
@@ -85,13 +88,33 @@
         """Return all targets in use."""
         return self._records.values()
 
-    def leave(self, record: target_record.TargetRecord) -> None:
-        """Give nothing more to a target that said that it leaves."""
-        target_id = record.listed.target_id
-        self._left.setdefault(target_id, record)
-        if len(self._left) > _MOST_LEFT:
-            self._left.pop(next(iter(self._left)))
-        self.drop(target_id)
+    def hear(
+        self,
+        record: target_record.TargetRecord,
+        told: statements.Statement,
+        heard_s: float,
+        source: target_record.BeliefSource,
+    ) -> bool:
+        """Go by what a target told ``source``; tell whether that is new."""
+        is_new = record.stated.hear(told, heard_s)
+        record.stated_source = source
+        if told != statements.SILENT:
+            self._asking[record.listed.target_id] = record
+        if told.is_leaving:
+            self._leave(record)
+        return is_new
+
+    def asking(self) -> Iterable[target_record.TargetRecord]:
+        """Return the targets in use that ever asked for anything."""
+        return self._asking.values()
+
+    def closed(self, now_s: float) -> Collection[target_record.TargetRecord]:
+        """Return the targets in use that want no request of this daemon."""
+        return {
+            record
+            for record in self._asking.values()
+            if record.stated.opens_at_s(now_s) > now_s
+        }
 
     def left(self) -> Collection[target_record.TargetRecord]:
         """Return the targets that said that they leave, oldest first."""
@@ -100,6 +123,15 @@
     def drop(self, target_id: ids.TargetId) -> None:
         """Give nothing more to a target that is leaving or gone."""
         self._records.pop(target_id, None)
+        self._asking.pop(target_id, None)
+
+    def _leave(self, record: target_record.TargetRecord) -> None:
+        """Give nothing more to a target that said that it leaves."""
+        target_id = record.listed.target_id
+        self._left.setdefault(target_id, record)
+        if len(self._left) > _MOST_LEFT:
+            self._left.pop(next(iter(self._left)))
+        self.drop(target_id)
 
     def _record(
         self,
--- a/libraries/entry/tests/cover/test_entry_statements.py
+++ b/libraries/entry/tests/cover/test_entry_statements.py
@@ -6,6 +6,7 @@
 import pytest
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
+from sardinepier.entry import target_record
 from sardinepier.gateway import statements, target_statements
 
 ONCE = '/once/1'
@@ -282,7 +283,12 @@
     pool = entry.shared.services.pool(given.SERVICE)
     record = record_of(entry, 't1')
     now_s = entry.shared.clock.monotonic_s()
-    record.stated.hear(statements.Statement(rests_until_s=now_s + 9), now_s)
+    pool.targets.hear(
+        record,
+        statements.Statement(rests_until_s=now_s + 9),
+        now_s,
+        target_record.BeliefSource.OWN,
+    )
     await given.until(lambda: any(one.done() for one in asking))
     statuses = [one.result()[0] for one in asking if one.done()]
     assert statuses == [503]
--- a/libraries/gateway/src/sardinepier/gateway/target_statements.py
+++ b/libraries/gateway/src/sardinepier/gateway/target_statements.py
@@ -27,7 +27,8 @@
     ``newest`` was told at ``heard_s``, to this daemon or to another one.
     ``part``, 0 to 1, is how much of the target's limit is this daemon's.
     ``rests_until_s`` is until when it wants nothing from this daemon; no later
-    statement shortens that.
+    statement shortens that. ``has_rested`` says that its newest answer to this
+    daemon asked for rest.
     """
 
     def __init__(self) -> None:
@@ -36,16 +37,10 @@
         self.heard_s = 0.0
         self.part = 1.0
         self.rests_until_s = 0.0
-        self._has_rested = False
-        self._was_heard = False
+        self.has_rested = False
         self._lapses_at_s = 0.0
         self._next_s = 0.0
 
-    @property
-    def was_heard(self) -> bool:
-        """Tell whether the target ever asked for anything."""
-        return self._was_heard
-
     @property
     def interval_s(self) -> float:
         """Return the time between two requests, 0.0 without a limit."""
@@ -67,7 +62,6 @@
         is_new = told != self.newest
         if self.newest.limit_per_s is None and told.limit_per_s is not None:
             self._next_s = heard_s + 1 / told.limit_per_s
-        self._was_heard |= told != statements.SILENT
         self.newest = told
         self.heard_s = heard_s
         self._lapses_at_s = heard_s + _KEPT_S
@@ -76,20 +70,12 @@
 
     def answered(self, told: statements.Statement) -> None:
         """Take in whether an answer to this daemon asked for rest."""
-        self._has_rested = told.rests_until_s > 0
+        self.has_rested = told.rests_until_s > 0
 
     def is_resting(self, now_s: float) -> bool:
         """Tell whether the target wants nothing from this daemon now."""
         return now_s < self.rests_until_s
 
-    def is_returning(self, now_s: float) -> bool:
-        """Tell whether its rest is over and no answer has come since.
-
-        It gets one request then: when it is still full, more would only be
-        turned away.
-        """
-        return self._has_rested and not self.is_resting(now_s)
-
     def opens_at_s(self, now_s: float) -> float:
         """Return from when on this daemon may send a request.
 
--- a/libraries/zones/src/sardinepier/zones/limit_parts.py
+++ b/libraries/zones/src/sardinepier/zones/limit_parts.py
@@ -24,7 +24,7 @@
     def assign(self) -> None:
         """Decide anew for all targets that name a limit."""
         for pool in self._held.pools():
-            for record in pool.targets.records():
+            for record in pool.targets.asking():
                 limit_per_s = record.stated.newest.limit_per_s
                 if limit_per_s is not None:
                     target_id = record.listed.target_id
--- a/libraries/zones/src/sardinepier/zones/statements.py
+++ b/libraries/zones/src/sardinepier/zones/statements.py
@@ -149,10 +149,7 @@
                 is_leaving=one.is_leaving,
                 limit_per_s=one.limit_per_s,
             )
-            record.stated.hear(told, now_s - age_s)
-            record.stated_source = source
-        if one.is_leaving:
-            table.leave(record)
+            table.hear(record, told, now_s - age_s, source)
 
 
 def _with_statements(
@@ -161,8 +158,7 @@
     return [
         record
         for pool in held.pools()
-        for record in (*pool.targets.records(), *pool.targets.left())
-        if record.stated.was_heard
+        for record in (*pool.targets.asking(), *pool.targets.left())
     ]
 
 
--- a/libraries/zones/tests/cover/test_zones_limits.py
+++ b/libraries/zones/tests/cover/test_zones_limits.py
@@ -15,19 +15,13 @@
     return daemon.held.pool(given.SERVICE).targets.find(ids.TargetId(TARGET))
 
 
-def hear(daemon, limit_per_s):
-    record = record_of(daemon)
-    told = statements.Statement(limit_per_s=limit_per_s)
-    record.stated_source = target_record.BeliefSource.OWN
-    record.stated.hear(told, daemon.clock.monotonic_s())
-
-
-def hear_leaving(daemon):
-    record = record_of(daemon)
-    record.stated_source = target_record.BeliefSource.OWN
-    told = statements.Statement(is_leaving=True)
-    record.stated.hear(told, daemon.clock.monotonic_s())
-    daemon.held.pool(given.SERVICE).targets.leave(record)
+def hear(daemon, limit_per_s, *, is_leaving=False):
+    daemon.held.pool(given.SERVICE).targets.hear(
+        record_of(daemon),
+        statements.Statement(is_leaving=is_leaving, limit_per_s=limit_per_s),
+        daemon.clock.monotonic_s(),
+        target_record.BeliefSource.OWN,
+    )
 
 
 def limits(daemons):
@@ -66,7 +60,7 @@
 async def test_what_leaves_for_one_daemon_leaves_for_all(place):
     """Guards against each daemon that has to meet a leaving target itself."""
     zone = await zones_with_a_target('z1', 'far')
-    hear_leaving(zone.daemons[place])
+    hear(zone.daemons[place], None, is_leaving=True)
     await zone.run(1.0)
     assert not any(map(record_of, zone.daemons))
     # A list of the platform that still has it undoes nothing.
@@ -79,7 +73,7 @@
 async def test_news_of_a_leaving_target_end(monkeypatch):
     """Guards against news of each target that ever left in each beat."""
     zone = await zones_with_a_target('z1', 'far')
-    hear_leaving(zone.daemons[0])
+    hear(zone.daemons[0], None, is_leaving=True)
     await zone.run(8.0)
     sent = []
     monkeypatch.setattr(
