--- a/libraries/entry/src/sardinepier/entry/dialect.py
+++ b/libraries/entry/src/sardinepier/entry/dialect.py
@@ -17,8 +17,9 @@
     answer of a target that did not run it. ``signature`` proves that an
     answer is a target's own. ``load`` is the target's running and waiting
     requests and its slots. ``leaving`` and ``limit`` are told by targets as
-    :mod:`sardinepier.gateway.statements` reads them. ``credentials`` holds a caller's key, behind
-    ``key_scheme`` and a space. ``customer`` tells targets whose request it is.
+    :mod:`sardinepier.gateway.statements` reads them. ``credentials`` holds a
+    caller's key, behind ``key_scheme`` and a space. ``customer`` tells targets
+    whose request it is.
     """
 
     attempt_id: str = 'Sardinepier-Attempt'
--- a/libraries/entry/src/sardinepier/entry/openings.py
+++ b/libraries/entry/src/sardinepier/entry/openings.py
@@ -7,13 +7,12 @@
 
 from sardinepier.core import ids
 from sardinepier.entry import target_record, target_table
+from sardinepier.gateway import target_statements
 from sardinepier.routing import waiting_line
 
 _RETRY_AFTER_S: Final = 0.2
 """After which slots came free, or a list of targets may have changed."""
 
-_SPREAD: Final = 1.5
-
 
 def earliest_s(
     table: target_table.TargetTable,
@@ -52,12 +51,9 @@
     now_s: float,
     random_source: random.Random,
 ) -> float:
-    """Return when a new try makes sense, at this daemon or another one.
-
-    It is spread, so that callers refused together don't return together.
-    """
-    waits_s = [record.stated.wait_s(now_s) for record in records]
-    wait_s = min(waits_s, default=0.0)
-    if wait_s <= _RETRY_AFTER_S:
-        return _RETRY_AFTER_S
-    return wait_s * random_source.uniform(1, _SPREAD)
+    """Return when a new try makes sense, at this daemon or another one."""
+    return target_statements.retry_after_s(
+        (record.stated.wait_s(now_s) for record in records),
+        _RETRY_AFTER_S,
+        random_source,
+    )
--- a/libraries/gateway/src/sardinepier/gateway/exchange.py
+++ b/libraries/gateway/src/sardinepier/gateway/exchange.py
@@ -131,7 +131,8 @@
                 response.status,
                 response.headers,
                 _StatementNames(
-                    settings.draining_header, settings.limit_header
+                    settings.draining_header,
+                    settings.limit_header,
                 ),
                 self._context.clock,
             ),
--- a/libraries/gateway/src/sardinepier/gateway/stated_targets.py
+++ b/libraries/gateway/src/sardinepier/gateway/stated_targets.py
@@ -15,8 +15,6 @@
 _RETRY_AFTER_S: Final = 1.0
 """After which a target may be in service again, where none asked for more."""
 
-_SPREAD: Final = 1.5
-
 
 class StatedTargets:
     """Keeps the statements of those targets that ever made any.
@@ -99,21 +97,16 @@
         return self._opens_at_s(target_id, self._clock.monotonic_s())
 
     def retry_after_s(self, targets: Collection[ids.TargetId]) -> float:
-        """Return when one of them wants a request, of this daemon or others.
-
-        It is spread, so that callers refused together don't return together.
-        """
+        """Return when one of them wants a request, of this daemon or others."""
         now_s = self._clock.monotonic_s()
-        wait_s = min(
+        return target_statements.retry_after_s(
             (
                 self._known[one].wait_s(now_s) if one in self._known else 0.0
                 for one in targets
             ),
-            default=0.0,
+            _RETRY_AFTER_S,
+            self._random,
         )
-        if wait_s <= _RETRY_AFTER_S:
-            return _RETRY_AFTER_S
-        return wait_s * self._random.uniform(1, _SPREAD)
 
     def opening(
         self,
--- a/libraries/gateway/src/sardinepier/gateway/target_statements.py
+++ b/libraries/gateway/src/sardinepier/gateway/target_statements.py
@@ -5,6 +5,8 @@
 """
 
 import math
+import random
+from collections.abc import Iterable
 from typing import Final
 
 from sardinepier.gateway import statements
@@ -15,6 +17,25 @@
 where nobody sends or passes on anything."""
 
 
+_SPREAD: Final = 1.5
+
+
+def retry_after_s(
+    waits_s: Iterable[float],
+    least_s: float,
+    random_source: random.Random,
+) -> float:
+    """Return when a new try makes sense, by when each target wants a request.
+
+    Beyond ``least_s`` it is spread, so that callers refused together don't
+    return together. For example waits of 4 s and 9 s become 4 s to 6 s.
+    """
+    wait_s = min(waits_s, default=0.0)
+    if wait_s <= least_s:
+        return least_s
+    return wait_s * random_source.uniform(1, _SPREAD)
+
+
 class TargetStatements:
     """The statements of one start of a target, and the pace that they allow.
 
