Count a limit only towards the room of the targets that name one

When all targets want nothing, one by its limit and others by a rest that ends soon, each request after the first was taken to wait for the limit's next one, and refused too early. How long a request waits at least is now the sooner of the two (routing_openings, entry_statements: both new cases failed on the code before).

--- a/libraries/entry/src/sardinepier/entry/openings.py
+++ b/libraries/entry/src/sardinepier/entry/openings.py
@@ -38,12 +38,13 @@
     now_s: float,
 ) -> waiting_line.Opening:
     """Return when the targets want requests again, and how many."""
-    opens_at_s = earliest_s(table, (), now_s)
-    if opens_at_s <= now_s or not table.records():
+    if earliest_s(table, (), now_s) <= now_s or not table.records():
         return waiting_line.OPEN
-    per_s = sum(record.stated.own_per_s for record in table.asking())
-    interval_s = 1 / per_s if per_s else 0.0
-    return waiting_line.Opening(opens_at_s - now_s, interval_s)
+    # Whoever is closed asked for something.
+    return target_statements.opening(
+        (record.stated for record in table.asking()),
+        now_s,
+    )
 
 
 def retry_after_s(
--- a/libraries/entry/tests/cover/test_entry_statements.py
+++ b/libraries/entry/tests/cover/test_entry_statements.py
@@ -337,3 +337,13 @@
     await entry.use(target)
     for _ in range(3):
         assert (await entry.ask(ONCE))[0] == 200
+
+
+def test_what_a_limit_and_a_rest_leave_open_together():
+    limited = target_statements.TargetStatements()
+    limited.hear(statements.Statement(limit_per_s=2.0), 100.0)
+    resting_one = target_statements.TargetStatements()
+    resting_one.hear(statements.Statement(rests_until_s=103.0), 100.0)
+    opening = target_statements.opening((limited, resting_one), 100.0)
+    waits_s = [opening.wait_behind_s(ahead) for ahead in (0, 1, 4, 5, 50)]
+    assert waits_s == [0.5, 1.0, 2.5, 3.0, 3.0]
--- a/libraries/gateway/src/sardinepier/gateway/stated_targets.py
+++ b/libraries/gateway/src/sardinepier/gateway/stated_targets.py
@@ -119,10 +119,10 @@
         opens_at_s = min(self._opens_at_s(one, now_s) for one in targets)
         if opens_at_s <= now_s or math.isinf(opens_at_s):
             return waiting_line.OPEN
-        per_s = sum(self._known[one].own_per_s for one in targets)
-        return waiting_line.Opening(
-            opens_at_s - now_s,
-            1 / per_s if per_s else 0.0,
+        # Whoever is closed asked for something.
+        return target_statements.opening(
+            (self._known[one] for one in targets),
+            now_s,
         )
 
     def _opens_at_s(self, target_id: ids.TargetId, now_s: float) -> float:
--- a/libraries/gateway/src/sardinepier/gateway/target_statements.py
+++ b/libraries/gateway/src/sardinepier/gateway/target_statements.py
@@ -10,13 +10,13 @@
 from typing import Final
 
 from sardinepier.gateway import statements
+from sardinepier.routing import waiting_line
 
 _KEPT_S: Final = 30.0
 """How long a limit is believed that nobody heard again. The daemon that sends to
 the target hears it with each answer and passes it on, so that it only lapses
 where nobody sends or passes on anything."""
 
-
 _SPREAD: Final = 1.5
 
 
@@ -36,6 +36,24 @@
     return wait_s * random_source.uniform(1, _SPREAD)
 
 
+def opening(
+    closed: Iterable['TargetStatements'],
+    now_s: float,
+) -> waiting_line.Opening:
+    """Return when targets of which none wants a request now want some again."""
+    first_s = math.inf
+    any_s = math.inf
+    per_s = 0.0
+    for stated in closed:
+        wait_s = stated.opens_at_s(now_s) - now_s
+        if stated.newest.limit_per_s is None:
+            any_s = min(any_s, wait_s)
+        else:
+            first_s = min(first_s, wait_s)
+            per_s += stated.own_per_s
+    return waiting_line.Opening(first_s, 1 / per_s if per_s else 0.0, any_s)
+
+
 class TargetStatements:
     """The statements of one start of a target, and the pace that they allow.
 
--- a/libraries/routing/src/sardinepier/routing/waiting_line.py
+++ b/libraries/routing/src/sardinepier/routing/waiting_line.py
@@ -49,19 +49,20 @@
 class Opening:
     """When targets that want no request now want one again.
 
-    The first is wanted in ``wait_s`` seconds, and each further one after
-    ``interval_s`` more. All are wanted now when both are 0.
+    The first is wanted in ``first_s`` seconds, and each further one after
+    ``interval_s`` more; in ``any_s`` seconds any number is.
     """
 
-    wait_s: float = 0.0
+    first_s: float
     interval_s: float = 0.0
+    any_s: float = math.inf
 
     def wait_behind_s(self, ahead: int) -> float:
         """Return how long a request waits at least behind ``ahead`` others."""
-        return self.wait_s + ahead * self.interval_s
+        return min(self.any_s, self.first_s + ahead * self.interval_s)
 
 
-OPEN: Final = Opening()
+OPEN: Final = Opening(0.0)
 
 
 def always_open() -> Opening:
--- a/libraries/routing/tests/cover/test_routing_openings.py
+++ b/libraries/routing/tests/cover/test_routing_openings.py
@@ -58,6 +58,12 @@
     assert 3.5 <= waiters[3].error.retry_after_s <= 7
 
 
+def test_a_rest_that_ends_soon_is_room_for_all():
+    """Guards against a limit of one target that counts for those that only rest."""
+    line = Line(waiting_line.Opening(0.5, 1.0, any_s=1.2))
+    assert not any(line.enter().error for _ in range(6))
+
+
 def test_an_urgent_request_goes_before_those_that_wait():
     line = Line(waiting_line.Opening(0.5, 1.0))
     waiters = [line.enter() for _ in range(3)]
