--- a/libraries/zones/tests/cover/test_zones_limits.py
+++ b/libraries/zones/tests/cover/test_zones_limits.py
@@ -32,10 +32,8 @@
     return [record_of(one).stated.part for one in daemons]
 
 
-async def zones_with_a_target(*zones, count=4, carriers=1):
-    zone = given.Zone(count, zones)
-    for one in zone.daemons:
-        one.carriers.set_count(carriers)
+async def zones_with_a_target(*zones):
+    zone = given.Zone(4, zones)
     await given.with_targets(zone, TARGET)
     return zone
 
