--- a/libraries/routing/tests/cover/test_routing_limit_parts.py
+++ b/libraries/routing/tests/cover/test_routing_limit_parts.py
@@ -40,7 +40,7 @@
     chosen = {
         own
         for own in names
-        for known in (names, names[::-1])
+        for known in (names, sorted(names, reverse=True))
         if limit_parts.part_of(own, known, TARGET, 1.0)
     }
     assert len(chosen) == 1
