--- a/libraries/entry/src/sardinepier/entry/measures.py
+++ b/libraries/entry/src/sardinepier/entry/measures.py
@@ -18,6 +18,7 @@
     'requests_in_hand': 'Requests that this daemon has right now.',
     'configuration_version': 'Version of the configuration in force.',
     'targets': 'Targets in use, of all services.',
+    'targets_closed': 'Those of them that want no request of this daemon now.',
     'targets_age_s': 'Since the target list was last read by anybody, in s.',
     'unusable_entries': 'Entries passed over in the newest own reading.',
     'confirmed_age_s': 'Since the configuration was certainly the newest, in s.',
@@ -95,12 +96,14 @@
     configuration = held.configuration
     version = configuration.version if configuration else 0
     targets = sum(len(pool.targets.records()) for pool in held.pools())
+    closed = sum(len(pool.targets.closed()) for pool in held.pools())
     budgets = [pool.retry_budget for pool in held.pools()]
     granted = sum(one.granted for one in budgets)
     denied = sum(one.denied for one in budgets)
     return (
         exposition.Gauge('configuration_version', version),
         exposition.Gauge('targets', targets),
+        exposition.Gauge('targets_closed', closed),
         exposition.Gauge('repeats_granted', granted),
         exposition.Gauge('repeats_denied', denied),
     )
--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -256,7 +256,7 @@
 
     def _choose(self, wish: wishes.Wish) -> ids.TargetId | None:
         now_s = self._clock.monotonic_s()
-        closed = self.targets.closed(now_s)
+        closed = self.targets.closed()
         known = [one for one in self.targets.records() if one not in closed]
         wanted = [
             record
--- a/libraries/entry/src/sardinepier/entry/target_table.py
+++ b/libraries/entry/src/sardinepier/entry/target_table.py
@@ -108,8 +108,9 @@
         """Return the targets in use that ever asked for anything."""
         return self._asking.values()
 
-    def closed(self, now_s: float) -> Collection[target_record.TargetRecord]:
-        """Return the targets in use that want no request of this daemon."""
+    def closed(self) -> Collection[target_record.TargetRecord]:
+        """Return the targets in use that want no request of this daemon now."""
+        now_s = self._clock.monotonic_s()
         return {
             record
             for record in self._asking.values()
--- a/libraries/entry/tests/cover/test_entry_statements.py
+++ b/libraries/entry/tests/cover/test_entry_statements.py
@@ -6,7 +6,7 @@
 import pytest
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
-from sardinepier.entry import target_record
+from sardinepier.entry import measures, target_record
 from sardinepier.gateway import statements, target_statements
 
 ONCE = '/once/1'
@@ -332,6 +332,17 @@
     assert {(await one)[0] for one in asking} == {200}
 
 
+async def test_targets_that_want_nothing_are_counted(entry):
+    await entry.use(given.RawTarget('t1', [resting(4)]), given.RawTarget('t2'))
+    for _ in range(6):
+        await entry.ask(ONCE)
+    figures = {
+        one.name: one.value
+        for one in measures.of_services(entry.shared.services)
+    }
+    assert (figures['targets'], figures['targets_closed']) == (2, 1)
+
+
 async def test_a_rest_named_with_200_is_none(entry):
     target = given.RawTarget('t1', [given.telling('Retry-After: 5')])
     await entry.use(target)
