Let no answer undo that a target leaves

Found by reading the change: since statements are taken in by the table of targets, news that a target leaves was passed over by a daemon that had heard a later answer of it, one that was on its way when the target began to leave, and a daemon that took it in was not to pass it on.

Change: a statement that the target leaves counts whenever it was heard, and stays in what is known of that start, so that it is passed on. zones_limits has the case, which failed before.

--- a/libraries/gateway/src/sardinepier/gateway/target_statements.py
+++ b/libraries/gateway/src/sardinepier/gateway/target_statements.py
@@ -4,6 +4,7 @@
 and spaces its requests evenly.
 """
 
+import dataclasses
 import math
 import random
 from collections.abc import Iterable
@@ -94,10 +95,13 @@
     def hear(self, told: statements.Statement, heard_s: float) -> bool:
         """Take in what the target told; tell whether that is anything new.
 
-        What was told before what is known already is passed over.
+        What was told before what is known already is passed over, unless it is
+        that the target leaves: no answer undoes that.
         """
-        if heard_s < self.heard_s:
+        if heard_s < self.heard_s and not told.is_leaving:
             return False
+        if self.newest.is_leaving:
+            told = dataclasses.replace(told, is_leaving=True)
         is_new = told != self.newest
         if self.newest.limit_per_s is None and told.limit_per_s is not None:
             self._next_s = heard_s + 1 / told.limit_per_s
--- a/libraries/zones/src/sardinepier/zones/statements.py
+++ b/libraries/zones/src/sardinepier/zones/statements.py
@@ -144,7 +144,7 @@
         age_s = one.age_ms / _MS_PER_S
         if table is None or record is None or age_s > _OLDEST_NEWS_S:
             continue
-        if now_s - age_s > record.stated.heard_s:
+        if one.is_leaving or now_s - age_s > record.stated.heard_s:
             told = statements.Statement(
                 is_leaving=one.is_leaving,
                 limit_per_s=one.limit_per_s,
--- a/libraries/zones/tests/cover/test_zones_limits.py
+++ b/libraries/zones/tests/cover/test_zones_limits.py
@@ -68,6 +68,20 @@
     assert not any(map(record_of, zone.daemons))
 
 
+async def test_an_answer_that_crossed_the_news_does_not_undo_leaving():
+    """Guards against news of a leaving target that a newer answer outweighs.
+
+    The answer was on its way when the target began to leave, and names nothing.
+    """
+    zone = await zones_with_a_target('z1', 'far')
+    hear(zone.daemons[0], None, is_leaving=True)
+    zone.clock.advance(0.01)
+    for one in zone.daemons[1:]:
+        hear(one, None)
+    await zone.run(1.0)
+    assert not any(map(record_of, zone.daemons))
+
+
 async def test_news_of_a_leaving_target_end(monkeypatch):
     """Guards against news of each target that ever left in each beat."""
     zone = await zones_with_a_target('z1', 'far')
