Report the use of slots to the carriers of all zones

Daemons did not know which slots of a target the daemons of other zones use, and each carrier has a queue of its own for a service, so that a request of low priority at one carrier came before one of high priority at another.

Carriers report their requests in flight and those that wait for a slot to the other carriers of their zone and to the first carriers of other zones, at most every 0.25 s. In-flight counts of a target include these reports until they expire after a second, and a request leaves as many free slots as requests of higher priority wait elsewhere, each for at most 0.4 s. Nothing is sent where all requests have one priority and no customer has a limit.

--- a/libraries/daemon/src/sardinepier/daemon/entry_process.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_process.py
@@ -214,6 +214,7 @@
             self._carriers,
             self._membership,
             self._platform_reader,
+            self._clock,
         )
         opened_pages = await self._open_pages(page_metrics)
         logs.write(entry_parts.started(self._settings))
--- a/libraries/daemon/src/sardinepier/daemon/internal/entry_metrics.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/entry_metrics.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 
+from sardinepier.core import clock as clocks
 from sardinepier.entry import request_metrics, service_registry
 from sardinepier.gateway import active_requests
 from sardinepier.membership import membership
@@ -21,6 +22,7 @@
     carriers: carriers.Carriers
     membership: membership.Membership
     platform_reader: platform_reader.PlatformReader
+    clock: clocks.Clock
 
     async def text(self) -> str:
         """Return the current metrics in the exposition format."""
@@ -45,5 +47,11 @@
             exposition.Gauge('members', len(self.membership.members())),
         )
         return await self.metrics.text(
-            (*request_metrics.service_gauges(self.services), *gauges),
+            (
+                *request_metrics.service_gauges(self.services),
+                *request_metrics.elsewhere_gauges(
+                    self.services, self.clock.monotonic_s()
+                ),
+                *gauges,
+            ),
         )
--- a/libraries/entry/src/sardinepier/entry/attempt_requirements.py
+++ b/libraries/entry/src/sardinepier/entry/attempt_requirements.py
@@ -20,7 +20,8 @@
     Targets in ``tried`` had the request already. From ``since_s`` until
     ``prefer_best_until_s`` the request waits for a better target than those
     with a free slot. ``is_final_attempt`` says that no retry may follow, so
-    that a failure would be final.
+    that a failure would be final. A request with a lower ``priority`` is more
+    urgent; it may have to leave free slots to more urgent ones of other daemons.
     """
 
     tried: Collection[ids.TargetId]
@@ -28,6 +29,7 @@
     since_s: float
     prefer_best_until_s: float
     is_final_attempt: bool = False
+    priority: int = 0
 
     def tolerance(self, now_s: float) -> float:
         """Return by how much the target may cost more than the best one."""
--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -196,6 +196,7 @@
         request.arrived_s,
         request.arrived_s + wait_s,
         is_final_attempt=not retries.could_retry(request, pool, history),
+        priority=request.priority,
     )
 
 
--- a/libraries/entry/src/sardinepier/entry/model.py
+++ b/libraries/entry/src/sardinepier/entry/model.py
@@ -116,6 +116,22 @@
     bounds: CallerBounds = CallerBounds()
     customers: tuple[Customer, ...] | None = None
 
+    def has_competing_requests(self) -> bool:
+        """Return whether some requests come before others when slots are few.
+
+        That is the case with routes or customers of different priority and
+        with limits of customers.
+        """
+        customers = self.customers or ()
+        priorities = {route.priority for route in self.routes}
+        priorities.update(
+            customer.priority
+            for customer in customers
+            if customer.priority is not None
+        )
+        has_limit = any(customer.rate_per_s > 0 for customer in customers)
+        return has_limit or len(priorities) > 1
+
     def unknown_kinds(self) -> int:
         """Return how many routes have a kind unknown to this version."""
         return sum(route.kind is RouteKind.UNKNOWN for route in self.routes)
--- a/libraries/entry/src/sardinepier/entry/request_metrics.py
+++ b/libraries/entry/src/sardinepier/entry/request_metrics.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from typing import Final
 
-from sardinepier.entry import events, service_registry
+from sardinepier.entry import events, service_pool, service_registry
 from sardinepier.telemetry import exposition, metrics
 
 HELP_TEXTS: Final[Mapping[str, str]] = {
@@ -22,6 +22,8 @@
     'targets_age_s': 'Since the target list was last read by anybody, in s.',
     'unusable_entries': 'Entries passed over in the newest own reading.',
     'confirmed_age_s': 'Since the configuration was certainly the newest, in s.',
+    'slots_used_elsewhere': 'Slots that other daemons reported in use.',
+    'waiting_elsewhere': 'Requests that wait at other daemons, as reported.',
     'carriers': 'Daemons that shall carry the own zone.',
     'is_carrier': 'Whether this daemon is one of them, 1 or 0.',
     'members': 'Daemons that this one knows to live, itself included.',
@@ -91,6 +93,42 @@
         return exposition.text(snapshot, gauges, HELP_TEXTS)
 
 
+def elsewhere_gauges(
+    registry: service_registry.ServiceRegistry,
+    now_s: float,
+) -> tuple[exposition.Gauge, ...]:
+    """Return by service what other daemons reported."""
+    pools = sorted(registry.pools(), key=_service_name)[:_MAX_SERVICES]
+    used = (
+        exposition.Gauge(
+            'slots_used_elsewhere',
+            sum(
+                record.elsewhere.in_flight(now_s)
+                for record in pool.targets.records()
+            ),
+            _labels_of(pool),
+        )
+        for pool in pools
+    )
+    waiting = (
+        exposition.Gauge(
+            'waiting_elsewhere',
+            pool.waiting_elsewhere.total(now_s),
+            _labels_of(pool),
+        )
+        for pool in pools
+    )
+    return (*used, *waiting)
+
+
+def _service_name(pool: service_pool.ServicePool) -> str:
+    return pool.name
+
+
+def _labels_of(pool: service_pool.ServicePool) -> tuple[metrics.Label, ...]:
+    return (metrics.Label('service', pool.name),)
+
+
 def service_gauges(
     registry: service_registry.ServiceRegistry,
 ) -> tuple[exposition.Gauge, ...]:
--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -17,6 +17,7 @@
     target_table,
 )
 from sardinepier.entry import capacity_forecast as forecasts
+from sardinepier.entry import waiting_elsewhere as elsewhere
 from sardinepier.health import failure_estimate
 from sardinepier.routing import admission, budget, hedging
 
@@ -96,6 +97,7 @@
             random_source,
             options,
         )
+        self.waiting_elsewhere = elsewhere.WaitingElsewhere()
         self._attempts = 0
         self._queue = admission.SlotQueue(
             clock,
@@ -107,6 +109,7 @@
                 clock.monotonic_s(),
             ),
         )
+        self.waiting_by_priority = self._queue.waiting_by_priority
 
     def set_targets(self, listed: Iterable[model.ListedTarget]) -> None:
         """Replace the targets; those that stay keep their records."""
@@ -283,6 +286,10 @@
             if record.has_free_slot(now_s)
             and not record.awaits_trial(now_s, self.typical_latency_s)
         ]
+        waiting = self.waiting_elsewhere.above(requirements.priority, now_s)
+        free = elsewhere.without_left_slots(
+            free, waiting, now_s, self.typical_latency_s
+        )
         context = target_cost.SelectionContext(
             self._zone,
             now_s,
@@ -305,6 +312,8 @@
             return None
         chosen.is_exploration = chosen is to_explore
         chosen.reserved += 1
+        if not waiting:
+            chosen.elsewhere.stop_leaving()
         chosen.statements.take(now_s)
         return chosen.listed.target_id
 
--- a/libraries/entry/src/sardinepier/entry/target_record.py
+++ b/libraries/entry/src/sardinepier/entry/target_record.py
@@ -6,7 +6,7 @@
 
 import yarl
 
-from sardinepier.entry import model
+from sardinepier.entry import model, use_elsewhere
 from sardinepier.gateway import target_statements
 from sardinepier.health import failure_estimate
 
@@ -69,6 +69,7 @@
     both are equal.
     ``full_until_s`` is until when it gets nothing as it had no free slot.
     ``reserved`` counts slots of requests whose attempt has not begun yet.
+    ``elsewhere`` has the requests in flight that other daemons reported.
     ``is_exploration`` says that its newest request was sent to explore it.
     ``failed_connects`` counts the connection attempts that timed out since its
     last answer; because of them it is avoided until ``avoided_until_s``.
@@ -89,6 +90,9 @@
     full_until_s: float = 0.0
     other_daemons_load: int = 0
     other_daemons_load_until_s: float = 0.0
+    elsewhere: use_elsewhere.UseElsewhere = dataclasses.field(
+        default_factory=use_elsewhere.UseElsewhere,
+    )
     reserved: int = 0
     was_used: bool = False
     is_exploration: bool = False
@@ -110,20 +114,34 @@
         """Return when it last got or answered a request, as far as is known."""
         return max(self.last_used_s, self.estimate.updated_s)
 
+    def own_in_flight(self) -> int:
+        """Return this daemon's requests in flight."""
+        return len(self.started_s) + self.reserved
+
     def in_flight(self, now_s: float) -> int:
-        """Return its requests in flight; includes other daemons' if known."""
-        own = len(self.started_s) + self.reserved
+        """Return its requests in flight; includes other daemons' if known.
+
+        Reports of other daemons that are older than the load which the target
+        stated are left out. Later ones mostly count the same requests as the
+        stated load, so that the larger of both is added and not their sum.
+        This daemon's own requests are in neither.
+        """
+        elsewhere = self.elsewhere.in_flight(
+            now_s, self.other_daemons_load_until_s - _LOAD_MAX_AGE_S
+        )
         if now_s < self.other_daemons_load_until_s:
-            return own + self.other_daemons_load
-        return own
+            elsewhere = max(elsewhere, self.other_daemons_load)
+        return self.own_in_flight() + elsewhere
 
     def has_free_slot(self, now_s: float) -> bool:
         """Return whether one more request would be processed at once."""
-        if now_s < self.full_until_s:
-            return False
+        return now_s >= self.full_until_s and self.free_slots(now_s) > 0
+
+    def free_slots(self, now_s: float) -> int:
+        """Return how many more requests its slots allow for."""
         # If it is still full after its backoff, it would refuse any others.
         slots = 1 if self.statements.has_backed_off else self.listed.slots
-        return self.in_flight(now_s) < slots
+        return slots - self.in_flight(now_s)
 
     def is_avoided(self, now_s: float) -> bool:
         """Return whether a connection attempt timed out a moment ago."""
--- a/libraries/routing/src/sardinepier/routing/admission.py
+++ b/libraries/routing/src/sardinepier/routing/admission.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Final, Generic
 
 from sardinepier.core import clock
@@ -75,6 +75,13 @@
         """Return the number of waiting requests."""
         return len(self._queue)
 
+    def waiting_by_priority(self) -> Mapping[int, int]:
+        """Return how many requests wait that are not late, by priority.
+
+        See :meth:`wait_queue.WaitQueue.waiting_by_priority`.
+        """
+        return self._queue.waiting_by_priority()
+
     def observe_service_time(self, service_s: float) -> None:
         """Record how long a target took for one request, in seconds."""
         self._queue.observe_service_time(service_s)
--- a/libraries/routing/src/sardinepier/routing/wait_queue.py
+++ b/libraries/routing/src/sardinepier/routing/wait_queue.py
@@ -7,10 +7,11 @@
 """
 
 import bisect
+import collections
 import dataclasses
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, Final, Generic, Protocol, TypeVar
 
 from sardinepier.core import clock
@@ -136,6 +137,20 @@
         """Return the number of waiting requests."""
         return len(self._places)
 
+    def waiting_by_priority(self) -> Mapping[int, int]:
+        """Return how many requests wait, by priority.
+
+        Only those count that accept any target and whose answers would not be
+        late: the others are not served before those of lower priority.
+        """
+        now_s = self._clock.monotonic_s()
+        return collections.Counter(
+            place.waiter.request.priority
+            for place in self._places
+            if place.waiter.request.accepts_any_target
+            and now_s < place.waiter.request.preferred_start_by_s
+        )
+
     def observe_service_time(self, service_s: float) -> None:
         """Record how long a target took for one request, in seconds."""
         self._estimate.observe_service_time(service_s)
@@ -254,7 +269,11 @@
         while position < len(self._places):
             place = self._places[position]
             if now_s < self.latest_start_s(place.waiter.request):
-                position = self._next_priority(place.rank)
+                position = bisect.bisect(
+                    self._places,
+                    (*place.rank[:2], math.inf, 0),
+                    key=_rank_of,
+                )
             else:
                 refused = self._places.pop(position)
                 refused.waiter.refuse(
@@ -277,13 +296,6 @@
                 self._places.pop(position)
                 waiter.refuse(self._refusals.late(self._likely_wait_s()))
 
-    def _next_priority(self, rank: _Rank) -> int:
-        return bisect.bisect(
-            self._places,
-            (rank[0], rank[1], math.inf, 0),
-            key=_rank_of,
-        )
-
     def _likely_wait_s(self) -> float:
         wait_s = self._estimate.wait_s(len(self._places) + 1)
         min_wait_s = self._capacity_forecast().min_wait_s(len(self._places))
--- a/libraries/workbench/src/sardinepier/workbench/policy/daemons.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/daemons.py
@@ -106,6 +106,7 @@
                 1, tuple(target.listed for target in emulated_targets)
             ),
         )
+        services.offer_configuration(_configuration(setup))
         services.set_retry_burst(setup.retry_burst)
         self._activity = activity
         self._forwarding = forwarding.Forwarding(
@@ -161,5 +162,33 @@
     )
 
 
+def route_of(request_class: scenario.RequestClass) -> model.Route:
+    """Return the route of a class of requests."""
+    kind = model.RouteKind.NON_IDEMPOTENT
+    if request_class.repeatable:
+        kind = model.RouteKind.IDEMPOTENT
+    service = ids.ServiceName(request_class.service)
+    return model.Route(
+        name=ids.RouteName(request_class.name),
+        host='',
+        prefix='/',
+        kind=kind,
+        shares=(model.ServiceShare(service, 1.0),),
+        timeout_s=request_class.deadline_s,
+        target_latency_s=request_class.aim_s,
+        priority=request_class.priority,
+        max_attempts=request_class.max_attempts,
+    )
+
+
+def _configuration(setup: scenario.Scenario) -> model.ServedConfiguration:
+    """Return a configuration with one route for each class of requests."""
+    return model.ServedConfiguration(
+        1,
+        tuple(route_of(request_class) for request_class in setup.classes),
+        (),
+    )
+
+
 def _ignore_configuration(configuration: model.ServedConfiguration) -> None:
     """Do nothing: the configuration of an emulation never changes."""
--- a/libraries/workbench/src/sardinepier/workbench/policy/emulation.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/emulation.py
@@ -8,7 +8,7 @@
 
 from sardinepier.core import errors as core_errors
 from sardinepier.core import ids
-from sardinepier.entry import caller_request, model, refusals
+from sardinepier.entry import caller_request, refusals
 from sardinepier.wire import memory_network
 from sardinepier.workbench.policy import (
     client,
@@ -248,28 +248,14 @@
     sent_s: float,
     work_s: float,
 ) -> caller_request.CallerRequest:
-    kind = model.RouteKind.NON_IDEMPOTENT
-    if request_class.repeatable:
-        kind = model.RouteKind.IDEMPOTENT
-    service = ids.ServiceName(request_class.service)
     return caller_request.CallerRequest(
         request_id='',
         method='GET',
         path='/',
         headers=[(client.WORK_HEADER, str(work_s))],
         body=b'',
-        route=model.Route(
-            name=ids.RouteName(request_class.name),
-            host='',
-            prefix='/',
-            kind=kind,
-            shares=(model.ServiceShare(service, 1.0),),
-            timeout_s=request_class.deadline_s,
-            target_latency_s=request_class.aim_s,
-            priority=request_class.priority,
-            max_attempts=request_class.max_attempts,
-        ),
-        service=service,
+        route=daemons.route_of(request_class),
+        service=ids.ServiceName(request_class.service),
         arrived_s=sent_s,
         caller_deadline_s=sent_s + request_class.deadline_s,
         deadline_s=sent_s + request_class.deadline_s,
--- a/libraries/zones/src/sardinepier/zones/events.py
+++ b/libraries/zones/src/sardinepier/zones/events.py
@@ -85,3 +85,18 @@
     """Requests with a key are served again."""
 
     age_ms: int
+
+
+class SlotUseUnusable(line_events.LineEvent, frozen=True):
+    """The requests in flight that ``member`` reports are not counted here.
+
+    Its target list has differed from this daemon's for seconds.
+    """
+
+    member: str
+
+
+class SlotUseUsable(line_events.LineEvent, frozen=True):
+    """The lists are equal again, and the reports of ``member`` are counted."""
+
+    member: str
--- a/libraries/zones/src/sardinepier/zones/messages.py
+++ b/libraries/zones/src/sardinepier/zones/messages.py
@@ -1,5 +1,7 @@
 """Messages that the daemons of a zone, and carriers of all zones, exchange."""
 
+from typing import Final
+
 import msgspec
 
 from sardinepier.core import ids
@@ -127,6 +129,41 @@
     age_ms: int
 
 
+class WaitingCount(msgspec.Struct, frozen=True, array_like=True):
+    """How many requests of a priority wait for a service at the sender.
+
+    ``service`` is its index among the sorted names of the services that have
+    targets.
+    """
+
+    service: int
+    priority: int
+    count: int
+
+
+class SlotUse(messages.Message, frozen=True):
+    """The sender's requests in flight at targets, and those that wait.
+
+    ``targets_digest`` names the target list by whose indices ``in_flight`` and
+    ``waiting`` name targets and services. ``in_flight`` is packed by
+    :mod:`sardinepier.zones.slot_packing`. A full report replaces the earlier
+    ones of its sender; any other has the counts that changed since the report
+    with the ``sequence`` number before, and confirms the others. The sequence
+    numbers wrap around at ``SEQUENCE_NUMBERS``.
+    """
+
+    targets_digest: int
+    sequence: int
+    is_full: bool
+    in_flight: bytes = b''
+    waiting: tuple[WaitingCount, ...] = ()
+
+
+SEQUENCE_NUMBERS: Final = 128
+"""Numbers below this take one byte. A report that is lost with the 127 after it
+has expired long before."""
+
+
 class NewsRequest(messages.Message, frozen=True):
     """Requests configuration and targets newer than these versions."""
 
@@ -170,6 +207,7 @@
     ConfirmationRequest,
     ConfirmationReply,
     UsageNews,
+    SlotUse,
     NewsRequest,
     ConfigurationNews,
     TargetsNews,
--- a/libraries/zones/src/sardinepier/zones/sharing.py
+++ b/libraries/zones/src/sardinepier/zones/sharing.py
@@ -26,6 +26,7 @@
     zone_load,
 )
 from sardinepier.zones import limit_shares as shares
+from sardinepier.zones import slot_sharing as slots
 from sardinepier.zones import updates as zone_updates
 from sardinepier.zones import usage_sharing
 
@@ -93,6 +94,12 @@
             services,
             clock,
         )
+        self._slots = slots.SlotSharing(
+            peer_network,
+            zone_carriers,
+            services,
+            clock,
+        )
         self._limit_shares = shares.LimitShares(services, zone_carriers)
         self._role = role.Role(services, zone_carriers, load, clock)
         self._early_beat = asyncio.Event()
@@ -150,6 +157,7 @@
         self._exchange_with_other_zones()
         self._confirmations.step()
         self._usage.step()
+        self._slots.step()
         self._limit_shares.assign()
 
     def _exchange_with_other_zones(self) -> None:
