Collect the use of slots once for all receivers

Each report to a zone looked at all targets, four times a second. The table of targets now keeps those that are in use, and one collection serves all receivers. Whether a service is busy is decided by these and by the slots of its targets, which are summed once for each target list.

--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -312,6 +312,7 @@
             return None
         chosen.is_exploration = chosen is to_explore
         chosen.reserved += 1
+        self.targets.mark_used(chosen)
         if not waiting:
             chosen.elsewhere.stop_leaving()
         chosen.statements.take(now_s)
--- a/libraries/entry/src/sardinepier/entry/target_table.py
+++ b/libraries/entry/src/sardinepier/entry/target_table.py
@@ -39,6 +39,7 @@
         self._with_statements: dict[
             ids.TargetId, target_record.TargetRecord
         ] = {}
+        self._used: set[target_record.TargetRecord] = set()
         self._departed: dict[ids.TargetId, target_record.TargetRecord] = {}
 
     def set(self, listed: Iterable[model.ListedTarget]) -> None:
@@ -58,6 +59,7 @@
                 record.was_used |= is_first
                 current[target.target_id] = record
         self._records = current
+        self.in_use()
         for target_id in self._with_statements.keys() - current.keys():
             del self._with_statements[target_id]
 
@@ -89,6 +91,18 @@
         """Return all targets in use."""
         return self._records.values()
 
+    def mark_used(self, record: target_record.TargetRecord) -> None:
+        """Record that a request reserves a slot of the target."""
+        self._used.add(record)
+
+    def in_use(self) -> Collection[target_record.TargetRecord]:
+        """Return the targets at which this daemon has requests in flight.
+
+        The others are forgotten.
+        """
+        self._used = {record for record in self._used if record.own_in_flight()}
+        return self._used
+
     def apply_statement(
         self,
         record: target_record.TargetRecord,
--- a/libraries/zones/src/sardinepier/zones/slot_reports.py
+++ b/libraries/zones/src/sardinepier/zones/slot_reports.py
@@ -29,11 +29,12 @@
         self,
         services: service_registry.ServiceRegistry,
         clock: clocks.Clock,
+        index: target_index.CurrentIndex,
     ) -> None:
         """Start without reports."""
         self._services = services
         self._clock = clock
-        self._index = target_index.CurrentIndex(services)
+        self._index = index
         self._authors: dict[ids.InstanceId, _Author] = {}
 
     def apply(self, sender: ids.InstanceId, use: messages.SlotUse) -> bool:
--- a/libraries/zones/src/sardinepier/zones/slot_sharing.py
+++ b/libraries/zones/src/sardinepier/zones/slot_sharing.py
@@ -11,6 +11,7 @@
     carriers,
     list_differences,
     messages,
+    own_use,
     ranking,
     slot_reports,
     slot_updates,
@@ -44,7 +45,7 @@
         self._clock = clock
         self._due_s = clock.monotonic_s()
         self._index = target_index.CurrentIndex(services)
-        self._reports = slot_reports.SlotReports(services, clock)
+        self._reports = slot_reports.SlotReports(services, clock, self._index)
         self._differences = list_differences.ListDifferences(clock)
         self._updates: dict[ids.ZoneName, slot_updates.SlotUpdates] = {}
         self._demand = _Demand(services)
@@ -61,8 +62,9 @@
         receivers = self._receivers()
         for gone in self._updates.keys() - receivers.keys():
             del self._updates[gone]
+        use = own_use.collect(self._services, self._index.get(), now_s)
         for zone, members in receivers.items():
-            self._send(zone, members)
+            self._send(zone, members, use)
 
     def _receivers(self) -> dict[ids.ZoneName, ranking.Members]:
         by_zone: dict[ids.ZoneName, ranking.Members] = {}
@@ -73,18 +75,22 @@
             by_zone[member.zone] = (*by_zone.get(member.zone, ()), member)
         return by_zone
 
-    def _send(self, zone: ids.ZoneName, members: ranking.Members) -> None:
+    def _send(
+        self,
+        zone: ids.ZoneName,
+        members: ranking.Members,
+        use: own_use.OwnUse,
+    ) -> None:
         updates = self._updates.get(zone)
         if updates is None:
             updates = slot_updates.SlotUpdates(
-                self._services,
                 self._clock,
                 self._carriers.own_zone,
                 zone,
             )
             self._updates[zone] = updates
         receivers = frozenset(member.instance_id for member in members)
-        report = updates.collect(receivers, self._index.get())
+        report = updates.collect(receivers, use, self._index.get().digest)
         if report is not None:
             for member in members:
                 self._network.send(member.peer_address, report)
--- a/libraries/zones/src/sardinepier/zones/target_index.py
+++ b/libraries/zones/src/sardinepier/zones/target_index.py
@@ -1,5 +1,7 @@
 """Short names of targets and services, for messages that name many of them."""
 
+import collections
+
 from sardinepier.core import ids
 from sardinepier.entry import model, service_registry
 
@@ -7,10 +9,15 @@
 class TargetIndex:
     """The places of targets and services in their sorted lists.
 
-    Two daemons with the same ``digest`` have the same places.
+    Two daemons with the same ``digest`` have the same places. ``slots`` are
+    those of the targets of a service in a zone.
     """
 
-    def __init__(self, listed: tuple[model.ListedTarget, ...], digest: int):
+    def __init__(
+        self,
+        listed: tuple[model.ListedTarget, ...],
+        digest: int,
+    ) -> None:
         """Number the targets of a list, and their services."""
         self.digest = digest
         self.targets = tuple(
@@ -21,6 +28,12 @@
             target.target_id: place for place, target in enumerate(self.targets)
         }
 
+        self.slots: collections.Counter[
+            tuple[ids.ServiceName, ids.ZoneName]
+        ] = collections.Counter()
+        for target in listed:
+            self.slots[(target.service, target.zone)] += target.slots
+
     def place_of(self, target_id: ids.TargetId) -> int | None:
         """Return the place of a target, None if the list does not have it."""
         return self._places.get(target_id)
--- a/libraries/zones/tests/cover/test_zones_slot_sharing.py
+++ b/libraries/zones/tests/cover/test_zones_slot_sharing.py
@@ -78,7 +78,9 @@
 
 def use(daemon, name, count):
     """Set how many requests a daemon has in flight at a target."""
-    record = daemon.services.pool(support.SERVICE).targets.find(name)
+    table = daemon.services.pool(support.SERVICE).targets
+    record = table.find(name)
+    table.mark_used(record)
     record.started_s = dict.fromkeys(range(count), daemon.clock.monotonic_s())
 
 
