--- a/libraries/entry/src/sardinepier/entry/target_record.py
+++ b/libraries/entry/src/sardinepier/entry/target_record.py
@@ -6,7 +6,8 @@
 
 import yarl
 
-from sardinepier.entry import model
+from sardinepier.entry import model, use_elsewhere
+from sardinepier.entry import stated_load as stated_loads
 from sardinepier.gateway import target_statements
 from sardinepier.health import failure_estimate
 
@@ -34,9 +35,6 @@
 _MAX_AVOIDED_S: Final = 4.0
 _UNREACHABLE_PROBABILITY: Final = 0.9
 
-_LOAD_MAX_AGE_S: Final = 0.4
-"""How long the load that a target reported is used."""
-
 _SUSPECTED_PROBABILITY: Final = 0.1
 """Failure probability above which a target gets no further request until the
 newest one has had the time to fail."""
@@ -69,6 +67,7 @@
     both are equal.
     ``full_until_s`` is until when it gets nothing as it had no free slot.
     ``reserved`` counts slots of requests whose attempt has not begun yet.
+    ``elsewhere`` has the requests in flight that other daemons reported.
     ``is_exploration`` says that its newest request was sent to explore it.
     ``failed_connects`` counts the connection attempts that timed out since its
     last answer; because of them it is avoided until ``avoided_until_s``.
@@ -87,8 +86,14 @@
     latency_ratio: float = 1.0
     warm_from_s: float = 0.0
     full_until_s: float = 0.0
-    other_daemons_load: int = 0
-    other_daemons_load_until_s: float = 0.0
+    stated_load: stated_loads.StatedLoad = dataclasses.field(
+        default_factory=lambda: stated_loads.StatedLoad(
+            stated_loads.LoadMeaning(),
+        ),
+    )
+    elsewhere: use_elsewhere.UseElsewhere = dataclasses.field(
+        default_factory=use_elsewhere.UseElsewhere,
+    )
     reserved: int = 0
     was_used: bool = False
     is_exploration: bool = False
@@ -110,20 +115,31 @@
         """Return when it last got or answered a request, as far as is known."""
         return max(self.last_used_s, self.estimate.updated_s)
 
+    def own_in_flight(self) -> int:
+        """Return this daemon's requests in flight."""
+        return len(self.started_s) + self.reserved
+
     def in_flight(self, now_s: float) -> int:
-        """Return its requests in flight; includes other daemons' if known."""
-        own = len(self.started_s) + self.reserved
-        if now_s < self.other_daemons_load_until_s:
-            return own + self.other_daemons_load
-        return own
+        """Return its requests in flight; includes other daemons' if known.
+
+        Reports of other daemons that are older than the load which the target
+        stated are left out. Later ones mostly count the same requests as the
+        stated load, so that the larger of both is added and not their sum.
+        This daemon's own requests are in neither.
+        """
+        reported = self.elsewhere.in_flight(now_s, self.stated_load.stated_s)
+        stated = self.stated_load.others(now_s)
+        return self.own_in_flight() + max(reported, stated)
 
     def has_free_slot(self, now_s: float) -> bool:
         """Return whether one more request would be processed at once."""
-        if now_s < self.full_until_s:
-            return False
+        return now_s >= self.full_until_s and self.free_slots(now_s) > 0
+
+    def free_slots(self, now_s: float) -> int:
+        """Return how many more requests its slots allow for."""
         # If it is still full after its backoff, it would refuse any others.
         slots = 1 if self.statements.has_backed_off else self.listed.slots
-        return self.in_flight(now_s) < slots
+        return slots - self.in_flight(now_s)
 
     def is_avoided(self, now_s: float) -> bool:
         """Return whether a connection attempt timed out a moment ago."""
@@ -189,12 +205,21 @@
         self.failed_connects = 0
         self.avoided_until_s = 0.0
 
-    def record_load(self, running: int, waiting: int, now_s: float) -> None:
-        """Record the load that the target reported, own requests included."""
-        self.other_daemons_load = max(
-            0, running + waiting - len(self.started_s)
+    def record_load(
+        self,
+        running: int,
+        waiting: int,
+        now_s: float,
+        *,
+        is_failure: bool = False,
+    ) -> None:
+        """Record the load that the target stated, own requests included."""
+        self.stated_load.record(
+            running + waiting,
+            list(self.started_s.values()),
+            now_s,
+            is_failure=is_failure,
         )
-        self.other_daemons_load_until_s = now_s + _LOAD_MAX_AGE_S
 
     def record_latency(
         self, latency_s: float, typical_latency_s: float
--- a/libraries/entry/src/sardinepier/entry/target_table.py
+++ b/libraries/entry/src/sardinepier/entry/target_table.py
@@ -8,7 +8,7 @@
 
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
-from sardinepier.entry import model, target_record
+from sardinepier.entry import model, stated_load, target_record
 from sardinepier.gateway import errors, statements
 from sardinepier.health import failure_estimate
 
@@ -32,6 +32,7 @@
         options: failure_estimate.EstimateOptions,
     ) -> None:
         """Start without targets."""
+        self.load_meaning = stated_load.LoadMeaning()
         self._clock = clock
         self._random = random_source
         self._options = options
@@ -39,6 +40,7 @@
         self._with_statements: dict[
             ids.TargetId, target_record.TargetRecord
         ] = {}
+        self._used: set[target_record.TargetRecord] = set()
         self._departed: dict[ids.TargetId, target_record.TargetRecord] = {}
 
     def set(self, listed: Iterable[model.ListedTarget]) -> None:
@@ -58,6 +60,7 @@
                 record.was_used |= is_first
                 current[target.target_id] = record
         self._records = current
+        self.in_use()
         for target_id in self._with_statements.keys() - current.keys():
             del self._with_statements[target_id]
 
@@ -89,6 +92,18 @@
         """Return all targets in use."""
         return self._records.values()
 
+    def mark_used(self, record: target_record.TargetRecord) -> None:
+        """Record that a request reserves a slot of the target."""
+        self._used.add(record)
+
+    def in_use(self) -> Collection[target_record.TargetRecord]:
+        """Return the targets at which this daemon has requests in flight.
+
+        The others are forgotten.
+        """
+        self._used = {record for record in self._used if record.own_in_flight()}
+        return self._used
+
     def apply_statement(
         self,
         record: target_record.TargetRecord,
@@ -150,4 +165,5 @@
             yarl.URL.build(scheme='http', host=listed.ip, port=listed.port),
             known_since_s=now_s,
             preference_offset=self._random.random(),
+            stated_load=stated_load.StatedLoad(self.load_meaning),
         )
--- a/libraries/routing/src/sardinepier/routing/wait_queue.py
+++ b/libraries/routing/src/sardinepier/routing/wait_queue.py
@@ -7,10 +7,11 @@
 """
 
 import bisect
+import collections
 import dataclasses
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, Final, Generic, Protocol, TypeVar
 
 from sardinepier.core import clock
@@ -97,10 +98,11 @@
 
 @dataclasses.dataclass(slots=True)
 class _Place(Generic[GrantT]):
-    """A waiter and its rank."""
+    """A waiter, its rank and since when it waits."""
 
     rank: _Rank
     waiter: Waiter[GrantT]
+    since_s: float
 
 
 class WaitQueue(Generic[GrantT]):
@@ -136,6 +138,22 @@
         """Return the number of waiting requests."""
         return len(self._places)
 
+    def waiting_by_priority(self, min_wait_s: float) -> Mapping[int, int]:
+        """Return how many requests wait for long, by priority.
+
+        Those count that have waited for ``min_wait_s`` or are likely to. Others
+        that don't accept any target, or whose answers will be late, are not
+        served before those of lower priority.
+        """
+        since_s = self._clock.monotonic_s() - min_wait_s
+        return collections.Counter(
+            place.waiter.request.priority
+            for ahead, place in enumerate(self._places)
+            if place.waiter.request.accepts_any_target
+            and not place.rank[0]
+            and place.since_s - self._estimate.wait_s(ahead) <= since_s
+        )
+
     def observe_service_time(self, service_s: float) -> None:
         """Record how long a target took for one request, in seconds."""
         self._estimate.observe_service_time(service_s)
@@ -161,7 +179,11 @@
         is_late = (
             self._clock.monotonic_s() >= waiter.request.preferred_start_by_s
         )
-        place = _Place(self._rank(waiter.request, is_late=is_late), waiter)
+        place = _Place(
+            self._rank(waiter.request, is_late=is_late),
+            waiter,
+            self._clock.monotonic_s(),
+        )
         ahead = bisect.bisect(self._places, place.rank, key=_rank_of)
         if self._is_too_late(waiter.request, ahead):
             waiter.refuse(self._refusals.late(self._likely_wait_s()))
@@ -254,7 +276,11 @@
         while position < len(self._places):
             place = self._places[position]
             if now_s < self.latest_start_s(place.waiter.request):
-                position = self._next_priority(place.rank)
+                position = bisect.bisect(
+                    self._places,
+                    (*place.rank[:2], math.inf, 0),
+                    key=_rank_of,
+                )
             else:
                 refused = self._places.pop(position)
                 refused.waiter.refuse(
@@ -277,13 +303,6 @@
                 self._places.pop(position)
                 waiter.refuse(self._refusals.late(self._likely_wait_s()))
 
-    def _next_priority(self, rank: _Rank) -> int:
-        return bisect.bisect(
-            self._places,
-            (rank[0], rank[1], math.inf, 0),
-            key=_rank_of,
-        )
-
     def _likely_wait_s(self) -> float:
         wait_s = self._estimate.wait_s(len(self._places) + 1)
         min_wait_s = self._capacity_forecast().min_wait_s(len(self._places))
