Queue requests beyond a customer's limit by priority

Requests beyond a limit were refused first come, first served: of one customer at six times its usual rate 49 payments were refused while holds were admitted. They now wait for a token by priority, then by whether they can be in time, and are refused as soon as none is expected before their latest start. Daemons report waiting requests with their usage and leave tokens for those of higher priority elsewhere.

--- a/libraries/entry/src/sardinepier/entry/caller_request.py
+++ b/libraries/entry/src/sardinepier/entry/caller_request.py
@@ -18,7 +18,8 @@
     the earlier of that and the end of the route's timeout. ``headers`` are
     forwarded to the target unchanged. ``customer`` is None if no key was needed
     or the key was unknown. ``priority`` is the customer's, or else the route's.
-    ``attempts`` counts the attempts that were started. ``was_sent`` means that
+    ``admitted_s`` is when it got a token of the customer's limit, if it had to
+    wait for one. ``attempts`` counts the attempts that were started. ``was_sent`` means that
     the first byte was sent to a target. ``is_abandoned`` means that the caller
     has disconnected, after which no new attempt starts.
     """
@@ -36,6 +37,7 @@
     fingerprint: int
     priority: int
     customer: model.Customer | None = None
+    admitted_s: float = 0.0
     attempts: int = 0
     was_sent: bool = False
     is_abandoned: bool = False
--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -101,7 +101,7 @@
                     request.priority,
                     request.deadline_s,
                     accepts_any_target=not history.tried,
-                    preferred_start_by_s=_preferred_start_by_s(request, pool),
+                    preferred_start_by_s=preferred_start_by_s(request, pool),
                 ),
                 _requirements(request, pool, history),
             )
@@ -189,17 +189,21 @@
     pool: service_pool.ServicePool,
     history: retries.AttemptHistory,
 ) -> attempt_requirements.AttemptRequirements:
+    since_s = max(request.arrived_s, request.admitted_s)
     wait_s = _WAIT_SHARE * request.route.target_latency_s
+    prefer_best_until_s = min(
+        since_s + wait_s, preferred_start_by_s(request, pool)
+    )
     return attempt_requirements.AttemptRequirements(
         history.tried,
         len(request.body),
-        request.arrived_s,
-        request.arrived_s + wait_s,
+        since_s,
+        prefer_best_until_s,
         is_final_attempt=not retries.could_retry(request, pool, history),
     )
 
 
-def _preferred_start_by_s(
+def preferred_start_by_s(
     request: caller_requests.CallerRequest,
     pool: service_pool.ServicePool,
 ) -> float:
--- a/libraries/entry/src/sardinepier/entry/pipeline.py
+++ b/libraries/entry/src/sardinepier/entry/pipeline.py
@@ -15,7 +15,7 @@
     request_reader,
     responses,
 )
-from sardinepier.entry import caller_request
+from sardinepier.entry import caller_request, customer_admission
 from sardinepier.telemetry import logs
 
 
@@ -26,6 +26,7 @@
         """Use the shared objects of the request path."""
         self._shared = shared
         self._request_reader = request_reader.RequestReader(shared)
+        self._admission = customer_admission.CustomerAdmission(shared)
         self._forwarding = forwarding.Forwarding(shared)
         self._abandoned_tasks: set[asyncio.Task[answers.Answer]] = set()
 
@@ -92,27 +93,21 @@
         self,
         request: caller_request.CallerRequest,
     ) -> answers.Answer:
-        """Forward a request if its customer's rate limit allows it.
+        """Forward a request as soon as its customer's rate limit allows it.
 
-        A request that did not run doesn't count. Raises ``RateLimitError``.
+        Nothing was sent while it waits, so a caller that disconnects cancels
+        the wait, also of a non-idempotent request. A request that did not run
+        doesn't count. Raises ``RateLimitError``.
         """
         if request.customer is None:
             return await self._forward(request)
-        limits = self._shared.services.limits
-        wait_s = limits.take(request.customer.name)
-        if wait_s:
-            self._shared.services.pool(request.service).refused()
-            raise refusals.RateLimitError(
-                f'Customer {request.customer.name} has reached its limit',
-                'Send it again after the stated time',
-                wait_s,
-            )
+        await self._admission.admit(request.customer.name, request)
         try:
             return await self._forward(request)
         except (refusals.NotRunError, asyncio.CancelledError) as error:
             is_refused = isinstance(error, refusals.NotRunError)
             if is_refused or not request.attempts:
-                limits.refund(request.customer.name)
+                self._admission.refund(request.customer.name)
             raise
 
     async def _forward(
--- a/libraries/entry/src/sardinepier/entry/request_metrics.py
+++ b/libraries/entry/src/sardinepier/entry/request_metrics.py
@@ -9,6 +9,8 @@
 HELP_TEXTS: Final[Mapping[str, str]] = {
     'requests': 'Requests by service and by what became of them.',
     'own_answers': 'Requests that the daemon answered itself, by the reason.',
+    'customer_waits': 'Requests that waited for a token, by priority.',
+    'customer_refusals': 'Requests beyond a customer limit, by priority.',
     'attempts': 'Attempts at targets by service and by how they ended.',
     'attempts_begun': 'Attempts by service and by why the target was chosen.',
     'repeats_granted': 'Further attempts that the retry budgets allowed.',
@@ -30,6 +32,9 @@
 _MAX_SERVICES: Final = 400
 """Services with their own label; any further ones share one label."""
 
+_MAX_PRIORITY: Final = 9
+"""Priorities above it share one label, as customers may have any of their own."""
+
 _MS_PER_S: Final = 1000
 _NO_SERVICE: Final = ''
 
@@ -69,6 +74,18 @@
         """Count a request that the daemon answered itself, by the error."""
         self._metrics.counter('own_answers', error=error).add()
 
+    def customer_waited(self, priority: int) -> None:
+        """Count a request that waited for a token of its customer's limit."""
+        self._metrics.counter(
+            'customer_waits', priority=_priority_label(priority)
+        ).add()
+
+    def customer_refused(self, priority: int) -> None:
+        """Count a request that its customer's limit did not admit in time."""
+        self._metrics.counter(
+            'customer_refusals', priority=_priority_label(priority)
+        ).add()
+
     def attempt_begun(self, service: str, reason: events.Reason) -> None:
         """Count an attempt by the reason for it."""
         self._metrics.counter(
@@ -91,6 +108,12 @@
         return exposition.text(snapshot, gauges, HELP_TEXTS)
 
 
+def _priority_label(priority: int) -> str:
+    if 0 <= priority <= _MAX_PRIORITY:
+        return str(priority)
+    return 'other'
+
+
 def service_gauges(
     registry: service_registry.ServiceRegistry,
 ) -> tuple[exposition.Gauge, ...]:
--- a/libraries/entry/src/sardinepier/entry/service_registry.py
+++ b/libraries/entry/src/sardinepier/entry/service_registry.py
@@ -22,7 +22,7 @@
 )
 from sardinepier.entry import confirmation as confirmations
 from sardinepier.health import failure_estimate
-from sardinepier.routing import fleet_limits
+from sardinepier.routing import customer_queues, fleet_limits
 from sardinepier.telemetry import logs
 
 _MAX_NAMED: Final = 16
@@ -66,6 +66,9 @@
             clock, confirmed_within_s
         )
         self.limits = fleet_limits.FleetLimits(clock, leeway)
+        self.customer_queues = customer_queues.CustomerQueues(
+            clock, random_source, self.limits
+        )
         self.targets: model.TargetList | None = None
         self.targets_digest = 0
         self.on_outcome: Callable[[bool], None] = _ignore_outcome
@@ -204,6 +207,7 @@
         if offered is not None:
             self.customers = customers.CustomerTable(offered)
         self.limits.set(customers.rate_limits(offered or ()))
+        self.customer_queues.limits_changed()
 
     def _log_changes(
         self,
--- a/libraries/routing/src/sardinepier/routing/admission.py
+++ b/libraries/routing/src/sardinepier/routing/admission.py
@@ -35,7 +35,9 @@
 
     While requests wait, the queue also looks for free slots every
     ``recheck_interval_s``, since some become free without an event: a target's
-    back-off ends, or the report of a peer becomes stale.
+    back-off ends, or the report of a peer becomes stale. Where
+    ``recheck_after_s`` is given, it returns after how many seconds to look
+    again, and this one timer replaces those of the waiting requests.
     """
 
     def __init__(
@@ -45,10 +47,12 @@
         random_source: random.Random,
         release: Callable[[wait_queue.GrantT], None],
         capacity_forecast: Callable[
-            [], wait_queue.CapacityForecast
+            [], wait_queue.Forecast
         ] = wait_queue.always_available,
         *,
         recheck_interval_s: float = _RECHECK_INTERVAL_S,
+        recheck_after_s: Callable[[], float] | None = None,
+        rules: wait_queue.QueueRules = wait_queue.SLOT_RULES,
     ) -> None:
         """Let at most ``length`` requests wait; 0 means that none waits.
 
@@ -65,10 +69,12 @@
                 length,
                 random_source,
                 capacity_forecast,
+                rules,
             )
         )
         self._release = release
         self._recheck_interval_s = recheck_interval_s
+        self._recheck_after_s = recheck_after_s
         self._recheck: asyncio.TimerHandle | None = None
 
     def __len__(self) -> int:
@@ -119,17 +125,24 @@
         if waiter.outcome.done():
             return
         self._keep_rechecking()
+        if self._recheck_after_s is not None:
+            return
         latest_start_s = self._queue.latest_start_s(waiter.request)
         remaining_s = max(0.0, latest_start_s - self._clock.monotonic_s())
         loop = asyncio.get_running_loop()
         waiter.timer = loop.call_later(remaining_s, self.wake)
 
     def _keep_rechecking(self) -> None:
-        if self._recheck is None:
-            self._recheck = asyncio.get_running_loop().call_later(
-                self._recheck_interval_s,
-                self._recheck_now,
-            )
+        interval_s = self._recheck_interval_s
+        if self._recheck_after_s is not None:
+            interval_s = self._recheck_after_s()
+        loop = asyncio.get_running_loop()
+        due_s = loop.time() + interval_s
+        if self._recheck is not None:
+            if self._recheck.when() <= due_s:
+                return
+            self._recheck.cancel()
+        self._recheck = loop.call_at(due_s, self._recheck_now)
 
     def _recheck_now(self) -> None:
         self._recheck = None
--- a/libraries/routing/src/sardinepier/routing/errors.py
+++ b/libraries/routing/src/sardinepier/routing/errors.py
@@ -7,6 +7,7 @@
             QueueFullError      no place in the queue of the service
                 DisplacedError  the place went to a request of higher priority
             QueueDeadlineError  the deadline can't be met any more
+            CustomerLimitError  the customer's limit leaves no token in time
             CallerLimitError    this caller sends more than its share
                 CallerTableFullError  no memory for one more caller
     RoutingOptionError          an argument is outside its documented range
@@ -56,6 +57,10 @@
     """The request can no longer finish before its deadline."""
 
 
+class CustomerLimitError(RefusalError):
+    """The limit of the customer leaves no token before the latest start."""
+
+
 class CallerLimitError(RefusalError):
     """The caller has used up its rate and its burst."""
 
--- a/libraries/routing/src/sardinepier/routing/fleet_bucket.py
+++ b/libraries/routing/src/sardinepier/routing/fleet_bucket.py
@@ -10,7 +10,7 @@
 
 import dataclasses
 import math
-from collections.abc import Mapping
+from collections.abc import Container, Mapping
 from typing import Final
 
 from sardinepier.core import ids
@@ -91,20 +91,56 @@
         self.limit = limit
         self._level = min(self._level, limit.burst)
 
-    def take(self, now_s: float) -> float:
-        """Take a token for a request and return 0.
+    def level(self, now_s: float) -> float:
+        """Return the number of tokens, which is negative after overuse."""
+        self._advance(now_s)
+        return self._level
+
+    def take(self, now_s: float, leave: float = 0.0) -> float:
+        """Take a token for a request, beyond ``leave`` tokens, and return 0.
 
-        If the bucket is empty, take nothing and return the number of seconds
-        until there will be a token.
+        If there is none, take nothing and return the number of seconds until
+        there will be one.
         """
-        self._advance(now_s)
-        if self._level >= 1 - _ROUNDING:
+        wait_s = self.wait_s(now_s, leave)
+        if not wait_s:
             self._level -= 1
             self.spent += 1
+        return wait_s
+
+    def wait_s(self, now_s: float, leave: float = 0.0) -> float:
+        """Return the seconds until :meth:`take` succeeds, 0 for now.
+
+        A full bucket always has a token: ``leave`` may exceed the burst.
+        """
+        self._advance(now_s)
+        needed = min(1 + leave, max(1.0, self.limit.burst))
+        missing = needed - self._level
+        if missing <= _ROUNDING:
             return 0
         if self.limit.rate_per_s <= 0:
             return math.inf
-        return (1 - self._level) / self.limit.rate_per_s
+        return missing / self.limit.rate_per_s
+
+    def others_per_s(
+        self,
+        now_s: float,
+        excluded: Container[ids.InstanceId],
+    ) -> float:
+        """Return the rate at which daemons not in ``excluded`` take tokens.
+
+        Together with this one they have equal parts of the limit at most: a
+        daemon that used a burst does not go on at that rate.
+        """
+        self._advance(now_s)
+        rates_per_s = [
+            self._assumed_per_s(source, peer)
+            for source, peer in self._peers.items()
+            if source not in excluded
+        ]
+        active = sum(rate_per_s > 0 for rate_per_s in rates_per_s)
+        max_per_s = self.limit.rate_per_s * active / (active + 1)
+        return min(sum(rates_per_s), max_per_s)
 
     def refund(self, now_s: float) -> None:
         """Put back the token of a request that did not run."""
@@ -173,21 +209,26 @@
         elapsed_s: float,
     ) -> float:
         """Return how many requests a daemon is assumed to have admitted."""
-        now_s = self._updated_s
         last_seen_s = self._last_seen_s.get(source, 0.0)
         if last_seen_s > peer.received_s and peer.assumed:
             self._change(peer.assumed)
             peer.assumed = 0.0
+        assumed = self._assumed_per_s(source, peer) * elapsed_s
+        peer.assumed += assumed
+        return assumed
+
+    def _assumed_per_s(self, source: ids.InstanceId, peer: _PeerUsage) -> float:
+        now_s = self._updated_s
+        last_seen_s = self._last_seen_s.get(source, 0.0)
         rate_per_s = peer.rate_per_s
         if now_s - max(last_seen_s, peer.received_s) > _RECENT_S:
             # A daemon that is cut off admits up to an equal share of the limit,
             # as this one does.
             fair_per_s = self.limit.rate_per_s / (len(self._peers) + 1)
-            rate_per_s = max(rate_per_s, fair_per_s)
-        elif last_seen_s > peer.received_s or rate_per_s < _MIN_RATE_PER_S:
+            return max(rate_per_s, fair_per_s)
+        if last_seen_s > peer.received_s or rate_per_s < _MIN_RATE_PER_S:
             return 0.0
-        peer.assumed += rate_per_s * elapsed_s
-        return rate_per_s * elapsed_s
+        return rate_per_s
 
     def _change(self, tokens: float) -> None:
         self._level = min(self.limit.burst, self._level + tokens)
--- a/libraries/routing/src/sardinepier/routing/fleet_limits.py
+++ b/libraries/routing/src/sardinepier/routing/fleet_limits.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import math
-from collections.abc import Mapping
+from collections.abc import Container, Iterable, Mapping
 from typing import Final
 
 from sardinepier.core import clock as clocks
@@ -48,6 +48,22 @@
 DEFAULT_LEEWAY: Final = Leeway()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Supply:
+    """The tokens of one customer as seen by this daemon.
+
+    ``level`` is the number of tokens now, and ``rate_per_s`` how many are
+    added. ``others_per_s`` is the rate at which other daemons take them.
+    """
+
+    level: float
+    rate_per_s: float
+    others_per_s: float
+
+
+_UNLIMITED: Final = Supply(math.inf, math.inf, 0.0)
+
+
 class FleetLimits:
     """Admits the requests of each customer or returns how long to wait.
 
@@ -98,19 +114,62 @@
         for name, bucket in self._buckets.items():
             self._update_limit(name, bucket, now_s)
 
-    def take(self, customer: ids.CustomerName) -> float:
-        """Admit a request and return 0, or return the seconds to wait."""
+    def take(self, customer: ids.CustomerName, leave: float = 0.0) -> float:
+        """Admit a request and return 0, or return the seconds to wait.
+
+        A request is admitted only if ``leave`` tokens remain after it.
+        """
+        wait_s = self.wait_s(customer, leave)
+        if wait_s or customer not in self._limits:
+            return wait_s
+        now_s = self._clock.monotonic_s()
+        if not self._has_recent_reports(now_s):
+            self._uninformed_bucket(customer, now_s).take(now_s)
+        self._changed.add(customer)
+        return self._bucket(customer, now_s).take(now_s, leave)
+
+    def wait_s(self, customer: ids.CustomerName, leave: float = 0.0) -> float:
+        """Return the seconds until :meth:`take` admits a request, 0 for now."""
         if customer not in self._limits:
             return 0
         now_s = self._clock.monotonic_s()
+        wait_s = self._bucket(customer, now_s).wait_s(now_s, leave)
+        if self._has_recent_reports(now_s):
+            return wait_s
+        return max(
+            wait_s,
+            self._uninformed_bucket(customer, now_s).wait_s(now_s),
+        )
+
+    def supply(
+        self,
+        customer: ids.CustomerName,
+        excluded: Container[ids.InstanceId],
+    ) -> Supply:
+        """Return the tokens of a customer.
+
+        Daemons in ``excluded`` don't count towards ``others_per_s``.
+        """
+        if customer not in self._limits:
+            return _UNLIMITED
+        now_s = self._clock.monotonic_s()
+        bucket = self._bucket(customer, now_s)
         if not self._has_recent_reports(now_s):
-            wait_s = self._uninformed_bucket(customer, now_s).take(now_s)
-            if wait_s:
-                return wait_s
-        wait_s = self._bucket(customer, now_s).take(now_s)
-        if not wait_s:
-            self._changed.add(customer)
-        return wait_s
+            uninformed = self._uninformed_bucket(customer, now_s)
+            return Supply(
+                min(bucket.level(now_s), uninformed.level(now_s)),
+                uninformed.limit.rate_per_s,
+                0.0,
+            )
+        return Supply(
+            bucket.level(now_s),
+            bucket.limit.rate_per_s,
+            bucket.others_per_s(now_s, excluded),
+        )
+
+    def is_limited(self, customer: ids.CustomerName) -> bool:
+        """Return whether the customer has a limit."""
+        return customer in self._limits
 
     def refund(self, customer: ids.CustomerName) -> None:
         """Put back the token of a request that did not run."""
@@ -127,14 +186,16 @@
         self,
         *,
         is_all: bool = False,
+        also: Iterable[ids.CustomerName] = (),
     ) -> dict[ids.CustomerName, fleet_bucket.Usage]:
         """Return the usage that changed since the last call, for reporting.
 
-        With ``is_all``, return the usage of all customers, for daemons that
-        have no earlier report.
+        That of the customers in ``also`` is returned in any case. With
+        ``is_all``, return the usage of all customers, for daemons that have no
+        earlier report.
         """
         now_s = self._clock.monotonic_s()
-        reported = self._changed & self._buckets.keys()
+        reported = self._changed.union(also) & self._buckets.keys()
         if is_all:
             reported |= {
                 name for name, bucket in self._buckets.items() if bucket.spent
--- a/libraries/routing/src/sardinepier/routing/wait_queue.py
+++ b/libraries/routing/src/sardinepier/routing/wait_queue.py
@@ -17,7 +17,8 @@
 from sardinepier.routing import errors
 from sardinepier.routing.internal import checks, refusals, wait_estimate
 
-_Rank = tuple[bool, int, float, int]
+_Group = tuple[int, int, bool]
+_Rank = tuple[int, int, bool, float, int]
 GrantT = TypeVar('GrantT')
 """What a waiter gets, for example the id of a target with a free slot."""
 
@@ -40,13 +41,32 @@
     has less value. ``accepts_any_target`` is true if the request can use any
     free target: if it gets none, no request behind it gets one, and the search
     ends. It must be false for a request that excludes some targets, such as a
-    second attempt.
+    second attempt. ``fingerprint`` is a hash of the request, 0 for unknown.
+    ``has_returned`` means that it was refused before and came back at its
+    return time, so that it goes before new ones of its priority.
     """
 
     priority: int
     deadline_s: float
     accepts_any_target: bool = False
     preferred_start_by_s: float = math.inf
+    fingerprint: int = 0
+    has_returned: bool = False
+
+
+class Forecast(Protocol):
+    """When the requests of a queue can be served."""
+
+    def min_wait_s(
+        self,
+        ahead: int,
+        request: QueuedRequest | None = None,
+    ) -> float:
+        """Return the minimum wait of ``request`` behind ``ahead`` requests.
+
+        Without a request, it is that of one with the lowest priority.
+        """
+        ...
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,19 +81,54 @@
     interval_s: float = 0.0
     any_s: float = math.inf
 
-    def min_wait_s(self, ahead: int) -> float:
-        """Return the minimum wait of a request behind ``ahead`` requests."""
+    def min_wait_s(
+        self,
+        ahead: int,
+        request: QueuedRequest | None = None,
+    ) -> float:
+        """Return the minimum wait of any request behind ``ahead`` requests."""
         return min(self.any_s, self.first_s + ahead * self.interval_s)
 
 
 AVAILABLE_NOW: Final = CapacityForecast(0.0)
 
 
-def always_available() -> CapacityForecast:
+def always_available() -> Forecast:
     """Return the forecast that targets accept requests now."""
     return AVAILABLE_NOW
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueueRules:
+    """How a queue orders requests and estimates their waits.
+
+    With ``late_go_last``, a request past its preferred start goes behind those
+    of all priorities that can be in time, otherwise behind those of its own
+    priority. With ``estimates_waits``, waits are also estimated from the time
+    between grants. It must be false where waits depend on the priority.
+    """
+
+    late_go_last: bool = True
+    estimates_waits: bool = True
+
+    def rank(
+        self,
+        request: QueuedRequest,
+        arrival: int,
+        *,
+        is_late: bool,
+    ) -> _Rank:
+        """Return the rank of a request, the ``arrival``-th one."""
+        first, second = request.priority, int(is_late)
+        if self.late_go_last:
+            first, second = second, first
+        is_new = not request.has_returned
+        return (first, second, is_new, request.deadline_s, arrival)
+
+
+SLOT_RULES: Final = QueueRules()
+
+
 class Waiter(Protocol[GrantT]):
     """A request in the queue; it ends with exactly one grant or refusal."""
 
@@ -101,6 +156,12 @@
 
     rank: _Rank
     waiter: Waiter[GrantT]
+    is_late: bool
+
+    @property
+    def group(self) -> _Group:
+        """The part of the rank within which deadlines are in order."""
+        return self.rank[:3]
 
 
 class WaitQueue(Generic[GrantT]):
@@ -114,7 +175,8 @@
         local_clock: clock.Clock,
         length: int,
         random_source: random.Random,
-        capacity_forecast: Callable[[], CapacityForecast] = always_available,
+        capacity_forecast: Callable[[], Forecast] = always_available,
+        rules: QueueRules = SLOT_RULES,
     ) -> None:
         """Allow at most ``length`` waiters; 0 means that none waits.
 
@@ -131,6 +193,7 @@
         self._estimate = wait_estimate.WaitEstimate()
         self._next_late_s = math.inf
         self._capacity_forecast = capacity_forecast
+        self._rules = rules
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
@@ -161,7 +224,9 @@
         is_late = (
             self._clock.monotonic_s() >= waiter.request.preferred_start_by_s
         )
-        place = _Place(self._rank(waiter.request, is_late=is_late), waiter)
+        self._arrivals += 1
+        rank = self._rules.rank(waiter.request, self._arrivals, is_late=is_late)
+        place = _Place(rank, waiter, is_late)
         ahead = bisect.bisect(self._places, place.rank, key=_rank_of)
         if self._is_too_late(waiter.request, ahead):
             waiter.refuse(self._refusals.late(self._likely_wait_s()))
@@ -196,17 +261,13 @@
         if not self._places:
             self._estimate.emptied()
 
-    def _rank(self, request: QueuedRequest, *, is_late: bool) -> _Rank:
-        self._arrivals += 1
-        return (is_late, request.priority, request.deadline_s, self._arrivals)
-
     def _update_next_late(self, place: _Place[GrantT]) -> None:
-        if not place.rank[0]:
+        if not place.is_late:
             late_s = place.waiter.request.preferred_start_by_s
             self._next_late_s = min(self._next_late_s, late_s)
 
     def _demote_late_waiters(self) -> None:
-        """Move waiters past their preferred start behind all others.
+        """Move waiters past their preferred start behind those before it.
 
         Otherwise, under overload, each slot would go to the longest waiter and
         all answers would be late. Answers in time have more value.
@@ -216,15 +277,19 @@
             return
         self._next_late_s = math.inf
         for place in self._places:
-            if now_s >= place.waiter.request.preferred_start_by_s:
-                place.rank = (True, *place.rank[1:])
+            request = place.waiter.request
+            if now_s >= request.preferred_start_by_s:
+                place.is_late = True
+                place.rank = self._rules.rank(
+                    request, place.rank[-1], is_late=True
+                )
             self._update_next_late(place)
         self._places.sort(key=_rank_of)
 
     def _is_too_late(self, request: QueuedRequest, ahead: int) -> bool:
         now_s = self._clock.monotonic_s()
-        likely_s = _WAIT_SAFETY_FACTOR * self._estimate.wait_s(ahead)
-        min_wait_s = self._capacity_forecast().min_wait_s(ahead)
+        likely_s = _WAIT_SAFETY_FACTOR * self._estimated_wait_s(ahead)
+        min_wait_s = self._capacity_forecast().min_wait_s(ahead, request)
         return now_s + max(likely_s, min_wait_s) >= self.latest_start_s(request)
 
     def _ensure_place(self, waiter: Waiter[GrantT]) -> bool:
@@ -233,7 +298,8 @@
         # An earlier deadline alone displaces no waiter: requests of equal
         # priority would displace each other, and none would be served.
         last = self._places[-1].rank[:2] if self._places else None
-        if last is None or (False, waiter.request.priority) >= last:
+        rank = self._rules.rank(waiter.request, 0, is_late=False)
+        if last is None or rank[:2] >= last:
             error = self._refusals.full(self._likely_wait_s(), self._length)
             waiter.refuse(error)
             return False
@@ -246,15 +312,15 @@
     def _refuse_too_late(self) -> None:
         """Refuse waiters that can't finish before their deadline.
 
-        Within a priority, waiters are ordered by deadline, so it suffices to
-        check the first ones of each priority.
+        Within a group, waiters are ordered by deadline, so it suffices to
+        check the first ones of each group.
         """
         now_s = self._clock.monotonic_s()
         position = 0
         while position < len(self._places):
             place = self._places[position]
             if now_s < self.latest_start_s(place.waiter.request):
-                position = self._next_priority(place.rank)
+                position = self._next_group(place.group)
             else:
                 refused = self._places.pop(position)
                 refused.waiter.refuse(
@@ -270,22 +336,27 @@
         position = 0
         while position < len(self._places):
             waiter = self._places[position].waiter
-            start_s = now_s + forecast.min_wait_s(position)
+            start_s = now_s + forecast.min_wait_s(position, waiter.request)
             if start_s < self.latest_start_s(waiter.request):
                 position += 1
             else:
                 self._places.pop(position)
                 waiter.refuse(self._refusals.late(self._likely_wait_s()))
 
-    def _next_priority(self, rank: _Rank) -> int:
+    def _next_group(self, group: _Group) -> int:
         return bisect.bisect(
             self._places,
-            (rank[0], rank[1], math.inf, 0),
+            (*group, math.inf, 0),
             key=_rank_of,
         )
 
+    def _estimated_wait_s(self, ahead: int) -> float:
+        if not self._rules.estimates_waits:
+            return 0.0
+        return self._estimate.wait_s(ahead)
+
     def _likely_wait_s(self) -> float:
-        wait_s = self._estimate.wait_s(len(self._places) + 1)
+        wait_s = self._estimated_wait_s(len(self._places) + 1)
         min_wait_s = self._capacity_forecast().min_wait_s(len(self._places))
         if math.isinf(min_wait_s):
             min_wait_s = 0.0
--- a/libraries/zones/src/sardinepier/zones/messages.py
+++ b/libraries/zones/src/sardinepier/zones/messages.py
@@ -104,15 +104,29 @@
     configuration_version: int
 
 
+class WaitingRequests(msgspec.Struct, frozen=True, array_like=True):
+    """The sender's requests of one customer and priority that want a token.
+
+    ``waiting`` of them wait, and ``arrivals_in_ten_s`` arrive in ten seconds at
+    the present rate.
+    """
+
+    priority: int
+    waiting: int
+    arrivals_in_ten_s: int
+
+
 class CustomerUsage(msgspec.Struct, frozen=True, array_like=True):
     """The requests of one customer that the sender admitted since its start.
 
     ``level`` is how many more requests the limit allows by its count.
+    ``waiting`` is empty unless requests of the customer waited recently.
     """
 
     customer: ids.CustomerName
     spent: int
     level: int
+    waiting: tuple[WaitingRequests, ...] = ()
 
 
 class UsageNews(messages.Message, frozen=True):
--- a/libraries/zones/src/sardinepier/zones/usage_sharing.py
+++ b/libraries/zones/src/sardinepier/zones/usage_sharing.py
@@ -1,11 +1,12 @@
 """Exchange of the customers' usage of their limits between carriers."""
 
+from collections.abc import Iterable
 from typing import Final
 
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
 from sardinepier.entry import service_registry
-from sardinepier.routing import fleet_bucket
+from sardinepier.routing import customer_demand, fleet_bucket
 from sardinepier.wire import messages as wire_messages
 from sardinepier.wire import network
 from sardinepier.zones import carriers, messages
@@ -15,6 +16,8 @@
 deducted later."""
 
 _MS_PER_S: Final = 1000
+_RATE_S: Final = 10
+"""Time for which arrivals are reported as a whole number, which is shorter."""
 
 
 class UsageSharing:
@@ -36,6 +39,7 @@
         self._network = peer_network
         self._carriers = zone_carriers
         self._limits = services.limits
+        self._queues = services.customer_queues
         self._clock = clock
         self._due_s = clock.monotonic_s()
         self._sent_regularly = False
@@ -58,8 +62,10 @@
         receiver_ids = frozenset(member.instance_id for member in receivers)
         # New receivers need all usage: after a start no other daemon is known
         # for a while, and what was admitted in that time was sent to none.
+        demands = self._queues.demands()
         new_usage = self._limits.take_updates(
-            is_all=not receiver_ids <= self._previous_receivers
+            is_all=not receiver_ids <= self._previous_receivers,
+            also=demands,
         )
         self._previous_receivers = receiver_ids
         sends_regularly = self._carriers.is_carrier()
@@ -68,7 +74,12 @@
         self._sent_regularly = sends_regularly
         update = messages.UsageNews(
             tuple(
-                messages.CustomerUsage(customer, usage.spent, usage.level)
+                messages.CustomerUsage(
+                    customer,
+                    usage.spent,
+                    usage.level,
+                    _waiting_requests(demands.get(customer, ())),
+                )
                 for customer, usage in new_usage.items()
             ),
             sends_regularly,
@@ -95,3 +106,32 @@
             sends_regularly=update.sends_regularly,
             age_s=update.age_ms / _MS_PER_S,
         )
+        self._queues.receive_demands(
+            sender.instance_id,
+            {
+                usage.customer: tuple(map(_demand, usage.waiting))
+                for usage in update.usages
+                if usage.waiting
+            },
+        )
+
+
+def _waiting_requests(
+    demands: Iterable[customer_demand.Demand],
+) -> tuple[messages.WaitingRequests, ...]:
+    return tuple(
+        messages.WaitingRequests(
+            demand.priority,
+            demand.waiting,
+            round(demand.arrivals_per_s * _RATE_S),
+        )
+        for demand in demands
+    )
+
+
+def _demand(waiting: messages.WaitingRequests) -> customer_demand.Demand:
+    return customer_demand.Demand(
+        waiting.priority,
+        waiting.waiting,
+        waiting.arrivals_in_ten_s / _RATE_S,
+    )
