--- a/libraries/entry/src/sardinepier/entry/service_registry.py
+++ b/libraries/entry/src/sardinepier/entry/service_registry.py
@@ -23,7 +23,7 @@
 from sardinepier.entry import confirmation as confirmations
 from sardinepier.entry import stated_load as stated_loads
 from sardinepier.health import failure_estimate
-from sardinepier.routing import fleet_limits
+from sardinepier.routing import customer_queues, fleet_limits
 from sardinepier.telemetry import logs
 
 _MAX_NAMED: Final = 16
@@ -67,6 +67,9 @@
             clock, confirmed_within_s
         )
         self.limits = fleet_limits.FleetLimits(clock, leeway)
+        self.customer_queues = customer_queues.CustomerQueues(
+            clock, random_source, self.limits
+        )
         self.targets: model.TargetList | None = None
         self.targets_digest = 0
         self.peer_reports = stated_loads.PeerReports()
@@ -207,6 +210,7 @@
         if offered is not None:
             self.customers = customers.CustomerTable(offered)
         self.limits.set(customers.rate_limits(offered or ()))
+        self.customer_queues.limits_changed()
 
     def _log_changes(
         self,
