Let requests wait for retry budget

A request that a target shed was refused at once when the retry budget was used up, though its caller would have waited for seconds. All spending now goes through routing.retry_queue, by priority and then by deadline, and requests for which the budget forecasts no attempt in time are refused at once with the time at which there is one. health.refusal_estimate learns which targets shed.

--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -16,6 +16,7 @@
     target_record,
 )
 from sardinepier.gateway import connections, errors, statements
+from sardinepier.health import refusal_estimate
 
 _CONNECT_TIMEOUT_S: Final = 0.35
 """A connection within a region takes a few milliseconds. One that takes longer
@@ -51,6 +52,7 @@
         self._attempt_number = pool.started(record)
         self._started_s = shared.clock.monotonic_s()
         self._is_sent = False
+        self._shed_cause = refusal_estimate.ShedCause.UNKNOWN
         reason = _reason(request, record, is_hedge=is_hedge)
         shared.metrics.attempt_begun(request.service, reason)
         request.attempts += 1
@@ -87,6 +89,7 @@
 
     def _record_outcome(self, answer: answers.Answer) -> None:
         elapsed_s = self._elapsed_s()
+        self._pool.retries.accepted(self._record, self._started_s)
         if answer.is_good:
             self._pool.answered(self._record, elapsed_s, len(answer.body))
             self._shared.metrics.attempt_ended(
@@ -190,6 +193,9 @@
         shared = self._shared
         load = answers.reported_load(response, shared.names)
         if load is not None:
+            self._shed_cause = refusal_estimate.shed_cause(
+                load.running, load.slots
+            )
             self._record.record_load(
                 load.running,
                 load.waiting,
@@ -220,7 +226,8 @@
         if isinstance(error, answers.OtherTargetError):
             self._pool.targets.remove(self._record.listed.target_id)
         elif isinstance(error, errors.ShedError):
-            self._pool.mark_full(self._record)
+            self._pool.retries.shed(self._record, self._shed_cause)
+            self._shared.metrics.shed(self._request.service, self._shed_cause)
         elif isinstance(error, _NOT_TARGET_FAILURES):
             return
         elif isinstance(error, errors.AnswerOverdueError):
--- a/libraries/entry/src/sardinepier/entry/decision_log.py
+++ b/libraries/entry/src/sardinepier/entry/decision_log.py
@@ -12,6 +12,7 @@
     caller_request,
     events,
     service_registry,
+    service_retries,
     target_record,
 )
 from sardinepier.gateway import statements
@@ -127,6 +128,31 @@
             ),
         )
 
+    def log_retry_wait(
+        self,
+        request: caller_request.CallerRequest,
+        retries: service_retries.ServiceRetries,
+        waited_s: float,
+        error: str,
+    ) -> None:
+        """Log that a request waited for retry budget."""
+        if not self._failure_lines.allows():
+            return
+        logs.write(
+            events.RetryWaited(
+                request_id=request.request_id,
+                route=request.route.name,
+                service=request.service,
+                priority=request.priority,
+                error=error,
+                waited_ms=_ms(waited_s),
+                left_ms=_ms(request.left_s(self._clock)),
+                budget_left=round(retries.budget.available(), 1),
+                accepted_share=round(retries.accepted_share(), 2),
+                waiting=len(retries.queue),
+            ),
+        )
+
     def log_ended(
         self,
         request_id: str,
--- a/libraries/entry/src/sardinepier/entry/events.py
+++ b/libraries/entry/src/sardinepier/entry/events.py
@@ -111,6 +111,26 @@
     taken_ms: int
 
 
+class RetryWaited(line_events.LineEvent, frozen=True):
+    """A request waited for retry budget, and got it or was refused.
+
+    ``error`` is empty if it got budget. ``budget_left`` are the attempts left
+    afterwards, ``accepted_share`` the share of the requests, 0 to 1, that the
+    service's targets accept, and ``waiting`` the requests that still wait.
+    """
+
+    request_id: str
+    route: str
+    service: str
+    priority: int
+    error: str
+    waited_ms: int
+    left_ms: int
+    budget_left: float
+    accepted_share: float
+    waiting: int
+
+
 class RequestEnded(line_events.LineEvent, frozen=True):
     """A request ended otherwise than by a good answer to its first attempt.
 
--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -20,8 +20,9 @@
     target_record,
 )
 from sardinepier.entry import caller_request as caller_requests
+from sardinepier.entry import retry_waits
 from sardinepier.gateway import errors
-from sardinepier.routing import admission
+from sardinepier.routing import admission, retry_queue
 
 _WAIT_SHARE: Final = 0.3
 """Share of a route's target latency for which a request waits for the best
@@ -65,19 +66,69 @@
         history: retries.AttemptHistory,
     ) -> answers.Answer:
         while True:
-            record = await self._admit(request, pool, history)
+            record = await self._admit_or_refund(request, pool, history)
             history.tried.add(record.listed.target_id)
             try:
                 answer = await self._run(request, pool, record, history)
             except errors.GatewayError as error:
-                history.record_failure(error)
-                if not retries.may_retry_after(request, pool, history, error):
-                    raise
+                await self._prepare_retry(request, pool, history, error)
                 continue
             history.ran += 1
-            if answer.is_good or not retries.may_retry(request, pool, history):
+            if answer.is_good or not retries.has_attempts_left(
+                request, history.ran
+            ):
                 return answer
             history.answer = answer
+            await self._wait_for_budget(request, pool, history)
+
+    async def _prepare_retry(
+        self,
+        request: caller_requests.CallerRequest,
+        pool: service_pool.ServicePool,
+        history: retries.AttemptHistory,
+        error: errors.GatewayError,
+    ) -> None:
+        """Return when a retry may begin; else raise ``error`` or a refusal."""
+        history.record_failure(error)
+        if not retries.may_retry_after(request, history, error):
+            raise error
+        if retries.needs_budget(error):
+            await self._wait_for_budget(request, pool, history)
+
+    async def _wait_for_budget(
+        self,
+        request: caller_requests.CallerRequest,
+        pool: service_pool.ServicePool,
+        history: retries.AttemptHistory,
+    ) -> None:
+        """Wait until a retry has budget; raise a refusal if it gets none."""
+        history.spent_s = await retry_waits.acquire(
+            self._shared,
+            request,
+            pool,
+            retry_queue.RetryRequest(
+                request.priority,
+                request.deadline_s,
+                _preferred_start_by_s(request, pool),
+                can_wait=pool.has_other_target(history.tried),
+                is_given_up=lambda: request.is_abandoned,
+            ),
+        )
+
+    async def _admit_or_refund(
+        self,
+        request: caller_requests.CallerRequest,
+        pool: service_pool.ServicePool,
+        history: retries.AttemptHistory,
+    ) -> target_record.TargetRecord:
+        try:
+            record = await self._admit(request, pool, history)
+        except BaseException:
+            if history.spent_s is not None:
+                pool.retries.queue.refund(history.spent_s)
+            raise
+        history.spent_s = None
+        return record
 
     async def _admit(
         self,
@@ -141,7 +192,7 @@
         record = pool.try_acquire(_requirements(request, pool, history))
         if record is None:
             return None
-        if not pool.retry_budget.try_spend():
+        if not pool.retries.queue.try_spend_for_hedge():
             pool.release(record)
             return None
         history.tried.add(record.listed.target_id)
--- a/libraries/entry/src/sardinepier/entry/request_metrics.py
+++ b/libraries/entry/src/sardinepier/entry/request_metrics.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from sardinepier.entry import events, service_registry
+from sardinepier.health import refusal_estimate
 from sardinepier.telemetry import exposition, metrics
 
 HELP_TEXTS: Final[Mapping[str, str]] = {
@@ -13,6 +14,9 @@
     'attempts_begun': 'Attempts by service and by why the target was chosen.',
     'repeats_granted': 'Further attempts that the retry budgets allowed.',
     'repeats_denied': 'Further attempts that they did not allow.',
+    'retry_waits': 'Requests that waited for retry budget, by service.',
+    'sheds': 'Requests that a target refused, by service and cause.',
+    'accepted_share': 'Share of the requests that targets accept, by service.',
     'request_duration_ms': 'From a request read to its answer, in ms.',
     'attempt_duration_ms': 'From an attempt begun to its answer, in ms.',
     'requests_in_hand': 'Requests that this daemon has right now.',
@@ -85,6 +89,18 @@
             service=service,
         ).record(elapsed_s * _MS_PER_S)
 
+    def retry_wait(self, service: str) -> None:
+        """Count a request that had to wait for retry budget."""
+        self._metrics.counter('retry_waits', service=service).add()
+
+    def shed(self, service: str, cause: refusal_estimate.ShedCause) -> None:
+        """Count a request that a target refused."""
+        self._metrics.counter(
+            'sheds',
+            service=service,
+            cause=cause.value,
+        ).add()
+
     async def text(self, gauges: tuple[exposition.Gauge, ...]) -> str:
         """Return all metrics with ``gauges`` in the text exposition format."""
         snapshot = await self._metrics.snapshot_in_steps()
--- a/libraries/entry/src/sardinepier/entry/retries.py
+++ b/libraries/entry/src/sardinepier/entry/retries.py
@@ -1,8 +1,9 @@
 """The outcomes of the attempts of one request, and whether it may be retried.
 
 After an attempt that may have run only an idempotent request is retried, within
-the route's number of attempts and the retry budget. After one that is proved
-not to have run any request may be retried.
+the route's number of attempts. After one that is proved not to have run any
+request may be retried. A retry then needs an attempt of the retry budget,
+unless nothing arrived at a target.
 """
 
 import dataclasses
@@ -23,6 +24,12 @@
 refused: with a tenth of the targets gone, four random ones are all gone in one
 case of ten thousand."""
 
+_MAX_SHEDS: Final = 8
+"""Targets that may shed a request before it is refused. While targets shed 55 %
+of what they get, one request in 11 is shed by four in a row, and one in 120 by
+eight. Without a limit, a request that every target sheds would use up the
+budget of all others."""
+
 _MAX_LOST_CONNECTIONS: Final = 2
 """Lost connections after which the request is assumed to be the cause."""
 
@@ -31,13 +38,17 @@
 class AttemptHistory:
     """The outcomes of the attempts of one request so far.
 
-    ``not_run`` counts attempts that are proved not to have run, ``ran`` those
-    that may have. ``failure`` is the newest error with an unknown fate,
-    ``answer`` the newest failing answer of a target.
+    ``not_run`` counts attempts that are proved not to have run, without those
+    that a target shed, which ``sheds`` counts. ``ran`` counts those that may
+    have run. ``failure`` is the newest error with an unknown fate, ``answer``
+    the newest failing answer of a target. ``spent_s`` is when budget was spent
+    for an attempt that has not begun, None without one.
     """
 
     tried: set[ids.TargetId] = dataclasses.field(default_factory=set)
     not_run: int = 0
+    sheds: int = 0
+    spent_s: float | None = None
     ran: int = 0
     lost_connections: int = 0
     failure: errors.UnknownFateError | None = None
@@ -51,6 +62,8 @@
             self.lost_connections += isinstance(
                 error, errors.ConnectionLostError
             )
+        elif isinstance(error, errors.ShedError):
+            self.sheds += 1
         else:
             self.not_run += 1
 
@@ -92,37 +105,28 @@
     """
     if not has_attempts_left(request, history.ran + 1):
         return False
-    return pool.retry_budget.can_spend()
+    return pool.retries.queue.can_spend(request.priority)
 
 
 def may_retry_after(
     request: caller_request.CallerRequest,
-    pool: service_pool.ServicePool,
     history: AttemptHistory,
     error: errors.GatewayError,
 ) -> bool:
-    """Decide on a retry after ``error``, and spend the retry budget for it."""
+    """Return whether a retry may follow ``error``, if there is budget."""
     if request.is_abandoned:
         return False
     if isinstance(error, errors.AnswerOverdueError):
         return False
-    if isinstance(error, errors.NOTHING_ARRIVED):
-        return history.not_run < _MAX_NOT_RUN
+    if isinstance(error, errors.ShedError):
+        return history.sheds < _MAX_SHEDS
     if isinstance(error, errors.ProvedNotRunError):
-        if history.not_run >= _MAX_NOT_RUN:
-            return False
-        return pool.retry_budget.try_spend()
+        return history.not_run < _MAX_NOT_RUN
     if history.lost_connections >= _MAX_LOST_CONNECTIONS:
         return False
-    return may_retry(request, pool, history)
+    return has_attempts_left(request, history.ran)
 
 
-def may_retry(
-    request: caller_request.CallerRequest,
-    pool: service_pool.ServicePool,
-    history: AttemptHistory,
-) -> bool:
-    """Decide on a retry of a request that may have run, and spend for it."""
-    if not has_attempts_left(request, history.ran):
-        return False
-    return pool.retry_budget.try_spend()
+def needs_budget(error: errors.GatewayError) -> bool:
+    """Return whether a retry after ``error`` needs retry budget."""
+    return not isinstance(error, errors.NOTHING_ARRIVED)
--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -17,6 +17,7 @@
     target_table,
 )
 from sardinepier.entry import capacity_forecast as forecasts
+from sardinepier.entry import service_retries
 from sardinepier.health import failure_estimate
 from sardinepier.routing import admission, budget, hedging
 
@@ -34,10 +35,6 @@
 
 _MS_PER_S: Final = 1000
 _SMOOTHING: Final = 0.05
-_FULL_PAUSE_S: Final = 0.1
-"""How long a target that refused a request gets none: about half of a typical
-processing time, after which it should have a free slot."""
-
 _EARLY_FACTOR: Final = 0.25
 """A failure within this part of the typical latency came before the request
 could be processed. Failing targets answer in a fiftieth of it."""
@@ -79,14 +76,11 @@
         self._explorer = exploration.Explorer(clock, min_used_share)
         self._typical_answer_bytes = 0.0
         self._hedge_delay = hedging.HedgeDelay(_HEDGE_PERCENTILE)
-        # No floor: each of many daemons with a few requests would use it, so
-        # that the sum would grow with the fleet. Instead each daemon rounds
-        # at random, and carriers have the burst.
-        self.retry_budget = budget.RetryBudget(
+        self.retries = service_retries.ServiceRetries(
             clock,
+            random_source,
             retry_percent,
-            floor=0,
-            rounding=random_source.random(),
+            lambda: self.typical_latency_s,
         )
         self._zone = zone
         self._clock = clock
@@ -108,6 +102,11 @@
             ),
         )
 
+    @property
+    def retry_budget(self) -> budget.RetryBudget:
+        """The budget of further attempts; ``retries.queue`` spends it."""
+        return self.retries.budget
+
     def set_targets(self, listed: Iterable[model.ListedTarget]) -> None:
         """Replace the targets; those that stay keep their records."""
         self.targets.set(listed)
@@ -232,10 +231,6 @@
         """Record that a request was refused because no target could run it."""
         self._explorer.recent.record(is_failure=True)
 
-    def mark_full(self, record: target_record.TargetRecord) -> None:
-        """Record that the target refused a request for want of a free slot."""
-        record.full_until_s = self._clock.monotonic_s() + _FULL_PAUSE_S
-
     def hedge_delay_s(self) -> float | None:
         """Return the delay after which a hedge is worth its cost.
 
--- a/libraries/entry/src/sardinepier/entry/target_cost.py
+++ b/libraries/entry/src/sardinepier/entry/target_cost.py
@@ -29,6 +29,10 @@
 _SLOW_COST: Final = 0.06
 """Cost of each further multiple of the typical latency."""
 
+_REFUSAL_COST: Final = 0.3
+"""Cost of a target that is certain to shed the request, which then has not run
+and needs a part of the retry budget."""
+
 _WARMUP_COST: Final = 0.08
 """Cost of a target that has just started and is still slow."""
 
@@ -76,6 +80,7 @@
     now_s = context.now_s
     total = record.failure_probability(now_s, context.typical_latency_s)
     total += _SLOW_COST * max(0.0, record.latency_ratio - 1)
+    total += _REFUSAL_COST * record.refusal.probability(now_s)
     if record.listed.zone != context.zone:
         total += context.zone_cost
     if context.shares_zone:
--- a/libraries/entry/src/sardinepier/entry/target_record.py
+++ b/libraries/entry/src/sardinepier/entry/target_record.py
@@ -8,7 +8,7 @@
 
 from sardinepier.entry import model
 from sardinepier.gateway import target_statements
-from sardinepier.health import failure_estimate
+from sardinepier.health import failure_estimate, refusal_estimate
 
 _SMOOTHING: Final = 0.2
 """Weight of the newest latency: about the last five determine the average."""
@@ -67,6 +67,8 @@
     The target is slow after its start until ``warm_from_s``, and
     ``latency_ratio`` is its latency relative to that of the service, 1.0 if
     both are equal.
+    ``refusal`` estimates whether it sheds requests; ``refusal_source`` is who
+    observed its newest shed.
     ``full_until_s`` is until when it gets nothing as it had no free slot.
     ``reserved`` counts slots of requests whose attempt has not begun yet.
     ``is_exploration`` says that its newest request was sent to explore it.
@@ -86,6 +88,10 @@
     started_s: dict[int, float] = dataclasses.field(default_factory=dict)
     latency_ratio: float = 1.0
     warm_from_s: float = 0.0
+    refusal: refusal_estimate.RefusalEstimate = dataclasses.field(
+        default_factory=refusal_estimate.RefusalEstimate,
+    )
+    refusal_source: ObservationSource = ObservationSource.NOBODY
     full_until_s: float = 0.0
     other_daemons_load: int = 0
     other_daemons_load_until_s: float = 0.0
--- a/libraries/routing/src/sardinepier/routing/budget.py
+++ b/libraries/routing/src/sardinepier/routing/budget.py
@@ -1,13 +1,15 @@
 """Budget of further attempts beyond the first one of each request."""
 
+import contextlib
 import dataclasses
 from collections import deque
 from typing import Final
 
 from sardinepier.core import clock
+from sardinepier.routing import budget_forecast
 from sardinepier.routing.internal import checks
 
-_PARTS: Final = 10
+_PARTS: Final = budget_forecast.PARTS
 _PERCENT: Final = 100
 _WINDOW_S: Final = 10.0
 _MIN_ATTEMPTS: Final = 1
@@ -60,7 +62,7 @@
         self._floor = floor
         self._rounding = rounding
         self._burst = 0.0
-        self._window_s = window_s
+        self.window_s = window_s
         self._part_s = window_s / _PARTS
         self._parts: deque[_Part] = deque()
         self._spent_s: deque[float] = deque()
@@ -86,23 +88,57 @@
 
     def can_spend(self) -> bool:
         """Return whether :meth:`try_spend` would grant an attempt now."""
+        return self.available() >= 1
+
+    def available(self) -> float:
+        """Return how many attempts are left now; below 0 after a cut."""
+        self._drop_old()
+        return self._allowed(self._requests) - len(self._spent_s)
+
+    def allowed(self) -> float:
+        """Return how many attempts a window has, spent ones included."""
         self._drop_old()
-        allowed = max(self._floor, self._fraction * self._requests)
-        return len(self._spent_s) + 1 <= allowed + self._rounding + self._burst
+        return self._allowed(self._requests)
 
     def try_spend(self) -> bool:
         """Take a further attempt from the budget; return whether it has one."""
+        return self.spend() is not None
+
+    def spend(self) -> float | None:
+        """Take a further attempt; return the time for :meth:`refund`, or None."""
         if not self.can_spend():
             self.denied += 1
-            return False
+            return None
         self.granted += 1
-        self._spent_s.append(self._clock.monotonic_s())
-        return True
+        spent_s = self._clock.monotonic_s()
+        self._spent_s.append(spent_s)
+        return spent_s
+
+    def refund(self, spent_s: float) -> None:
+        """Return the attempt that was spent at ``spent_s`` and not made."""
+        with contextlib.suppress(ValueError):
+            self._spent_s.remove(spent_s)
+            self.granted -= 1
+
+    def forecast(self) -> budget_forecast.BudgetForecast:
+        """Return what the budget will have if requests go on as they do."""
+        self._drop_old()
+        return budget_forecast.BudgetForecast(
+            self._clock.monotonic_s(),
+            self.window_s,
+            tuple(self._spent_s),
+            tuple((part.number, part.requests) for part in self._parts),
+            self._allowed,
+        )
+
+    def _allowed(self, requests: float) -> float:
+        allowed = max(self._floor, self._fraction * requests)
+        return allowed + self._rounding + self._burst
 
     def _drop_old(self) -> None:
         """Drop requests older than the window by tenths, and attempts exactly."""
         now_s = self._clock.monotonic_s()
-        while self._spent_s and self._spent_s[0] <= now_s - self._window_s:
+        while self._spent_s and self._spent_s[0] <= now_s - self.window_s:
             self._spent_s.popleft()
         number = int(now_s / self._part_s)
         while self._parts and self._parts[0].number <= number - _PARTS:
--- a/libraries/routing/src/sardinepier/routing/errors.py
+++ b/libraries/routing/src/sardinepier/routing/errors.py
@@ -7,13 +7,15 @@
             QueueFullError      no place in the queue of the service
                 DisplacedError  the place went to a request of higher priority
             QueueDeadlineError  the deadline can't be met any more
+            RetryBudgetError    the retry budget has no attempt left in time
             CallerLimitError    this caller sends more than its share
                 CallerTableFullError  no memory for one more caller
+    GivenUpError                the caller of a waiting request has left
     RoutingOptionError          an argument is outside its documented range
     NotReservedError            a slot was released that was not reserved
 
 A refusal is raised before anything is sent to a target, so the request has
-not run.
+not run. Only a ``RetryBudgetError`` comes after an attempt.
 """
 
 from sardinepier.core import errors
@@ -56,6 +58,17 @@
     """The request can no longer finish before its deadline."""
 
 
+class RetryBudgetError(RefusalError):
+    """The retry budget has no attempt left for the request in time.
+
+    Unlike after other refusals, an earlier attempt of the request may have run.
+    """
+
+
+class GivenUpError(RoutingError):
+    """The caller of a waiting request has left."""
+
+
 class CallerLimitError(RefusalError):
     """The caller has used up its rate and its burst."""
 
