Share sheds of targets between daemons, and show the accepted share

A daemon learned only from its own sheds that a target refuses requests. Estimates now carry the probability of a shed in a new last field, which earlier versions ignore, and the gauge accepted_share shows by service what the targets accept.

--- a/libraries/entry/src/sardinepier/entry/request_metrics.py
+++ b/libraries/entry/src/sardinepier/entry/request_metrics.py
@@ -1,5 +1,6 @@
 """Metrics of the requests of one daemon."""
 
+import itertools
 from collections.abc import Mapping
 from typing import Final
 
@@ -118,10 +119,24 @@
     budgets = [pool.retry_budget for pool in registry.pools()]
     granted = sum(budget.granted for budget in budgets)
     denied = sum(budget.denied for budget in budgets)
-    return (
+    gauges = (
         exposition.Gauge('configuration_version', version),
         exposition.Gauge('targets', targets),
         exposition.Gauge('targets_closed', closed),
         exposition.Gauge('repeats_granted', granted),
         exposition.Gauge('repeats_denied', denied),
     )
+    return gauges + _accepted_shares(registry)
+
+
+def _accepted_shares(
+    registry: service_registry.ServiceRegistry,
+) -> tuple[exposition.Gauge, ...]:
+    return tuple(
+        exposition.Gauge(
+            'accepted_share',
+            pool.retries.accepted_share(),
+            (metrics.Label('service', pool.name),),
+        )
+        for pool in itertools.islice(registry.pools(), _MAX_SERVICES)
+    )
--- a/libraries/health/src/sardinepier/health/refusal_estimate.py
+++ b/libraries/health/src/sardinepier/health/refusal_estimate.py
@@ -59,18 +59,18 @@
         estimate.probability(1.4)   # about 0.14
     """
 
-    __slots__ = ('_probability', '_shed_s', '_updated_s')
+    __slots__ = ('_probability', '_raised_s', '_updated_s')
 
     def __init__(self) -> None:
         """Start with a target that sheds nothing."""
         self._probability = 0.0
         self._updated_s = -math.inf
-        self._shed_s = -math.inf
+        self._raised_s = -math.inf
 
     @property
-    def updated_s(self) -> float:
-        """When a shed was last recorded or reported."""
-        return self._updated_s
+    def raised_s(self) -> float:
+        """When a shed was last recorded, or reported by another daemon."""
+        return self._raised_s
 
     def probability(self, now_s: float) -> float:
         """Return the probability, 0 to 1."""
@@ -83,7 +83,7 @@
         probability = self.probability(now_s)
         self._probability = probability + _GAINS[cause] * (1 - probability)
         self._updated_s = now_s
-        self._shed_s = now_s
+        self._raised_s = now_s
 
     def accepted(self, now_s: float, sent_s: float) -> None:
         """Record that the target accepted a request that was sent at ``sent_s``.
@@ -91,7 +91,7 @@
         The answer to a request that was sent before the last shed says nothing
         of what the target does since.
         """
-        if sent_s >= self._shed_s and self._probability:
+        if sent_s >= self._raised_s and self._probability:
             self._probability = _ACCEPTED_FACTOR * self.probability(now_s)
             self._updated_s = now_s
 
@@ -105,6 +105,7 @@
             return False
         self._probability = min(1.0, probability)
         self._updated_s = now_s
+        self._raised_s = now_s
         return True
 
 
--- a/libraries/routing/src/sardinepier/routing/retry_queue.py
+++ b/libraries/routing/src/sardinepier/routing/retry_queue.py
@@ -95,6 +95,11 @@
                 lambda: self._choose(request),
             )
 
+    def wake(self) -> None:
+        """Hand out budget; the queue also does so every twentieth second."""
+        self._plan_until_s = -math.inf
+        self._queue.wake()
+
     def refund(self, spent_s: float) -> None:
         """Return an attempt that was not made."""
         self._budget.refund(spent_s)
--- a/libraries/telemetry/src/sardinepier/telemetry/exposition.py
+++ b/libraries/telemetry/src/sardinepier/telemetry/exposition.py
@@ -25,10 +25,14 @@
 
 
 class Gauge(msgspec.Struct, frozen=True):
-    """The current value of a number that goes up and down."""
+    """The current value of a number that goes up and down.
+
+    Gauges of one name with different ``labels`` follow each other.
+    """
 
     name: str
     value: float
+    labels: tuple[metrics.Label, ...] = ()
 
 
 def text(
@@ -83,9 +87,11 @@
     gauges: Iterable[Gauge],
     help_texts: Mapping[str, str],
 ) -> Iterator[str]:
-    for gauge in gauges:
-        yield from _header(gauge.name, 'gauge', help_texts[gauge.name])
-        yield f'{_PREFIX}_{gauge.name} {gauge.value:g}'
+    for name, group in itertools.groupby(gauges, key=_name_of):
+        yield from _header(name, 'gauge', help_texts[name])
+        for gauge in group:
+            labels = _labels(gauge.labels)
+            yield f'{_PREFIX}_{name}{labels} {gauge.value:g}'
 
 
 def _header(name: str, kind: str, help_text: str) -> Iterator[str]:
@@ -101,6 +107,6 @@
 
 
 def _name_of(
-    metric: metrics.CounterValue | metrics.HistogramValue,
+    metric: metrics.CounterValue | metrics.HistogramValue | Gauge,
 ) -> str:
     return metric.name
--- a/libraries/telemetry/tests/cover/test_telemetry_exposition.py
+++ b/libraries/telemetry/tests/cover/test_telemetry_exposition.py
@@ -41,6 +41,17 @@
     assert quantiles[None] == 100
 
 
+def test_gauges_with_labels_are_read_back_as_one_family():
+    """A header for each gauge would make the page unreadable."""
+    gauges = [
+        exposition.Gauge('age_s', age_s, (metrics.Label('service', name),))
+        for name, age_s in (('a', 1.0), ('b', 2.0))
+    ]
+    samples = families(metrics.Metrics(), *gauges)['sardinepier_age_s'].samples
+    ages = {sample.labels['service']: sample.value for sample in samples}
+    assert ages == {'a': 1.0, 'b': 2.0}
+
+
 def test_each_name_has_a_help_text_and_a_type():
     recorded = metrics.Metrics()
     recorded.counter('requests', outcome='good').add()
--- a/libraries/zones/src/sardinepier/zones/estimate_updates.py
+++ b/libraries/zones/src/sardinepier/zones/estimate_updates.py
@@ -6,7 +6,7 @@
 from sardinepier.core import ids
 from sardinepier.entry import service_registry, target_record
 from sardinepier.health import failure_estimate
-from sardinepier.zones import messages
+from sardinepier.zones import messages, refusal_updates
 
 _Source = target_record.ObservationSource
 _MS_PER_S: Final = 1000
@@ -16,6 +16,14 @@
 expensive."""
 
 _MAX_AGE_S: Final = 5.0
+_NO_OUTCOME_AGE_MS: Final = 3_600_000
+"""Age in an estimate that reports sheds only: receivers ignore outcomes that
+are so old."""
+
+_MIN_REFUSING: Final = 0.1
+_MIN_REFUSING_ELSEWHERE: Final = 0.3
+"""Minimum probability of a shed that is sent to other zones. A lower one has
+decayed before it could change a choice there."""
 
 
 class EstimateUpdates:
@@ -32,13 +40,20 @@
         clock: clocks.Clock,
         sources: frozenset[target_record.ObservationSource],
         min_change: float = 0.0,
+        min_refusing: float = _MIN_REFUSING,
     ) -> None:
-        """Collect changes of the probability by ``min_change`` or more."""
+        """Collect changes of the probability by ``min_change`` or more.
+
+        Of targets that shed, collect probabilities from ``min_refusing``.
+        """
         self._services = services
         self._clock = clock
         self._sources = sources
         self._min_change = min_change
         self._began_s = clock.monotonic_s()
+        self._refusals = refusal_updates.RefusalUpdates(
+            sources, self._began_s, min_refusing
+        )
         self._sent_observation_s: dict[ids.TargetId, float] = {}
         self._sent: dict[ids.TargetId, failure_estimate.FailureEstimate] = {}
 
@@ -54,11 +69,15 @@
                 observed_s = record.estimate.updated_s
                 before_s = sent_before_s.get(target_id, self._began_s)
                 self._sent_observation_s[target_id] = max(before_s, observed_s)
+                refusing = self._refusals.take(record, now_s)
                 if (
                     observed_s > before_s
                     and record.estimate_source in self._sources
                 ):
-                    estimates.append(_estimate_of(record, now_s))
+                    estimates.append(_estimate_of(record, now_s, refusing))
+                elif refusing:
+                    estimates.append(_sheds_only(target_id, refusing))
+        self._refusals.forget_old(now_s)
         return tuple(
             estimate for estimate in estimates if self._is_new(estimate)
         )
@@ -69,6 +88,8 @@
         The estimate that they were sent decays with time, so that repeated
         failures of a target are sent repeatedly.
         """
+        if estimate.age_ms >= _NO_OUTCOME_AGE_MS:
+            return True
         now_s = self._clock.monotonic_s()
         sent = self._sent.get(estimate.target_id)
         if sent is None:
@@ -80,7 +101,7 @@
             abs(sent.failing_probability(now_s) - estimate.failing)
             < self._min_change
         ):
-            return False
+            return estimate.refusing > 0
         sent.adopt(estimate.failing, now_s)
         return True
 
@@ -107,6 +128,7 @@
         clock,
         frozenset((_Source.OWN, _Source.ZONE)),
         _MIN_CHANGE,
+        _MIN_REFUSING_ELSEWHERE,
     )
 
 
@@ -125,8 +147,11 @@
     }
     for estimate in received:
         record = by_target.get(estimate.target_id)
+        if record is None:
+            continue
+        refusal_updates.apply(record, estimate.refusing, source, now_s)
         observed_s = now_s - estimate.age_ms / _MS_PER_S
-        if record is None or now_s - observed_s > _MAX_AGE_S:
+        if now_s - observed_s > _MAX_AGE_S:
             continue
         if observed_s > record.estimate.updated_s:
             record.estimate.adopt(estimate.failing, observed_s)
@@ -136,9 +161,17 @@
 def _estimate_of(
     record: target_record.TargetRecord,
     now_s: float,
+    refusing: float,
 ) -> messages.TargetEstimate:
     return messages.TargetEstimate(
         record.listed.target_id,
         round(record.estimate.failing_probability(now_s), 3),
         round((now_s - record.estimate.updated_s) * _MS_PER_S),
+        refusing,
     )
+
+
+def _sheds_only(
+    target_id: ids.TargetId, refusing: float
+) -> messages.TargetEstimate:
+    return messages.TargetEstimate(target_id, 0.0, _NO_OUTCOME_AGE_MS, refusing)
--- a/libraries/zones/src/sardinepier/zones/messages.py
+++ b/libraries/zones/src/sardinepier/zones/messages.py
@@ -11,12 +11,15 @@
     """The sender's failure estimate of one target.
 
     ``failing`` is the probability, 0 to 1, that it fails now, and ``age_ms``
-    the age of the newest outcome that was observed.
+    the age of the newest outcome that was observed. ``refusing`` is the
+    probability, 0 to 1, that it sheds a request sent now, 0 if that is not
+    reported.
     """
 
     target_id: ids.TargetId
     failing: float
     age_ms: int
+    refusing: float = 0.0
 
 
 class StatementUpdate(msgspec.Struct, frozen=True, array_like=True):
--- a/libraries/zones/tests/cover/test_zones_estimates.py
+++ b/libraries/zones/tests/cover/test_zones_estimates.py
@@ -1,8 +1,11 @@
 """Exchange of failure estimates within and between zones."""
 
+import msgspec
 import pytest
 import zones_support as support
+from sardinepier.health import refusal_estimate
 from sardinepier.wire import memory_network
+from sardinepier.zones import messages
 
 
 @pytest.fixture
@@ -111,3 +114,49 @@
     assert support.failing(zone.carrier(), 't1') == pytest.approx(
         expected, abs=0.05
     )
+
+
+def refusing(daemon, name):
+    record = daemon.services.pool(support.SERVICE).targets.find(name)
+    return record.refusal.probability(daemon.clock.monotonic_s())
+
+
+def shed(daemon, name, times=3):
+    pool = daemon.services.pool(support.SERVICE)
+    for _ in range(times):
+        pool.retries.shed(
+            pool.targets.find(name), refusal_estimate.ShedCause.UNHEALTHY
+        )
+
+
+async def test_sheds_of_a_target_reach_the_zone_and_are_forgotten(zone):
+    """Guards against estimates that circulate after the target recovered."""
+    await support.with_targets(zone)
+    shed(zone.carrier(), 't1')
+    await zone.run(0.3)
+    for daemon in zone.daemons:
+        assert refusing(daemon, 't1') > 0.3
+        # No outcome was observed, so that the failure estimate stays.
+        assert support.failing(daemon, 't1') < 0.35
+    await zone.run(1.2)
+    assert all(refusing(daemon, 't1') < 0.1 for daemon in zone.daemons)
+
+
+async def test_sheds_reach_the_carriers_of_other_zones():
+    zone = support.Zone(count=3, zones=('z1', 'zone2'))
+    await support.with_targets(zone)
+    highest = 0.0
+    other_carrier = zone.find(zone.daemons[-1].carriers.of_own_zone()[0])
+    for _ in range(6):
+        shed(zone.carrier(), 't1')
+        await zone.run(0.25)
+        highest = max(highest, refusing(other_carrier, 't1'))
+    assert highest > 0.3
+
+
+def test_an_estimate_without_sheds_of_an_earlier_version_is_read():
+    """Daemons of the previous version send three fields."""
+    estimate = msgspec.msgpack.decode(
+        msgspec.msgpack.encode(['t1', 0.5, 20]), type=messages.TargetEstimate
+    )
+    assert (estimate.failing, estimate.refusing) == (0.5, 0.0)
