--- a/libraries/routing/src/sardinepier/routing/errors.py
+++ b/libraries/routing/src/sardinepier/routing/errors.py
@@ -8,13 +8,15 @@
                 DisplacedError  the place went to a request of higher priority
             QueueDeadlineError  the deadline can't be met any more
             CustomerLimitError  the customer's limit leaves no token in time
+            RetryBudgetError    the retry budget has no attempt left in time
             CallerLimitError    this caller sends more than its share
                 CallerTableFullError  no memory for one more caller
+    GivenUpError                the caller of a waiting request has left
     RoutingOptionError          an argument is outside its documented range
     NotReservedError            a slot was released that was not reserved
 
 A refusal is raised before anything is sent to a target, so the request has
-not run.
+not run. Only a ``RetryBudgetError`` comes after an attempt.
 """
 
 from sardinepier.core import errors
@@ -61,6 +63,17 @@
     """The limit of the customer leaves no token before the latest start."""
 
 
+class RetryBudgetError(RefusalError):
+    """The retry budget has no attempt left for the request in time.
+
+    Unlike after other refusals, an earlier attempt of the request may have run.
+    """
+
+
+class GivenUpError(RoutingError):
+    """The caller of a waiting request has left."""
+
+
 class CallerLimitError(RefusalError):
     """The caller has used up its rate and its burst."""
 
--- a/libraries/telemetry/src/sardinepier/telemetry/exposition.py
+++ b/libraries/telemetry/src/sardinepier/telemetry/exposition.py
@@ -27,7 +27,7 @@
 class Gauge(msgspec.Struct, frozen=True):
     """The current value of a number that goes up and down.
 
-    Gauges of one name with different labels follow each other.
+    Gauges of one name with different ``labels`` follow each other.
     """
 
     name: str
