Count messages between daemons by kind and zone, and forwarded bytes by zone

The cost of traffic between availability zones was known only as a total, so that the kinds of message which cause it could not be told apart.

A network counts each sent message by its kind and by whether the receiver is in another zone, which a function of NetworkHooks tells by its address. The entry daemon answers it from the membership view; messages to a daemon that the view does not name yet count as 'unknown'. If the function fails, the message is sent and counted as 'unknown'. Attempts count the bytes of requests and answers by whether the target is in another zone. The metrics peer_bytes, peer_messages and forwarded_bytes and the event 'traffic' report the sums; the event estimates the transport's overhead apart from them.

--- a/libraries/daemon/src/sardinepier/daemon/entry_events.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_events.py
@@ -30,6 +30,24 @@
     peer_bytes_sent: int
 
 
+class Traffic(line_events.LineEvent, frozen=True):
+    """What the instance has sent to other daemons since it started.
+
+    ``crossing_bytes`` and ``crossing_messages`` are those to other zones, by
+    kind of message. ``crossing_overhead_bytes`` estimates what the transport
+    added to these messages. ``unknown_zone_bytes`` went to daemons whose zone
+    was not known yet. ``forwarded_crossing_bytes`` are requests to and answers
+    from targets in other zones.
+    """
+
+    crossing_bytes: dict[str, int]
+    crossing_messages: dict[str, int]
+    crossing_overhead_bytes: int
+    within_zone_bytes: int
+    unknown_zone_bytes: int
+    forwarded_crossing_bytes: int
+
+
 class ConfigurationInForce(line_events.LineEvent, frozen=True):
     """The instance applied a newer configuration."""
 
--- a/libraries/daemon/src/sardinepier/daemon/entry_process.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_process.py
@@ -16,6 +16,7 @@
     entry_metrics,
     entry_parts,
     page_servers,
+    peer_traffic,
     task_set,
 )
 from sardinepier.entry import (
@@ -145,7 +146,7 @@
             zone_load.ZoneLoad(self._clock, self._activity),
             self._clock,
             self._random,
-            _log_configuration,
+            entry_parts.log_configuration,
         )
         self._platform_reader = platform_reader.PlatformReader(
             source,
@@ -196,7 +197,13 @@
             self._clock,
         )
         stack.push_async_callback(request_context.client.close)
+        traffic = peer_traffic.PeerTraffic(
+            self._network,
+            request_context.metrics,
+        )
+        stack.callback(traffic.log)
         self._start_tasks(request_context.decision_log)
+        self._tasks.start(traffic.run())
         request_pipeline = pipeline.Pipeline(request_context)
         front_server = caller_server.HttpServer(
             request_pipeline.handle,
@@ -214,6 +221,7 @@
             self._carriers,
             self._membership,
             self._platform_reader,
+            traffic,
         )
         opened_pages = await self._open_pages(page_metrics)
         logs.write(entry_parts.started(self._settings))
@@ -335,13 +343,3 @@
     if bounds.revocation_s is None:
         return None
     return bounds.revocation_s - _REVOCATION_MARGIN_S
-
-
-def _log_configuration(configuration: model.ServedConfiguration) -> None:
-    logs.write(
-        entry_events.ConfigurationInForce(
-            version=configuration.version,
-            routes=len(configuration.routes),
-            routes_of_unknown_kind=configuration.unknown_kinds(),
-        ),
-    )
--- a/libraries/daemon/src/sardinepier/daemon/internal/entry_metrics.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/entry_metrics.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 
+from sardinepier.daemon.internal import peer_traffic
 from sardinepier.entry import request_metrics, service_registry
 from sardinepier.gateway import active_requests
 from sardinepier.membership import membership
@@ -21,6 +22,7 @@
     carriers: carriers.Carriers
     membership: membership.Membership
     platform_reader: platform_reader.PlatformReader
+    peer_traffic: peer_traffic.PeerTraffic
 
     async def text(self) -> str:
         """Return the current metrics in the exposition format."""
@@ -46,4 +48,5 @@
         )
         return await self.metrics.text(
             (*request_metrics.service_gauges(self.services), *gauges),
+            self.peer_traffic.counter_values(),
         )
--- a/libraries/daemon/src/sardinepier/daemon/internal/entry_parts.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/entry_parts.py
@@ -7,11 +7,13 @@
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
 from sardinepier.daemon import entry_events, entry_settings
+from sardinepier.daemon.internal import peer_zones
 from sardinepier.entry import (
     buffer_budget,
     context,
     decision_log,
     header_names,
+    model,
     request_metrics,
     service_registry,
 )
@@ -26,7 +28,7 @@
 )
 from sardinepier.once import quarantine
 from sardinepier.telemetry import logs
-from sardinepier.wire import messages, zmq_network
+from sardinepier.wire import hooks, messages, zmq_network
 from sardinepier.zones import messages as zone_messages
 
 _ZONE_PEERS: Final = 3
@@ -87,7 +89,10 @@
     clock: clocks.Clock,
     random_source: random.Random,
 ) -> membership.Membership:
-    """Return a membership that knows only this daemon."""
+    """Return a membership that knows only this daemon.
+
+    The network counts messages by the zones that it knows.
+    """
     own = members.Member(
         instance_id=network.sender.instance_id,
         daemon_id=settings.daemon_id,
@@ -101,7 +106,7 @@
         started_at_s=clock.monotonic_s(),
         capacity=settings.capacity,
     )
-    return membership.Membership(
+    fleet = membership.Membership(
         own,
         network,
         clock,
@@ -111,6 +116,20 @@
         _ignore_mark,
         _log_member_change,
     )
+    zones = peer_zones.PeerZones(fleet, clock)
+    network.use_hooks(hooks.NetworkHooks(crosses_zones=zones.crosses_zones))
+    return fleet
+
+
+def log_configuration(configuration: model.ServedConfiguration) -> None:
+    """Log that the instance applied a newer configuration."""
+    logs.write(
+        entry_events.ConfigurationInForce(
+            version=configuration.version,
+            routes=len(configuration.routes),
+            routes_of_unknown_kind=configuration.unknown_kinds(),
+        ),
+    )
 
 
 def _log_member_change(event: events.MemberEvent) -> None:
--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -14,6 +14,7 @@
     events,
     service_pool,
     target_record,
+    traffic,
 )
 from sardinepier.gateway import connections, errors, statements
 
@@ -51,6 +52,10 @@
         self._attempt_number = pool.started(record)
         self._started_s = shared.clock.monotonic_s()
         self._is_sent = False
+        self._traffic = traffic.AttemptTraffic(
+            shared.metrics,
+            crosses_zones=record.listed.zone != shared.services.zone,
+        )
         reason = _reason(request, record, is_hedge=is_hedge)
         shared.metrics.attempt_begun(request.service, reason)
         request.attempts += 1
@@ -70,6 +75,7 @@
             slot.callback(
                 self._pool.finished, self._record, self._attempt_number
             )
+            slot.callback(self._traffic.ended)
             try:
                 answer = await self._exchange_in_time()
             except errors.GatewayError as error:
@@ -127,6 +133,7 @@
                 self._record.known_since_s,
             ),
         )
+        self._traffic.opened(response)
         self._record.mark_reachable()
         self._record_reports(response)
         try:
@@ -173,6 +180,7 @@
         self._shared.quarantine.raise_if_quarantined(self._request.fingerprint)
         self._is_sent = True
         self._request.was_sent = True
+        self._traffic.sent(self._request)
 
     def _is_own_answer(self, headers: 'answers.Headers') -> bool:
         """Return whether an answer belongs to this request."""
--- a/libraries/entry/src/sardinepier/entry/request_metrics.py
+++ b/libraries/entry/src/sardinepier/entry/request_metrics.py
@@ -3,6 +3,8 @@
 from collections.abc import Mapping
 from typing import Final
 
+import msgspec
+
 from sardinepier.entry import events, service_registry
 from sardinepier.telemetry import exposition, metrics
 
@@ -25,6 +27,9 @@
     'carriers': 'Daemons that shall carry the own zone.',
     'is_carrier': 'Whether this daemon is one of them, 1 or 0.',
     'members': 'Daemons that this one knows to live, itself included.',
+    'peer_messages': 'Messages to daemons, by kind and by zone of the receiver.',
+    'peer_bytes': 'Bytes of these messages, without transport headers.',
+    'forwarded_bytes': 'Requests and answers of targets, by zone of the target.',
 }
 
 _MAX_SERVICES: Final = 400
@@ -46,6 +51,13 @@
     def __init__(self) -> None:
         """Start all counters at zero."""
         self._metrics = metrics.Metrics(_MAX_SERVICES * len(events.Outcome))
+        self._forwarded = {
+            crosses_zones: self._metrics.counter(
+                'forwarded_bytes',
+                crosses_zones='yes' if crosses_zones else 'no',
+            )
+            for crosses_zones in (False, True)
+        }
 
     def request_ended(
         self,
@@ -85,9 +97,28 @@
             service=service,
         ).record(elapsed_s * _MS_PER_S)
 
-    async def text(self, gauges: tuple[exposition.Gauge, ...]) -> str:
-        """Return all metrics with ``gauges`` in the text exposition format."""
+    def forwarded(self, size_bytes: int, *, crosses_zones: bool) -> None:
+        """Count bytes sent to or received from a target."""
+        self._forwarded[crosses_zones].add(size_bytes)
+
+    def forwarded_bytes(self, *, crosses_zones: bool) -> int:
+        """Return the bytes exchanged with targets of other or the own zone."""
+        return self._forwarded[crosses_zones].count
+
+    async def text(
+        self,
+        gauges: tuple[exposition.Gauge, ...],
+        counters: tuple[metrics.CounterValue, ...] = (),
+    ) -> str:
+        """Return all metrics in the text exposition format.
+
+        ``counters`` are those kept elsewhere, grouped by their names.
+        """
         snapshot = await self._metrics.snapshot_in_steps()
+        snapshot = msgspec.structs.replace(
+            snapshot,
+            counters=snapshot.counters + counters,
+        )
         return exposition.text(snapshot, gauges, HELP_TEXTS)
 
 
--- a/libraries/entry/src/sardinepier/entry/service_registry.py
+++ b/libraries/entry/src/sardinepier/entry/service_registry.py
@@ -70,7 +70,7 @@
         self.targets_digest = 0
         self.on_outcome: Callable[[bool], None] = _ignore_outcome
         self.targets_age_s: Callable[[], float | None] = _unknown_age
-        self._zone = zone
+        self.zone: Final = zone
         self._clock = clock
         self._random = random_source
         self._retry_percent = retry_percent
@@ -137,7 +137,7 @@
         if pool is None:
             pool = service_pool.ServicePool(
                 name,
-                self._zone,
+                self.zone,
                 self._clock,
                 self._random,
                 self._retry_percent,
--- a/libraries/entry/tests/cover/test_entry_lines.py
+++ b/libraries/entry/tests/cover/test_entry_lines.py
@@ -6,7 +6,8 @@
 import entry_support as support
 import msgspec
 import pytest
-from sardinepier.entry import decision_log, events, request_metrics
+from sardinepier.core import ids
+from sardinepier.entry import decision_log, events, model, request_metrics
 from sardinepier.telemetry import logs
 
 
@@ -103,6 +104,31 @@
     assert 'repeats_granted 0' in text
 
 
+@pytest.mark.parametrize('zone', ['z1', 'z2'])
+async def test_forwarded_bytes_are_counted_by_zone_of_the_target(entry, zone):
+    # Guards against large bodies that cross zones without being counted:
+    # those that fail, that are streamed, and that callers send.
+    large = support.with_body(b'x' * 3_000_000)
+    target = support.RawTarget('t1', ['fail', large])
+    entry.shared.services.set_retry_burst(0)
+    await target.start()
+    entry.shared.services.offer_targets(
+        model.TargetList(
+            1,
+            (support.listed('t1', target.port, zone=ids.ZoneName(zone)),),
+        ),
+    )
+    await entry.send('/once/1', 'POST', b'y' * 100_000)
+    await entry.send('/once/1', 'POST', b'y' * 100_000)
+    await support.wait_until(lambda: not entry.shared.activity.in_flight)
+    target.server.close()
+    crosses = zone != support.ZONE
+    metrics = entry.shared.metrics
+    counted = metrics.forwarded_bytes(crosses_zones=crosses)
+    assert 3_200_000 < counted < 3_202_000
+    assert metrics.forwarded_bytes(crosses_zones=not crosses) == 0
+
+
 async def test_a_refusal_is_logged_with_its_error(entry, lines):
     await entry.set_targets()
     await entry.send()
--- a/libraries/entry/tests/entry_support.py
+++ b/libraries/entry/tests/entry_support.py
@@ -172,6 +172,11 @@
 """The function that makes the answer of each behaviour."""
 
 
+def with_body(body):
+    """Return a behaviour whose answers have ``body``."""
+    return lambda echo: answer(echo, body=body)
+
+
 def with_headers(*lines, status='200 OK'):
     """Return a behaviour whose answers have ``lines`` as further headers."""
     return lambda echo: answer(echo, status, extra='\r\n'.join(lines))
--- a/libraries/wire/src/sardinepier/wire/counters.py
+++ b/libraries/wire/src/sardinepier/wire/counters.py
@@ -1,9 +1,22 @@
 """Counters of sent, received and dropped messages."""
 
 import enum
+from collections.abc import Callable
+from typing import Final
 
 import msgspec
 
+from sardinepier.wire import messages
+
+CrossesZones = Callable[[messages.PeerAddress], bool | None]
+"""Returns whether the daemon at an address is in another availability zone, and
+None if its zone is unknown."""
+
+TRANSPORT_OVERHEAD_BYTES: Final = 60
+"""Estimate of what the transport adds to a small message: 20 bytes of IPv4
+header, 32 of TCP header with time stamps, 2 of framing, and a share of the
+acknowledgements. Counted bytes include the envelope, but not this."""
+
 
 class DropReason(enum.Enum):
     """Why a message was not sent or not passed to a handler."""
@@ -48,8 +61,29 @@
     """Its handler raised an exception."""
 
 
+class ZoneCrossing(enum.Enum):
+    """Whether the receiver of a message is in another zone than its sender."""
+
+    CROSSES = 'yes'
+    WITHIN = 'no'
+    UNKNOWN = 'unknown'
+    """The zone of the receiver is not known yet."""
+
+
+class KindTraffic(msgspec.Struct, frozen=True):
+    """What was sent of one kind of message, by where it was sent."""
+
+    kind: str
+    crossing: ZoneCrossing
+    messages: int
+    bytes: int
+
+
 class NetworkCounters(msgspec.Struct, frozen=True):
-    """A snapshot of a network's counters since it was created."""
+    """A snapshot of a network's counters since it was created.
+
+    ``traffic`` breaks the sent messages and bytes down.
+    """
 
     messages_sent: int = 0
     bytes_sent: int = 0
@@ -57,13 +91,30 @@
     bytes_received: int = 0
     dropped: dict[DropReason, int] = {}
     handler_failures: dict[str, int] = {}
+    traffic: tuple[KindTraffic, ...] = ()
+
+
+class _Sum:
+    """Messages and bytes of one kind and crossing."""
+
+    __slots__ = ('bytes', 'messages')
+
+    def __init__(self) -> None:
+        self.messages = 0
+        self.bytes = 0
 
 
 class CounterSet:
-    """The mutable counters of one network."""
+    """The mutable counters of one network.
+
+    ``crosses_zones`` is set by code that knows the zones; without it all
+    receivers are of unknown zone.
+    """
 
     def __init__(self) -> None:
         """Start all counts at zero."""
+        self.crosses_zones: CrossesZones | None = None
+        self._traffic: dict[tuple[str, bool | None], _Sum] = {}
         self._messages_sent = 0
         self._bytes_sent = 0
         self._messages_received = 0
@@ -71,10 +122,21 @@
         self._dropped: dict[DropReason, int] = {}
         self._handler_failures: dict[str, int] = {}
 
-    def sent(self, size_bytes: int) -> None:
+    def sent(
+        self,
+        receiver: messages.PeerAddress,
+        kind: str,
+        size_bytes: int,
+    ) -> None:
         """Count one message passed to the messaging library or the hub."""
         self._messages_sent += 1
         self._bytes_sent += size_bytes
+        key = (kind, self._crosses_zones(receiver))
+        total = self._traffic.get(key)
+        if total is None:
+            total = self._traffic.setdefault(key, _Sum())
+        total.messages += 1
+        total.bytes += size_bytes
 
     def received(self, size_bytes: int) -> None:
         """Count one received message, before it is decoded."""
@@ -101,4 +163,26 @@
             bytes_received=self._bytes_received,
             dropped=dict(self._dropped),
             handler_failures=dict(self._handler_failures),
+            traffic=tuple(
+                KindTraffic(
+                    kind, _CROSSINGS[crosses], total.messages, total.bytes
+                )
+                for (kind, crosses), total in self._traffic.items()
+            ),
         )
+
+    def _crosses_zones(self, receiver: messages.PeerAddress) -> bool | None:
+        if self.crosses_zones is None:
+            return None
+        try:
+            return self.crosses_zones(receiver)
+        except Exception:
+            # A failure to count must not prevent a message from being sent.
+            return None
+
+
+_CROSSINGS: Final = {
+    True: ZoneCrossing.CROSSES,
+    False: ZoneCrossing.WITHIN,
+    None: ZoneCrossing.UNKNOWN,
+}
--- a/libraries/wire/src/sardinepier/wire/hooks.py
+++ b/libraries/wire/src/sardinepier/wire/hooks.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Callable
 
-from sardinepier.wire import messages
+from sardinepier.wire import counters, messages
 
 Stamp = tuple[int, int]
 """A reading of a hybrid logical clock, which the network only transports."""
@@ -16,7 +16,8 @@
     ``stamp_source`` returns the stamp of each sent message. ``on_stamp``
     gets the stamp of each received message, before the handler runs.
     ``on_handler_failure`` gets the message and the exception that its handler
-    raised.
+    raised. ``crosses_zones`` tells the counters which receivers are in another
+    zone; if it fails, the message is counted as one to an unknown zone.
     """
 
     stamp_source: Callable[[], Stamp] | None = None
@@ -24,3 +25,4 @@
     on_handler_failure: Callable[[messages.Message, Exception], None] | None = (
         None
     )
+    crosses_zones: counters.CrossesZones | None = None
--- a/libraries/wire/src/sardinepier/wire/internal/peers.py
+++ b/libraries/wire/src/sardinepier/wire/internal/peers.py
@@ -24,9 +24,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _QueuedFrame:
-    """A queued frame and the time after which it is dropped."""
+    """A queued frame, its kind, and the time after which it is dropped."""
 
     frame: bytes
+    kind: str
     deadline_s: float
 
 
@@ -66,8 +67,16 @@
         self._queued_bytes = 0
         self._closed = False
 
-    def send(self, address: messages.PeerAddress, frame: bytes) -> bool:
-        """Send ``frame`` to ``address`` or queue it; return False if dropped."""
+    def send(
+        self,
+        address: messages.PeerAddress,
+        frame: bytes,
+        kind: str,
+    ) -> bool:
+        """Send ``frame`` to ``address`` or queue it; return False if dropped.
+
+        ``kind`` is the kind of message to count it by.
+        """
         if self._closed:
             return self._drop(counters.DropReason.CLOSED)
         peer = self._peers.pop(address, None) or self._open_peer(address)
@@ -78,9 +87,10 @@
         peer.idle_deadline_s = now_s + self._options.idle_close_s
         # Most messages can be sent at once. Waking the peer's task for each
         # would double the cost of a message.
-        if not peer.is_blocked and self._try_send(peer.socket, frame):
+        if not peer.is_blocked and self._try_send(peer, frame, kind):
             return True
-        return self._enqueue(peer, frame, now_s)
+        deadline_s = now_s + self._options.bounds.message_ttl_s
+        return self._enqueue(peer, _QueuedFrame(frame, kind, deadline_s))
 
     async def close(self) -> None:
         """Cancel the tasks of all peers and close their sockets."""
@@ -95,13 +105,12 @@
         self._counts.drop(reason)
         return False
 
-    def _enqueue(self, peer: _Peer, frame: bytes, now_s: float) -> bool:
-        queued_bytes = self._queued_bytes + len(frame)
+    def _enqueue(self, peer: _Peer, queued: _QueuedFrame) -> bool:
+        queued_bytes = self._queued_bytes + len(queued.frame)
         exceeds_limit = queued_bytes > self._options.bounds.queued_bytes
         if exceeds_limit or peer.queued.full():
             return self._drop(counters.DropReason.QUEUE_FULL)
-        deadline_s = now_s + self._options.bounds.message_ttl_s
-        peer.queued.put_nowait(_QueuedFrame(frame, deadline_s))
+        peer.queued.put_nowait(queued)
         peer.is_blocked = True
         self._queued_bytes = queued_bytes
         return True
@@ -148,7 +157,7 @@
                 self._remove(peer)
                 return
             self._queued_bytes -= len(queued.frame)
-            await self._send_or_drop(peer.socket, queued)
+            await self._send_or_drop(peer, queued)
             peer.is_blocked = not peer.queued.empty()
 
     async def _next_frame(self, peer: _Peer) -> _QueuedFrame | None:
@@ -161,20 +170,18 @@
                 async with asyncio.timeout(max(idle_s, 0)):
                     return await peer.queued.get()
 
-    async def _send_or_drop(
-        self, socket: sockets.Socket, queued: _QueuedFrame
-    ) -> None:
+    async def _send_or_drop(self, peer: _Peer, queued: _QueuedFrame) -> None:
         remaining_s = queued.deadline_s - self._clock.monotonic_s()
-        if not self._try_send(socket, queued.frame):
+        if not self._try_send(peer, queued.frame, queued.kind):
             if remaining_s > 0:
-                await readiness.wait_writable(socket, remaining_s)
-            if not self._try_send(socket, queued.frame):
+                await readiness.wait_writable(peer.socket, remaining_s)
+            if not self._try_send(peer, queued.frame, queued.kind):
                 self._counts.drop(counters.DropReason.STALE)
 
-    def _try_send(self, socket: sockets.Socket, frame: bytes) -> bool:
+    def _try_send(self, peer: _Peer, frame: bytes, kind: str) -> bool:
         with contextlib.suppress(zmq.Again):
-            socket.send(frame, zmq.NOBLOCK)
-            self._counts.sent(len(frame))
+            peer.socket.send(frame, zmq.NOBLOCK)
+            self._counts.sent(peer.address, kind, len(frame))
             return True
         return False
 
--- a/libraries/wire/src/sardinepier/wire/memory_network.py
+++ b/libraries/wire/src/sardinepier/wire/memory_network.py
@@ -211,8 +211,9 @@
         )
 
     def use_hooks(self, network_hooks: hooks.NetworkHooks) -> None:
-        """Replace the callbacks for stamps and failures."""
+        """Replace the callbacks for stamps, failures and zones."""
         self._dispatcher.hooks = network_hooks
+        self._counts.crosses_zones = network_hooks.crosses_zones
 
     def send(
         self,
@@ -226,7 +227,7 @@
         frame = self._dispatcher.encode(self.sender, message)
         if frame is None:
             return False
-        self._counts.sent(len(frame))
+        self._counts.sent(peer, type(message).__name__, len(frame))
         self._hub.transmit(self, peer, frame)
         return True
 
--- a/libraries/wire/src/sardinepier/wire/zmq_network.py
+++ b/libraries/wire/src/sardinepier/wire/zmq_network.py
@@ -98,8 +98,9 @@
         return self._sender
 
     def use_hooks(self, network_hooks: hooks.NetworkHooks) -> None:
-        """Replace the callbacks for stamps and failures."""
+        """Replace the callbacks for stamps, failures and zones."""
         self._dispatcher.hooks = network_hooks
+        self._counts.crosses_zones = network_hooks.crosses_zones
 
     def open(self) -> messages.PeerAddress:
         """Start to listen and return the bound address.
@@ -130,7 +131,9 @@
             self._counts.drop(counters.DropReason.BAD_PEER)
             return False
         frame = self._dispatcher.encode(self._sender, message)
-        return frame is not None and self._peers.send(peer, frame)
+        if frame is None:
+            return False
+        return self._peers.send(peer, frame, type(message).__name__)
 
     def subscribe(
         self,
--- a/libraries/wire/tests/conformance/test_wire_network_contract.py
+++ b/libraries/wire/tests/conformance/test_wire_network_contract.py
@@ -148,6 +148,38 @@
     assert stamps == [(7, 2**40)]
 
 
+async def test_sent_messages_are_counted_by_kind_and_zone(pair):
+    # Guards against inter-zone costs whose cause no metric names.
+    left, right = pair
+    left.send(right.sender.address, Number(1))
+    await _until(lambda: left.counters().traffic)
+    crossing = {right.sender.address: True, _UNUSED_ADDRESS: False}
+    left.use_hooks(hooks.NetworkHooks(crosses_zones=crossing.get))
+    left.send(right.sender.address, Number(1))
+    left.send(right.sender.address, Greeting('x'))
+    left.send(right.sender.address, Greeting('y'))
+    await _until(lambda: right.counters().messages_received == 4)
+    counted = left.counters()
+    assert {
+        (sent.kind, sent.crossing.value): sent.messages
+        for sent in counted.traffic
+    } == {
+        ('Number', 'unknown'): 1,
+        ('Number', 'yes'): 1,
+        ('Greeting', 'yes'): 2,
+    }
+    assert sum(sent.bytes for sent in counted.traffic) == counted.bytes_sent
+
+
+async def test_a_failure_to_count_by_zone_does_not_prevent_a_send(pair):
+    # Guards against messages lost because of a fault in the accounting.
+    left, right = pair
+    left.use_hooks(hooks.NetworkHooks(crosses_zones={}.__getitem__))
+    assert left.send(right.sender.address, Number(1))
+    await _until(lambda: right.counters().messages_received == 1)
+    assert left.counters().traffic[0].crossing is counters.ZoneCrossing.UNKNOWN
+
+
 async def test_send_never_raises_for_messages_that_cannot_be_sent(pair):
     left, _ = pair
     assert left.send(_UNUSED_ADDRESS, Number(1))
