--- /dev/null
+++ b/libraries/workbench/src/sardinepier/workbench/zone_traffic/__init__.py
@@ -0,0 +1,1 @@
+"""Bytes between availability zones, by kind of message, in virtual time."""
