--- a/libraries/daemon/src/sardinepier/daemon/internal/entry_metrics.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/entry_metrics.py
@@ -4,6 +4,7 @@
 import math
 
 from sardinepier.core import clock as clocks
+from sardinepier.daemon.internal import peer_traffic
 from sardinepier.entry import request_metrics, service_registry
 from sardinepier.gateway import active_requests
 from sardinepier.membership import membership
@@ -23,6 +24,7 @@
     membership: membership.Membership
     platform_reader: platform_reader.PlatformReader
     clock: clocks.Clock
+    peer_traffic: peer_traffic.PeerTraffic
 
     async def text(self) -> str:
         """Return the current metrics in the exposition format."""
@@ -54,4 +56,5 @@
                 ),
                 *gauges,
             ),
+            self.peer_traffic.counter_values(),
         )
--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -14,6 +14,7 @@
     events,
     service_pool,
     target_record,
+    traffic,
 )
 from sardinepier.gateway import connections, errors, statements
 from sardinepier.health import refusal_estimate
@@ -53,6 +54,10 @@
         self._started_s = shared.clock.monotonic_s()
         self._is_sent = False
         self._shed_cause = refusal_estimate.ShedCause.UNKNOWN
+        self._traffic = traffic.AttemptTraffic(
+            shared.metrics,
+            crosses_zones=record.listed.zone != shared.services.zone,
+        )
         reason = _reason(request, record, is_hedge=is_hedge)
         shared.metrics.attempt_begun(request.service, reason)
         request.attempts += 1
@@ -72,6 +77,7 @@
             slot.callback(
                 self._pool.finished, self._record, self._attempt_number
             )
+            slot.callback(self._traffic.ended)
             try:
                 answer = await self._exchange_in_time()
             except errors.GatewayError as error:
@@ -130,6 +136,7 @@
                 self._record.known_since_s,
             ),
         )
+        self._traffic.opened(response)
         self._record.mark_reachable()
         self._record_reports(response)
         try:
@@ -176,6 +183,7 @@
         self._shared.quarantine.raise_if_quarantined(self._request.fingerprint)
         self._is_sent = True
         self._request.was_sent = True
+        self._traffic.sent(self._request)
 
     def _is_own_answer(self, headers: 'answers.Headers') -> bool:
         """Return whether an answer belongs to this request."""
