End exchanges with targets that are gone

A request waited until its deadline for a target whose machine had disappeared or whose process had been replaced: 130 requests were held for up to 20 s. Connections to targets now have TCP keep-alive and a user timeout, which ends such an exchange after about 4 s as TargetGoneError, a ConnectionLostError that is not attributed to the request. A refused connection, a 421 or an answer of the next incarnation at an address ends the daemon's open exchanges with the process before. Bytes that have arrived are delivered first.

--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -51,6 +51,7 @@
         self._attempt_number = pool.started(record)
         self._started_s = shared.clock.monotonic_s()
         self._is_sent = False
+        self._open_exchange = shared.exchanges.begin(record)
         reason = _reason(request, record, is_hedge=is_hedge)
         shared.metrics.attempt_begun(request.service, reason)
         request.attempts += 1
@@ -70,6 +71,10 @@
             slot.callback(
                 self._pool.finished, self._record, self._attempt_number
             )
+            slot.callback(
+                self._shared.metrics.exchange_closed, self._open_exchange
+            )
+            slot.callback(self._shared.exchanges.close, self._open_exchange)
             try:
                 answer = await self._exchange_in_time()
             except errors.GatewayError as error:
@@ -125,6 +130,7 @@
             expects=connections.Expectation(
                 self._is_own_answer,
                 self._record.known_since_s,
+                self._open_exchange.mark_sent,
             ),
         )
         self._record.mark_reachable()
@@ -188,6 +194,7 @@
         if response.status == http.HTTPStatus.MISDIRECTED_REQUEST:
             return
         shared = self._shared
+        shared.exchanges.record_answer(self._record)
         load = answers.reported_load(response, shared.names)
         if load is not None:
             self._record.record_load(
@@ -219,6 +226,7 @@
         """Record what an attempt without an answer shows about the target."""
         if isinstance(error, answers.OtherTargetError):
             self._pool.targets.remove(self._record.listed.target_id)
+            self._shared.exchanges.record_other_target(self._record)
         elif isinstance(error, errors.ShedError):
             self._pool.mark_full(self._record)
         elif isinstance(error, _NOT_TARGET_FAILURES):
@@ -231,8 +239,17 @@
     def _record_failure(self, error: errors.GatewayError) -> None:
         if isinstance(error, errors.ConnectTimeoutError):
             self._record.mark_unreachable(self._shared.clock.monotonic_s())
-        else:
-            self._pool.failed(self._record, self._elapsed_s())
+            return
+        self._open_exchange.record_error(error)
+        in_use = self._pool.targets.find(self._record.listed.target_id)
+        # A target that leaves may close its listening socket first, and then
+        # complete the requests that it has.
+        if (
+            isinstance(error, errors.ConnectRefusedError)
+            and in_use is self._record
+        ):
+            self._shared.exchanges.record_refused(self._open_exchange)
+        self._pool.failed(self._record, self._elapsed_s())
 
     def _record_cancellation(self) -> None:
         if self._is_sent:
--- a/libraries/entry/src/sardinepier/entry/context.py
+++ b/libraries/entry/src/sardinepier/entry/context.py
@@ -7,6 +7,7 @@
     buffer_budget,
     decision_log,
     header_names,
+    open_exchanges,
     request_metrics,
     service_registry,
 )
@@ -21,7 +22,8 @@
     ``services`` holds the configuration in force and the targets in use,
     ``activity`` the number of requests in flight. ``decision_log`` writes the
     log lines and ``metrics`` counts requests and attempts. ``buffer_budget``
-    bounds the memory for buffered answers.
+    bounds the memory for buffered answers. ``exchanges`` are those with
+    targets that are open.
     """
 
     clock: clocks.Clock
@@ -33,3 +35,6 @@
     decision_log: decision_log.DecisionLog
     metrics: request_metrics.RequestMetrics
     buffer_budget: buffer_budget.BufferBudget
+    exchanges: open_exchanges.OpenExchanges = dataclasses.field(
+        default_factory=open_exchanges.OpenExchanges,
+    )
--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -169,6 +169,10 @@
                 record,
                 is_hedge=is_hedge,
             ).run()
+        except errors.TargetGoneError:
+            # A process that crashes closes its connections: not its cause.
+            quarantine.released(request.fingerprint)
+            raise
         except errors.ConnectionLostError:
             target_id = record.listed.target_id
             quarantine.crashed(
--- a/libraries/entry/src/sardinepier/entry/request_metrics.py
+++ b/libraries/entry/src/sardinepier/entry/request_metrics.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from typing import Final
 
-from sardinepier.entry import events, service_registry
+from sardinepier.entry import events, open_exchanges, service_registry
 from sardinepier.telemetry import exposition, metrics
 
 HELP_TEXTS: Final[Mapping[str, str]] = {
@@ -11,6 +11,7 @@
     'own_answers': 'Requests that the daemon answered itself, by the reason.',
     'attempts': 'Attempts at targets by service and by how they ended.',
     'attempts_begun': 'Attempts by service and by why the target was chosen.',
+    'exchanges_ended': 'Exchanges with targets that were gone, by the cause.',
     'repeats_granted': 'Further attempts that the retry budgets allowed.',
     'repeats_denied': 'Further attempts that they did not allow.',
     'request_duration_ms': 'From a request read to its answer, in ms.',
@@ -85,6 +86,13 @@
             service=service,
         ).record(elapsed_s * _MS_PER_S)
 
+    def exchange_closed(self, exchange: open_exchanges.OpenExchange) -> None:
+        """Count an exchange that ended because its target was gone."""
+        if exchange.cause is not None:
+            self._metrics.counter(
+                'exchanges_ended', cause=exchange.cause.value
+            ).add()
+
     async def text(self, gauges: tuple[exposition.Gauge, ...]) -> str:
         """Return all metrics with ``gauges`` in the text exposition format."""
         snapshot = await self._metrics.snapshot_in_steps()
--- /dev/null
+++ b/libraries/entry/tests/cover/test_entry_gone_targets.py
@@ -0,0 +1,86 @@
+"""Open exchanges with targets whose process is gone."""
+
+import asyncio
+
+import entry_support as support
+import pytest
+from sardinepier.entry import model
+
+GRACE_S = 1.5
+"""Far less than the deadline of the requests and the time of keep-alive."""
+
+
+async def hold_one(entry, target, path, method='POST'):
+    """Start a request that ``target`` receives and does not answer."""
+    held = asyncio.ensure_future(entry.send(path, method))
+    await support.wait_until(lambda: target.received)
+    return held
+
+
+@pytest.mark.parametrize(
+    ('path', 'status'),
+    [('/once/1', 502), ('/books/1', 200)],
+)
+async def test_a_refused_connection_ends_the_open_exchange(entry, path, status):
+    """Guards against requests held by a process that is gone."""
+    gone = support.RawTarget('t-1', ('hang',))
+    other = support.RawTarget('t-2')
+    await entry.set_targets(gone, other)
+    pool = entry.shared.services.pool(support.SERVICE)
+    free = pool.targets.find(other.name)
+    free.full_until_s = float('inf')
+    held = await hold_one(entry, gone, path)
+    gone.server.close()
+    probe = asyncio.ensure_future(entry.send('/books/2'))
+    await asyncio.sleep(0.2)
+    free.full_until_s = 0.0
+    reply = await asyncio.wait_for(held, GRACE_S)
+    assert reply[0] == status
+    assert (await probe)[0] == 200
+    text = await entry.shared.metrics.text(())
+    assert 'exchanges_ended_total{cause="refused"} 1' in text
+
+
+async def test_another_process_at_the_address_ends_the_open_exchange(entry):
+    """Guards against requests held by the process before a restart."""
+    target = support.RawTarget('t-1', ('hang', 'other'))
+    await entry.set_targets(target)
+    held = await hold_one(entry, target, '/once/1')
+    probe = asyncio.ensure_future(entry.send('/books/2'))
+    assert (await asyncio.wait_for(held, GRACE_S))[0] == 502
+    assert (await probe)[0] == 503
+
+
+@pytest.mark.parametrize(('next_id', 'status'), [('t@2', 502), ('t@1', 200)])
+async def test_only_the_next_incarnation_ends_the_open_exchange(
+    entry, next_id, status
+):
+    """Guards against requests held by the incarnation before a restart."""
+    target = support.RawTarget('t', ('gated', 'ok'))
+    await target.start()
+    offer(entry, 1, support.listed('t@1', target.port, name='t', born_ms=1))
+    held = await hold_one(entry, target, '/once/1')
+    offer(entry, 2)
+    offer(entry, 3, support.listed(next_id, target.port, name='t', born_ms=2))
+    assert not held.done()
+    assert (await entry.send('/books/2'))[0] == 200
+    await asyncio.sleep(0.2)
+    target.gate.set()
+    assert (await asyncio.wait_for(held, GRACE_S))[0] == status
+    target.server.close()
+
+
+async def test_a_target_that_is_only_not_listed_completes_its_request(entry):
+    """Guards against losing the requests of a target that is leaving."""
+    target = support.RawTarget('t-1', ('gated',))
+    await entry.set_targets(target)
+    held = await hold_one(entry, target, '/once/1')
+    await entry.set_targets(support.RawTarget('t-2'))
+    assert (await entry.send('/books/2'))[0] == 200
+    target.gate.set()
+    assert (await asyncio.wait_for(held, GRACE_S))[0] == 200
+    target.server.close()
+
+
+def offer(entry, revision, *listed):
+    entry.shared.services.offer_targets(model.TargetList(revision, listed))
--- a/libraries/gateway/src/sardinepier/gateway/attempt.py
+++ b/libraries/gateway/src/sardinepier/gateway/attempt.py
@@ -196,7 +196,8 @@
 
     def _end_with_error(self, error: BaseException) -> None:
         outcome = _outcome_of(error)
-        if outcome is evidence.AttemptOutcome.CONNECTION_LOST:
+        is_lost = outcome is evidence.AttemptOutcome.CONNECTION_LOST
+        if is_lost and not isinstance(error, errors.TargetGoneError):
             outcome = self._suspect_crash()
         else:
             self._context.quarantine.released(self._request.fingerprint)
--- a/libraries/gateway/src/sardinepier/gateway/connections.py
+++ b/libraries/gateway/src/sardinepier/gateway/connections.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import dataclasses
+import errno
 import re
 import select
 from collections.abc import Callable
@@ -23,9 +24,17 @@
     tracing,
 )
 
+from sardinepier.gateway import keepalive
+
 Accepts = Callable[[multidict.CIMultiDictProxy[str]], bool]
 """Returns from the headers whether an answer belongs to the exchange."""
 
+EndAsGone = Callable[[], bool]
+"""Ends an open exchange as if its target had stopped answering TCP.
+
+Returns False, and does nothing, while bytes of the answer wait to be read.
+"""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Expectation:
@@ -34,10 +43,13 @@
     ``accepts`` distinguishes the answer to this request from a late answer to
     an earlier one. A connection made before ``made_since_s``, in event loop
     time, is not used: the process behind it may have been replaced.
+    ``on_sent`` is called at the first byte with the function that ends the
+    exchange.
     """
 
     accepts: Accepts | None = None
     made_since_s: float = 0.0
+    on_sent: Callable[[EndAsGone], None] | None = None
 
 
 _HTTP_PORT: Final = 80
@@ -50,6 +62,16 @@
 is not reused: a request sent while the target closes the connection is lost."""
 
 
+_GONE_ERRNOS: Final = frozenset(
+    (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
+)
+
+
+def is_gone(error: BaseException) -> bool:
+    """Return whether TCP gave up on a peer that did not close."""
+    return isinstance(error, OSError) and error.errno in _GONE_ERRNOS
+
+
 class GuardedHandler(client_proto.ResponseHandler):
     """A connection that closes if the target sends data while it is idle."""
 
@@ -61,6 +83,8 @@
         self.made_s = loop.time()
         self.accepts: Accepts | None = None
         self._idle_until_s = float('inf')
+        self._is_gone = False
+        self._has_long_body = False
 
     async def read(self) -> Any:
         """Return the answer to this exchange and skip late answers."""
@@ -78,6 +102,8 @@
         An answer without a length ends with its connection, and aiohttp
         accepts any end of the connection as the end of the answer.
         """
+        if self._is_gone and exc is None:
+            exc = TimeoutError(errno.ETIMEDOUT, 'The target is gone')
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
             payload.set_exception(
@@ -87,6 +113,31 @@
             )
         super().connection_lost(exc)
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Detect from now on a peer that disappears without closing."""
+        keepalive.enable(transport.get_extra_info('socket'))
+        super().connection_made(transport)
+
+    def end_as_gone(self) -> bool:
+        """End the exchange; see ``EndAsGone``."""
+        if self.transport is None:
+            return True
+        if self._is_readable():
+            return False
+        self._is_gone = True
+        self.transport.abort()
+        return True
+
+    def set_body_length(self, length: int) -> None:
+        """Allow the target the time to read a request body of ``length``."""
+        is_long = length > keepalive.MAX_SHORT_BYTES
+        if is_long is self._has_long_body or self.transport is None:
+            return
+        self._has_long_body = is_long
+        keepalive.set_user_timeout(
+            self.transport.get_extra_info('socket'), is_long=is_long
+        )
+
     def data_received(self, data: bytes) -> None:
         """Process bytes of an answer; abort on bytes while idle."""
         # An empty call only signals that reading resumes.
@@ -109,12 +160,7 @@
             return False
         if self._loop.time() > self._idle_until_s:
             return True
-        poller = select.poll()
-        poller.register(
-            self.transport.get_extra_info('socket').fileno(),
-            select.POLLIN,
-        )
-        return bool(poller.poll(0))
+        return self._is_readable()
 
     def mark_idle(self) -> None:
         """Mark the connection as idle after an exchange."""
@@ -122,6 +168,16 @@
         self.is_reused = True
         self.accepts = None
 
+    def _is_readable(self) -> bool:
+        """Return whether bytes or the end of the connection are unread."""
+        assert self.transport is not None  # noqa: S101 - the callers checked it
+        poller = select.poll()
+        poller.register(
+            self.transport.get_extra_info('socket').fileno(),
+            select.POLLIN,
+        )
+        return bool(poller.poll(0))
+
     def _is_accepted(self, message: Any) -> bool:
         return self.accepts is None or self.accepts(message.headers)
 
--- a/libraries/gateway/src/sardinepier/gateway/errors.py
+++ b/libraries/gateway/src/sardinepier/gateway/errors.py
@@ -39,6 +39,10 @@
     """
 
 
+class ConnectRefusedError(ConnectFailedError):
+    """Nothing listens at the target's address: its process has ended."""
+
+
 class TargetLeftError(ProvedNotRunError):
     """The target began to leave after its selection; nothing was sent."""
 
@@ -71,6 +75,14 @@
     """The connection ended without an answer after something was sent."""
 
 
+class TargetGoneError(ConnectionLostError):
+    """The target disappeared without closing the connection.
+
+    It may still be running behind a cut link. The request did not cause it: a
+    process that crashes closes its connections.
+    """
+
+
 class BadAnswerError(UnknownFateError):
     """The target's answer is not valid HTTP and can't be forwarded."""
 
--- a/libraries/gateway/src/sardinepier/gateway/outgoing.py
+++ b/libraries/gateway/src/sardinepier/gateway/outgoing.py
@@ -58,6 +58,9 @@
             )
         writer = await self._writer_to(conn, protocol)
         self.exchange.begin_writing()
+        protocol.set_body_length(len(self.content))
+        if self.expects.on_sent is not None:
+            self.expects.on_sent(protocol.end_as_gone)
         protocol.is_idle = False
         protocol.accepts = self.expects.accepts
         conn.add_callback(protocol.mark_idle)
@@ -162,23 +165,31 @@
 
     def _connection_error(self, error: Exception) -> errors.GatewayError:
         name = type(error).__name__
+        if self.written and connections.is_gone(error):
+            return errors.TargetGoneError(
+                f'The target is gone and left no answer ({name})',
+                'Check whether the request ran before sending it again',
+            )
         if self.written:
             return errors.ConnectionLostError(
                 f'The target ended the connection without an answer ({name})',
                 'Check whether the request ran before sending it again',
             )
-        kind = (
-            errors.ConnectTimeoutError
-            if isinstance(error, TimeoutError)
-            else errors.ConnectFailedError
-        )
-        return kind(
+        return _connect_error_type(error)(
             f'The connection to the target failed ({name})',
             'Send the request again',
             _RETRY_AFTER_S,
         )
 
 
+def _connect_error_type(error: Exception) -> type[errors.ConnectFailedError]:
+    if isinstance(error, TimeoutError):
+        return errors.ConnectTimeoutError
+    if isinstance(error, ConnectionRefusedError):
+        return errors.ConnectRefusedError
+    return errors.ConnectFailedError
+
+
 async def _head(
     response: client_reqrep.ClientResponse,
     connection: connector.Connection,
