Emulate targets of different speeds that slow down when nearly full

The policy emulation had equal targets, so that a decision by the latency of a target could not be compared. Speeds depend on the name of a target only; the earlier scenarios run as before.

--- a/libraries/workbench/src/sardinepier/workbench/policy/command.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/command.py
@@ -57,6 +57,7 @@
     for counts in tallies:
         total.requests += counts.total.requests
         total.served += counts.total.served
+        total.in_time += counts.total.in_time
         total.refused += counts.total.refused
     worth = statistics.fmean(played.worth() for played in tallies)
     shares = {
@@ -68,6 +69,7 @@
     classes = ' '.join(f'{name} {share:.3f}' for name, share in shares.items())
     return (
         f'worth {worth:.3f}, served {total.served / total.requests:.4f}, '
+        f'in time {total.in_time / total.requests:.4f}, '
         f'refused {total.refused / total.requests:.4f}, '
         f'failed {total.failed / total.requests:.4f}; {classes}; '
         f'{floor.summary([played.floor for played in tallies])}'
--- a/libraries/workbench/src/sardinepier/workbench/policy/scenario.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/scenario.py
@@ -53,7 +53,10 @@
 
     A target processes up to ``slots`` requests at once and queues up to
     ``queue`` more. A share of ``error_share`` of the processed requests fails
-    at the end, at any target.
+    at the end, at any target. Processing times of a target are scaled by a
+    log-normal factor with the mean 1 and the sigma ``speed_spread``. A share
+    ``tiring_share`` of the targets takes ``tiring_factor`` times as long for
+    a request that starts while more than 0.7 of its slots are taken.
     """
 
     name: str
@@ -62,6 +65,9 @@
     queue: int = 16
     error_share: float = 0.012
     noise: Noise = Noise()
+    speed_spread: float = 0.0
+    tiring_share: float = 0.0
+    tiring_factor: float = 2.5
 
 
 class RequestClass(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/libraries/workbench/src/sardinepier/workbench/policy/tally.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/tally.py
@@ -34,6 +34,7 @@
 
     requests: int = 0
     served: int = 0
+    in_time: int = 0
     refused: int = 0
     max_credit: float = 0.0
     credit: float = 0.0
@@ -43,6 +44,7 @@
         """Count one request."""
         self.requests += 1
         self.served += score.credit > 0
+        self.in_time += score.credit >= score.max_credit
         self.refused += score.is_refused
         self.max_credit += score.max_credit
         self.credit += score.credit
--- a/libraries/workbench/src/sardinepier/workbench/policy/targets.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/targets.py
@@ -19,6 +19,7 @@
 _OK: Final = 200
 _FAILED: Final = 500
 _FULL: Final = 503
+_NEARLY_FULL: Final = 0.7
 
 
 class ResetError(ConnectionError):
@@ -68,6 +69,9 @@
         self.last_failure_s = -math.inf
         self._service = service
         self._random = random_source
+        self._speed_factor, self._full_factor = _speed(
+            service, str(listed.target_id)
+        )
         self._running = 0
         self._waiting: collections.deque[asyncio.Future[None]] = (
             collections.deque()
@@ -94,10 +98,16 @@
             return self._reply(_FULL, has_run=False)
         with contextlib.ExitStack() as stack:
             stack.callback(self._release_slot)
-            await asyncio.sleep(work_s * self.slowness)
+            await asyncio.sleep(work_s * self.slowness * self._load_factor())
         is_error = self._random.random() < self._service.error_share
         return self._reply(_FAILED if is_error else _OK, has_run=True)
 
+    def _load_factor(self) -> float:
+        """Return the factor on the processing time of a starting request."""
+        if self._running > _NEARLY_FULL * self._service.slots:
+            return self._speed_factor * self._full_factor
+        return self._speed_factor
+
     async def _fail(self, work_s: float) -> Reply:
         self.last_failure_s = asyncio.get_running_loop().time()
         manner = self._service.noise.manner
@@ -164,6 +174,20 @@
         return self._random.expovariate(1 / mean_s)
 
 
+def _speed(service: scenario.Service, name: str) -> tuple[float, float]:
+    """Return a target's factor on processing times, and that when full.
+
+    They depend on the name only, so that a scenario has the same targets with
+    all seeds.
+    """
+    random_source = random.Random(name)
+    sigma = service.speed_spread
+    speed_factor = random_source.lognormvariate(-(sigma**2) / 2, sigma)
+    if random_source.random() < service.tiring_share:
+        return speed_factor, service.tiring_factor
+    return speed_factor, 1.0
+
+
 def make(
     setup: scenario.Scenario,
     random_source: random.Random,
