--- a/libraries/entry/src/sardinepier/entry/request_metrics.py
+++ b/libraries/entry/src/sardinepier/entry/request_metrics.py
@@ -6,7 +6,12 @@
 
 import msgspec
 
-from sardinepier.entry import events, service_pool, service_registry
+from sardinepier.entry import (
+    events,
+    open_exchanges,
+    service_pool,
+    service_registry,
+)
 from sardinepier.health import refusal_estimate
 from sardinepier.telemetry import exposition, metrics
 
@@ -17,6 +22,7 @@
     'customer_refusals': 'Requests beyond a customer limit, by priority.',
     'attempts': 'Attempts at targets by service and by how they ended.',
     'attempts_begun': 'Attempts by service and by why the target was chosen.',
+    'exchanges_ended': 'Exchanges with targets that were gone, by the cause.',
     'repeats_granted': 'Further attempts that the retry budgets allowed.',
     'repeats_denied': 'Further attempts that they did not allow.',
     'retry_waits': 'Requests that waited for retry budget, by service.',
@@ -121,6 +127,13 @@
             service=service,
         ).record(elapsed_s * _MS_PER_S)
 
+    def exchange_closed(self, exchange: open_exchanges.OpenExchange) -> None:
+        """Count an exchange that ended because its target was gone."""
+        if exchange.cause is not None:
+            self._metrics.counter(
+                'exchanges_ended', cause=exchange.cause.value
+            ).add()
+
     def retry_wait(self, service: str) -> None:
         """Count a request that had to wait for retry budget."""
         self._metrics.counter('retry_waits', service=service).add()
