--- a/libraries/zones/tests/cover/test_zones_usage.py
+++ b/libraries/zones/tests/cover/test_zones_usage.py
@@ -1,11 +1,14 @@
 """A customer's limit shared by the carriers of several zones."""
 
+import asyncio
 import random
 
+import msgspec
 import zones_support as support
 
 from sardinepier.core import ids
 from sardinepier.entry import model
+from sardinepier.routing import wait_queue
 from sardinepier.zones import messages
 
 CUSTOMER = ids.CustomerName('library')
@@ -81,6 +84,38 @@
     assert first.services.limits._has_recent_reports(zone.clock.monotonic_s())
 
 
+async def test_carriers_leave_tokens_for_urgent_requests_elsewhere():
+    """Guards against low requests of one zone before urgent ones of another."""
+    zone = await limited_zones()
+    first, second = carriers_of(zone)
+    await send_requests(zone, (first,), 1.0)
+    urgent = wait_queue.QueuedRequest(
+        0, zone.clock.monotonic_s() + 60, accepts_any_target=True
+    )
+    waiting = [
+        asyncio.ensure_future(
+            first.services.customer_queues.admit(CUSTOMER, urgent)
+        )
+        for _ in range(50)
+    ]
+    await zone.run(0.3)
+    queues = second.services.customer_queues
+    assert queues.tokens_to_leave(CUSTOMER, 1) > 10
+    assert not queues.tokens_to_leave(CUSTOMER, 0)
+    zone.stop(first)
+    await zone.run(0.5)
+    assert not queues.tokens_to_leave(CUSTOMER, 1)
+    for task in waiting:
+        task.cancel()
+
+
+def test_usage_of_the_previous_version_is_readable():
+    """Guards against a rolling update that loses the usage of old daemons."""
+    old = msgspec.msgpack.encode([CUSTOMER, 3, 4])
+    usage = msgspec.msgpack.decode(old, type=messages.CustomerUsage)
+    assert usage == messages.CustomerUsage(CUSTOMER, 3, 4)
+
+
 async def test_without_limits_no_usage_is_sent(monkeypatch):
     zone = support.Zone(count=3, zones=('z1', 'far'))
     await support.with_targets(zone)
