Check the queue of a customer when a token or a deadline is due

With 1,000 customers that each have one waiting request, checks every 0.1 s took 0.56 of a core on a loaded machine.

--- a/libraries/routing/src/sardinepier/routing/admission.py
+++ b/libraries/routing/src/sardinepier/routing/admission.py
@@ -37,7 +37,8 @@
     ``recheck_interval_s``, since some become free without an event: a target's
     back-off ends, or the report of a peer becomes stale. Where
     ``recheck_after_s`` is given, it returns after how many seconds to look
-    again, and this one timer replaces those of the waiting requests.
+    again, and one timer for this and the first deadline replaces those of the
+    waiting requests.
     """
 
     def __init__(
@@ -135,7 +136,8 @@
     def _keep_rechecking(self) -> None:
         interval_s = self._recheck_interval_s
         if self._recheck_after_s is not None:
-            interval_s = self._recheck_after_s()
+            left_s = self._queue.next_end_s() - self._clock.monotonic_s()
+            interval_s = max(0.0, min(left_s, self._recheck_after_s()))
         loop = asyncio.get_running_loop()
         due_s = loop.time() + interval_s
         if self._recheck is not None:
--- a/libraries/routing/src/sardinepier/routing/internal/customer_queue.py
+++ b/libraries/routing/src/sardinepier/routing/internal/customer_queue.py
@@ -18,9 +18,13 @@
 """Requests that may wait: a second of the excess of a large customer."""
 
 _MIN_RECHECK_S: Final = 0.005
-_MAX_RECHECK_S: Final = 0.1
+_MAX_RECHECK_S: Final = 1.0
 """Bounds of the time between two checks of the queue. The upper one bounds how
-late it notices that other daemons need no tokens any more."""
+late it notices that requests get no token in time any more."""
+
+_SHARED_RECHECK_S: Final = 0.1
+"""Time between two checks while requests also wait elsewhere. It bounds how late
+the queue notices that no tokens have to be left for them any more."""
 
 _MIN_FORECAST_INTERVAL_S: Final = 0.05
 """A request that can't be served any more is refused so much later at most."""
@@ -134,7 +138,9 @@
         priorities = (+self._waiting).keys()
         leave = self._leave(min(priorities, default=0))
         wait_s = self._limits.wait_s(self.customer, leave)
-        return min(_MAX_RECHECK_S, max(_MIN_RECHECK_S, wait_s))
+        is_shared = self._peers.of(self.customer, self._clock.monotonic_s())
+        max_s = _SHARED_RECHECK_S if is_shared else _MAX_RECHECK_S
+        return min(max_s, max(_MIN_RECHECK_S, wait_s))
 
     def _leave(self, priority: int) -> float:
         """Return the tokens to leave for requests of higher priority.
--- a/libraries/routing/src/sardinepier/routing/wait_queue.py
+++ b/libraries/routing/src/sardinepier/routing/wait_queue.py
@@ -10,7 +10,7 @@
 import dataclasses
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, Final, Generic, Protocol, TypeVar
 
 from sardinepier.core import clock
@@ -211,6 +211,16 @@
         """Return the local time from which ``request`` can't finish in time."""
         return request.deadline_s - self._estimate.service_s
 
+    def next_end_s(self) -> float:
+        """Return when the first waiter can't finish in time any more."""
+        return min(
+            (
+                self.latest_start_s(place.waiter.request)
+                for place in self._places
+            ),
+            default=math.inf,
+        )
+
     def submit(self, waiter: Waiter[GrantT]) -> None:
         """Grant, queue or refuse a new waiter immediately.
 
@@ -324,7 +334,7 @@
         while position < len(self._places):
             place = self._places[position]
             if now_s < self.latest_start_s(place.waiter.request):
-                position = self._next_group(place.group)
+                position = _group_end(self._places, place.group)
             else:
                 refused = self._places.pop(position)
                 refused.waiter.refuse(
@@ -350,13 +360,6 @@
                 self._places.pop(position)
                 waiter.refuse(self._refusals.late(self._likely_wait_s()))
 
-    def _next_group(self, group: _Group) -> int:
-        return bisect.bisect(
-            self._places,
-            (*group, math.inf, 0),
-            key=_rank_of,
-        )
-
     def _estimated_wait_s(self, ahead: int) -> float:
         if not self._rules.estimates_waits:
             return 0.0
@@ -372,3 +375,8 @@
 
 def _rank_of(place: _Place[Any]) -> _Rank:
     return place.rank
+
+
+def _group_end(places: Sequence[_Place[Any]], group: _Group) -> int:
+    """Return the position behind the last place of a group."""
+    return bisect.bisect(places, (*group, math.inf, 0), key=_rank_of)
