--- a/libraries/routing/src/sardinepier/routing/customer_queues.py
+++ b/libraries/routing/src/sardinepier/routing/customer_queues.py
@@ -106,8 +106,10 @@
 
     def limits_changed(self) -> None:
         """Admit or refuse requests that wait when limits were changed."""
-        for queue in self._queues.values():
+        for customer, queue in tuple(self._queues.items()):
             queue.wake()
+            if not self._limits.is_limited(customer):
+                del self._queues[customer]
 
     def demands(
         self,
--- a/libraries/routing/tests/cover/test_routing_customer_queues.py
+++ b/libraries/routing/tests/cover/test_routing_customer_queues.py
@@ -342,7 +342,7 @@
     single.daemon.limits.set({})
     await single.advance(0)
     assert 'longer' in single.order
-    assert not len(single.queues)
+    assert not single.queues._queues
 
 
 def test_tokens_are_left_for_urgent_requests_that_wait_elsewhere():
