--- a/libraries/routing/tests/cover/test_routing_customer_queues.py
+++ b/libraries/routing/tests/cover/test_routing_customer_queues.py
@@ -28,6 +28,9 @@
 LEEWAY = fleet_limits.DEFAULT_LEEWAY
 LIMIT = fleet_bucket.Limit(20.0, 20.0)
 STEP_S = 0.02
+TIMEOUT_S = 5.0
+"""Far longer than any step takes; a request that waits so long was not refused."""
+
 REPORT_STEPS = 10
 URGENT, USUAL, LOW = range(3)
 LOOK_UP_SHARES = {URGENT: 0.18, USUAL: 0.27, LOW: 0.55}
@@ -182,12 +185,12 @@
         await asyncio.sleep(0)
         return task
 
-    async def refusal(self, number):
+    async def refusal(self, number, start_in_s=0.01):
         """Return after how many seconds the refused request is to return."""
+        refused = request(self.clock, start_in_s=start_in_s, fingerprint=number)
         try:
-            await self.queues.admit(
-                HOT, request(self.clock, start_in_s=0.01, fingerprint=number)
-            )
+            async with asyncio.timeout(TIMEOUT_S):
+                await self.queues.admit(HOT, refused)
         except errors.CustomerLimitError as error:
             return error.retry_after_s
         return pytest.fail('The request was admitted')
@@ -269,8 +272,7 @@
     for number in range(10):
         await single.wait(number, start_in_s=0.55)
     await single.wait('in time', start_in_s=0.56)
-    with pytest.raises(errors.CustomerLimitError):
-        await single.queues.admit(HOT, request(single.clock, start_in_s=0.57))
+    assert await single.refusal(1, start_in_s=0.57)
     for _ in range(11):
         await single.advance(0.05)
     assert 'in time' in single.order
