--- a/libraries/workbench/src/sardinepier/workbench/policy/targets.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/targets.py
@@ -69,9 +69,7 @@
         self.last_failure_s = -math.inf
         self._service = service
         self._random = random_source
-        self._speed_factor, self._full_factor = _speed(
-            service, str(listed.target_id)
-        )
+        self._factors = _factors(service, str(listed.target_id))
         self._running = 0
         self._waiting: collections.deque[asyncio.Future[None]] = (
             collections.deque()
@@ -104,9 +102,10 @@
 
     def _load_factor(self) -> float:
         """Return the factor on the processing time of a starting request."""
+        speed_factor, full_factor = self._factors
         if self._running > _NEARLY_FULL * self._service.slots:
-            return self._speed_factor * self._full_factor
-        return self._speed_factor
+            return speed_factor * full_factor
+        return speed_factor
 
     async def _fail(self, work_s: float) -> Reply:
         self.last_failure_s = asyncio.get_running_loop().time()
@@ -174,7 +173,7 @@
         return self._random.expovariate(1 / mean_s)
 
 
-def _speed(service: scenario.Service, name: str) -> tuple[float, float]:
+def _factors(service: scenario.Service, name: str) -> tuple[float, float]:
     """Return a target's factor on processing times, and that when full.
 
     They depend on the name only, so that a scenario has the same targets with
