Monitor other zones by a few daemons of each zone only

Every daemon monitored one peer on a ring of all zones and exchanged tables with daemons of any zone. In 100 daemons this was most of what crossed zones: heartbeats with gossip at any time, table exchanges at a start. It grew with the fleet.

With the option zone_links, three daemons of a zone monitor one member of each other zone; all other monitors and, but for a quarter of those at a start, all exchanges are within the zone. Members of a zone from which nothing answers any longer are checked by a number of probes that grows with each round: the links alone would find a lost zone's members one after another. FAST_START sets it, so that the existing tests of a large start hold for it.

All tests of membership pass unchanged.

--- a/libraries/membership/src/sardinepier/membership/internal/contacts.py
+++ b/libraries/membership/src/sardinepier/membership/internal/contacts.py
@@ -42,6 +42,10 @@
             usable = self._random.sample(usable, self._max_contacts)
         self._seeds = dict.fromkeys(usable)
 
+    def is_seed(self, address: messages.PeerAddress) -> bool:
+        """Return whether ``address`` is a seed, which all daemons know."""
+        return address in self._seeds
+
     def add_unreachable(self, address: messages.PeerAddress) -> None:
         """Add the address of a dead member, or of a sender that is unknown."""
         self._unreachable.pop(address, None)
--- a/libraries/membership/src/sardinepier/membership/internal/gossip.py
+++ b/libraries/membership/src/sardinepier/membership/internal/gossip.py
@@ -62,15 +62,23 @@
 
     def first_contact_updates(
         self,
+        stranger: ids.InstanceId,
         random_source: random.Random,
     ) -> tuple[kinds.MemberUpdate, ...]:
         """Return the updates for a daemon that knows only an address.
 
         When the whole fleet starts at once, every daemon knows the same few
         seed addresses, and these cannot send the whole table to everyone.
-        With some other members named, the next requests go to those.
+        With some other members named, the next requests go to those. Where
+        traffic between zones is limited, they are of the zone of ``stranger``.
         """
         peers = self._table.peers()
+        known = self._table.get(stranger)
+        if known and self._options.current.zone_links:
+            zone = known.identity.zone
+            peers = [
+                peer for peer in peers if peer.identity.zone == zone
+            ] or peers
         count = min(self._options.current.named_to_strangers, len(peers))
         named = random_source.sample(peers, count)
         return self.updates((self._table.own, *named))
--- a/libraries/membership/src/sardinepier/membership/internal/heartbeat.py
+++ b/libraries/membership/src/sardinepier/membership/internal/heartbeat.py
@@ -69,7 +69,10 @@
         self._evaluate_interval()
         self._known.expire()
         self._watches.monitor(
-            self._monitored_peers.current(self._options.current.zone_peers)
+            self._monitored_peers.current(
+                self._options.current.zone_peers,
+                self._options.current.zone_links,
+            )
         )
         self._probe_watched()
         self._probe_contacts()
@@ -118,7 +121,10 @@
             self._known.contacts.add_unreachable(sender.address)
         if not names_this_instance:
             first_updates = (
-                *self._known.gossip.first_contact_updates(self._random),
+                *self._known.gossip.first_contact_updates(
+                    sender.instance_id,
+                    self._random,
+                ),
                 *first_updates,
             )
         self._network.send(
@@ -192,10 +198,24 @@
 
     def _evaluate_interval(self) -> None:
         outcome = self._watches.close_interval()
+        # A lost zone is no sign that this daemon is at fault.
         self._local_health.record_interval(
-            len(outcome.answered), len(outcome.missed)
+            len(outcome.answered),
+            len(outcome.missed) - outcome.zone_checks_missed,
         )
-        for overdue in self._watches.overdue(self._local_health.extra_misses):
+        suspected = self._watches.overdue(self._local_health.extra_misses)
+        if self._options.current.zone_links:
+            # The few links to a zone that lost power would find its members
+            # one after another. The number of checks grows with each round.
+            self._watches.check_zone(
+                rings.silent_zone_members(
+                    self._known.table,
+                    suspected,
+                    outcome.answered,
+                    self._random,
+                ),
+            )
+        for overdue in suspected:
             self._known.suspect(overdue)
             self._watches.record_suspicion(overdue)
             self._death_claims.pop(overdue, None)
--- a/libraries/membership/src/sardinepier/membership/internal/sync.py
+++ b/libraries/membership/src/sardinepier/membership/internal/sync.py
@@ -9,6 +9,7 @@
 from sardinepier.membership import kinds
 from sardinepier.membership.internal import (
     catch_up,
+    exchange_peers,
     jittered_interval,
     knowledge,
     record,
@@ -45,6 +46,7 @@
         self._on_death_claim = on_death_claim
         self._offers_left = _MAX_UNANSWERED_OFFERS
         self._catch_up = catch_up.CatchUp(known.options, time_source)
+        self._peers = exchange_peers.ExchangePeers(known, random_source)
         self._next_peer: messages.PeerAddress | None = None
         self._mismatches: dict[messages.PeerAddress, int] = {}
         self._interval = jittered_interval.JitteredInterval(
@@ -58,7 +60,7 @@
         due = self._interval.is_due()
         if self._offers_left <= 0 and not due:
             return
-        peer = self._next_peer or self._random_peer()
+        peer = self._next_peer or self._peers.regular()
         if peer is None:
             return
         if due:
@@ -74,7 +76,7 @@
         that has just started sends an offer to the first peer that answers.
         """
         if self._catch_up.may_start():
-            self._offer(peer)
+            self._offer(self._peers.first(peer))
         if digest == self._known.table.digests.total():
             self._mismatches.pop(peer, None)
             return
@@ -126,7 +128,7 @@
         if is_changed:
             self._schedule_offers(sender.address)
             if self._catch_up.may_continue():
-                self._offer(self._random_peer())
+                self._offer(self._peers.while_catching_up())
 
     def on_patch(
         self,
@@ -154,12 +156,6 @@
         self._next_peer = peer
         self._offers_left = _MAX_UNANSWERED_OFFERS
 
-    def _random_peer(self) -> messages.PeerAddress | None:
-        peers = self._known.table.peers()
-        if not peers:
-            return None
-        return self._random.choice(peers).identity.peer_address
-
     def _choose_buckets(
         self,
         differing: list[int],
--- a/libraries/membership/src/sardinepier/membership/internal/watches.py
+++ b/libraries/membership/src/sardinepier/membership/internal/watches.py
@@ -21,10 +21,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class IntervalOutcome:
-    """The peers that answered and that missed a heartbeat in an interval."""
+    """The peers that answered and that missed a heartbeat in an interval.
+
+    ``zone_checks_missed`` counts those of ``missed`` that were only probed as
+    their zone seemed lost.
+    """
 
     answered: tuple[ids.InstanceId, ...]
     missed: tuple[ids.InstanceId, ...]
+    zone_checks_missed: int = 0
 
 
 class Watches:
@@ -40,6 +45,7 @@
         self._monitored: dict[ids.InstanceId, Watch] = {}
         self._checks: dict[ids.InstanceId, Watch] = {}
         self._queued_checks: dict[ids.InstanceId, None] = {}
+        self._zone_checks: set[ids.InstanceId] = set()
 
     def monitor(self, chosen: Iterable[ids.InstanceId]) -> None:
         """Set the peers to monitor; those that remain keep their status."""
@@ -57,6 +63,13 @@
             return
         self._queued_checks[instance_id] = None
 
+    def check_zone(self, chosen: Iterable[ids.InstanceId]) -> None:
+        """Check members of a zone that seems lost, in the coming interval."""
+        for instance_id in chosen:
+            if len(self._checks) < MAX_CHECKS:
+                self._checks.setdefault(instance_id, Watch())
+                self._zone_checks.add(instance_id)
+
     def is_watched(self, instance_id: ids.InstanceId) -> bool:
         """Return whether the peer is monitored or under a check."""
         return instance_id in self._monitored or instance_id in self._checks
@@ -74,7 +87,12 @@
                 missed.append(instance_id)
         for checked in answered:
             self._checks.pop(checked, None)
-        return IntervalOutcome(tuple(answered), tuple(missed))
+        zone_checks = self._zone_checks - self._monitored.keys()
+        return IntervalOutcome(
+            tuple(answered),
+            tuple(missed),
+            len(zone_checks.intersection(missed)),
+        )
 
     def overdue(self, extra_misses: int) -> tuple[ids.InstanceId, ...]:
         """Return the peers that missed more heartbeats than tolerated."""
@@ -91,6 +109,7 @@
 
     def start_interval(self) -> tuple[ids.InstanceId, ...]:
         """Start queued checks and return the peers to probe."""
+        self._zone_checks &= self._checks.keys()
         for instance_id in tuple(self._queued_checks)[: self._checks_per_tick]:
             self._queued_checks.pop(instance_id)
             self._checks[instance_id] = Watch()
--- a/libraries/membership/src/sardinepier/membership/options.py
+++ b/libraries/membership/src/sardinepier/membership/options.py
@@ -8,6 +8,7 @@
 DEFAULT_HEARTBEAT_INTERVAL_S: Final = 1.0
 DEFAULT_MONITORED_PEERS: Final = 4
 DEFAULT_ZONE_PEERS: Final = 0
+DEFAULT_ZONE_LINKS: Final = 0
 DEFAULT_SUSPICION_TIMEOUT_S: Final = 5.0
 DEFAULT_PAUSE_GAP_S: Final = 3.0
 DEFAULT_INDIRECT_PEERS: Final = 3
@@ -29,8 +30,12 @@
 the three seed daemons, which all others contact, within 29 kB/s over the first
 five seconds."""
 
+_FAST_START_ZONE_LINKS: Final = 3
+"""Probes between two zones in each direction and second. One or two may fail
+together with the daemons that send them."""
+
 _MAY_BE_ZERO: Final = frozenset(
-    ('zone_peers', 'named_to_strangers', 'rounds_per_s'),
+    ('zone_peers', 'zone_links', 'named_to_strangers', 'rounds_per_s'),
 )
 
 
@@ -43,6 +48,10 @@
     - ``zone_peers``: how many of them are in the daemon's own zone, if it has
       other members. Traffic between zones is expensive; the remaining peers
       still detect that a zone is cut off.
+    - ``zone_links``: how many daemons of a zone monitor a peer of each other
+      zone. All other monitored peers and exchanges of tables are then in the
+      daemon's own zone, so that the traffic between zones does not grow with
+      the fleet. With 0 it is not limited.
     - ``suspicion_timeout_s``: how long a suspected member may refute.
     - ``pause_gap_s``: a longer gap between two ticks means that this process
       was paused.
@@ -68,6 +77,7 @@
     heartbeat_interval_s: float = DEFAULT_HEARTBEAT_INTERVAL_S
     monitored_peers: int = DEFAULT_MONITORED_PEERS
     zone_peers: int = DEFAULT_ZONE_PEERS
+    zone_links: int = DEFAULT_ZONE_LINKS
     suspicion_timeout_s: float = DEFAULT_SUSPICION_TIMEOUT_S
     pause_gap_s: float = DEFAULT_PAUSE_GAP_S
     indirect_peers: int = DEFAULT_INDIRECT_PEERS
@@ -110,6 +120,7 @@
     first_contact_acks_per_s=2 * DEFAULT_FIRST_CONTACT_ACKS_PER_S,
     named_to_strangers=4,
     rounds_per_s=8,
+    zone_links=_FAST_START_ZONE_LINKS,
 )
 """For fleets of several hundred daemons that may start at the same time, each with
 three seed addresses, while requests arrive. In simulated time, half of 293 daemons
--- a/libraries/workbench/tests/cover/test_zone_traffic.py
+++ b/libraries/workbench/tests/cover/test_zone_traffic.py
@@ -9,7 +9,8 @@
 def test_equal_seeds_give_equal_figures():
     # Guards against comparisons of two variants that differ by chance.
     runs = [command.simulate(9, 3, seed) for seed in (1, 1, 2)]
-    assert runs[0] == runs[1] != runs[2]
+    assert runs[0] == runs[1]
+    assert runs[1] != runs[2]
 
 
 def test_messages_within_a_zone_are_not_counted_between_zones():
