Send indexes in place of customers' names between daemons

Daemons state a digest of the names of their limited customers in UsageNews; to a daemon that stated the same one, the index among the sorted names is sent. Others, as those of the previous version, get names. A receiver reads indexes of its last two lists; what it can't read is lost like a message, as usage counts from the start.

Ages of usage are the same.

--- a/libraries/routing/src/sardinepier/routing/fleet_limits.py
+++ b/libraries/routing/src/sardinepier/routing/fleet_limits.py
@@ -81,6 +81,11 @@
         """Whether no customer has a limit."""
         return not self._limits
 
+    @property
+    def limits(self) -> Mapping[ids.CustomerName, fleet_bucket.Limit]:
+        """The limits that were set last."""
+        return self._limits
+
     def set(
         self,
         limits: Mapping[ids.CustomerName, fleet_bucket.Limit],
--- a/libraries/zones/src/sardinepier/zones/messages.py
+++ b/libraries/zones/src/sardinepier/zones/messages.py
@@ -120,11 +120,16 @@
 
     ``sends_regularly`` says that the sender sends its next message soon, with
     new usage or without. ``age_ms`` is how long ago it started to count.
+    ``names_digest`` identifies the names of the limited customers that the
+    sender has. With ``is_indexed`` each usage has the index of its customer
+    among these names in place of the name.
     """
 
     usages: tuple[CustomerUsage, ...]
     sends_regularly: bool
     age_ms: int
+    names_digest: int = 0
+    is_indexed: bool = False
 
 
 class NewsRequest(messages.Message, frozen=True):
--- a/libraries/zones/src/sardinepier/zones/usage_sharing.py
+++ b/libraries/zones/src/sardinepier/zones/usage_sharing.py
@@ -1,14 +1,22 @@
 """Exchange of the customers' usage of their limits between carriers."""
 
+from collections.abc import Mapping
 from typing import Final
 
+import msgspec
+
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
 from sardinepier.entry import service_registry
 from sardinepier.routing import fleet_bucket
 from sardinepier.wire import messages as wire_messages
 from sardinepier.wire import network
-from sardinepier.zones import carriers, messages
+from sardinepier.zones import (
+    carriers,
+    customer_indexes,
+    messages,
+    ranking,
+)
 
 _INTERVAL_S: Final = 0.2
 """Interval of updates. Requests beyond a limit that are admitted within it are
@@ -40,6 +48,8 @@
         self._due_s = clock.monotonic_s()
         self._sent_regularly = False
         self._previous_receivers: frozenset[ids.InstanceId] = frozenset()
+        self._indexes = customer_indexes.CustomerIndexes()
+        self._peer_digests: dict[ids.InstanceId, int] = {}
         peer_network.subscribe(messages.UsageNews, self._on_usage)
 
     def step(self) -> None:
@@ -66,16 +76,69 @@
         if not new_usage and not sends_regularly and not self._sent_regularly:
             return
         self._sent_regularly = sends_regularly
-        update = messages.UsageNews(
+        self._send(receivers, new_usage, sends_regularly=sends_regularly)
+
+    def _send(
+        self,
+        receivers: ranking.Members,
+        new_usage: Mapping[ids.CustomerName, fleet_bucket.Usage],
+        *,
+        sends_regularly: bool,
+    ) -> None:
+        """Send usage, with indexes to those that have the same customers."""
+        self._indexes.update(self._limits.limits)
+        digest = self._indexes.digest
+        named = messages.UsageNews(
             tuple(
                 messages.CustomerUsage(customer, usage.spent, usage.level)
                 for customer, usage in new_usage.items()
             ),
             sends_regularly,
             int(self._limits.age_s() * _MS_PER_S),
+            digest,
+        )
+        indexed = msgspec.structs.replace(
+            named,
+            usages=tuple(
+                msgspec.structs.replace(
+                    usage,
+                    customer=self._indexes.index_of(usage.customer),
+                )
+                for usage in named.usages
+            ),
+            is_indexed=True,
         )
+        receiver_ids = {member.instance_id for member in receivers}
+        for gone in self._peer_digests.keys() - receiver_ids:
+            del self._peer_digests[gone]
         for member in receivers:
-            self._network.send(member.peer_address, update)
+            has_same_names = (
+                self._peer_digests.get(member.instance_id) == digest
+            )
+            self._network.send(
+                member.peer_address,
+                indexed if has_same_names else named,
+            )
+
+    def _usages_of(
+        self,
+        update: messages.UsageNews,
+    ) -> dict[ids.CustomerName, fleet_bucket.Usage]:
+        """Return the usage by name, without customers that are unknown here.
+
+        What can't be read is lost like a message: the usage counts from the
+        sender's start, so that its next update includes it.
+        """
+        usages = {}
+        for usage in update.usages:
+            customer: ids.CustomerName | None = usage.customer
+            if update.is_indexed:
+                customer = self._indexes.name_of(
+                    usage.customer, update.names_digest
+                )
+            if customer is not None:
+                usages[customer] = fleet_bucket.Usage(usage.spent, usage.level)
+        return usages
 
     def _on_usage(
         self,
@@ -85,13 +148,12 @@
         zone = self._carriers.zone_of(sender.instance_id)
         if zone is None:
             return
+        self._indexes.update(self._limits.limits)
+        self._peer_digests[sender.instance_id] = update.names_digest
         self._limits.receive_usage(
             sender.instance_id,
             zone,
-            {
-                usage.customer: fleet_bucket.Usage(usage.spent, usage.level)
-                for usage in update.usages
-            },
+            self._usages_of(update),
             sends_regularly=update.sends_regularly,
             age_s=update.age_ms / _MS_PER_S,
         )
--- /dev/null
+++ b/libraries/zones/tests/cover/test_zones_usage_names.py
@@ -0,0 +1,103 @@
+"""Usage of limits is sent with short names to daemons that have the same."""
+
+import msgspec
+import zones_support as support
+
+from sardinepier.core import ids
+from sardinepier.entry import model
+from sardinepier.zones import customer_indexes, messages
+
+NAMES = [ids.CustomerName(f'library-of-{number}') for number in range(3)]
+
+
+def with_customers(version, *names):
+    customers = [
+        model.Customer(name, (name.encode(),), None, 20.0, 20.0)
+        for name in names
+    ]
+    return model.ServedConfiguration(
+        version, (), (), customers=tuple(customers)
+    )
+
+
+async def two_carriers():
+    zone = support.Zone(count=2, zones=('z1', 'far'))
+    zone.platform.configuration = with_customers(1, *NAMES)
+    zone.platform.targets = support.target_list(1, 't1')
+    await zone.run(2.0)
+    first, second = [
+        daemon for daemon in zone.daemons if daemon.carriers.is_carrier()
+    ]
+    return zone, first, second
+
+
+class RecordingNetwork:
+    """Keeps the usage that is sent over the network of a daemon."""
+
+    def __init__(self, network):
+        self._network = network
+        self.sent = []
+
+    def send(self, peer, message):
+        if message.usages:
+            self.sent.append(message)
+        return self._network.send(peer, message)
+
+
+def record_news(daemon):
+    recorder = RecordingNetwork(daemon.network)
+    daemon.sharing._usage._network = recorder
+    return recorder.sent
+
+
+async def spend(zone, daemon, name, count=10):
+    for _ in range(count):
+        assert not daemon.services.limits.take(name)
+    await zone.run(0.5)
+
+
+async def test_carriers_with_the_same_customers_send_indexes():
+    # Guards against names that cost most of the bytes between zones.
+    zone, first, second = await two_carriers()
+    sent = record_news(first)
+    await spend(zone, first, NAMES[1])
+    assert [usage.customer for usage in sent[-1].usages] == ['1']
+    assert second.services.limits._buckets.keys() == {NAMES[1]}
+
+
+async def test_a_daemon_of_the_previous_version_gets_names():
+    # Guards against a limit that is exceeded while a fleet is updated.
+    zone, first, second = await two_carriers()
+    sent = record_news(first)
+    first.sharing._usage._peer_digests[second.own.instance_id] = 0
+    second.sharing._usage._send = lambda *arguments, **named: None
+    await spend(zone, first, NAMES[1])
+    assert [usage.customer for usage in sent[-1].usages] == [NAMES[1]]
+    assert second.services.limits._buckets.keys() == {NAMES[1]}
+
+
+async def test_customers_that_change_are_not_taken_for_others():
+    # Guards against usage that is charged to the wrong customer while a new
+    # configuration spreads.
+    zone, first, second = await two_carriers()
+    second.services.offer_configuration(with_customers(2, *NAMES[1:], 'new'))
+    sent = record_news(first)
+    await spend(zone, first, NAMES[2])
+    assert sent
+    assert second.services.limits._buckets.keys() == {NAMES[2]}
+
+
+def test_indexes_of_an_unknown_list_are_not_read():
+    indexes = customer_indexes.CustomerIndexes()
+    indexes.update(dict.fromkeys(NAMES))
+    index = indexes.index_of(NAMES[2])
+    assert indexes.name_of(index, indexes.digest) == NAMES[2]
+    for damaged in ('3', '-1', 'x', ''):
+        assert indexes.name_of(damaged, indexes.digest) is None
+    assert indexes.name_of(index, indexes.digest + 1) is None
+
+
+def test_news_of_the_previous_version_can_be_read():
+    previous = msgspec.msgpack.encode(('UsageNews', (('a', 1, 2),), True, 7))
+    news = msgspec.msgpack.decode(previous, type=messages.UsageNews)
+    assert (news.names_digest, news.is_indexed) == (0, False)
