--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -12,12 +12,12 @@
     idle_threshold,
     model,
     refusals,
-    service_retries,
     target_cost,
     target_record,
     target_table,
 )
 from sardinepier.entry import capacity_forecast as forecasts
+from sardinepier.entry import service_retries
 from sardinepier.entry import waiting_elsewhere as elsewhere
 from sardinepier.health import failure_estimate
 from sardinepier.routing import admission, budget, hedging
