--- a/libraries/routing/src/sardinepier/routing/wait_queue.py
+++ b/libraries/routing/src/sardinepier/routing/wait_queue.py
@@ -129,6 +129,10 @@
         is_new = not request.has_returned
         return (first, second, is_new, request.deadline_s, arrival)
 
+    def wait_s(self, estimate: wait_estimate.WaitEstimate, ahead: int) -> float:
+        """Return the likely wait behind ``ahead`` requests, 0 if unknown."""
+        return estimate.wait_s(ahead) if self.estimates_waits else 0.0
+
 
 SLOT_RULES: Final = QueueRules()
 
@@ -317,7 +321,9 @@
 
     def _is_too_late(self, request: QueuedRequest, ahead: int) -> bool:
         now_s = self._clock.monotonic_s()
-        likely_s = _WAIT_SAFETY_FACTOR * self._estimated_wait_s(ahead)
+        likely_s = _WAIT_SAFETY_FACTOR * self._rules.wait_s(
+            self._estimate, ahead
+        )
         min_wait_s = self._capacity_forecast().min_wait_s(ahead, request)
         return now_s + max(likely_s, min_wait_s) >= self.latest_start_s(request)
 
@@ -375,13 +381,8 @@
                 self._places.pop(position)
                 waiter.refuse(self._refusals.late(self._likely_wait_s()))
 
-    def _estimated_wait_s(self, ahead: int) -> float:
-        if not self._rules.estimates_waits:
-            return 0.0
-        return self._estimate.wait_s(ahead)
-
     def _likely_wait_s(self) -> float:
-        wait_s = self._estimated_wait_s(len(self._places) + 1)
+        wait_s = self._rules.wait_s(self._estimate, len(self._places) + 1)
         min_wait_s = self._capacity_forecast().min_wait_s(len(self._places))
         if math.isinf(min_wait_s):
             min_wait_s = 0.0
