Average the rates of arrivals over 2 s

Five urgent requests that arrived at once counted as a rate above a limit of 10 a second, and all usual ones that waited were refused, 35 of 40.

--- a/libraries/entry/tests/cover/test_entry_customers.py
+++ b/libraries/entry/tests/cover/test_entry_customers.py
@@ -342,6 +342,42 @@
     assert customer_entry.run_count == 1
 
 
+async def test_with_40_requests_beyond_a_limit_urgent_ones_are_served(
+    customer_entry,
+):
+    """Guards against urgent requests that are refused behind usual ones."""
+    limited_customer = customer('library', KEY, rate_per_s=10, burst=5)
+    urgent = support.route('/urgent/', priority=0)
+    customer_entry.shared.services.offer_configuration(
+        support.configuration(
+            3,
+            routes=(support.IDEMPOTENT_ROUTE, urgent),
+            customers=(limited_customer,),
+        )
+    )
+    usual = [
+        asyncio.ensure_future(
+            customer_entry.send(f'/books/{number}', **with_key())
+        )
+        for number in range(40)
+    ]
+    await support.wait_until(
+        lambda: len(customer_entry.shared.services.customer_queues) > 10
+    )
+    answers = await asyncio.gather(
+        *(
+            customer_entry.send(f'/urgent/{number}', **with_key())
+            for number in range(5)
+        )
+    )
+    assert {status for status, _, _ in answers} == {200}
+    statuses = [status for status, _, _ in await asyncio.gather(*usual)]
+    assert set(statuses) == {200, 429}
+    # 5 + 2 s x 10 tokens less 5 for the urgent ones, and about 2 s x 4 that are
+    # kept for as many urgent ones as are expected after these.
+    assert 9 <= statuses.count(200) <= 22
+
+
 async def test_a_limit_that_is_removed_ends_the_waits(customer_entry):
     """Guards against requests that wait for tokens of no limit."""
     limited_customer = customer('library', KEY, rate_per_s=0.6, burst=1)
--- a/libraries/routing/src/sardinepier/routing/internal/arrival_rates.py
+++ b/libraries/routing/src/sardinepier/routing/internal/arrival_rates.py
@@ -3,13 +3,12 @@
 import math
 from typing import Final
 
-_MEMORY_S: Final = 1.0
-"""Time constant of the rates. A queue of the customers' requests is a second
-long at most, so that older arrivals say little about the wait in it."""
+_MEMORY_S: Final = 2.0
+"""Time constant of the rates. With 1 s, five urgent requests that arrived at once
+counted as a rate above a limit of 10 a second, and others were refused for it."""
 
-_MIN_AGE_S: Final = 0.5
-"""Rates are not extrapolated from less time: three requests that arrive at once
-would count as a high rate."""
+_MIN_AGE_S: Final = 2.0
+"""Rates are not extrapolated from less time, for the same reason."""
 
 _NEGLIGIBLE_PER_S: Final = 0.01
 
