--- a/libraries/routing/src/sardinepier/routing/retry_plan.py
+++ b/libraries/routing/src/sardinepier/routing/retry_plan.py
@@ -21,6 +21,11 @@
 all of it were held, little would have returned to the budget by the time at
 which the late requests need it."""
 
+_HOLD_FROM_S: Final = 5.0
+"""Time from its arrival to its deadline from which a request leaves that share.
+Targets shed for seconds, so that a request with less time would mostly wait in
+vain."""
+
 _LATE_MARGIN: Final = 1.0
 """Typical service times before the preferred start from which a request counts
 as late. At the preferred start itself four in ten answers would be late."""
@@ -43,14 +48,15 @@
 class RetryRequest:
     """A request that needs a further attempt.
 
-    A lower ``priority`` comes first. The answer must be complete by
-    ``deadline_s``, and it is late unless the attempt begins by
+    A lower ``priority`` comes first. It arrived at ``arrived_s``. The answer
+    must be complete by ``deadline_s``, and it is late unless the attempt begins by
     ``preferred_start_by_s``. ``can_wait`` is false if it gets an attempt now or
     never, as no target is left for it. ``is_given_up`` returns whether its caller has
     left. ``has_waited`` is set by the queue.
     """
 
     priority: int
+    arrived_s: float
     deadline_s: float
     preferred_start_by_s: float = math.inf
     can_wait: bool = True
@@ -164,13 +170,18 @@
             self._forecast, above_per_s, self._conditions.now_s
         )
         for request in requests:
-            left = self._left - reserved - self._held
+            left = self._left - reserved - self._held_from(request)
             if left >= 1 and self._may_send(request):
                 self._left -= 1
                 self._plan.granted.add(request)
             else:
                 self._wait_or_refuse(request, above_per_s)
 
+    def _held_from(self, request: RetryRequest) -> float:
+        """Return how much budget ``request`` leaves until the recovery."""
+        time_s = request.deadline_s - request.arrived_s
+        return self._held if time_s >= _HOLD_FROM_S else 0.0
+
     def _wait_or_refuse(
         self, request: RetryRequest, above_per_s: float
     ) -> None:
@@ -190,6 +201,8 @@
         if now_s >= latest_start_s:
             return False
         if self._plan.is_held:
+            if not self._held_from(request):
+                return True
             is_last_moment = now_s >= latest_start_s - _LAST_SEND_S
             return is_last_moment or not self._is_late(request)
         return len(self._plan.granted) < self._conditions.max_sends
--- a/libraries/routing/src/sardinepier/routing/retry_queue.py
+++ b/libraries/routing/src/sardinepier/routing/retry_queue.py
@@ -38,7 +38,7 @@
     higher priority come first, then those that can be answered in time, then
     those with an earlier deadline. For example::
 
-        spent_s = await queue.acquire(RetryRequest(1, deadline_s))
+        spent_s = await queue.acquire(RetryRequest(1, arrived_s, deadline_s))
         ...
         queue.refund(spent_s)  # if no attempt was made
     """
--- a/libraries/routing/tests/cover/test_routing_retry_queue.py
+++ b/libraries/routing/tests/cover/test_routing_retry_queue.py
@@ -36,7 +36,7 @@
         """Let a request wait for budget; return its task."""
         now_s = self.clock.monotonic_s()
         request = retry_queue.RetryRequest(
-            priority, now_s + timeout_s, now_s + preferred_s, **options
+            priority, now_s, now_s + timeout_s, now_s + preferred_s, **options
         )
         task = asyncio.create_task(self.queue.acquire(request))
         self.tasks.append(task)
@@ -195,6 +195,16 @@
     assert not service.budget.can_spend()
 
 
+async def test_requests_with_little_time_leave_nothing_for_a_recovery():
+    """With deadlines of 2.5 s they would mostly wait in vain."""
+    service = _Service(burst=10)
+    service.accepted_share = _SHEDDING
+    for _ in range(10):
+        service.send(timeout_s=2.5)
+        await service.advance(0.05)
+    assert service.granted() == list(range(10))
+
+
 async def test_while_most_is_shed_ample_budget_is_spent_at_once():
     """A service with few requests must not wait for a recovery."""
     service = _Service(burst=40)
--- a/libraries/zones/src/sardinepier/zones/estimate_updates.py
+++ b/libraries/zones/src/sardinepier/zones/estimate_updates.py
@@ -167,7 +167,8 @@
         record.listed.target_id,
         round(record.estimate.failing_probability(now_s), 3),
         round((now_s - record.estimate.updated_s) * _MS_PER_S),
-        refusing,
+        # An integer takes one byte and a float nine.
+        refusing or 0,
     )
 
 
