Report all waiting requests, and all use of busy services

Requests were reported as waiting from a wait of 0.2 s on, so that others left no slot to payments, which are late after 0.27 s.

Other zones were not told of the use of third zones. The use of all targets of a service is now reported once it is busy.

--- a/libraries/routing/src/sardinepier/routing/admission.py
+++ b/libraries/routing/src/sardinepier/routing/admission.py
@@ -75,12 +75,12 @@
         """Return the number of waiting requests."""
         return len(self._queue)
 
-    def waiting_by_priority(self, min_wait_s: float) -> Mapping[int, int]:
-        """Return how many requests have waited for long, by priority.
+    def waiting_by_priority(self) -> Mapping[int, int]:
+        """Return how many requests wait that are not late, by priority.
 
         See :meth:`wait_queue.WaitQueue.waiting_by_priority`.
         """
-        return self._queue.waiting_by_priority(min_wait_s)
+        return self._queue.waiting_by_priority()
 
     def observe_service_time(self, service_s: float) -> None:
         """Record how long a target took for one request, in seconds."""
--- a/libraries/routing/src/sardinepier/routing/wait_queue.py
+++ b/libraries/routing/src/sardinepier/routing/wait_queue.py
@@ -98,11 +98,10 @@
 
 @dataclasses.dataclass(slots=True)
 class _Place(Generic[GrantT]):
-    """A waiter, its rank and since when it waits."""
+    """A waiter and its rank."""
 
     rank: _Rank
     waiter: Waiter[GrantT]
-    since_s: float
 
 
 class WaitQueue(Generic[GrantT]):
@@ -138,20 +137,18 @@
         """Return the number of waiting requests."""
         return len(self._places)
 
-    def waiting_by_priority(self, min_wait_s: float) -> Mapping[int, int]:
-        """Return how many requests wait for long, by priority.
+    def waiting_by_priority(self) -> Mapping[int, int]:
+        """Return how many requests wait, by priority.
 
-        Those count that have waited for ``min_wait_s`` or are likely to. Others
-        that don't accept any target, or whose answers will be late, are not
-        served before those of lower priority.
+        Only those count that accept any target and are not late: the others
+        are not served before those of lower priority.
         """
-        since_s = self._clock.monotonic_s() - min_wait_s
+        now_s = self._clock.monotonic_s()
         return collections.Counter(
             place.waiter.request.priority
-            for ahead, place in enumerate(self._places)
+            for place in self._places
             if place.waiter.request.accepts_any_target
-            and not place.rank[0]
-            and place.since_s - self._estimate.wait_s(ahead) <= since_s
+            and now_s < place.waiter.request.preferred_start_by_s
         )
 
     def observe_service_time(self, service_s: float) -> None:
@@ -179,11 +176,7 @@
         is_late = (
             self._clock.monotonic_s() >= waiter.request.preferred_start_by_s
         )
-        place = _Place(
-            self._rank(waiter.request, is_late=is_late),
-            waiter,
-            self._clock.monotonic_s(),
-        )
+        place = _Place(self._rank(waiter.request, is_late=is_late), waiter)
         ahead = bisect.bisect(self._places, place.rank, key=_rank_of)
         if self._is_too_late(waiter.request, ahead):
             waiter.refuse(self._refusals.late(self._likely_wait_s()))
--- a/libraries/routing/tests/cover/test_routing_late_waiters.py
+++ b/libraries/routing/tests/cover/test_routing_late_waiters.py
@@ -137,3 +137,13 @@
     harness.queue.dispatch()
     assert all(waiter.outcome for waiter in waiters)
     assert len(harness.granted) == len(set(map(id, harness.granted)))
+
+
+def test_late_payments_are_not_reported_as_waiting():
+    """Guards against slots left to payments that come after look-ups."""
+    harness = Harness()
+    for priority in (0, 0, 2):
+        harness.submit(priority)
+    assert harness.queue.waiting_by_priority() == {0: 2, 2: 1}
+    harness.clock.advance(1.2)
+    assert not harness.queue.waiting_by_priority()
--- a/libraries/zones/src/sardinepier/zones/own_use.py
+++ b/libraries/zones/src/sardinepier/zones/own_use.py
@@ -14,15 +14,10 @@
 from sardinepier.zones import target_index
 
 _BUSY_SHARE: Final = 0.2
-"""Share of the slots of a service's targets in one zone that are in use from
-which requests of other zones may find a target full."""
+"""Share of the slots of a service's targets in the own zone that are in use from
+which requests of this zone and others may meet at targets of any zone."""
 
 
-_MIN_WAIT_S: Final = 0.2
-"""Wait from which a request is reported. A slot that another daemon leaves to it
-is known here after about that time. Requests that get one sooner without it would
-leave the other one idle."""
-
 _Waiting = tuple[int, int]
 """The place of a service, and a priority."""
 
@@ -41,30 +36,31 @@
 class OwnUse:
     """All requests of this daemon in flight and waiting.
 
-    ``waiting`` are counts by service and priority. ``busy`` are the services and zones whose targets are well used.
+    ``waiting`` are counts by service and priority. ``busy`` are the services
+    whose targets in the own zone are well used.
     """
 
     targets: tuple[TargetUse, ...]
     waiting: Mapping[_Waiting, int]
-    busy: frozenset[tuple[ids.ServiceName, ids.ZoneName]]
+    busy: frozenset[ids.ServiceName]
 
 
 def collect(
     services: service_registry.ServiceRegistry,
     index: target_index.TargetIndex,
+    zone: ids.ZoneName,
     now_s: float,
 ) -> OwnUse:
-    """Return the current requests of this daemon."""
+    """Return the current requests of this daemon, which is in ``zone``."""
     targets: list[TargetUse] = []
-    used: collections.Counter[tuple[ids.ServiceName, ids.ZoneName]] = (
-        collections.Counter()
-    )
+    used: collections.Counter[ids.ServiceName] = collections.Counter()
     for pool in services.pools():
         for record in pool.targets.in_use():
             listed = record.listed
             place = index.place_of(listed.target_id)
             if place is not None:
-                used[(listed.service, listed.zone)] += record.in_flight(now_s)
+                if listed.zone == zone:
+                    used[listed.service] += record.in_flight(now_s)
                 targets.append(
                     TargetUse(
                         place,
@@ -77,9 +73,9 @@
         tuple(targets),
         dict(_waiting(services, index, now_s)),
         frozenset(
-            group
-            for group, count in used.items()
-            if count >= _BUSY_SHARE * index.slots[group]
+            service
+            for service, count in used.items()
+            if count >= _BUSY_SHARE * index.slots[(service, zone)]
         ),
     )
 
@@ -104,7 +100,7 @@
     While a usable target has a free slot, none does: those that wait all the
     same can't use it, so that other daemons need not leave it to them.
     """
-    waiting = pool.waiting_by_priority(_MIN_WAIT_S)
+    waiting = pool.waiting_by_priority()
     if waiting and waiting_elsewhere.has_usable_slot(
         pool.targets.records(), now_s, pool.typical_latency_s
     ):
--- a/libraries/zones/src/sardinepier/zones/slot_sharing.py
+++ b/libraries/zones/src/sardinepier/zones/slot_sharing.py
@@ -62,7 +62,12 @@
         receivers = self._receivers()
         for gone in self._updates.keys() - receivers.keys():
             del self._updates[gone]
-        use = own_use.collect(self._services, self._index.get(), now_s)
+        use = own_use.collect(
+            self._services,
+            self._index.get(),
+            self._carriers.own_zone,
+            now_s,
+        )
         for zone, members in receivers.items():
             self._send(zone, members, use)
 
--- a/libraries/zones/src/sardinepier/zones/slot_updates.py
+++ b/libraries/zones/src/sardinepier/zones/slot_updates.py
@@ -2,8 +2,8 @@
 
 The own zone is told of all of them. Bytes to another zone are expensive, so that
 it is only told what it can use: the requests in flight at its own targets, and
-those at this zone's targets of a service that is so busy that the other zone
-may come to send there, too.
+those at other targets of a service that is so busy that the other zone may come
+to send there, too.
 """
 
 from collections.abc import Mapping
@@ -99,8 +99,7 @@
     ) -> bool:
         if self._zone in {self._own_zone, target.zone}:
             return True
-        is_busy = (target.service, target.zone) in use.busy
-        return target.zone == self._own_zone and is_busy
+        return target.service in use.busy
 
     def _begin_full(
         self,
--- a/libraries/zones/tests/cover/test_zones_slot_sharing.py
+++ b/libraries/zones/tests/cover/test_zones_slot_sharing.py
@@ -241,7 +241,7 @@
     near, far = first_of(zone, NEAR), first_of(zone, FAR)
     use(far, 't0', 3)
     pool = far.services.pool(support.SERVICE)
-    monkeypatch.setattr(pool, 'waiting_by_priority', lambda min_wait_s: {0: 2})
+    monkeypatch.setattr(pool, 'waiting_by_priority', lambda: {0: 2})
     await zone.run(2 * INTERVAL_S)
     waiting = near.services.pool(support.SERVICE).waiting_elsewhere
     now_s = zone.clock.monotonic_s
