--- a/libraries/entry/tests/cover/test_entry_choice.py
+++ b/libraries/entry/tests/cover/test_entry_choice.py
@@ -331,3 +331,29 @@
     for _ in range(150):
         bench.pool.answered(bench.record('t1'), 0.2)
     assert 0.2 <= bench.pool.hedge_delay_s() < 0.25
+
+
+def test_final_attempts_do_not_explore_while_others_do(bench):
+    """Guards against losing requests that run once on suspected targets.
+
+    The load is 10 idempotent and 10 other requests a second for 3 targets,
+    two of which were suspected.
+    """
+    for name in ('t2', 't3', 'far'):
+        bench.record(name).estimate.failed(bench.clock.monotonic_s())
+    explored = []
+    for step in range(200):
+        bench.clock.advance(0.05)
+        is_final = step % 2 == 0
+        record = bench.pool.try_acquire(
+            bench.requirements(is_final_attempt=is_final)
+        )
+        explored.append((is_final, record.is_exploration))
+        number = bench.pool.started(record)
+        bench.pool.finished(record, number)
+        if record.listed.target_id == 't1':
+            bench.pool.answered(record, 0.02)
+        else:
+            bench.pool.failed(record, 0.0)
+    assert (True, True) not in explored
+    assert (False, True) in explored
