Keep faults of the accounting away from answers

The emulator's responses have no count of their bytes, so that the accounting of forwarded bytes raised an error and every emulated request failed since. A fault while counting is ignored now, as it is for messages, and the emulator's responses count their bytes.

--- a/libraries/entry/src/sardinepier/entry/traffic.py
+++ b/libraries/entry/src/sardinepier/entry/traffic.py
@@ -1,6 +1,8 @@
 """Size of the requests and answers exchanged with targets."""
 
-from collections.abc import Iterable
+import contextlib
+import functools
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from aiohttp import client_reqrep
@@ -35,7 +37,7 @@
 
     def sent(self, request: caller_request.CallerRequest) -> None:
         """Count a request when its first byte is sent."""
-        self._add(request_bytes(request))
+        self._add(functools.partial(request_bytes, request))
 
     def opened(self, response: client_reqrep.ClientResponse) -> None:
         """Remember a response whose headers were received."""
@@ -44,10 +46,15 @@
     def ended(self) -> None:
         """Count the response as far as it was received."""
         if self._response is not None:
-            self._add(response_bytes(self._response))
-
-    def _add(self, size_bytes: int) -> None:
-        self._counted.forwarded(size_bytes, crosses_zones=self._crosses_zones)
+            self._add(functools.partial(response_bytes, self._response))
+
+    def _add(self, size_bytes: Callable[[], int]) -> None:
+        # A fault in the accounting must not fail a request or an answer.
+        with contextlib.suppress(Exception):
+            self._counted.forwarded(
+                size_bytes(),
+                crosses_zones=self._crosses_zones,
+            )
 
 
 def request_bytes(request: caller_request.CallerRequest) -> int:
--- a/libraries/workbench/src/sardinepier/workbench/policy/client.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/client.py
@@ -27,10 +27,12 @@
     """The body of an answer, read in one piece."""
 
     remaining: bytes = _BODY
+    total_bytes: int = 0
 
     async def readany(self) -> bytes:
         """Return the whole body, and no bytes at the end."""
         piece = self.remaining
+        self.total_bytes += len(piece)
         self.remaining = b''
         return piece
 
