Send no empty reports to zones that get usage of limits

First carriers sent a report to other zones each quarter of a second, also without content, as a sign that their zone is reachable. Where customers have limits, the same daemons get usage as often. Usage from a carrier now counts as that sign, and reports without content are left out to daemons that state a digest of customers' names, which those of the previous version don't.

--- a/libraries/zones/src/sardinepier/zones/carriers.py
+++ b/libraries/zones/src/sardinepier/zones/carriers.py
@@ -25,6 +25,7 @@
         """Start with one carrier a zone."""
         self.availability = availability.Availability(clock)
         self.own_id = fleet.own.instance_id
+        self.own_zone = fleet.own.zone
         self._fleet = fleet
         self._count = 1
         self._ranking = ranking.Ranking(fleet)
--- a/libraries/zones/src/sardinepier/zones/estimate_sharing.py
+++ b/libraries/zones/src/sardinepier/zones/estimate_sharing.py
@@ -4,6 +4,7 @@
 what it receives to the daemons of its zone with its heartbeats.
 """
 
+from collections.abc import Callable
 from typing import Final
 
 from sardinepier.core import clock as clocks
@@ -23,8 +24,8 @@
 """Interval of estimates to other zones, where traffic is expensive."""
 
 _REPORT_INTERVAL_S: Final = 0.2
-"""Minimum interval of reports to other zones, which also go out without
-updates: the absence of reports has to show an unreachable zone within a second
+"""Minimum interval of reports to other zones, which also go out without updates
+unless the receiver regularly gets usage of limits: the absence of reports has to show an unreachable zone within a second
 (:mod:`sardinepier.zones.unreachable_zones`). It is shorter than the interval of
 heartbeats, so that a report goes out with each of these."""
 
@@ -39,7 +40,12 @@
         services: service_registry.ServiceRegistry,
         clock: clocks.Clock,
     ) -> None:
-        """Listen on ``peer_network``; nothing is sent yet."""
+        """Listen on ``peer_network``; nothing is sent yet.
+
+        ``shows_life_to`` returns whether a daemon regularly gets other
+        messages of this one, and needs no empty reports. It is set by the code
+        that sends those.
+        """
         self._network = peer_network
         self._carriers = zone_carriers
         self._services = services
@@ -54,6 +60,7 @@
         )
         self._estimates_due_s = clock.monotonic_s()
         self._report_due_s = clock.monotonic_s()
+        self.shows_life_to: Callable[[ids.InstanceId], bool] = _never
         self.unreachable_zones = unreachable_zones.UnreachableZones(clock)
         peer_network.subscribe(messages.BeliefReport, self._on_report)
 
@@ -92,8 +99,15 @@
             self._collect_due_estimates(now_s),
             statements=self._other_zone_statements.collect(),
         )
+        is_empty = not report.estimates and not report.statements
         for member in self._carriers.of_other_zones():
-            self._network.send(member.peer_address, report)
+            if not (is_empty and self.shows_life_to(member.instance_id)):
+                self._network.send(member.peer_address, report)
+
+    def record_life(self, zone: ids.ZoneName) -> None:
+        """Record that a carrier of ``zone`` sent something regular."""
+        if zone != self._carriers.own_zone:
+            self.unreachable_zones.record_report(zone)
 
     def _collect_due_estimates(
         self,
@@ -155,3 +169,8 @@
         )
         for member in self._carriers.of_own_zone()[:1]:
             self._network.send(member.peer_address, forwarded)
+
+
+def _never(receiver: ids.InstanceId) -> bool:
+    """Return that nothing else is sent: the default of ``shows_life_to``."""
+    return False
--- a/libraries/zones/src/sardinepier/zones/usage_sharing.py
+++ b/libraries/zones/src/sardinepier/zones/usage_sharing.py
@@ -1,6 +1,6 @@
 """Exchange of the customers' usage of their limits between carriers."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Final
 
 import msgspec
@@ -40,7 +40,11 @@
         services: service_registry.ServiceRegistry,
         clock: clocks.Clock,
     ) -> None:
-        """Listen on ``peer_network``; nothing is sent yet."""
+        """Listen on ``peer_network``; nothing is sent yet.
+
+        ``on_regular_usage`` is called with the zone of each carrier that sends
+        usage, and is set by the code that records which zones are reachable.
+        """
         self._network = peer_network
         self._carriers = zone_carriers
         self._limits = services.limits
@@ -50,11 +54,13 @@
         self._previous_receivers: frozenset[ids.InstanceId] = frozenset()
         self._indexes = customer_indexes.CustomerIndexes()
         self._peer_digests: dict[ids.InstanceId, int] = {}
+        self.on_regular_usage: Callable[[ids.ZoneName], None] = _ignore_zone
         peer_network.subscribe(messages.UsageNews, self._on_usage)
 
     def step(self) -> None:
         """Send new usage, if an update is due and any customer has a limit."""
         if self._limits.has_no_limits:
+            self._sent_regularly = False
             return
         self._limits.receives_updates = self._carriers.is_carrier()
         now_s = self._clock.monotonic_s()
@@ -78,6 +84,14 @@
         self._sent_regularly = sends_regularly
         self._send(receivers, new_usage, sends_regularly=sends_regularly)
 
+    def shows_life_to(self, receiver: ids.InstanceId) -> bool:
+        """Return whether ``receiver`` gets usage regularly, as a sign of life.
+
+        A daemon of the previous version, which sends no digest, does not take
+        it for one.
+        """
+        return self._sent_regularly and bool(self._peer_digests.get(receiver))
+
     def _send(
         self,
         receivers: ranking.Members,
@@ -148,6 +162,8 @@
         zone = self._carriers.zone_of(sender.instance_id)
         if zone is None:
             return
+        if update.sends_regularly and update.names_digest:
+            self.on_regular_usage(zone)
         self._indexes.update(self._limits.limits)
         self._peer_digests[sender.instance_id] = update.names_digest
         self._limits.receive_usage(
@@ -157,3 +173,7 @@
             sends_regularly=update.sends_regularly,
             age_s=update.age_ms / _MS_PER_S,
         )
+
+
+def _ignore_zone(zone: ids.ZoneName) -> None:
+    """Do nothing: the default of ``on_regular_usage``."""
--- a/libraries/zones/tests/cover/test_zones_usage_names.py
+++ b/libraries/zones/tests/cover/test_zones_usage_names.py
@@ -32,24 +32,27 @@
 
 
 class RecordingNetwork:
-    """Keeps the usage that is sent over the network of a daemon."""
+    """Keeps what one part of a daemon sends."""
 
     def __init__(self, network):
         self._network = network
         self.sent = []
 
     def send(self, peer, message):
-        if message.usages:
-            self.sent.append(message)
+        self.sent.append(message)
         return self._network.send(peer, message)
 
 
-def record_news(daemon):
-    recorder = RecordingNetwork(daemon.network)
-    daemon.sharing._usage._network = recorder
+def record_sent(part):
+    recorder = RecordingNetwork(part._network)
+    part._network = recorder
     return recorder.sent
 
 
+def customers_of(sent):
+    return {usage.customer for news in sent for usage in news.usages}
+
+
 async def spend(zone, daemon, name, count=10):
     for _ in range(count):
         assert not daemon.services.limits.take(name)
@@ -59,20 +62,20 @@
 async def test_carriers_with_the_same_customers_send_indexes():
     # Guards against names that cost most of the bytes between zones.
     zone, first, second = await two_carriers()
-    sent = record_news(first)
+    sent = record_sent(first.sharing._usage)
     await spend(zone, first, NAMES[1])
-    assert [usage.customer for usage in sent[-1].usages] == ['1']
+    assert customers_of(sent) == {'1'}
     assert second.services.limits._buckets.keys() == {NAMES[1]}
 
 
 async def test_a_daemon_of_the_previous_version_gets_names():
     # Guards against a limit that is exceeded while a fleet is updated.
     zone, first, second = await two_carriers()
-    sent = record_news(first)
+    sent = record_sent(first.sharing._usage)
     first.sharing._usage._peer_digests[second.own.instance_id] = 0
     second.sharing._usage._send = lambda *arguments, **named: None
     await spend(zone, first, NAMES[1])
-    assert [usage.customer for usage in sent[-1].usages] == [NAMES[1]]
+    assert customers_of(sent) == {NAMES[1]}
     assert second.services.limits._buckets.keys() == {NAMES[1]}
 
 
@@ -81,7 +84,7 @@
     # configuration spreads.
     zone, first, second = await two_carriers()
     second.services.offer_configuration(with_customers(2, *NAMES[1:], 'new'))
-    sent = record_news(first)
+    sent = record_sent(first.sharing._usage)
     await spend(zone, first, NAMES[2])
     assert sent
     assert second.services.limits._buckets.keys() == {NAMES[2]}
@@ -101,3 +104,22 @@
     previous = msgspec.msgpack.encode(('UsageNews', (('a', 1, 2),), True, 7))
     news = msgspec.msgpack.decode(previous, type=messages.UsageNews)
     assert (news.names_digest, news.is_indexed) == (0, False)
+
+
+async def test_no_empty_reports_are_sent_beside_usage():
+    # Guards against two signs of life to the same daemon, between zones.
+    zone, first, second = await two_carriers()
+    reports = record_sent(first.sharing._estimates)
+    await zone.run(3.0)
+    assert not reports
+    assert not second.sharing._estimates.unreachable_zones.names()
+
+
+async def test_a_lost_zone_is_noticed_by_its_missing_usage():
+    # Guards against a zone whose loss nobody notices as reports are left out.
+    zone, first, second = await two_carriers()
+    for daemon in zone.daemons:
+        if daemon.own.zone == second.own.zone:
+            zone.stop(daemon)
+    await zone.run(1.0)
+    assert first.sharing._estimates.unreachable_zones.names() == {'far'}
