--- a/libraries/routing/src/sardinepier/routing/admission.py
+++ b/libraries/routing/src/sardinepier/routing/admission.py
@@ -7,7 +7,7 @@
 from typing import Final, Generic
 
 from sardinepier.core import clock
-from sardinepier.routing import errors, wait_queue
+from sardinepier.routing import errors, queue_order, wait_queue
 from sardinepier.routing.internal import checks
 
 QueuedRequest = wait_queue.QueuedRequest
@@ -53,7 +53,7 @@
         *,
         recheck_interval_s: float = _RECHECK_INTERVAL_S,
         recheck_after_s: Callable[[], float] | None = None,
-        rules: wait_queue.QueueRules = wait_queue.SLOT_RULES,
+        rules: queue_order.QueueRules = queue_order.SLOT_RULES,
     ) -> None:
         """Let at most ``length`` requests wait; 0 means that none waits.
 
--- a/libraries/routing/src/sardinepier/routing/internal/customer_queue.py
+++ b/libraries/routing/src/sardinepier/routing/internal/customer_queue.py
@@ -10,6 +10,7 @@
     admission,
     customer_demand,
     fleet_limits,
+    queue_order,
     wait_queue,
 )
 from sardinepier.routing.internal import arrival_rates, token_forecast
@@ -29,7 +30,7 @@
 _MIN_FORECAST_INTERVAL_S: Final = 0.05
 """A request that can't be served any more is refused so much later at most."""
 
-_TOKEN_RULES: Final = wait_queue.QueueRules(
+_TOKEN_RULES: Final = queue_order.QueueRules(
     late_go_last=False,
     estimates_waits=False,
     forecast_interval_s=_MIN_FORECAST_INTERVAL_S,
--- a/libraries/routing/src/sardinepier/routing/wait_queue.py
+++ b/libraries/routing/src/sardinepier/routing/wait_queue.py
@@ -14,11 +14,11 @@
 from typing import Any, Final, Generic, Protocol, TypeVar
 
 from sardinepier.core import clock
-from sardinepier.routing import errors
+from sardinepier.routing import errors, queue_order
 from sardinepier.routing.internal import checks, refusals, wait_estimate
 
-_Group = tuple[int, int, bool]
-_Rank = tuple[int, int, bool, float, int]
+QueuedRequest = queue_order.QueuedRequest
+
 GrantT = TypeVar('GrantT')
 """What a waiter gets, for example the id of a target with a free slot."""
 
@@ -31,29 +31,6 @@
 """
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class QueuedRequest:
-    """The properties of a request that determine its place in the queue.
-
-    Requests with a lower ``priority`` come first. ``deadline_s`` is the time
-    on the local monotonic clock by which the answer must be complete. The
-    answer of a request that starts after ``preferred_start_by_s`` is late and
-    has less value. ``accepts_any_target`` is true if the request can use any
-    free target: if it gets none, no request behind it gets one, and the search
-    ends. It must be false for a request that excludes some targets, such as a
-    second attempt. ``fingerprint`` is a hash of the request, 0 for unknown.
-    ``has_returned`` means that it was refused before and came back at its
-    return time, so that it goes before new ones of its priority.
-    """
-
-    priority: int
-    deadline_s: float
-    accepts_any_target: bool = False
-    preferred_start_by_s: float = math.inf
-    fingerprint: int = 0
-    has_returned: bool = False
-
-
 class Forecast(Protocol):
     """When the requests of a queue can be served."""
 
@@ -98,40 +75,6 @@
     return AVAILABLE_NOW
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class QueueRules:
-    """How a queue orders requests and estimates their waits.
-
-    With ``late_go_last``, a request past its preferred start goes behind those
-    of all priorities that can be in time, otherwise behind those of its own
-    priority. With ``estimates_waits``, waits are also estimated from the time
-    between grants. It must be false where waits depend on the priority. All
-    waiting requests are compared with the forecast of the capacity at most
-    every ``forecast_interval_s``, as that takes time for each of them.
-    """
-
-    late_go_last: bool = True
-    estimates_waits: bool = True
-    forecast_interval_s: float = 0.0
-
-    def rank(
-        self,
-        request: QueuedRequest,
-        arrival: int,
-        *,
-        is_late: bool,
-    ) -> _Rank:
-        """Return the rank of a request, the ``arrival``-th one."""
-        first, second = request.priority, int(is_late)
-        if self.late_go_last:
-            first, second = second, first
-        is_new = not request.has_returned
-        return (first, second, is_new, request.deadline_s, arrival)
-
-
-SLOT_RULES: Final = QueueRules()
-
-
 class Waiter(Protocol[GrantT]):
     """A request in the queue; it ends with exactly one grant or refusal."""
 
@@ -157,12 +100,12 @@
 class _Place(Generic[GrantT]):
     """A waiter and its rank."""
 
-    rank: _Rank
+    rank: queue_order.Rank
     waiter: Waiter[GrantT]
     is_late: bool
 
     @property
-    def group(self) -> _Group:
+    def group(self) -> queue_order.Group:
         """The part of the rank within which deadlines are in order."""
         return self.rank[:3]
 
@@ -179,7 +122,7 @@
         length: int,
         random_source: random.Random,
         capacity_forecast: Callable[[], Forecast] = always_available,
-        rules: QueueRules = SLOT_RULES,
+        rules: queue_order.QueueRules = queue_order.SLOT_RULES,
     ) -> None:
         """Allow at most ``length`` waiters; 0 means that none waits.
 
@@ -373,10 +316,10 @@
         return max(wait_s, min_wait_s, self._estimate.service_s)
 
 
-def _rank_of(place: _Place[Any]) -> _Rank:
+def _rank_of(place: _Place[Any]) -> queue_order.Rank:
     return place.rank
 
 
-def _group_end(places: Sequence[_Place[Any]], group: _Group) -> int:
+def _group_end(places: Sequence[_Place[Any]], group: queue_order.Group) -> int:
     """Return the position behind the last place of a group."""
     return bisect.bisect(places, (*group, math.inf, 0), key=_rank_of)
