Test that the loss of a gone target is not attributed to the request

Guards against quarantining frequent requests after a cut link; the test fails without the handling of TargetGoneError in entry.forwarding.

--- a/libraries/entry/tests/cover/test_entry_gone_targets.py
+++ b/libraries/entry/tests/cover/test_entry_gone_targets.py
@@ -37,6 +37,8 @@
     reply = await asyncio.wait_for(held, GRACE_S)
     assert reply[0] == status
     assert (await probe)[0] == 200
+    # The loss is not attributed to the request.
+    assert not entry.shared.quarantine.has_suspect_request_on(gone.name)
     text = await entry.shared.metrics.text(())
     assert 'exchanges_ended_total{cause="refused"} 1' in text
 
