Test the traffic line and the forwarded bytes of real processes

A daemon that is stopped logs its sums before the line of its end, and its metrics page has the forwarded bytes by zone. tests/adapter/test_adapter_process passes.

--- a/tests/adapter/test_adapter_process.py
+++ b/tests/adapter/test_adapter_process.py
@@ -65,6 +65,21 @@
     assert status == 200
     assert b'sardinepier_configuration_version 7' in body
     assert b'sardinepier_requests_total{' in body
+    assert b'sardinepier_forwarded_bytes_total{crosses_zones="no"}' in body
+
+
+async def test_traffic_is_logged_before_the_exit(instances):
+    # Guards against sums that are lost with a daemon that is stopped.
+    _, joining = instances
+    await joining.until_ready()
+    joining.process.send_signal(signal.SIGTERM)
+    async with asyncio.timeout(support.TIMEOUT_S):
+        output = await joining.process.communicate()
+    lines = b''.join(part for part in output if part).splitlines()
+    logged = {line['event']: line for line in map(json.loads, lines)}
+    assert list(logged).index('traffic') < list(logged).index('stopped')
+    fields = logged['traffic']['fields']
+    assert fields['within_zone_bytes'] + fields['unknown_zone_bytes'] > 0
 
 
 async def test_requests_are_forwarded_and_the_exit_breaks_none(
