Show a zone's new carrier that other zones live, by their usage of limits

Cause: other zones send usage of limits in place of empty reports, to the first carrier by rank. After a handover that daemon forwards reports to the new first carrier, but did not forward what stands for empty ones. The new carrier took zones that live for unreachable between reports with content, or never noticed the loss of a zone from which it had received none.

Change: the daemon that is ranked first forwards an empty report for each regular usage while it is not the first carrier.

Measured: the new test fails on the previous code with {'far'} as unreachable, and passes now.

--- a/libraries/zones/src/sardinepier/zones/carriers.py
+++ b/libraries/zones/src/sardinepier/zones/carriers.py
@@ -28,8 +28,8 @@
         self.own_zone = fleet.own.zone
         self._fleet = fleet
         self._count = 1
-        self._ranking = ranking.Ranking(fleet)
-        self._order = order.ZoneOrder(fleet, self._ranking, self.availability)
+        self.ranking = ranking.Ranking(fleet)
+        self._order = order.ZoneOrder(fleet, self.ranking, self.availability)
 
     @property
     def count(self) -> int:
@@ -69,7 +69,7 @@
         next daemon can't reach the targets either, a further handover would
         not help.
         """
-        zone = self._ranking.of_zone(self._fleet.own.zone)
+        zone = self.ranking.of_zone(self._fleet.own.zone)
         if any(
             self.availability.has_handed_over(member.instance_id)
             for member in zone
@@ -86,7 +86,7 @@
         Other zones are assumed to have as many carriers as the own one. The
         own zone's carriers act for a zone without living daemons.
         """
-        ranked = self._ranking.of_zone(zone)
+        ranked = self.ranking.of_zone(zone)
         if ranked and zone != self._fleet.own.zone:
             return ranked[: self._count]
         return self.of_own_zone() or self.of_other_zones()
@@ -112,7 +112,7 @@
         own = self._fleet.own.zone
         return tuple(
             member
-            for zone, members in self._ranking.by_zone().items()
+            for zone, members in self.ranking.by_zone().items()
             if zone != own
             for member in members[:each]
         )
@@ -146,3 +146,14 @@
     return tuple(
         member for member in zone_carriers.of_own_zone() if member in zone_peers
     )
+
+
+def is_ranked_first(zone_carriers: Carriers) -> bool:
+    """Return whether other zones take this daemon for the first carrier.
+
+    They don't know which daemons are silent or have handed the zone over.
+    """
+    ranked = zone_carriers.ranking.of_zone(zone_carriers.own_zone)
+    return any(
+        member.instance_id == zone_carriers.own_id for member in ranked[:1]
+    )
--- a/libraries/zones/src/sardinepier/zones/estimate_sharing.py
+++ b/libraries/zones/src/sardinepier/zones/estimate_sharing.py
@@ -29,6 +29,8 @@
 (:mod:`sardinepier.zones.unreachable_zones`). It is shorter than the interval of
 heartbeats, so that a report goes out with each of these."""
 
+_EMPTY_REPORT: Final = messages.BeliefReport(())
+
 
 class EstimateSharing:
     """Sends estimates and statements to carriers, and applies received ones."""
@@ -105,9 +107,16 @@
                 self._network.send(member.peer_address, report)
 
     def record_life(self, zone: ids.ZoneName) -> None:
-        """Record that a carrier of ``zone`` sent something regular."""
-        if zone != self._carriers.own_zone:
-            self.unreachable_zones.record_report(zone)
+        """Record that a carrier of ``zone`` sent something regular.
+
+        It stands for an empty report, which also has to reach the own zone's
+        first carrier after a handover.
+        """
+        if zone == self._carriers.own_zone:
+            return
+        self.unreachable_zones.record_report(zone)
+        if carriers.is_ranked_first(self._carriers):
+            self._forward(zone, _EMPTY_REPORT)
 
     def _collect_due_estimates(
         self,
--- a/libraries/zones/tests/cover/test_zones_usage_names.py
+++ b/libraries/zones/tests/cover/test_zones_usage_names.py
@@ -123,3 +123,25 @@
             zone.stop(daemon)
     await zone.run(1.0)
     assert first.sharing._estimates.unreachable_zones.names() == {'far'}
+
+
+async def test_after_a_handover_usage_shows_that_other_zones_live():
+    # Guards against a new carrier that takes all other zones for unreachable:
+    # these send usage in place of empty reports, to the former carrier only,
+    # and reports only after an outcome such as the one failure here.
+    zone, former, far = await two_carriers()
+    former.carriers.hand_over()
+    support.fail(far, 't1')
+    for daemon in zone.daemons:
+        if daemon.own.zone == former.own.zone:
+            daemon.carriers.availability.record_handover(former.own.instance_id)
+    for _ in range(12):
+        await zone.run(0.25)
+        current = zone.carrier()
+        assert current is not former
+        assert not current.sharing._estimates.unreachable_zones.names()
+    for daemon in zone.daemons:
+        if daemon.own.zone == 'far':
+            zone.stop(daemon)
+    await zone.run(1.25)
+    assert current.sharing._estimates.unreachable_zones.names() == {'far'}
