Test that waiting requests are reported by name and by index

The reports of waiting requests and the indexes for customers' names were merged in usage_sharing; no test covered the names. The test fails if the indexed message, the named one, or the reader of either loses the requests that wait (three trial changes).

--- a/libraries/zones/tests/cover/test_zones_usage_names.py
+++ b/libraries/zones/tests/cover/test_zones_usage_names.py
@@ -1,10 +1,14 @@
 """Usage of limits is sent with short names to daemons that have the same."""
 
+import asyncio
+
 import msgspec
+import pytest
 import zones_support as support
 
 from sardinepier.core import ids
 from sardinepier.entry import model
+from sardinepier.routing import wait_queue
 from sardinepier.zones import customer_indexes, messages
 
 NAMES = [ids.CustomerName(f'library-of-{number}') for number in range(3)]
@@ -145,3 +149,34 @@
             zone.stop(daemon)
     await zone.run(1.25)
     assert current.sharing._estimates.unreachable_zones.names() == {'far'}
+
+
+@pytest.mark.parametrize('is_indexed', [True, False])
+async def test_50_waiting_requests_are_reported_by_name_and_by_index(
+    is_indexed,
+):
+    # Guards against requests of lower priority that take the tokens for which
+    # urgent ones wait at a daemon that sends usage in the other form.
+    zone, first, second = await two_carriers()
+    if not is_indexed:
+        first.sharing._usage._peer_digests[second.own.instance_id] = 0
+        second.sharing._usage._send = lambda *arguments, **named: None
+    sent = record_sent(first.sharing._usage)
+    while not first.services.limits.take(NAMES[1]):
+        continue
+    urgent = wait_queue.QueuedRequest(
+        0, zone.clock.monotonic_s() + 60, accepts_any_target=True
+    )
+    waiting = [
+        asyncio.ensure_future(
+            first.services.customer_queues.admit(NAMES[1], urgent)
+        )
+        for _ in range(50)
+    ]
+    await zone.run(0.5)
+    assert customers_of(sent) == {'1' if is_indexed else NAMES[1]}
+    queues = second.services.customer_queues
+    assert queues.tokens_to_leave(NAMES[1], 1) > 10
+    assert not any(queues.tokens_to_leave(name, 1) for name in NAMES[::2])
+    for task in waiting:
+        task.cancel()
