Drop reports of waiting requests of daemons that are gone

Cause: a daemon that died with waiting requests stayed in PeerDemands until its customer was looked up again, or for ever, so that memory grew with each replaced daemon. A refusal also copied the list of all customers and priorities with refusals to look at two of them.

Change: reports older than their validity are dropped, oldest first, when any report arrives. The return schedule takes the first two entries only.

--- a/libraries/routing/src/sardinepier/routing/customer_demand.py
+++ b/libraries/routing/src/sardinepier/routing/customer_demand.py
@@ -29,6 +29,14 @@
     demands: Sequence[Demand]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Reported:
+    """The customers in the latest report of a daemon."""
+
+    received_s: float
+    customers: frozenset[ids.CustomerName]
+
+
 class PeerDemands:
     """The latest demands that each other daemon reported, while they are valid.
 
@@ -41,7 +49,8 @@
         self._reports: dict[
             ids.CustomerName, dict[ids.InstanceId, _Report]
         ] = {}
-        self._reported: dict[ids.InstanceId, frozenset[ids.CustomerName]] = {}
+        # In the order of receipt, so that the oldest are dropped first.
+        self._reported: dict[ids.InstanceId, _Reported] = {}
 
     def receive(
         self,
@@ -50,10 +59,10 @@
         now_s: float,
     ) -> None:
         """Replace what ``source`` reported about all customers."""
-        for customer in self._reported.pop(source, frozenset()):
-            self._forget(customer, source)
+        self._drop(source)
+        self._drop_expired(now_s)
         if demands:
-            self._reported[source] = frozenset(demands)
+            self._reported[source] = _Reported(now_s, frozenset(demands))
         for named, by_priority in demands.items():
             self._reports.setdefault(named, {})[source] = _Report(
                 now_s, by_priority
@@ -98,6 +107,20 @@
             sum(demand.arrivals_per_s for demand in higher),
         )
 
+    def _drop_expired(self, now_s: float) -> None:
+        """Drop the reports of daemons that may be gone."""
+        while self._reported:
+            oldest, reported = next(iter(self._reported.items()))
+            if now_s - reported.received_s <= _VALID_S:
+                break
+            self._drop(oldest)
+
+    def _drop(self, source: ids.InstanceId) -> None:
+        reported = self._reported.pop(source, None)
+        if reported is not None:
+            for customer in reported.customers:
+                self._forget(customer, source)
+
     def _forget(
         self,
         customer: ids.CustomerName,
--- a/libraries/routing/src/sardinepier/routing/return_schedule.py
+++ b/libraries/routing/src/sardinepier/routing/return_schedule.py
@@ -1,6 +1,7 @@
 """When refused requests return, one after another."""
 
 import dataclasses
+import itertools
 import random
 from typing import Final
 
@@ -124,7 +125,8 @@
             if age_s <= _MAX_LIFETIME_S and len(self._entries) < self._capacity:
                 break
             del self._entries[oldest]
-        for lane in tuple(self._last_return_s)[:_MAX_DROPPED_PER_CALL]:
+        lanes = itertools.islice(self._last_return_s, _MAX_DROPPED_PER_CALL)
+        for lane in tuple(lanes):
             # Insert it again, so that the next call looks at other lanes.
             last_s = self._last_return_s.pop(lane)
             if last_s > now_s:
