Admit customers with tokens at the bound of all waiting requests

Cause: with 2,048 requests waiting at a daemon, each request of a customer with a queue was refused, even if its limit had tokens, and urgent requests were refused while requests of lower priority of the same customer waited.

Change: at the bound, a request is let in if it gets a token at once, or if it displaces the last waiting request of its customer.

--- a/libraries/routing/src/sardinepier/routing/admission.py
+++ b/libraries/routing/src/sardinepier/routing/admission.py
@@ -118,6 +118,13 @@
         finally:
             waiter.cancel_timer()
 
+    def displace_last(self, request: wait_queue.QueuedRequest) -> bool:
+        """Refuse the last request that waits if ``request`` has precedence.
+
+        Returns whether it was refused.
+        """
+        return self._queue.displace_last(request)
+
     def wake(self) -> None:
         """Hand out free slots; to be called when a slot or target becomes free."""
         self._queue.dispatch()
--- a/libraries/routing/src/sardinepier/routing/customer_queues.py
+++ b/libraries/routing/src/sardinepier/routing/customer_queues.py
@@ -87,7 +87,7 @@
         queue.rates.record(request.priority, now_s)
         if self._returns.has_returned(customer, request.fingerprint, now_s):
             request = dataclasses.replace(request, has_returned=True)
-        if self._waiting >= _MAX_WAITING:
+        if self._waiting >= _MAX_WAITING and not queue.make_room(request):
             raise self._refusal(queue, request)
         self._waiting += 1
         try:
--- a/libraries/routing/src/sardinepier/routing/internal/customer_queue.py
+++ b/libraries/routing/src/sardinepier/routing/internal/customer_queue.py
@@ -85,6 +85,18 @@
             await self._slots.acquire(request, attempt.choose)
         return attempt.has_waited
 
+    def make_room(self, request: wait_queue.QueuedRequest) -> bool:
+        """Let ``request`` in though no more requests of all queues may wait.
+
+        Returns true if it gets a token without a wait, or if a request of
+        lower precedence was refused in its place.
+        """
+        self.wake()
+        wait_s = self._limits.wait_s(
+            self.customer, self._leave(request.priority)
+        )
+        return not wait_s or self._slots.displace_last(request)
+
     def take(self, priority: int) -> ids.CustomerName | None:
         """Take a token; return None if there is none for this priority."""
         if self._limits.take(self.customer, self._leave(priority)):
--- a/libraries/routing/src/sardinepier/routing/wait_queue.py
+++ b/libraries/routing/src/sardinepier/routing/wait_queue.py
@@ -263,9 +263,28 @@
         ahead = bisect.bisect(self._places, place.rank, key=_rank_of)
         if self._is_too_late(waiter.request, ahead):
             waiter.refuse(self._refusals.late(self._likely_wait_s()))
-        elif self._ensure_place(waiter):
+        elif len(self) < self._length or self.displace_last(waiter.request):
             self._places.insert(ahead, place)
             self._update_next_late(place)
+        else:
+            error = self._refusals.full(self._likely_wait_s(), self._length)
+            waiter.refuse(error)
+
+    def displace_last(self, request: QueuedRequest) -> bool:
+        """Refuse the last waiter if ``request`` has precedence over it.
+
+        Returns whether it was refused. An earlier deadline alone is no
+        precedence: requests of equal priority would displace each other, and
+        none would be served.
+        """
+        rank = self._rules.rank(request, 0, is_late=False)
+        if not self._places or rank[:2] >= self._places[-1].rank[:2]:
+            return False
+        displaced = self._places.pop()
+        displaced.waiter.refuse(
+            self._refusals.displaced(self._likely_wait_s()),
+        )
+        return True
 
     def remove(self, waiter: Waiter[GrantT]) -> None:
         """Remove a waiter that was cancelled; ignore unknown ones."""
@@ -327,23 +346,6 @@
         min_wait_s = self._capacity_forecast().min_wait_s(ahead, request)
         return now_s + max(likely_s, min_wait_s) >= self.latest_start_s(request)
 
-    def _ensure_place(self, waiter: Waiter[GrantT]) -> bool:
-        if len(self._places) < self._length:
-            return True
-        # An earlier deadline alone displaces no waiter: requests of equal
-        # priority would displace each other, and none would be served.
-        last = self._places[-1].rank[:2] if self._places else None
-        rank = self._rules.rank(waiter.request, 0, is_late=False)
-        if last is None or rank[:2] >= last:
-            error = self._refusals.full(self._likely_wait_s(), self._length)
-            waiter.refuse(error)
-            return False
-        displaced = self._places.pop()
-        displaced.waiter.refuse(
-            self._refusals.displaced(self._likely_wait_s()),
-        )
-        return True
-
     def _refuse_too_late(self) -> None:
         """Refuse waiters that can't finish before their deadline.
 
--- a/libraries/routing/tests/cover/test_routing_customer_queues.py
+++ b/libraries/routing/tests/cover/test_routing_customer_queues.py
@@ -374,6 +374,55 @@
     assert not single.queues._queues
 
 
+async def test_at_the_bound_of_all_waits_a_customer_below_its_limit_is_served(
+    monkeypatch,
+):
+    """Guards against waits of others that keep out a customer with tokens.
+
+    The calm customer had to wait shortly before, so that it has a queue.
+    """
+    monkeypatch.setattr(customer_queues, '_MAX_WAITING', 2)
+    single = Single()
+    single.daemon.limits.set({HOT: LIMIT, CALM: LIMIT})
+    while not single.daemon.limits.take(CALM):
+        assert not single.order
+    with pytest.raises(errors.CustomerLimitError):
+        await single.queues.admit(CALM, request(single.clock, start_in_s=0.01))
+    single.clock.advance(0.5)
+    waits = [await single.wait(number) for number in range(12)]
+    assert len(single.queues) == 2
+    assert not await single.queues.admit(CALM, request(single.clock))
+    for wait in waits:
+        wait.cancel()
+
+
+async def test_at_the_bound_of_all_waits_an_urgent_request_displaces_a_low_one(
+    monkeypatch,
+):
+    """Guards against urgent requests refused while low ones wait."""
+    monkeypatch.setattr(customer_queues, '_MAX_WAITING', 2)
+    single = Single()
+    await single.wait('usual', USUAL)
+    low = await single.wait('low', LOW)
+    await single.wait('urgent', URGENT)
+    await single.advance(0)
+    assert isinstance(low.exception(), errors.CustomerLimitError)
+    assert len(single.queues) == 2
+    await single.advance(1.0)
+    assert single.order == ['urgent', 'usual']
+
+
+def test_reports_of_1000_daemons_that_died_are_dropped():
+    """Guards against memory that grows with each daemon that was replaced."""
+    demands = customer_demand.PeerDemands()
+    demand = customer_demand.Demand(URGENT, 2, 0.0)
+    for number in range(1000):
+        source = ids.InstanceId(f'{number}')
+        demands.receive(source, {HOT: (demand,)}, float(number))
+    assert len(demands._reported) == 1
+    assert len(demands._reports[HOT]) == 1
+
+
 async def test_100_waiting_requests_have_one_timer(monkeypatch):
     """Guards against processor time that grows with the waiting requests."""
     loop = asyncio.get_running_loop()
