Count full reports of slots as no new use

Each full report, every 0.7 s, set all counts of its author anew on a new PeerReport, so that UseElsewhere took each count for a slot that was used since and left the target's free slots again after 0.75 s in place of 2 s. Requests of lower priority waited for 0.4 s in each 0.75 s. A full report now replaces the earlier counts without setting them to 0 in between. The new test fails without the change; zones_slot_sharing passes.

--- a/libraries/zones/src/sardinepier/zones/slot_reports.py
+++ b/libraries/zones/src/sardinepier/zones/slot_reports.py
@@ -49,9 +49,11 @@
         now_s = self._clock.monotonic_s()
         author = self._authors.get(sender)
         if use.is_full:
-            self._forget(sender)
-            author = _Author(use_elsewhere.PeerReport(now_s))
-            self._authors[sender] = author
+            author = _Author(
+                use_elsewhere.PeerReport(now_s)
+                if author is None
+                else author.report
+            )
         elif author is None or not _follows(author, use):
             return True
         author.sequence = use.sequence
@@ -59,6 +61,7 @@
         self._services.peer_reports.valid_until_s = author.report.expires_s
         self._apply_in_flight(author, use, index)
         self._apply_waiting(author, use, index)
+        self._replace(sender, author)
         return True
 
     def expire(self) -> None:
@@ -73,14 +76,27 @@
             self._forget(sender)
 
     def _forget(self, sender: ids.InstanceId) -> None:
-        author = self._authors.pop(sender, None)
-        if author is None:
-            return
-        for record in author.records:
-            record.elsewhere.set(author.report, 0)
-        for name, priority in author.waiting:
+        author = self._authors.pop(sender)
+        self._clear(author, _Author(author.report))
+
+    def _replace(self, sender: ids.InstanceId, author: _Author) -> None:
+        """Keep ``author``, and drop earlier counts that it does not have.
+
+        Counts that it has again are not set to 0 in between: each would then
+        look like a slot that was used since.
+        """
+        earlier = self._authors.get(sender, author)
+        self._authors[sender] = author
+        if earlier is not author:
+            self._clear(earlier, author)
+
+    def _clear(self, earlier: _Author, author: _Author) -> None:
+        """Drop the counts of ``earlier`` that ``author`` does not have."""
+        for record in earlier.records - author.records:
+            record.elsewhere.set(earlier.report, 0)
+        for name, priority in earlier.waiting - author.waiting:
             waiting = self._services.pool(name).waiting_elsewhere
-            waiting.set(author.report, priority, 0)
+            waiting.set(earlier.report, priority, 0)
 
     def _apply_in_flight(
         self,
--- a/libraries/zones/tests/cover/test_zones_slot_sharing.py
+++ b/libraries/zones/tests/cover/test_zones_slot_sharing.py
@@ -148,6 +148,27 @@
     assert seen(near, 't1') == 0
 
 
+async def test_a_full_report_is_no_new_use_by_payments():
+    """Guards against slots that are left again with each full report."""
+    zone = await two_zones(targets(2))
+    near, far = first_of(zone, NEAR), first_of(zone, FAR)
+    use(far, 't0', 1)
+    use(far, 't1', 1)
+    await zone.run(2 * INTERVAL_S)
+    elsewhere = [record.elsewhere for record in records(near)]
+    began_s = zone.clock.monotonic_s()
+    for use_there in elsewhere:
+        use_there.leave(began_s)
+    use(far, 't1', 2)
+    await zone.run(1.5)
+    now_s = zone.clock.monotonic_s()
+    assert not elsewhere[0].may_be_left(now_s)
+    assert elsewhere[1].may_be_left(now_s)
+    use(far, 't0', 0)
+    await zone.run(1.0)
+    assert [seen(near, name) for name in ('t0', 't1')] == [0, 2]
+
+
 @pytest.mark.parametrize('cut_at_s', [0.0, 0.25, 0.5, 0.75, 1.0])
 async def test_a_lost_report_of_payments_misleads_for_a_second_at_most(
     cut_at_s,
