Refuse and keep waiting retries by the plan only

A request whose planned attempt was spent by a hedge since was dropped from the plan and held until its deadline, also when budget returned; it now stays in the plan. The queue also refused requests by the time between past grants, although attempts return in groups and the forecast had one in time; it no longer estimates waits. Both new tests fail without the change.

--- a/libraries/routing/src/sardinepier/routing/retry_queue.py
+++ b/libraries/routing/src/sardinepier/routing/retry_queue.py
@@ -13,6 +13,7 @@
     errors,
     retry_demand,
     retry_plan,
+    wait_queue,
 )
 from sardinepier.routing.internal import spread
 
@@ -29,6 +30,10 @@
 
 _OPENING_DOUBLINGS: Final = 10
 
+_RULES: Final = wait_queue.QueueRules(estimates_waits=False)
+"""The plan forecasts waits from the budget. Its attempts return in groups, so
+that the time between past grants says nothing of the next ones."""
+
 
 class RetryQueue:
     """Hands out the retry budget of one service.
@@ -72,6 +77,7 @@
             _LENGTH,
             random_source,
             self.refund,
+            rules=_RULES,
         )
 
     def __len__(self) -> int:
@@ -145,8 +151,11 @@
         if now_s >= self._plan_until_s:
             self._update_plan(now_s)
         if request in self._plan.granted:
-            self._waiting.pop(request)
-            return self._budget.spend()
+            spent_s = self._budget.spend()
+            # Since the plan was made, a hedge may have spent the attempt.
+            if spent_s is not None:
+                self._waiting.pop(request)
+            return spent_s
         available_s = self._plan.refused.get(request)
         if available_s is None and not request.can_wait:
             available_s = self._budget.forecast().next_s(1)
--- a/libraries/routing/tests/cover/test_routing_retry_queue.py
+++ b/libraries/routing/tests/cover/test_routing_retry_queue.py
@@ -167,6 +167,44 @@
     assert service.budget.can_spend()
 
 
+async def test_a_planned_request_whose_attempt_is_gone_waits_on():
+    """It was forgotten, and held until its deadline although budget returned."""
+    service = await _used_up()
+    hedges = [True]
+
+    def spend_for_a_hedge():
+        if service.budget.can_spend() and hedges:
+            hedges.clear()
+            assert service.budget.try_spend()
+        return False
+
+    service.send()
+    service.send(timeout_s=20.0, is_given_up=spend_for_a_hedge)
+    await service.advance(3.1)
+    assert not hedges and service.granted() == [0]
+    service.queue.refund(service.tasks[0].result())
+    await service.settle()
+    assert service.granted() == [0, 1]
+
+
+async def test_the_wait_is_forecast_by_the_budget_and_not_by_past_grants():
+    """Attempts return in groups: slow grants before say nothing of the next.
+
+    The load: a grant each 0.8 s, then 30 attempts that return in 1 s.
+    """
+    service = _Service(burst=40)
+    steady_s = [100.4 + 0.8 * number for number in range(10)]
+    returns_s = [*steady_s, *(109.0 for _ in range(30))]
+    service.budget._spent_s.extend(at_s - _WINDOW_S for at_s in returns_s)
+    for _ in range(35):
+        service.send(timeout_s=20.0)
+    await service.advance(8.2)
+    assert len(service.granted()) == 10
+    service.send(timeout_s=12.5)
+    await service.settle()
+    assert not service.tasks[-1].done()
+
+
 async def test_a_request_without_another_target_does_not_wait():
     service = await _used_up()
     task = service.send(can_wait=False)
