Count retry attempts from when they are sent

An attempt was counted from when it got budget, and then could wait for a slot until the deadline, 15 s on some routes. It returned to the budget less than a window after it was sent, so that a window of 10 s could have more sends than the budget allows. It is now counted from when its slot is granted.

--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -128,7 +128,9 @@
             if history.spent_s is not None:
                 pool.retries.queue.refund(history.spent_s)
             raise
-        history.spent_s = None
+        if history.spent_s is not None:
+            pool.retries.queue.made(history.spent_s)
+            history.spent_s = None
         return record
 
     async def _admit(
--- a/libraries/entry/tests/cover/test_entry_retry_waits.py
+++ b/libraries/entry/tests/cover/test_entry_retry_waits.py
@@ -82,6 +82,22 @@
     assert budget.granted == 0
 
 
+async def test_an_attempt_counts_from_when_it_is_sent(entry):
+    """Its budget returned less than a window after a retry that had waited."""
+    await entry.set_targets(
+        support.RawTarget('t1', ['shed']), support.RawTarget('t2')
+    )
+    pool = entry.shared.services.pool(support.SERVICE)
+    pool.targets.find('t2').full_until_s = float('inf')
+    retried = asyncio.ensure_future(entry.send(ONCE, 'POST'))
+    await support.wait_until(lambda: pool.retry_budget.granted)
+    await asyncio.sleep(0.3)
+    free_s = entry.shared.clock.monotonic_s()
+    pool.targets.find('t2').full_until_s = 0.0
+    assert (await retried)[0] == 200
+    assert pool.retry_budget._spent_s[-1] >= free_s
+
+
 async def test_a_request_is_shed_by_more_than_four_targets(entry):
     """With 55 % of all requests shed, one in 11 is shed by four in a row."""
     shedding = [
--- a/libraries/routing/src/sardinepier/routing/budget.py
+++ b/libraries/routing/src/sardinepier/routing/budget.py
@@ -120,6 +120,16 @@
             self._spent_s.remove(spent_s)
             self.granted -= 1
 
+    def made(self, spent_s: float) -> None:
+        """Count the attempt that was spent at ``spent_s`` from now on.
+
+        It may have waited for a slot since. Counted from then, it would return
+        before a window has passed since it was sent.
+        """
+        with contextlib.suppress(ValueError):
+            self._spent_s.remove(spent_s)
+        self._spent_s.append(self._clock.monotonic_s())
+
     def forecast(self) -> budget_forecast.BudgetForecast:
         """Return what the budget will have if requests go on as they do."""
         self._drop_old()
--- a/libraries/routing/src/sardinepier/routing/retry_queue.py
+++ b/libraries/routing/src/sardinepier/routing/retry_queue.py
@@ -110,6 +110,10 @@
         """Return an attempt that was not made."""
         self._budget.refund(spent_s)
 
+    def made(self, spent_s: float) -> None:
+        """Record that the attempt that was spent at ``spent_s`` begins now."""
+        self._budget.made(spent_s)
+
     def can_spend(self, priority: int) -> bool:
         """Return whether a request of ``priority`` would not have to wait."""
         return self._left_for(priority) >= 1
--- a/libraries/routing/tests/cover/test_routing_retry_queue.py
+++ b/libraries/routing/tests/cover/test_routing_retry_queue.py
@@ -205,6 +205,19 @@
     assert not service.tasks[-1].done()
 
 
+async def test_an_attempt_counts_from_when_it_is_made():
+    """Guards against twice the budget in a window after waits for a slot."""
+    service = _Service(burst=1)
+    task = service.send()
+    await service.settle()
+    service.clock.advance(6.0)
+    service.queue.made(task.result())
+    service.clock.advance(6.0)
+    assert not service.queue.can_spend(1)
+    service.clock.advance(4.1)
+    assert service.queue.can_spend(1)
+
+
 async def test_a_request_without_another_target_does_not_wait():
     service = await _used_up()
     task = service.send(can_wait=False)
