Send no retry whose caller left while it waited for a slot

A non-idempotent request that was shed goes on without its caller, and was sent again if the caller left while it waited for a slot: a request nobody waits for ran, on a target that shed. An attempt now checks for its caller before its first byte. The new test saw one run before, and none now.

--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -185,6 +185,7 @@
         began to leave, so that the target has to be checked again.
         """
         self._request.require_time_left(self._shared.clock)
+        self._request.require_caller()
         self._pool.targets.require_accepting(self._record)
         self._shared.quarantine.raise_if_quarantined(self._request.fingerprint)
         self._is_sent = True
--- a/libraries/entry/src/sardinepier/entry/caller_request.py
+++ b/libraries/entry/src/sardinepier/entry/caller_request.py
@@ -6,6 +6,7 @@
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
 from sardinepier.entry import model, refusals
+from sardinepier.routing import errors
 
 _RETRY_AFTER_S: Final = 0.2
 
@@ -54,3 +55,11 @@
                 'Send it again with a later deadline',
                 _RETRY_AFTER_S,
             )
+
+    def require_caller(self) -> None:
+        """Raise ``GivenUpError`` if the caller has disconnected."""
+        if self.is_abandoned:
+            raise errors.GivenUpError(
+                'The caller left before the request was sent again',
+                'Nothing is to be done',
+            )
--- a/libraries/entry/tests/cover/test_entry_retry_waits.py
+++ b/libraries/entry/tests/cover/test_entry_retry_waits.py
@@ -74,6 +74,25 @@
     assert pool.retry_budget.available() > left
 
 
+async def test_a_retry_whose_caller_left_while_it_waited_for_a_slot_is_not_sent(
+    entry,
+):
+    """Guards against payments that run for a caller that left before."""
+    await entry.set_targets(
+        support.RawTarget('t1', ['shed']), support.RawTarget('t2')
+    )
+    pool = entry.shared.services.pool(support.SERVICE)
+    pool.targets.find('t2').full_until_s = float('inf')
+    _, writer = await asyncio.open_connection(support.LOOPBACK, entry.port)
+    writer.write(support.request(ONCE, 'POST'))
+    await support.wait_until(lambda: pool.retry_budget.granted)
+    writer.close()
+    await asyncio.sleep(0.3)
+    pool.targets.find('t2').full_until_s = 0.0
+    await asyncio.sleep(0.3)
+    assert entry.run_count == 0
+
+
 async def test_budget_is_returned_if_no_target_can_be_sent_the_retry(entry):
     """Guards against attempts that are spent and never made."""
     await entry.set_targets(support.RawTarget('t1', ['shed']))
