--- a/libraries/routing/src/sardinepier/routing/retry_queue.py
+++ b/libraries/routing/src/sardinepier/routing/retry_queue.py
@@ -11,9 +11,9 @@
     admission,
     budget,
     errors,
+    queue_order,
     retry_demand,
     retry_plan,
-    wait_queue,
 )
 from sardinepier.routing.internal import spread
 
@@ -30,7 +30,7 @@
 
 _OPENING_DOUBLINGS: Final = 10
 
-_RULES: Final = wait_queue.QueueRules(estimates_waits=False)
+_RULES: Final = queue_order.QueueRules(estimates_waits=False)
 """The plan forecasts waits from the budget. Its attempts return in groups, so
 that the time between past grants says nothing of the next ones."""
 
