Let targets that leave unannounced complete their requests

A target that leaves may close its listening socket before a list shows it, up to 2 s later. The next connection was refused and ended the requests that it still completed, with 502. They now end only if the target is still in use 2 s after the refusal.

--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -260,14 +260,12 @@
             self._record.mark_unreachable(self._shared.clock.monotonic_s())
             return
         self._open_exchange.record_error(error)
-        in_use = self._pool.targets.find(self._record.listed.target_id)
-        # A target that leaves may close its listening socket first, and then
-        # complete the requests that it has.
-        if (
-            isinstance(error, errors.ConnectRefusedError)
-            and in_use is self._record
-        ):
-            self._shared.exchanges.record_refused(self._open_exchange)
+        if isinstance(error, errors.ConnectRefusedError):
+            target_id = self._record.listed.target_id
+            self._shared.exchanges.record_refused(
+                self._open_exchange,
+                lambda: self._pool.targets.find(target_id) is self._record,
+            )
         self._pool.failed(self._record, self._elapsed_s())
 
     def _record_cancellation(self) -> None:
--- a/libraries/entry/src/sardinepier/entry/open_exchanges.py
+++ b/libraries/entry/src/sardinepier/entry/open_exchanges.py
@@ -21,6 +21,10 @@
 at its address refuses those that it got itself within this time, so that they
 are known not to have run."""
 
+_LEAVING_UNKNOWN_S: Final = 2.0
+"""How long a target may leave before lists show it. It may have closed its
+listening socket first, and then completes the requests that it has."""
+
 _READING_S: Final = 0.05
 """How long bytes that have arrived may take to be read."""
 
@@ -89,7 +93,7 @@
 
         exchange = exchanges.begin(record)
         ...
-        exchanges.record_refused(exchange)  # ends those sent earlier
+        exchanges.record_refused(exchange, is_in_use)  # ends those sent earlier
         exchanges.close(exchange)
     """
 
@@ -113,9 +117,18 @@
         if not self._by_address[address]:
             del self._by_address[address]
 
-    def record_refused(self, refused: OpenExchange) -> None:
-        """End what was sent before the attempt that was refused began."""
-        _end_all(
+    def record_refused(
+        self, refused: OpenExchange, is_in_use: Callable[[], bool]
+    ) -> None:
+        """End what was sent before the attempt that was refused began.
+
+        It ends once a list would show that the target leaves, unless
+        ``is_in_use`` returns then that it does.
+        """
+        asyncio.get_running_loop().call_later(
+            _LEAVING_UNKNOWN_S,
+            _end_if,
+            is_in_use,
             self._sent(
                 refused.record,
                 lambda exchange: exchange.is_sent_before(refused.began_s),
@@ -181,6 +194,15 @@
     )
 
 
+def _end_if(
+    is_in_use: Callable[[], bool],
+    exchanges: Iterable[OpenExchange],
+    cause: EndCause,
+) -> None:
+    if is_in_use():
+        _end_all(exchanges, cause)
+
+
 def _end_all(exchanges: Iterable[OpenExchange], cause: EndCause) -> None:
     for exchange in exchanges:
         exchange.end(cause)
