--- a/libraries/routing/src/sardinepier/routing/budget_forecast.py
+++ b/libraries/routing/src/sardinepier/routing/budget_forecast.py
@@ -45,7 +45,9 @@
         self._spent_s = spent_s
         self._parts = parts
         self._allowed = allowed
+        self._part_s = window_s / PARTS
         self._per_s = self._requests_per_s()
+        self._available_now = self._available(now_s)
 
     def available_by(self, at_s: float) -> float:
         """Return how many attempts there will be at ``at_s``, or are now.
@@ -53,7 +55,7 @@
         What is available now isn't lost if fewer requests come later: it can
         be spent now.
         """
-        return max(self._available(self._now_s), self._available(at_s))
+        return max(self._available_now, self._available(at_s))
 
     def next_s(self, attempts: float) -> float:
         """Return when so many attempts are available, infinite for never.
@@ -75,10 +77,6 @@
         )
         return self._allowed(requests) - (len(self._spent_s) - returned)
 
-    @property
-    def _part_s(self) -> float:
-        return self._window_s / PARTS
-
     def _requests_per_s(self) -> float:
         newest = int(self._now_s / self._part_s)
         first = newest - _RATE_PARTS
--- a/libraries/routing/src/sardinepier/routing/retry_plan.py
+++ b/libraries/routing/src/sardinepier/routing/retry_plan.py
@@ -193,7 +193,7 @@
         if now_s < latest_start_s and by_then >= needed + expected:
             self._unmet += 1
         else:
-            self._plan.refused[request] = self._forecast.next_s(needed)
+            self._plan.refused[request] = needed
 
     def _may_send(self, request: RetryRequest) -> bool:
         now_s = self._conditions.now_s
--- a/libraries/routing/src/sardinepier/routing/retry_queue.py
+++ b/libraries/routing/src/sardinepier/routing/retry_queue.py
@@ -147,12 +147,10 @@
         if request in self._plan.granted:
             self._waiting.pop(request)
             return self._budget.spend()
-        available_s = self._plan.refused.get(request)
-        if available_s is None and not request.can_wait:
-            available_s = self._budget.forecast().next_s(1)
-        if available_s is not None:
+        needed = self._plan.refused.get(request, 0 if request.can_wait else 1)
+        if needed:
             self._waiting.pop(request)
-            raise self._refusal(available_s - now_s)
+            raise self._refusal(self._budget.forecast().next_s(needed) - now_s)
         request.has_waited = True
         return None
 
