Spend retry budget at once also while a service sheds

The share held, the late requests that waited for it and the limit on the sends after it are removed, and the queue no longer reads the accepted share, which stays a gauge and a field of retry-waited.

--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -108,7 +108,6 @@
             pool,
             retry_queue.RetryRequest(
                 request.priority,
-                request.arrived_s,
                 request.deadline_s,
                 _preferred_start_by_s(request, pool),
                 can_wait=pool.has_other_target(history.tried),
--- a/libraries/entry/src/sardinepier/entry/service_retries.py
+++ b/libraries/entry/src/sardinepier/entry/service_retries.py
@@ -44,7 +44,6 @@
             random_source,
             self.budget,
             service_time_s,
-            self.accepted_share,
         )
 
     def accepted_share(self) -> float:
--- a/libraries/routing/src/sardinepier/routing/retry_demand.py
+++ b/libraries/routing/src/sardinepier/routing/retry_demand.py
@@ -31,7 +31,7 @@
         self._counts[priority] = self._count(priority, now_s) + 1
         self._updated_s[priority] = now_s
 
-    def per_s(self, now_s: float, above: float = math.inf) -> float:
+    def per_s(self, now_s: float, above: float) -> float:
         """Return the attempts a second that more urgent priorities need.
 
         A priority is more urgent than ``above`` if its number is lower.
--- a/libraries/routing/src/sardinepier/routing/retry_plan.py
+++ b/libraries/routing/src/sardinepier/routing/retry_plan.py
@@ -1,7 +1,8 @@
 """Which of the requests that wait for retry budget may spend it now.
 
 The plan has no state of its own and no I/O: it is computed anew from the
-budget, the waiting requests and the share of requests that the targets accept.
+budget and the waiting requests. Budget is spent as soon as there is some, also
+while the targets shed most requests.
 """
 
 import dataclasses
@@ -11,29 +12,10 @@
 
 from sardinepier.routing import budget, budget_forecast, retry_demand
 
-_HOLD_BELOW: Final = 0.7
-"""Accepted share below which scarce budget is held. A send that is likely shed
-costs as much budget as one after the targets' recovery."""
-
-_HELD_SHARE: Final = 0.25
-"""Share of a window's budget that is held until the targets recover. Each held
-attempt then serves one request in time, and less than half of one before. If
-all of it were held, little would have returned to the budget by the time at
-which the late requests need it."""
-
-_HOLD_FROM_S: Final = 5.0
-"""Time from its arrival to its deadline from which a request leaves that share.
-Targets shed for seconds, so that a request with less time would mostly wait in
-vain."""
-
 _LATE_MARGIN: Final = 1.0
 """Typical service times before the preferred start from which a request counts
 as late. At the preferred start itself four in ten answers would be late."""
 
-_LAST_SEND_S: Final = 0.15
-"""Time before its latest start at which a late request is sent although most
-sends are shed: the queue is looked through every 0.05 s."""
-
 _EXPECTED_TIMES_S: Final = (0.5, 1.0, 2.0, 4.0)
 """Times ahead at which the need of higher priorities is compared with what
 returns to the budget until then."""
@@ -48,15 +30,14 @@
 class RetryRequest:
     """A request that needs a further attempt.
 
-    A lower ``priority`` comes first. It arrived at ``arrived_s``. The answer
-    must be complete by ``deadline_s``, and it is late unless the attempt begins by
+    A lower ``priority`` comes first. The answer must be complete by
+    ``deadline_s``, and it is late unless the attempt begins by
     ``preferred_start_by_s``. ``can_wait`` is false if it gets an attempt now or
     never, as no target is left for it. ``is_given_up`` returns whether its caller has
     left. ``has_waited`` is set by the queue.
     """
 
     priority: int
-    arrived_s: float
     deadline_s: float
     preferred_start_by_s: float = math.inf
     can_wait: bool = True
@@ -68,15 +49,11 @@
 class Conditions:
     """What the plan depends on besides the budget and the requests.
 
-    ``service_s`` is the typical service time, ``accepted_share`` the share of
-    requests that the targets accept, 0 to 1, and ``max_sends`` how many may be
-    sent now.
+    ``service_s`` is the typical service time.
     """
 
     now_s: float
     service_s: float
-    accepted_share: float = 1.0
-    max_sends: float = math.inf
 
 
 @dataclasses.dataclass(slots=True)
@@ -87,21 +64,10 @@
     others wait.
     """
 
-    is_held: bool = False
     granted: set[RetryRequest] = dataclasses.field(default_factory=set)
     refused: dict[RetryRequest, float] = dataclasses.field(default_factory=dict)
 
 
-def is_scarce(
-    retry_budget: budget.RetryBudget,
-    demand: retry_demand.RetryDemand,
-    now_s: float,
-) -> bool:
-    """Return whether a window's budget is too small for the recent need."""
-    needed = demand.per_s(now_s) * retry_budget.window_s
-    return needed > retry_budget.allowed()
-
-
 def reserve(
     forecast: budget_forecast.BudgetForecast,
     per_s: float,
@@ -144,13 +110,7 @@
         self._demand = demand
         self._forecast = retry_budget.forecast()
         self._left = retry_budget.available()
-        self._plan = RetryPlan(
-            conditions.accepted_share < _HOLD_BELOW
-            and is_scarce(retry_budget, demand, conditions.now_s)
-        )
-        self._held = 0.0
-        if self._plan.is_held:
-            self._held = _HELD_SHARE * retry_budget.allowed()
+        self._plan = RetryPlan()
         self._unmet = 0
 
     def plan(self, waiting: list[RetryRequest]) -> RetryPlan:
@@ -170,18 +130,13 @@
             self._forecast, above_per_s, self._conditions.now_s
         )
         for request in requests:
-            left = self._left - reserved - self._held_from(request)
-            if left >= 1 and self._may_send(request):
+            can_start = self._conditions.now_s < self._latest_start_s(request)
+            if can_start and self._left - reserved >= 1:
                 self._left -= 1
                 self._plan.granted.add(request)
             else:
                 self._wait_or_refuse(request, above_per_s)
 
-    def _held_from(self, request: RetryRequest) -> float:
-        """Return how much budget ``request`` leaves until the recovery."""
-        time_s = request.deadline_s - request.arrived_s
-        return self._held if time_s >= _HOLD_FROM_S else 0.0
-
     def _wait_or_refuse(
         self, request: RetryRequest, above_per_s: float
     ) -> None:
@@ -195,18 +150,6 @@
         else:
             self._plan.refused[request] = needed
 
-    def _may_send(self, request: RetryRequest) -> bool:
-        now_s = self._conditions.now_s
-        latest_start_s = self._latest_start_s(request)
-        if now_s >= latest_start_s:
-            return False
-        if self._plan.is_held:
-            if not self._held_from(request):
-                return True
-            is_last_moment = now_s >= latest_start_s - _LAST_SEND_S
-            return is_last_moment or not self._is_late(request)
-        return len(self._plan.granted) < self._conditions.max_sends
-
     def _latest_start_s(self, request: RetryRequest) -> float:
         return request.deadline_s - self._conditions.service_s
 
--- a/libraries/routing/src/sardinepier/routing/retry_queue.py
+++ b/libraries/routing/src/sardinepier/routing/retry_queue.py
@@ -23,22 +23,15 @@
 """How long a plan is used, so that looking through the queue computes one plan
 and not one for each request."""
 
-_OPENING_INTERVAL_S: Final = 0.05
-"""Time in which the sends double after budget was held. A shed answer comes
-within a few milliseconds, so that a wrong guess costs a few sends."""
-
-_OPENING_DOUBLINGS: Final = 10
-
 
 class RetryQueue:
     """Hands out the retry budget of one service.
 
-    A request waits until the budget has an attempt for it and the targets are
-    likely to accept it, at the latest until its latest start. Requests of
-    higher priority come first, then those that can be answered in time, then
-    those with an earlier deadline. For example::
+    A request waits until the budget has an attempt for it, at the latest until
+    its latest start. Requests of higher priority come first, then those that
+    can be answered in time, then those with an earlier deadline. For example::
 
-        spent_s = await queue.acquire(RetryRequest(1, arrived_s, deadline_s))
+        spent_s = await queue.acquire(RetryRequest(1, deadline_s))
         ...
         queue.refund(spent_s)  # if no attempt was made
     """
@@ -49,20 +42,16 @@
         random_source: random.Random,
         retry_budget: budget.RetryBudget,
         service_time_s: Callable[[], float],
-        accepted_share: Callable[[], float],
     ) -> None:
         """Spend ``retry_budget``.
 
-        ``service_time_s`` returns the typical service time, ``accepted_share``
-        the share of requests, 0 to 1, that the targets accept now.
+        ``service_time_s`` returns the typical service time.
         """
         self._clock = local_clock
         self._random = random_source
         self._budget = retry_budget
         self._service_time_s = service_time_s
-        self._accepted_share = accepted_share
         self._demand = retry_demand.RetryDemand()
-        self._opening = _Opening()
         # Keys only: a set that keeps the order of arrival.
         self._waiting: dict[RetryRequest, None] = {}
         self._plan = retry_plan.RetryPlan()
@@ -160,15 +149,7 @@
             self._budget,
             self._demand,
             self._waiting,
-            retry_plan.Conditions(
-                now_s,
-                self._service_time_s(),
-                self._accepted_share(),
-                self._opening.max_sends(now_s),
-            ),
-        )
-        self._opening.record(
-            now_s, len(self._plan.granted), is_held=self._plan.is_held
+            retry_plan.Conditions(now_s, self._service_time_s()),
         )
 
     def _refusal(self, wait_s: float) -> errors.RetryBudgetError:
@@ -180,31 +161,3 @@
             'Send it again after retry_after_s',
             spread.retry_after_s(wait_s, self._random),
         )
-
-
-class _Opening:
-    """Limits the sends after budget was held, twice as many each interval.
-
-    All waiting requests would otherwise be sent at once when a few accepted
-    requests raise the accepted share by chance.
-    """
-
-    def __init__(self) -> None:
-        """Start without a limit."""
-        self._held_s = -math.inf
-        self._sent = 0
-
-    def max_sends(self, now_s: float) -> float:
-        """Return how many requests may be sent now."""
-        doublings = (now_s - self._held_s) / _OPENING_INTERVAL_S
-        if doublings > _OPENING_DOUBLINGS:
-            return math.inf
-        return max(0.0, math.exp2(doublings) - self._sent)
-
-    def record(self, now_s: float, sent: int, *, is_held: bool) -> None:
-        """Record what the newest plan sends, and whether it holds budget."""
-        if is_held:
-            self._held_s = now_s
-            self._sent = 0
-        else:
-            self._sent += sent
