--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -282,7 +282,7 @@
             and not record.awaits_trial(now_s, self.typical_latency_s)
         ]
         waiting = self.waiting_elsewhere.above(requirements.priority, now_s)
-        free = elsewhere.without_left_slots(
+        free = elsewhere.without_yielded_slots(
             free, waiting, now_s, self.typical_latency_s
         )
         context = target_cost.SelectionContext(
@@ -309,7 +309,7 @@
         chosen.reserved += 1
         self.targets.mark_used(chosen)
         if not waiting:
-            chosen.elsewhere.stop_leaving()
+            chosen.elsewhere.stop_yielding()
         chosen.statements.take(now_s)
         return chosen.listed.target_id
 
--- a/libraries/entry/src/sardinepier/entry/use_elsewhere.py
+++ b/libraries/entry/src/sardinepier/entry/use_elsewhere.py
@@ -15,12 +15,12 @@
 _FRESH_S: Final = 0.5
 """Age up to which a report has its full weight, twice the interval of reports."""
 
-_MAX_LEFT_S: Final = 0.4
+_MAX_YIELD_S: Final = 0.4
 """How long a free slot is left to requests of higher priority elsewhere. Their
 daemon is informed of the slot within a reporting interval of 0.25 s and rechecks
 its queue every 0.05 s."""
 
-_LEFT_PAUSE_S: Final = 2.0
+_YIELD_PAUSE_S: Final = 2.0
 """Time after which a slot that was left unused is left again. Until then the
 requests elsewhere are assumed to be unable to use that target."""
 
@@ -49,17 +49,17 @@
     higher priority that wait at other daemons.
     """
 
-    __slots__ = ('_counts', '_left_since_s')
+    __slots__ = ('_counts', '_yielded_since_s')
 
     def __init__(self) -> None:
         """Start without reports."""
         self._counts: dict[PeerReport, int] = {}
-        self._left_since_s = -math.inf
+        self._yielded_since_s = -math.inf
 
     def set(self, report: PeerReport, count: int) -> None:
         """Set how many requests the author of ``report`` has in flight."""
         if count > self._counts.get(report, 0):
-            self.stop_leaving()
+            self.stop_yielding()
         if count:
             self._counts[report] = count
         else:
@@ -79,19 +79,19 @@
         )
         return int(reported + 1 / 2)
 
-    def may_be_left(self, now_s: float) -> bool:
+    def may_be_yielded(self, now_s: float) -> bool:
         """Return whether free slots may be left to requests elsewhere.
 
         They are left for a moment only, and then not again for a while.
         """
-        left_s = now_s - self._left_since_s
-        return left_s < _MAX_LEFT_S or left_s >= _MAX_LEFT_S + _LEFT_PAUSE_S
+        left_s = now_s - self._yielded_since_s
+        return left_s < _MAX_YIELD_S or left_s >= _MAX_YIELD_S + _YIELD_PAUSE_S
 
-    def leave(self, now_s: float) -> None:
+    def yield_slots(self, now_s: float) -> None:
         """Record that free slots are left, unless they were left before."""
-        if now_s - self._left_since_s >= _MAX_LEFT_S:
-            self._left_since_s = now_s
+        if now_s - self._yielded_since_s >= _MAX_YIELD_S:
+            self._yielded_since_s = now_s
 
-    def stop_leaving(self) -> None:
+    def stop_yielding(self) -> None:
         """Record that a slot was used by a request that it may be left to."""
-        self._left_since_s = -math.inf
+        self._yielded_since_s = -math.inf
--- a/libraries/entry/src/sardinepier/entry/waiting_elsewhere.py
+++ b/libraries/entry/src/sardinepier/entry/waiting_elsewhere.py
@@ -81,7 +81,7 @@
     )
 
 
-def without_left_slots(
+def without_yielded_slots(
     free: list[target_record.TargetRecord],
     waiting: int,
     now_s: float,
@@ -94,14 +94,14 @@
     """
     if not waiting:
         return free
-    left = {
+    yielded = {
         record
         for record in free
-        if record.elsewhere.may_be_left(now_s)
+        if record.elsewhere.may_be_yielded(now_s)
         and is_usable(record, now_s, typical_latency_s)
     }
-    if sum(record.free_slots(now_s) for record in left) > waiting:
+    if sum(record.free_slots(now_s) for record in yielded) > waiting:
         return free
-    for left_target in left:
-        left_target.elsewhere.leave(now_s)
-    return [record for record in free if record not in left]
+    for target in yielded:
+        target.elsewhere.yield_slots(now_s)
+    return [record for record in free if record not in yielded]
--- a/libraries/entry/tests/cover/test_entry_elsewhere.py
+++ b/libraries/entry/tests/cover/test_entry_elsewhere.py
@@ -184,6 +184,6 @@
     for _ in range(4):
         failing.estimate.failed(bench.now_s)
     bench.clock.advance(0.05)
-    assert waiting_elsewhere.without_left_slots(
+    assert waiting_elsewhere.without_yielded_slots(
         [sound, failing], 5, bench.now_s, 0.3
     ) == [failing]
--- a/libraries/zones/src/sardinepier/zones/estimate_sharing.py
+++ b/libraries/zones/src/sardinepier/zones/estimate_sharing.py
@@ -44,7 +44,7 @@
     ) -> None:
         """Listen on ``peer_network``; nothing is sent yet.
 
-        ``shows_life_to`` returns whether a daemon regularly gets other
+        ``sends_regularly_to`` returns whether a daemon regularly gets other
         messages of this one, and needs no empty reports. It is set by the code
         that sends those.
         """
@@ -62,7 +62,7 @@
         )
         self._estimates_due_s = clock.monotonic_s()
         self._report_due_s = clock.monotonic_s()
-        self.shows_life_to: Callable[[ids.InstanceId], bool] = _never
+        self.sends_regularly_to: Callable[[ids.InstanceId], bool] = _never
         self.unreachable_zones = unreachable_zones.UnreachableZones(clock)
         peer_network.subscribe(messages.BeliefReport, self._on_report)
 
@@ -103,10 +103,10 @@
         )
         is_empty = not report.estimates and not report.statements
         for member in self._carriers.of_other_zones():
-            if not (is_empty and self.shows_life_to(member.instance_id)):
+            if not (is_empty and self.sends_regularly_to(member.instance_id)):
                 self._network.send(member.peer_address, report)
 
-    def record_life(self, zone: ids.ZoneName) -> None:
+    def record_reachable(self, zone: ids.ZoneName) -> None:
         """Record that a carrier of ``zone`` sent something regular.
 
         It stands for an empty report, which also has to reach the own zone's
@@ -181,5 +181,5 @@
 
 
 def _never(receiver: ids.InstanceId) -> bool:
-    """Return that nothing else is sent: the default of ``shows_life_to``."""
+    """Return that nothing else is sent: the default of ``sends_regularly_to``."""
     return False
--- a/libraries/zones/src/sardinepier/zones/sharing.py
+++ b/libraries/zones/src/sardinepier/zones/sharing.py
@@ -100,8 +100,8 @@
             services,
             clock,
         )
-        self._estimates.shows_life_to = self._usage.shows_life_to
-        self._usage.on_regular_usage = self._estimates.record_life
+        self._estimates.sends_regularly_to = self._usage.sends_regularly_to
+        self._usage.on_regular_usage = self._estimates.record_reachable
         self._limit_shares = shares.LimitShares(services, zone_carriers)
         self._role = role.Role(services, zone_carriers, load, clock)
         self._early_beat = asyncio.Event()
--- a/libraries/zones/src/sardinepier/zones/usage_sharing.py
+++ b/libraries/zones/src/sardinepier/zones/usage_sharing.py
@@ -94,8 +94,8 @@
             sends_regularly=sends_regularly,
         )
 
-    def shows_life_to(self, receiver: ids.InstanceId) -> bool:
-        """Return whether ``receiver`` gets usage regularly, as a sign of life.
+    def sends_regularly_to(self, receiver: ids.InstanceId) -> bool:
+        """Return whether ``receiver`` gets usage regularly, which shows its zone to be reachable.
 
         A daemon of the previous version, which sends no digest, does not take
         it for one.
--- a/libraries/zones/tests/cover/test_zones_slot_sharing.py
+++ b/libraries/zones/tests/cover/test_zones_slot_sharing.py
@@ -158,12 +158,12 @@
     elsewhere = [record.elsewhere for record in records(near)]
     began_s = zone.clock.monotonic_s()
     for use_there in elsewhere:
-        use_there.leave(began_s)
+        use_there.yield_slots(began_s)
     use(far, 't1', 2)
     await zone.run(1.5)
     now_s = zone.clock.monotonic_s()
-    assert not elsewhere[0].may_be_left(now_s)
-    assert elsewhere[1].may_be_left(now_s)
+    assert not elsewhere[0].may_be_yielded(now_s)
+    assert elsewhere[1].may_be_yielded(now_s)
     use(far, 't0', 0)
     await zone.run(1.0)
     assert [seen(near, name) for name in ('t0', 't1')] == [0, 2]
--- a/libraries/zones/tests/cover/test_zones_usage_names.py
+++ b/libraries/zones/tests/cover/test_zones_usage_names.py
@@ -111,7 +111,7 @@
 
 
 async def test_no_empty_reports_are_sent_beside_usage():
-    # Guards against two signs of life to the same daemon, between zones.
+    # Guards against usage and an empty report to the same daemon, between zones.
     zone, first, second = await two_carriers()
     reports = record_sent(first.sharing._estimates)
     await zone.run(3.0)
