Prefer targets with free slots by reports, and exclude none by them

Reports of other daemons excluded a target whose slots they use. A full target queues a request or sheds it, and then it can be sent again. It now costs 0.1 more.

--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -278,7 +278,7 @@
         free = [
             record
             for record in untried
-            if record.has_free_slot(now_s)
+            if record.may_have_free_slot(now_s)
             and not record.awaits_trial(now_s, self.typical_latency_s)
         ]
         waiting = self.waiting_elsewhere.above(requirements.priority, now_s)
--- a/libraries/entry/src/sardinepier/entry/target_cost.py
+++ b/libraries/entry/src/sardinepier/entry/target_cost.py
@@ -36,6 +36,12 @@
 _WARMUP_COST: Final = 0.08
 """Cost of a target that has just started and is still slow."""
 
+_REPORTED_FULL_COST: Final = 0.1
+"""Cost of a target whose slots are in use by the reports of other daemons. Such
+a target queues the request, or sheds it, and then it can be sent again. A request
+that runs only once and fails is lost: without this cost, where reports left only
+suspected targets free, 277 instead of 168 holds failed in 15 s."""
+
 _OFFSET_COST: Final = 0.04
 """Greatest random offset by which daemons that send for the same zone prefer
 different targets. Otherwise all would send to the same best targets at the same
@@ -85,6 +91,8 @@
         total += context.zone_cost
     if context.shares_zone:
         total += _OFFSET_COST * record.preference_offset
+    if record.free_slots(now_s) <= 0:
+        total += _REPORTED_FULL_COST
     if now_s < record.warm_from_s:
         total += _WARMUP_COST
     return total
--- a/libraries/entry/src/sardinepier/entry/target_record.py
+++ b/libraries/entry/src/sardinepier/entry/target_record.py
@@ -141,11 +141,14 @@
         """Return whether one more request would be processed at once."""
         return now_s >= self.full_until_s and self.free_slots(now_s) > 0
 
+    def may_have_free_slot(self, now_s: float) -> bool:
+        """Return whether it has one by all but other daemons' reports."""
+        in_flight = self.own_in_flight() + self.stated_load.others(now_s)
+        return now_s >= self.full_until_s and in_flight < _usable_slots(self)
+
     def free_slots(self, now_s: float) -> int:
         """Return how many more requests its slots allow for."""
-        # If it is still full after its backoff, it would refuse any others.
-        slots = 1 if self.statements.has_backed_off else self.listed.slots
-        return slots - self.in_flight(now_s)
+        return _usable_slots(self) - self.in_flight(now_s)
 
     def is_avoided(self, now_s: float) -> bool:
         """Return whether a connection attempt timed out a moment ago."""
@@ -240,3 +243,8 @@
 def is_hang(taken_s: float, typical_latency_s: float) -> bool:
     """Return whether ``taken_s`` shows a hang, not a long processing time."""
     return taken_s > max(_MIN_OVERDUE_S, _OVERDUE_FACTOR * typical_latency_s)
+
+
+def _usable_slots(record: TargetRecord) -> int:
+    # If it is still full after its backoff, it would refuse any others.
+    return 1 if record.statements.has_backed_off else record.listed.slots
