Remove the simulation of the bytes between zones

The users measure fleets with their own bench and want no simulator and no scale run of our own. The traffic event and the metrics count the same bytes in production.

--- a/libraries/workbench/src/sardinepier/workbench/main.py
+++ b/libraries/workbench/src/sardinepier/workbench/main.py
@@ -20,7 +20,6 @@
     ('faults',): 'run the fault cases against real processes',
     ('experiment', 'detection'): 'compare detection time and false ejections',
     ('experiment', 'load'): 'compare ways to spread load',
-    ('zone_traffic',): 'simulate the bytes between zones by kind of message',
     ('policy',): 'emulate the decisions of entry instances in virtual time',
 }
 
--- a/libraries/workbench/src/sardinepier/workbench/zone_traffic/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Bytes between availability zones, by kind of message, in virtual time."""
