Raise the cost only of targets that are full by reports alone

A target whose slots this daemon had filled itself cost 0.1 more, too, so that requests waited less for the best targets even without any reports of other daemons. The new test failed before.

--- a/libraries/entry/src/sardinepier/entry/target_cost.py
+++ b/libraries/entry/src/sardinepier/entry/target_cost.py
@@ -91,7 +91,7 @@
         total += context.zone_cost
     if context.shares_zone:
         total += _OFFSET_COST * record.preference_offset
-    if record.free_slots(now_s) <= 0:
+    if _is_full_by_reports(record, now_s):
         total += _REPORTED_FULL_COST
     if now_s < record.warm_from_s:
         total += _WARMUP_COST
@@ -122,5 +122,12 @@
     return chosen if min_cost <= max_cost + _TIE_SPREAD else None
 
 
+def _is_full_by_reports(
+    record: target_record.TargetRecord, now_s: float
+) -> bool:
+    """Return whether only reports of other daemons leave it no free slot."""
+    return record.may_have_free_slot(now_s) and record.free_slots(now_s) <= 0
+
+
 def _jittered_cost(pair: tuple[float, target_record.TargetRecord]) -> float:
     return pair[0]
--- a/libraries/entry/tests/cover/test_entry_elsewhere.py
+++ b/libraries/entry/tests/cover/test_entry_elsewhere.py
@@ -8,6 +8,7 @@
 from sardinepier.entry import (
     attempt_requirements,
     service_pool,
+    target_cost,
     use_elsewhere,
     waiting_elsewhere,
 )
@@ -95,6 +96,17 @@
     assert bench.send() is filled
 
 
+def test_without_reports_a_full_target_costs_nothing_more(bench):
+    """Guards against holds that no longer wait for a slot of a sound target."""
+    record = bench.records[0]
+    context = target_cost.SelectionContext(
+        support.ZONE, bench.now_s, 0.1, target_cost.zone_cost(0)
+    )
+    before = target_cost.cost(record, context)
+    record.reserved = SLOTS
+    assert target_cost.cost(record, context) == before
+
+
 def test_a_newer_load_header_replaces_the_reports_of_look_ups(bench):
     """Guards against reports of requests that the target has ended since."""
     record = bench.records[0]
