Log and count what a lost connection shows about its request

The lines of the incident with crashing requests can't distinguish its hypotheses: none says whether a lost connection counted against its request, and none shows which requests are the same one sent again. The event connection-lost has the request's fingerprint, the verdict of the quarantine, the targets marked and the losses that look like an outage; the metric sardinepier_losses counts by verdict. No decision changes: Quarantine.crashed returns the verdict in place of a flag.

--- a/libraries/entry/src/sardinepier/entry/decision_log.py
+++ b/libraries/entry/src/sardinepier/entry/decision_log.py
@@ -16,6 +16,7 @@
     target_record,
 )
 from sardinepier.gateway import statements
+from sardinepier.once import losses
 from sardinepier.telemetry import line_budget, logs
 
 _MS_PER_S: Final = 1000
@@ -128,6 +129,27 @@
             ),
         )
 
+    def log_loss(
+        self,
+        request: caller_request.CallerRequest,
+        record: target_record.TargetRecord,
+        loss: losses.Loss,
+    ) -> None:
+        """Log whether a lost connection counts against its request."""
+        if not self._failure_lines.allows():
+            return
+        logs.write(
+            events.ConnectionLost(
+                request_id=request.request_id,
+                service=request.service,
+                target=record.listed.target_id,
+                fingerprint=f'{request.fingerprint:016x}',
+                verdict=loss.verdict,
+                marked_targets=loss.marked_targets,
+                other_losses=loss.other_losses,
+            ),
+        )
+
     def log_retry_wait(
         self,
         request: caller_request.CallerRequest,
--- a/libraries/entry/src/sardinepier/entry/events.py
+++ b/libraries/entry/src/sardinepier/entry/events.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from sardinepier.entry import target_record
+from sardinepier.once import losses
 from sardinepier.telemetry import line_events
 
 
@@ -111,6 +112,23 @@
     taken_ms: int
 
 
+class ConnectionLost(line_events.LineEvent, frozen=True):
+    """A connection ended without an answer, as the quarantine takes it.
+
+    ``fingerprint`` is the same whenever the same request is sent.
+    ``marked_targets`` counts the targets that are taken to have crashed by it,
+    ``other_losses`` the lost targets that no request accounts for.
+    """
+
+    request_id: str
+    service: str
+    target: str
+    fingerprint: str
+    verdict: losses.LossVerdict
+    marked_targets: int
+    other_losses: int
+
+
 class RetryWaited(line_events.LineEvent, frozen=True):
     """A request waited for retry budget, and got it or was refused.
 
--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -228,11 +228,13 @@
             raise
         except errors.ConnectionLostError:
             target_id = record.listed.target_id
-            quarantine.crashed(
+            loss = quarantine.crashed(
                 request.fingerprint,
                 target_id,
                 is_target_sound or quarantine.has_suspect_request_on(target_id),
             )
+            self._shared.metrics.lost(loss.verdict)
+            self._shared.decision_log.log_loss(request, record, loss)
             raise
         except BaseException:
             quarantine.released(request.fingerprint)
--- a/libraries/entry/src/sardinepier/entry/request_metrics.py
+++ b/libraries/entry/src/sardinepier/entry/request_metrics.py
@@ -13,6 +13,7 @@
     service_registry,
 )
 from sardinepier.health import refusal_estimate
+from sardinepier.once import losses
 from sardinepier.telemetry import exposition, metrics
 
 HELP_TEXTS: Final[Mapping[str, str]] = {
@@ -23,6 +24,7 @@
     'attempts': 'Attempts at targets by service and by how they ended.',
     'attempts_begun': 'Attempts by service and by why the target was chosen.',
     'exchanges_ended': 'Exchanges with targets that were gone, by the cause.',
+    'losses': 'Connections lost without an answer, by what that shows.',
     'repeats_granted': 'Further attempts that the retry budgets allowed.',
     'repeats_denied': 'Further attempts that they did not allow.',
     'retry_waits': 'Requests that waited for retry budget, by service.',
@@ -134,6 +136,10 @@
                 'exchanges_ended', cause=exchange.cause.value
             ).add()
 
+    def lost(self, verdict: losses.LossVerdict) -> None:
+        """Count a connection that ended without an answer."""
+        self._metrics.counter('losses', verdict=verdict.value).add()
+
     def retry_wait(self, service: str) -> None:
         """Count a request that had to wait for retry budget."""
         self._metrics.counter('retry_waits', service=service).add()
--- a/libraries/entry/tests/cover/test_entry_lines.py
+++ b/libraries/entry/tests/cover/test_entry_lines.py
@@ -212,3 +212,19 @@
         for line in lines.of('target-stated')
     ]
     assert stated == [('t1', 2.5, False, 0), ('t1', -1.0, True, 0)]
+
+
+async def test_a_lost_connection_is_logged_with_what_it_shows(entry, lines):
+    """On-call engineers need to see why a request was not quarantined."""
+    targets = [
+        support.RawTarget(f't{number}', ['reset']) for number in range(3)
+    ]
+    await entry.set_targets(*targets)
+    for _ in range(2):
+        await entry.send('/once/7', 'POST')
+    lost = lines.of('connection-lost')
+    assert [line['verdict'] for line in lost] == ['marked', 'quarantined']
+    assert [line['marked_targets'] for line in lost] == [1, 2]
+    assert len({line['fingerprint'] for line in lost}) == 1
+    text = await entry.shared.metrics.text(())
+    assert 'losses_total{verdict="quarantined"} 1' in text
--- a/libraries/gateway/src/sardinepier/gateway/attempt.py
+++ b/libraries/gateway/src/sardinepier/gateway/attempt.py
@@ -207,7 +207,7 @@
 
     def _suspect_crash(self) -> evidence.AttemptOutcome:
         quarantine = self._context.quarantine
-        is_quarantined = quarantine.crashed(
+        loss = quarantine.crashed(
             self._request.fingerprint,
             self._target_id,
             self._request.runtime.record_lost_connection(
@@ -217,7 +217,7 @@
                 ),
             ),
         )
-        if not is_quarantined:
+        if not loss.is_quarantined:
             return evidence.AttemptOutcome.CONNECTION_LOST
         self._record_quarantine()
         return evidence.AttemptOutcome.CRASH_SUSPECT
--- a/libraries/once/src/sardinepier/once/quarantine.py
+++ b/libraries/once/src/sardinepier/once/quarantine.py
@@ -17,7 +17,7 @@
 
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
-from sardinepier.once import errors, marks
+from sardinepier.once import errors, losses, marks
 from sardinepier.once.internal import lost_targets, recent_answers
 
 _MAX_FACTOR: Final = 16
@@ -72,6 +72,17 @@
             if until_s > now_s
         }
 
+    def begin_quarantine(
+        self, now_s: float, options: QuarantineOptions
+    ) -> None:
+        """Quarantine the request, each time for twice as long as before."""
+        self.quarantined_until_s = now_s + options.quarantine_s * self.factor
+        self.factor = min(2 * self.factor, _MAX_FACTOR)
+        self.expires_at_s = max(
+            self.expires_at_s,
+            self.quarantined_until_s + options.mark_lifetime_s,
+        )
+
     def extend_quarantine(self, quarantined_until_s: float) -> None:
         """Quarantine the request at least until ``quarantined_until_s``."""
         self.quarantined_until_s = max(
@@ -185,26 +196,28 @@
         fingerprint: int,
         target_id: ids.TargetId,
         target_healthy_otherwise: bool,
-    ) -> bool:
+    ) -> losses.Loss:
         """Record a connection lost without an answer to the request.
 
         ``target_healthy_otherwise`` means that the target gave good answers
-        to other requests until now. Returns whether the request is now
-        quarantined.
+        to other requests until now.
         """
         now_s = self._clock.monotonic_s()
         until_s = now_s + self._options.mark_lifetime_s
         self._lost_targets.record(target_id, now_s, until_s)
-        if not target_healthy_otherwise or self._answered.has(fingerprint):
+        if not target_healthy_otherwise:
+            self.released(fingerprint)
+            return losses.Loss(losses.LossVerdict.TARGET_SUSPECTED)
+        if self._answered.has(fingerprint):
             self.released(fingerprint)
-            return False
+            return losses.Loss(losses.LossVerdict.ANSWERED_BEFORE)
         entry = self._find_or_add(fingerprint, now_s)
         entry.own[target_id] = until_s
         entry.trial_until_s = 0.0
         entry.expires_at_s = max(entry.expires_at_s, until_s)
-        is_quarantined = self._quarantine(fingerprint, entry, now_s)
+        loss = self._quarantine(entry, now_s)
         self.on_marked()
-        return is_quarantined
+        return loss
 
     def report(self) -> marks.QuarantineReport:
         """Return this daemon's own newest marks, for its group.
@@ -266,33 +279,29 @@
             entry.reported[target] = max(until_s, entry.reported.get(target, 0))
         entry.expires_at_s = max(entry.expires_at_s, until_s)
         if entry.targets(now_s) - known_targets:
-            self._quarantine(mark.fingerprint, entry, now_s)
+            self._quarantine(entry, now_s)
         # This daemon may see an outage where the other daemon does not.
         max_s = self._options.quarantine_s * _MAX_FACTOR
         entry.extend_quarantine(now_s + min(mark.held_s, max_s))
 
-    def _quarantine(
-        self, fingerprint: int, entry: _Entry, now_s: float
-    ) -> bool:
+    def _quarantine(self, entry: _Entry, now_s: float) -> losses.Loss:
+        """Quarantine the request if its marks suffice."""
         targets = entry.targets(now_s)
+        other_losses = self._count_other_losses(targets, now_s)
+        verdict = losses.LossVerdict.QUARANTINED
         if len(targets) < self._options.min_crashed_targets:
-            return False
-        if self._is_outage(targets, now_s):
-            return False
-        entry.quarantined_until_s = (
-            now_s + self._options.quarantine_s * entry.factor
-        )
-        entry.factor = min(2 * entry.factor, _MAX_FACTOR)
-        entry.expires_at_s = max(
-            entry.expires_at_s,
-            entry.quarantined_until_s + self._options.mark_lifetime_s,
-        )
-        return True
-
-    def _is_outage(self, marked: set[ids.TargetId], now_s: float) -> bool:
+            verdict = losses.LossVerdict.MARKED
+        elif other_losses > self._options.max_other_losses:
+            verdict = losses.LossVerdict.OUTAGE
+        else:
+            entry.begin_quarantine(now_s, self._options)
+        return losses.Loss(verdict, len(targets), other_losses)
+
+    def _count_other_losses(
+        self, marked: set[ids.TargetId], now_s: float
+    ) -> int:
         explained = marked | _crashed_targets(self._entries.values(), now_s)
-        other_losses = self._lost_targets.count_except(explained, now_s)
-        return other_losses > self._options.max_other_losses
+        return self._lost_targets.count_except(explained, now_s)
 
     def _find_or_add(self, fingerprint: int, now_s: float) -> _Entry:
         entry = self._entries.get(fingerprint)
--- a/libraries/once/tests/cover/test_once_quarantine.py
+++ b/libraries/once/tests/cover/test_once_quarantine.py
@@ -20,7 +20,7 @@
 
 def lose(local, fingerprint, *targets, healthy=True):
     return [
-        local.crashed(fingerprint, ids.TargetId(name), healthy)
+        local.crashed(fingerprint, ids.TargetId(name), healthy).is_quarantined
         for name in targets
     ]
 
