Reproduce requests that crash targets and are not quarantined, in the emulator

The emulator has a new disturbance: a request that crashes each target which runs it arrives at one daemon after another. The target ends what it has, refuses connections for 2.5 s and comes back under another id. Callers may send a failed request again.

--- a/libraries/workbench/src/sardinepier/workbench/policy/client.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Final
 
 import multidict
@@ -12,12 +12,20 @@
 from sardinepier.gateway import errors
 from sardinepier.gateway import headers as gateway_headers
 from sardinepier.membership import members
-from sardinepier.workbench.policy import scenario, statement_compliance, targets
+from sardinepier.workbench.policy import (
+    crash_tally,
+    scenario,
+    statement_compliance,
+    targets,
+)
 
 WORK_HEADER: Final = 'X-Emulated-Work'
 """Carries the processing time of the request in seconds. The caller draws it,
 so that all variants get the same requests."""
 
+CRASH_HEADER: Final = 'X-Emulated-Crash'
+"""Carries the fingerprint of a request that crashes the targets that run it."""
+
 _NAMES: Final = header_names.HeaderNames()
 _BODY: Final = b'an answer'
 
@@ -59,12 +67,14 @@
         own: members.Member,
         known_targets: Sequence[targets.Target],
         compliance: statement_compliance.StatementCompliance,
+        crashes: crash_tally.CrashTally,
     ) -> None:
         """Send to ``known_targets``; ``compliance`` records every arrival."""
         self._setup = setup
         self._zone = own.zone
         self._source = str(own.instance_id)
         self._compliance = compliance
+        self._crashes = crashes
         self._by_ip = {target.listed.ip: target for target in known_targets}
 
     async def close(self) -> None:
@@ -85,14 +95,19 @@
         delay_s = self._setup.cross_zone_s
         if target.listed.zone == self._zone:
             delay_s = self._setup.in_zone_s
+        if target.is_refusing:
+            await asyncio.sleep(2 * delay_s)
+            raise errors.ConnectRefusedError(
+                'The target refused the connection',
+                'Check whether the target runs',
+            )
         permit()
         await asyncio.sleep(delay_s)
         loop = asyncio.get_running_loop()
         target_id = target.listed.target_id
         self._compliance.record_arrival(target_id, self._source, loop.time())
-        work_s = float(dict(headers)[WORK_HEADER])
         try:
-            reply = await target.serve(work_s)
+            reply = await target.serve(self._work(dict(headers)))
         except targets.ResetError as error:
             await asyncio.sleep(delay_s)
             raise errors.ConnectionLostError(
@@ -103,6 +118,20 @@
         self._record_statements(target, reply, loop.time())
         return Response(reply.status, _headers(target, reply))
 
+    def _work(self, headers: Mapping[str, str]) -> targets.Work:
+        """Return what the request means for its target."""
+        work_s = float(headers[WORK_HEADER])
+        if CRASH_HEADER not in headers:
+            return targets.Work(work_s)
+        fingerprint = int(headers[CRASH_HEADER])
+        now_s = asyncio.get_running_loop().time()
+        self._crashes.record_send(fingerprint, now_s)
+        return targets.Work(work_s, lambda: self._record_crash(fingerprint))
+
+    def _record_crash(self, fingerprint: int) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self._crashes.record_crash(fingerprint, now_s)
+
     def _record_statements(
         self,
         target: targets.Target,
--- a/libraries/workbench/src/sardinepier/workbench/policy/daemons.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/daemons.py
@@ -27,7 +27,7 @@
 from sardinepier.workbench.policy import (
     client,
     scenario,
-    statement_compliance,
+    tally,
     targets,
     virtual_loop,
 )
@@ -77,9 +77,9 @@
         hub: memory_network.MemoryHub,
         emulated_targets: Sequence[targets.Target],
         random_source: random.Random,
-        compliance: statement_compliance.StatementCompliance,
+        counts: tally.Tally,
     ) -> None:
-        """Start with the list of all targets and without any estimate."""
+        """Start without any target and estimate."""
         clock = virtual_loop.VirtualClock(asyncio.get_running_loop())
         own = view.own
         services = service_registry.ServiceRegistry(
@@ -101,13 +101,9 @@
             _ignore_configuration,
         )
         services.on_outcome = self._on_outcome
-        services.offer_targets(
-            model.TargetList(
-                1, tuple(target.listed for target in emulated_targets)
-            ),
-        )
         services.offer_configuration(_configuration(setup))
         services.set_retry_burst(setup.retry_burst)
+        self._services = services
         self._activity = activity
         self._forwarding = forwarding.Forwarding(
             context.EntryContext(
@@ -116,7 +112,11 @@
                 client=cast(
                     Any,
                     client.EmulatedClient(
-                        setup, own, emulated_targets, compliance
+                        setup,
+                        own,
+                        emulated_targets,
+                        counts.compliance,
+                        counts.crashes,
                     ),
                 ),
                 services=services,
@@ -129,6 +129,10 @@
         )
         self._sharing_task = asyncio.ensure_future(self._sharing.run())
 
+    def offer_targets(self, listed: model.TargetList) -> None:
+        """Apply a list of targets."""
+        self._services.offer_targets(listed)
+
     async def forward(
         self, request: caller_request.CallerRequest
     ) -> answers.Answer:
--- a/libraries/workbench/src/sardinepier/workbench/policy/emulation.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/emulation.py
@@ -1,6 +1,7 @@
 """One emulated run of callers, daemons, targets and disturbances."""
 
 import asyncio
+import contextlib
 import math
 import random
 from collections.abc import Mapping
@@ -8,7 +9,7 @@
 
 from sardinepier.core import errors as core_errors
 from sardinepier.core import ids
-from sardinepier.entry import caller_request, refusals
+from sardinepier.entry import caller_request, model, refusals
 from sardinepier.wire import memory_network
 from sardinepier.workbench.policy import (
     client,
@@ -33,6 +34,12 @@
 
 _FINGERPRINT_FACTOR: Final = 1e12
 
+_RESTART_S: Final = 2.5
+"""How long after a crash a target is back, and listed by another id."""
+
+_CALLER_PAUSE_S: Final = 0.2
+"""How long a caller waits before it sends a request again."""
+
 _TargetSettings = Mapping[
     scenario.DisturbanceKind, tuple[str, float | bool | None]
 ]
@@ -58,6 +65,10 @@
         self._loop = asyncio.get_running_loop()
         self._seed = seed
         self._targets = targets.make(setup, random.Random(seed + 1))
+        for target in self._targets:
+            target.on_crashed = self._on_crashed
+        self._list_revision = 1
+        self._crashing_requests = 0
         self._hub = memory_network.MemoryHub(
             zone_messages.KINDS,
             virtual_loop.VirtualClock(self._loop),
@@ -114,9 +125,27 @@
                     self._hub,
                     self._targets,
                     random.Random(hash((self._seed, number))),
-                    self.counts.compliance,
+                    self.counts,
                 ),
             )
+        self._offer_targets()
+
+    def _offer_targets(self) -> None:
+        listed = tuple(target.listed for target in self._targets)
+        for zone_daemons in self._daemons.values():
+            for daemon in zone_daemons:
+                daemon.offer_targets(
+                    model.TargetList(self._list_revision, listed)
+                )
+
+    def _on_crashed(self, target: targets.Target) -> None:
+        self._loop.call_later(_RESTART_S, self._restart, target)
+
+    def _restart(self, target: targets.Target) -> None:
+        self._list_revision += 1
+        address = f'{target.listed.ip}-{self._list_revision}'
+        target.restart(ids.TargetId(address))
+        self._offer_targets()
 
     def _stop_daemons(self) -> None:
         self._are_daemons_down = True
@@ -149,40 +178,50 @@
         work_s: float,
     ) -> None:
         sent_s = self._loop.time()
-        credit = 0.0
-        penalty = 0.0
-        is_refused = False
+        score = await self._send(request_class, zone, sent_s, work_s)
+        for _ in range(request_class.caller_retries):
+            is_final = score.credit > 0 or not (
+                request_class.repeatable or score.is_refused
+            )
+            await asyncio.sleep(_CALLER_PAUSE_S)
+            if (
+                is_final
+                or self._loop.time() > sent_s + request_class.deadline_s
+            ):
+                break
+            score = await self._send(request_class, zone, sent_s, work_s)
+        self.counts.add(request_class.name, sent_s, score)
+
+    async def _send(
+        self,
+        request_class: scenario.RequestClass,
+        zone: str,
+        sent_s: float,
+        work_s: float,
+    ) -> tally.RequestScore:
+        """Send a request once, which its caller first sent at ``sent_s``."""
         daemon = self._random.choice(self._daemons[zone])
         incarnation = self._incarnation
-        if not self._are_daemons_down:
-            try:
-                answer = await daemon.forward(
-                    _caller_request(request_class, sent_s, work_s)
-                )
-            except core_errors.SardinepierError as error:
-                is_refused = isinstance(error, refusals.NotRunError)
-                waited_s = self._loop.time() - sent_s
-                penalty = _penalty(
-                    request_class, waited_s, is_refused=is_refused
-                )
-            else:
-                if (
-                    answer.status < _SERVER_ERROR
-                    and incarnation == self._incarnation
-                ):
-                    is_late = self._loop.time() - sent_s > request_class.aim_s
-                    credit = (
-                        request_class.late_worth
-                        if is_late
-                        else request_class.worth
-                    )
-        self.counts.add(
-            request_class.name,
-            sent_s,
-            tally.RequestScore(
-                credit, request_class.worth, penalty, is_refused=is_refused
-            ),
-        )
+        if self._are_daemons_down:
+            return tally.RequestScore(0.0, request_class.worth)
+        try:
+            answer = await daemon.forward(
+                _caller_request(request_class, sent_s, work_s)
+            )
+        except core_errors.SardinepierError as error:
+            self.counts.crashes.held_back += isinstance(
+                error, refusals.HeldBackError
+            )
+            return _score_of_error(
+                request_class, error, self._loop.time() - sent_s
+            )
+        credit = 0.0
+        if answer.status < _SERVER_ERROR and incarnation == self._incarnation:
+            is_late = self._loop.time() - sent_s > request_class.aim_s
+            credit = (
+                request_class.late_worth if is_late else request_class.worth
+            )
+        return tally.RequestScore(credit, request_class.worth)
 
     async def _disturb(self, disturbance: scenario.Disturbance) -> None:
         await asyncio.sleep(disturbance.at_s)
@@ -194,9 +233,34 @@
             self._arrival_factor = disturbance.strength
             await asyncio.sleep(disturbance.for_s)
             self._arrival_factor = 1.0
+        elif disturbance.kind is scenario.DisturbanceKind.CRASHING_REQUEST:
+            await self._send_crashing(disturbance)
         else:
             await self._disturb_targets(disturbance)
 
+    async def _send_crashing(self, disturbance: scenario.Disturbance) -> None:
+        """Send one crashing request repeatedly, to one daemon after another."""
+        request_class = next(
+            request_class
+            for request_class in self._setup.classes
+            if request_class.service == disturbance.service
+        )
+        self._crashing_requests += 1
+        fingerprint = self._crashing_requests
+        ends_s = self._loop.time() + disturbance.for_s
+        while self._loop.time() < ends_s:
+            request = _caller_request(
+                request_class, self._loop.time(), request_class.work_s
+            )
+            request.fingerprint = fingerprint
+            request.headers.append((client.CRASH_HEADER, str(fingerprint)))
+            zone = self._random.choice(self._setup.zones)
+            daemon = self._random.choice(self._daemons[zone])
+            task = asyncio.ensure_future(_ignore_errors(daemon, request))
+            self._requests.add(task)
+            task.add_done_callback(self._requests.discard)
+            await asyncio.sleep(1 / disturbance.strength)
+
     async def _disturb_targets(self, disturbance: scenario.Disturbance) -> None:
         service_targets = [
             target
@@ -211,6 +275,28 @@
             _set_disturbance(target, disturbance.kind, None)
 
 
+async def _ignore_errors(
+    daemon: daemons.EmulatedDaemon,
+    request: caller_request.CallerRequest,
+) -> None:
+    with contextlib.suppress(core_errors.SardinepierError):
+        await daemon.forward(request)
+
+
+def _score_of_error(
+    request_class: scenario.RequestClass,
+    error: core_errors.SardinepierError,
+    waited_s: float,
+) -> tally.RequestScore:
+    is_refused = isinstance(error, refusals.NotRunError)
+    return tally.RequestScore(
+        0.0,
+        request_class.worth,
+        _penalty(request_class, waited_s, is_refused=is_refused),
+        is_refused=is_refused,
+    )
+
+
 def _penalty(
     request_class: scenario.RequestClass,
     waited_s: float,
--- a/libraries/workbench/src/sardinepier/workbench/policy/scenario.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/scenario.py
@@ -75,7 +75,8 @@
 
     ``per_s`` is the rate of all zones together. An answer within ``aim_s``
     earns ``worth``, a later one ``late_worth``. The processing time is
-    log-normal with the mean ``work_s`` and the sigma ``spread``.
+    log-normal with the mean ``work_s`` and the sigma ``spread``. A caller whose
+    request fails or is refused sends it again, up to ``caller_retries`` times.
     """
 
     name: str
@@ -90,6 +91,7 @@
     late_worth: float = 0.3
     priority: int = 2
     max_attempts: int = 2
+    caller_retries: int = 0
 
 
 class DisturbanceKind(enum.Enum):
@@ -117,6 +119,10 @@
     """The affected targets refuse all requests, with a backoff of ``strength``
     seconds."""
 
+    CRASHING_REQUEST = 'crashing_request'
+    """A request that crashes each target that runs it is sent ``strength``
+    times a second, each time to another daemon."""
+
     RESTART = 'restart'
     """All daemons stop, and restart without any knowledge of the targets."""
 
--- a/libraries/workbench/src/sardinepier/workbench/policy/tally.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/tally.py
@@ -5,7 +5,11 @@
 import math
 from typing import Final
 
-from sardinepier.workbench.policy import floor, statement_compliance
+from sardinepier.workbench.policy import (
+    crash_tally,
+    floor,
+    statement_compliance,
+)
 
 _WINDOW_S: Final = 2.0
 _BEST_NINES: Final = 0.005
@@ -67,6 +71,7 @@
     def __init__(self) -> None:
         """Start without requests."""
         self.floor = floor.Floor()
+        self.crashes = crash_tally.CrashTally()
         self.compliance = statement_compliance.StatementCompliance()
         self.total = Count()
         self.by_class: dict[str, Count] = collections.defaultdict(Count)
--- a/libraries/workbench/src/sardinepier/workbench/policy/targets.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/targets.py
@@ -7,8 +7,11 @@
 import ipaddress
 import math
 import random
+from collections.abc import Callable, Iterator
 from typing import Final
 
+import msgspec
+
 from sardinepier.core import ids
 from sardinepier.entry import model
 from sardinepier.workbench.policy import scenario
@@ -20,12 +23,25 @@
 _FAILED: Final = 500
 _FULL: Final = 503
 _NEARLY_FULL: Final = 0.7
+_CRASHING_WORK_S: Final = 0.1
+"""How long a request that crashes its target runs before that."""
 
 
 class ResetError(ConnectionError):
     """The target ended the connection without an answer."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Work:
+    """What a request means for its target.
+
+    With ``on_crash`` it crashes the target, which then calls it.
+    """
+
+    duration_s: float
+    on_crash: Callable[[], None] | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
     """A target's answer, with its load at that moment.
@@ -47,6 +63,8 @@
     that it is down. ``limit_per_s`` is the limit that it states, and
     ``is_leaving`` means that it states that it is leaving. With ``rest_s`` it
     refuses all requests and states a backoff of that many seconds.
+    While ``is_refusing`` its process has ended and its address refuses
+    connections. ``on_crashed`` is called when a request has crashed it.
     ``last_request_s`` is the time of the last request, and ``last_failure_s``
     that of the last request that it failed by itself.
     """
@@ -62,6 +80,8 @@
         self.sheds = 0.0
         self.slowness = 1.0
         self.is_gone = False
+        self.is_refusing = False
+        self.on_crashed: Callable[[Target], None] = _ignore_crash
         self.limit_per_s: float | None = None
         self.is_leaving = False
         self.rest_s = 0.0
@@ -70,6 +90,7 @@
         self._service = service
         self._random = random_source
         self._factors = _factors(service, str(listed.target_id))
+        self._open_exchanges: set[asyncio.Timeout] = set()
         self._running = 0
         self._waiting: collections.deque[asyncio.Future[None]] = (
             collections.deque()
@@ -77,29 +98,65 @@
         self._is_failing = random_source.random() < service.noise.share
         self._state_ends_s = self._state_duration_s()
 
-    async def serve(self, work_s: float) -> Reply:
+    async def serve(self, work: Work) -> Reply:
         """Process one request; raise ``ResetError`` if the connection ends."""
         self.last_request_s = asyncio.get_running_loop().time()
         if self.is_gone:
             raise ResetError('gone')
+        try:
+            async with asyncio.timeout(None) as exchange:
+                with self._open(exchange):
+                    return await self._serve(work)
+        except TimeoutError as error:
+            raise ResetError('crashed') from error
+
+    def restart(self, target_id: ids.TargetId) -> None:
+        """Start a new process with ``target_id`` at the same address."""
+        self.listed = msgspec.structs.replace(self.listed, target_id=target_id)
+        self.is_refusing = False
+
+    @contextlib.contextmanager
+    def _open(self, exchange: asyncio.Timeout) -> Iterator[None]:
+        """Let a crash end the exchange while it is open."""
+        self._open_exchanges.add(exchange)
+        try:
+            yield
+        finally:
+            self._open_exchanges.discard(exchange)
+
+    async def _serve(self, work: Work) -> Reply:
         if self.rest_s:
             refusal = self._reply(_FULL, has_run=False)
             return dataclasses.replace(refusal, retry_after_s=self.rest_s)
         if self._random.random() < self.sheds:
             return self._reply(_FULL, has_run=False)
         if self._fails_now():
-            return await self._fail(work_s)
-        return await self._work(work_s)
+            return await self._fail(work)
+        return await self._work(work)
 
-    async def _work(self, work_s: float) -> Reply:
+    async def _work(self, work: Work) -> Reply:
         if not await self._acquire_slot():
             return self._reply(_FULL, has_run=False)
         with contextlib.ExitStack() as stack:
             stack.callback(self._release_slot)
-            await asyncio.sleep(work_s * self.slowness * self._load_factor())
+            if work.on_crash is not None:
+                await asyncio.sleep(_CRASHING_WORK_S)
+                work.on_crash()
+                self._crash()
+            await asyncio.sleep(
+                work.duration_s * self.slowness * self._load_factor()
+            )
         is_error = self._random.random() < self._service.error_share
         return self._reply(_FAILED if is_error else _OK, has_run=True)
 
+    def _crash(self) -> None:
+        """End all open exchanges, and refuse connections until a restart."""
+        self.is_refusing = True
+        now_s = asyncio.get_running_loop().time()
+        for exchange in self._open_exchanges:
+            exchange.reschedule(now_s)
+        self.on_crashed(self)
+
     def _load_factor(self) -> float:
         """Return the factor on the processing time of a starting request."""
         speed_factor, full_factor = self._factors
@@ -107,7 +164,7 @@
             return speed_factor * full_factor
         return speed_factor
 
-    async def _fail(self, work_s: float) -> Reply:
+    async def _fail(self, work: Work) -> Reply:
         self.last_failure_s = asyncio.get_running_loop().time()
         manner = self._service.noise.manner
         if manner is scenario.Manner.RESET:
@@ -117,7 +174,7 @@
         if manner is scenario.Manner.HANG:
             await asyncio.sleep(_HANG_S)
         if manner is scenario.Manner.LATE_ERROR:
-            await self._work(work_s)
+            await self._work(work)
         return self._reply(_FAILED, has_run=True)
 
     async def _acquire_slot(self) -> bool:
@@ -173,6 +230,10 @@
         return self._random.expovariate(1 / mean_s)
 
 
+def _ignore_crash(target: Target) -> None:
+    """Do nothing: the default of ``on_crashed``."""
+
+
 def _factors(service: scenario.Service, name: str) -> tuple[float, float]:
     """Return a target's factor on processing times, and that when full.
 
