Keep a request under suspicion when a target answers it with an error

What callers saw: a request that crashes targets was sent to target after target, and lost what ran there with it. Cause: the users' path took any answer of a target for a good one, also a 500 of a target that fails before it runs the request. It dropped the marks and exempted the request for one to two minutes. The other path already counted only answers below 500.

The new test failed before: the fourth send reached another target (502 in place of 503).

--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -239,7 +239,10 @@
         except BaseException:
             quarantine.released(request.fingerprint)
             raise
-        quarantine.answered(request.fingerprint, record.listed.target_id)
+        if answer.is_good:
+            quarantine.answered(request.fingerprint, record.listed.target_id)
+        else:
+            quarantine.released(request.fingerprint)
         return answer
 
 
--- a/libraries/entry/tests/cover/test_entry_callers.py
+++ b/libraries/entry/tests/cover/test_entry_callers.py
@@ -180,3 +180,21 @@
         records.find('t2').estimate.failed(now_s, is_early=False)
     status, _, _ = await entry.send('/once/7', 'POST')
     assert (status, deadly.run_count, healthy.run_count) == (200, 1, 1)
+
+
+async def test_a_failing_answer_does_not_clear_a_request_of_suspicion(entry):
+    """Guards against a crashing request that meets a target which fails.
+
+    That target answers with an error, and runs nothing.
+    """
+    crashing = support.RawTarget('t1', ['reset'])
+    await entry.set_targets(crashing)
+    await entry.send('/once/7', 'POST')
+    failing = support.RawTarget('t2', ['fail'])
+    await entry.set_targets(failing)
+    await entry.send('/once/7', 'POST')
+    other = support.RawTarget('t3', ['reset'])
+    await entry.set_targets(other)
+    await entry.send('/once/7', 'POST')
+    status, _, _ = await entry.send('/once/7', 'POST')
+    assert (status, failing.run_count, other.run_count) == (503, 1, 1)
