Take lost targets for an outage only until their service answers again

What callers saw: once more than two targets had been lost, for whatever reason, nothing was quarantined for a minute, and a request that crashes targets took one after another. Cause: the guard against outages counted each lost target until that target answered. One that crashed restarts under another id and never answers under the old one, so that its loss counted for a minute; crashes by other daemons and other crashing requests counted too, and each further crash kept the guard on.

Now the losses of a service end with its next good answer, from any target: many losses with answers between them are no outage. Losses of other services don't count, and answers of other services end nothing.

The new cases of once_quarantine fail on the code before, run there by the old signatures: [False, False] and no quarantine for the restarted targets, 0 of 6 crashing requests quarantined, and an outage of another service hides a request. Calls in tests have the service as a further argument; the case of answering targets is unchanged otherwise.

--- a/libraries/daemon/tests/cover/test_daemon_groups.py
+++ b/libraries/daemon/tests/cover/test_daemon_groups.py
@@ -68,9 +68,11 @@
     fleet = make_fleet(daemons=2, per_zone=2)
     fleet.run(20)
     first, second = fleet.daemons
-    first.quarantine.crashed(7, 't1', target_healthy_otherwise=True)
+    first.quarantine.crashed(7, 'deposits', 't1', target_healthy_otherwise=True)
     fleet.hub.deliver()
-    second.quarantine.crashed(7, 't2', target_healthy_otherwise=True)
+    second.quarantine.crashed(
+        7, 'deposits', 't2', target_healthy_otherwise=True
+    )
     fleet.hub.deliver()
     for daemon in fleet.daemons:
         quarantined = [
--- a/libraries/entry/src/sardinepier/entry/events.py
+++ b/libraries/entry/src/sardinepier/entry/events.py
@@ -117,7 +117,8 @@
 
     ``fingerprint`` is the same whenever the same request is sent.
     ``marked_targets`` counts the targets that are taken to have crashed by it,
-    ``other_losses`` the lost targets that no request accounts for.
+    ``other_losses`` the other targets of the service that were lost since its
+    last good answer and that no request accounts for.
     """
 
     request_id: str
--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -230,6 +230,7 @@
             target_id = record.listed.target_id
             loss = quarantine.crashed(
                 request.fingerprint,
+                request.service,
                 target_id,
                 is_target_sound or quarantine.has_suspect_request_on(target_id),
             )
@@ -240,7 +241,7 @@
             quarantine.released(request.fingerprint)
             raise
         if answer.is_good:
-            quarantine.answered(request.fingerprint, record.listed.target_id)
+            quarantine.answered(request.fingerprint, request.service)
         else:
             quarantine.released(request.fingerprint)
         return answer
--- a/libraries/gateway/src/sardinepier/gateway/attempt.py
+++ b/libraries/gateway/src/sardinepier/gateway/attempt.py
@@ -183,7 +183,7 @@
     def _record_good_answer(self) -> None:
         self._context.quarantine.answered(
             self._request.fingerprint,
-            self._target_id,
+            self._request.snapshot.settings.name,
         )
 
     def _on_stream_end(self, error: BaseException | None) -> None:
@@ -209,6 +209,7 @@
         quarantine = self._context.quarantine
         loss = quarantine.crashed(
             self._request.fingerprint,
+            self._request.snapshot.settings.name,
             self._target_id,
             self._request.runtime.record_lost_connection(
                 self._target_id,
--- a/libraries/gateway/tests/cover/test_gateway_held_back.py
+++ b/libraries/gateway/tests/cover/test_gateway_held_back.py
@@ -33,7 +33,7 @@
         if is_reported_by_a_peer:
             _receive_report(gateway, suspect, 't0')
         else:
-            gateway.context.quarantine.crashed(suspect, 't0', True)
+            gateway.context.quarantine.crashed(suspect, 'books', 't0', True)
         answer, _ = await harness.send('GET', f'/books{path}')
         assert answer.status == 200
     assert [len(target.seen) for target in harness.targets] == [0, 4]
--- a/libraries/once/src/sardinepier/once/losses.py
+++ b/libraries/once/src/sardinepier/once/losses.py
@@ -28,8 +28,8 @@
     """One loss of a request, as the quarantine takes it.
 
     ``marked_targets`` counts the targets with a mark of the request, including
-    this one. ``other_losses`` counts the other targets that are lost and that
-    no request accounts for.
+    this one. ``other_losses`` counts the other targets of the service that were
+    lost since its last good answer and that no request accounts for.
     """
 
     verdict: LossVerdict
--- a/libraries/once/src/sardinepier/once/quarantine.py
+++ b/libraries/once/src/sardinepier/once/quarantine.py
@@ -5,7 +5,8 @@
 request. A single loss does not distinguish these. A request is quarantined
 after it was lost on two different targets, provided that both were otherwise
 healthy, that the same request got no good answer recently, and that few other
-targets were lost in the same period, since many losses mean an outage.
+targets were lost since the service last answered, since many losses without an
+answer between them mean an outage.
 
 After its first loss a request is admitted only once at a time, so that
 parallel resends can't each crash a target.
@@ -31,8 +32,8 @@
     A mark expires after ``mark_lifetime_s``. A request is quarantined for
     ``quarantine_s`` once ``min_crashed_targets`` have a mark of it. That time
     doubles with each further crash, up to 16 times. It is not quarantined
-    while more than ``max_other_losses`` other targets were lost within
-    ``mark_lifetime_s``, which is taken for an outage. A request with a mark
+    while more than ``max_other_losses`` other targets of the service were lost
+    since its last good answer, which is taken for an outage. A request with a mark
     may be tried again after ``trial_timeout_s`` without an outcome.
     """
 
@@ -151,15 +152,13 @@
     def answered(
         self,
         fingerprint: int,
-        target_id: ids.TargetId | None = None,
+        service: ids.ServiceName,
     ) -> None:
         """Record a good answer to the request and drop its marks.
 
-        If the target was lost before, that loss no longer counts towards an
-        outage, because the target works again.
+        The losses of other targets of the service were no outage then.
         """
-        if target_id is not None:
-            self._lost_targets.answered(target_id)
+        self._lost_targets.answered(service)
         if self._entries:
             self._entries.pop(fingerprint, None)
         self._answered.record(fingerprint)
@@ -194,6 +193,7 @@
     def crashed(
         self,
         fingerprint: int,
+        service: ids.ServiceName,
         target_id: ids.TargetId,
         target_healthy_otherwise: bool,
     ) -> losses.Loss:
@@ -204,7 +204,7 @@
         """
         now_s = self._clock.monotonic_s()
         until_s = now_s + self._options.mark_lifetime_s
-        self._lost_targets.record(target_id, now_s, until_s)
+        self._lost_targets.record(service, target_id, until_s)
         if not target_healthy_otherwise:
             self.released(fingerprint)
             return losses.Loss(losses.LossVerdict.TARGET_SUSPECTED)
@@ -301,7 +301,7 @@
         self, marked: set[ids.TargetId], now_s: float
     ) -> int:
         explained = marked | _crashed_targets(self._entries.values(), now_s)
-        return self._lost_targets.count_except(explained, now_s)
+        return self._lost_targets.count_beside(marked, explained, now_s)
 
     def _find_or_add(self, fingerprint: int, now_s: float) -> _Entry:
         entry = self._entries.get(fingerprint)
--- a/libraries/once/tests/cover/test_once_quarantine.py
+++ b/libraries/once/tests/cover/test_once_quarantine.py
@@ -15,12 +15,15 @@
     capacity=8,
     max_reported_marks=3,
 )
+SERVICE = ids.ServiceName('books')
 PEER = ids.InstanceId('d2~0000000000000000')
 
 
 def lose(local, fingerprint, *targets, healthy=True):
     return [
-        local.crashed(fingerprint, ids.TargetId(name), healthy).is_quarantined
+        local.crashed(
+            fingerprint, SERVICE, ids.TargetId(name), healthy
+        ).is_quarantined
         for name in targets
     ]
 
@@ -83,14 +86,14 @@
         assert is_quarantined(local, CRASHING)
         clock.advance(1 - quarantine_s)
         clock.advance(quarantine_s / 2)
-    local.answered(CRASHING)
+    local.answered(CRASHING, SERVICE)
     assert not is_quarantined(local, CRASHING)
 
 
 @pytest.mark.parametrize('known_good', [True, False])
 def test_an_outage_does_not_quarantine_harmless_requests(local, known_good):
     if known_good:
-        local.answered(HARMLESS)
+        local.answered(HARMLESS, SERVICE)
     for number, target in enumerate('abcde'):
         lose(local, 100 + number, target)
         if known_good or number > 2:
@@ -117,9 +120,9 @@
 
 
 def test_a_good_answer_protects_a_request_only_for_a_while(local, clock):
-    local.answered(CRASHING)
+    local.answered(CRASHING, SERVICE)
     clock.advance(61)
-    local.crashed(1, ids.TargetId('z'), True)
+    local.crashed(1, SERVICE, ids.TargetId('z'), True)
     clock.advance(61)
     assert lose(local, CRASHING, 'a', 'b') == [False, True]
 
@@ -173,7 +176,7 @@
 def test_a_request_with_a_good_answer_explains_no_loss(local):
     """The target failed by itself and may do so again."""
     lose(local, HARMLESS, 'a')
-    local.answered(HARMLESS)
+    local.answered(HARMLESS, SERVICE)
     assert not local.has_suspect_request_on('a')
 
 
@@ -211,5 +214,41 @@
     """Guards against a third crash: recovered targets counted as lost."""
     for number, target in enumerate('wxyz'):
         lose(local, 100 + number, target)
-        local.answered(HARMLESS, target)
+        local.answered(HARMLESS, SERVICE)
+    assert lose(local, CRASHING, 'a', 'b') == [False, True]
+
+
+def test_lost_targets_are_no_outage_once_the_service_answers(local):
+    """Guards against crashes that switch the quarantine off for a minute.
+
+    A target that crashed restarts under another id. It never answers under the
+    one that was lost.
+    """
+    for number, target in enumerate('uvwxyz'):
+        lose(local, 100 + number, target)
+    assert lose(local, CRASHING, 'a', 'b') == [False, False]
+    local.answered(HARMLESS, SERVICE)
+    assert lose(local, CRASHING, 'c') == [True]
+
+
+def test_crashing_requests_do_not_hide_each_other(local):
+    """Guards against many such requests at once, with answers between them."""
+    for target in 'ab':
+        for number in range(6):
+            lose(local, 200 + number, f'{target}{number}')
+            local.answered(HARMLESS, SERVICE)
+    assert all(is_quarantined(local, 200 + number) for number in range(6))
+
+
+def test_an_answer_does_not_end_the_outage_of_another_service(local):
+    """Harmless requests of the service that is down are not quarantined."""
+    for number, target in enumerate('wxyz'):
+        lose(local, 100 + number, target)
+    local.answered(HARMLESS, ids.ServiceName('other'))
+    assert lose(local, CRASHING, 'a', 'b') == [False, False]
+
+
+def test_an_outage_does_not_hide_a_crashing_request_of_another_service(local):
+    for number, target in enumerate('wxyz'):
+        local.crashed(100 + number, ids.ServiceName('other'), target, True)
     assert lose(local, CRASHING, 'a', 'b') == [False, True]
