--- a/libraries/once/src/sardinepier/once/quarantine.py
+++ b/libraries/once/src/sardinepier/once/quarantine.py
@@ -13,15 +13,14 @@
 """
 
 import dataclasses
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Final
 
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
 from sardinepier.once import errors, losses, marks
-from sardinepier.once.internal import lost_targets, recent_answers
+from sardinepier.once.internal import entries, lost_targets, recent_answers
 
-_MAX_FACTOR: Final = 16
 _MAX_TARGETS_PER_MARK: Final = 4
 
 
@@ -47,52 +46,6 @@
     max_reported_marks: int = 64
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class _Entry:
-    """The state of one fingerprint, with all times as deadlines.
-
-    ``own`` and ``reported`` hold the marked targets with the expiry of their
-    marks: those that this daemon set, and those that other daemons reported.
-    """
-
-    own: dict[ids.TargetId, float] = dataclasses.field(default_factory=dict)
-    reported: dict[ids.TargetId, float] = dataclasses.field(
-        default_factory=dict,
-    )
-    quarantined_until_s: float = 0.0
-    trial_until_s: float = 0.0
-    factor: int = 1
-    expires_at_s: float = 0.0
-
-    def targets(self, now_s: float) -> set[ids.TargetId]:
-        """Return the targets with an unexpired mark."""
-        return {
-            target
-            for deadlines in (self.own, self.reported)
-            for target, until_s in deadlines.items()
-            if until_s > now_s
-        }
-
-    def begin_quarantine(
-        self, now_s: float, options: QuarantineOptions
-    ) -> None:
-        """Quarantine the request, each time for twice as long as before."""
-        self.quarantined_until_s = now_s + options.quarantine_s * self.factor
-        self.factor = min(2 * self.factor, _MAX_FACTOR)
-        self.expires_at_s = max(
-            self.expires_at_s,
-            self.quarantined_until_s + options.mark_lifetime_s,
-        )
-
-    def extend_quarantine(self, quarantined_until_s: float) -> None:
-        """Quarantine the request at least until ``quarantined_until_s``."""
-        self.quarantined_until_s = max(
-            self.quarantined_until_s,
-            quarantined_until_s,
-        )
-        self.expires_at_s = max(self.expires_at_s, quarantined_until_s)
-
-
 class Quarantine:
     """Decides by fingerprint whether a request may be sent to a target.
 
@@ -110,7 +63,7 @@
         self.on_marked: Callable[[], None] = _ignore_mark
         self._clock = clock
         self._options = options or QuarantineOptions()
-        self._entries: dict[int, _Entry] = {}
+        self._entries = entries.Entries(self._options.capacity)
         self._lost_targets = lost_targets.LostTargets(self._options.capacity)
         self._answered = recent_answers.RecentAnswers(
             clock,
@@ -124,12 +77,9 @@
         For an admitted request the caller must call ``answered``, ``crashed``
         or ``released``. A request without marks costs a single look-up.
         """
-        entry = self._entries.get(fingerprint)
-        if entry is None:
-            return
         now_s = self._clock.monotonic_s()
-        if now_s >= entry.expires_at_s:
-            del self._entries[fingerprint]
+        entry = self._entries.find(fingerprint, now_s)
+        if entry is None:
             return
         wait_s = max(entry.quarantined_until_s, entry.trial_until_s) - now_s
         if wait_s > 0:
@@ -142,10 +92,11 @@
         Marks may arrive while an admitted request waits for a slot or a
         connection. Call this right before its first byte is sent.
         """
-        entry = self._entries.get(fingerprint)
+        now_s = self._clock.monotonic_s()
+        entry = self._entries.find(fingerprint, now_s)
         if entry is None:
             return
-        wait_s = entry.quarantined_until_s - self._clock.monotonic_s()
+        wait_s = entry.quarantined_until_s - now_s
         if wait_s > 0:
             raise _quarantined_error(wait_s)
 
@@ -159,16 +110,14 @@
         The losses of other targets of the service were no outage then.
         """
         self._lost_targets.answered(service)
-        if self._entries:
-            self._entries.pop(fingerprint, None)
+        self._entries.remove(fingerprint)
         self._answered.record(fingerprint)
 
     def crashed_targets(self, fingerprint: int) -> frozenset[ids.TargetId]:
         """Return the targets on which the request was recently lost."""
-        entry = self._entries.get(fingerprint)
-        if entry is None:
-            return frozenset()
-        return frozenset(entry.targets(self._clock.monotonic_s()))
+        now_s = self._clock.monotonic_s()
+        entry = self._entries.find(fingerprint, now_s)
+        return frozenset(entry.targets(now_s) if entry else ())
 
     def has_suspect_request_on(self, target_id: ids.TargetId) -> bool:
         """Return whether a suspected request was lost on the target.
@@ -179,14 +128,12 @@
         """
         now_s = self._clock.monotonic_s()
         return any(
-            deadlines.get(target_id, 0) > now_s
-            for entry in self._entries.values()
-            for deadlines in (entry.own, entry.reported)
+            target_id in entry.targets(now_s) for _, entry in self._entries
         )
 
     def released(self, fingerprint: int) -> None:
         """Record that an admitted request ended without having run."""
-        entry = self._entries.get(fingerprint)
+        entry = self._entries.find(fingerprint, self._clock.monotonic_s())
         if entry is not None:
             entry.trial_until_s = 0.0
 
@@ -211,7 +158,7 @@
         if self._answered.has(fingerprint):
             self.released(fingerprint)
             return losses.Loss(losses.LossVerdict.ANSWERED_BEFORE)
-        entry = self._find_or_add(fingerprint, now_s)
+        entry = self._entries.find_or_add(fingerprint, now_s)
         entry.own[target_id] = until_s
         entry.trial_until_s = 0.0
         entry.expires_at_s = max(entry.expires_at_s, until_s)
@@ -233,7 +180,7 @@
                 max(own.values()) - now_s,
                 max(0.0, entry.quarantined_until_s - now_s),
             )
-            for fingerprint, entry in self._entries.items()
+            for fingerprint, entry in self._entries
             if (own := lost_targets.unexpired(entry.own, now_s))
         ]
         newest.sort(key=lambda mark: -mark.remaining_s)
@@ -264,14 +211,14 @@
                 tuple(sorted(entry.targets(now_s))),
                 entry.quarantined_until_s - now_s,
             )
-            for fingerprint, entry in self._entries.items()
+            for fingerprint, entry in self._entries
             if entry.quarantined_until_s > now_s
         )
 
     def _apply(self, mark: marks.CrashMark, now_s: float) -> None:
         if self._answered.has(mark.fingerprint):
             return
-        entry = self._find_or_add(mark.fingerprint, now_s)
+        entry = self._entries.find_or_add(mark.fingerprint, now_s)
         until_s = now_s + min(mark.remaining_s, self._options.mark_lifetime_s)
         known_targets = entry.targets(now_s)
         entry.reported = lost_targets.unexpired(entry.reported, now_s)
@@ -281,10 +228,10 @@
         if entry.targets(now_s) - known_targets:
             self._quarantine(entry, now_s)
         # This daemon may see an outage where the other daemon does not.
-        max_s = self._options.quarantine_s * _MAX_FACTOR
+        max_s = self._options.quarantine_s * entries.MAX_FACTOR
         entry.extend_quarantine(now_s + min(mark.held_s, max_s))
 
-    def _quarantine(self, entry: _Entry, now_s: float) -> losses.Loss:
+    def _quarantine(self, entry: entries.Entry, now_s: float) -> losses.Loss:
         """Quarantine the request if its marks suffice."""
         targets = entry.targets(now_s)
         other_losses = self._count_other_losses(targets, now_s)
@@ -294,35 +241,19 @@
         elif other_losses > self._options.max_other_losses:
             verdict = losses.LossVerdict.OUTAGE
         else:
-            entry.begin_quarantine(now_s, self._options)
+            entry.begin_quarantine(
+                now_s,
+                self._options.quarantine_s,
+                self._options.mark_lifetime_s,
+            )
         return losses.Loss(verdict, len(targets), other_losses)
 
     def _count_other_losses(
         self, marked: set[ids.TargetId], now_s: float
     ) -> int:
-        explained = marked | _crashed_targets(self._entries.values(), now_s)
+        explained = marked | self._entries.crashed_targets(now_s)
         return self._lost_targets.count_beside(marked, explained, now_s)
 
-    def _find_or_add(self, fingerprint: int, now_s: float) -> _Entry:
-        entry = self._entries.get(fingerprint)
-        if entry is None or now_s >= entry.expires_at_s:
-            if len(self._entries) >= self._options.capacity:
-                self._evict_one(now_s)
-            entry = _Entry()
-            self._entries[fingerprint] = entry
-        return entry
-
-    def _evict_one(self, now_s: float) -> None:
-        """Drop the entry that expires first, if possible no quarantined one."""
-        evicted = min(
-            self._entries.items(),
-            key=lambda pair: (
-                pair[1].quarantined_until_s > now_s,
-                pair[1].expires_at_s,
-            ),
-        )
-        del self._entries[evicted[0]]
-
 
 def _quarantined_error(wait_s: float) -> errors.QuarantinedError:
     return errors.QuarantinedError(
@@ -333,17 +264,5 @@
     )
 
 
-def _crashed_targets(
-    entries: Iterable[_Entry],
-    now_s: float,
-) -> set[ids.TargetId]:
-    """Return the targets that were lost to quarantined requests."""
-    crashed: set[ids.TargetId] = set()
-    for entry in entries:
-        if entry.quarantined_until_s > now_s:
-            crashed |= entry.targets(now_s)
-    return crashed
-
-
 def _ignore_mark() -> None:
     """Do nothing: the default of ``on_marked``."""
