Keep the marks of a quarantined request for longer than its quarantine

What callers saw: a request that was let through once after a quarantine of a minute or more had to crash two targets again, each time, before it was held back anew. Cause: a mark lasts 60 s and a quarantine up to 240 s, so that the marks were gone when the quarantine ended. They now last 60 s longer than it. The new case of once_quarantine failed before, at the third trial.

--- a/libraries/once/src/sardinepier/once/internal/entries.py
+++ b/libraries/once/src/sardinepier/once/internal/entries.py
@@ -40,20 +40,38 @@
         self, now_s: float, quarantine_s: float, mark_lifetime_s: float
     ) -> None:
         """Quarantine the request, each time for twice as long as before."""
-        self.quarantined_until_s = now_s + quarantine_s * self.factor
+        quarantine_s *= self.factor
         self.factor = min(2 * self.factor, MAX_FACTOR)
-        self.expires_at_s = max(
-            self.expires_at_s,
-            self.quarantined_until_s + mark_lifetime_s,
-        )
+        self.extend_quarantine(now_s, now_s + quarantine_s, mark_lifetime_s)
+
+    def extend_quarantine(
+        self, now_s: float, quarantined_until_s: float, mark_lifetime_s: float
+    ) -> None:
+        """Quarantine the request at least until ``quarantined_until_s``.
 
-    def extend_quarantine(self, quarantined_until_s: float) -> None:
-        """Quarantine the request at least until ``quarantined_until_s``."""
+        Its marks last ``mark_lifetime_s`` longer than that.
+        """
         self.quarantined_until_s = max(
             self.quarantined_until_s,
             quarantined_until_s,
         )
-        self.expires_at_s = max(self.expires_at_s, quarantined_until_s)
+        marks_until_s = self.quarantined_until_s + mark_lifetime_s
+        self.expires_at_s = max(self.expires_at_s, marks_until_s)
+        for deadlines in (self.own, self.reported):
+            for target in unexpired(deadlines, now_s):
+                deadlines[target] = marks_until_s
+
+
+def unexpired(
+    deadlines: dict[ids.TargetId, float],
+    now_s: float,
+) -> dict[ids.TargetId, float]:
+    """Return the deadlines that are after ``now_s``."""
+    return {
+        target_id: until_s
+        for target_id, until_s in deadlines.items()
+        if until_s > now_s
+    }
 
 
 class Entries:
--- a/libraries/once/src/sardinepier/once/internal/lost_targets.py
+++ b/libraries/once/src/sardinepier/once/internal/lost_targets.py
@@ -60,15 +60,3 @@
             if not targets.isdisjoint(marked)
             for target_id in targets
         )
-
-
-def unexpired(
-    deadlines: dict[ids.TargetId, float],
-    now_s: float,
-) -> dict[ids.TargetId, float]:
-    """Return the deadlines that are after ``now_s``."""
-    return {
-        target_id: until_s
-        for target_id, until_s in deadlines.items()
-        if until_s > now_s
-    }
--- a/libraries/once/src/sardinepier/once/quarantine.py
+++ b/libraries/once/src/sardinepier/once/quarantine.py
@@ -181,7 +181,7 @@
                 max(0.0, entry.quarantined_until_s - now_s),
             )
             for fingerprint, entry in self._entries
-            if (own := lost_targets.unexpired(entry.own, now_s))
+            if (own := entries.unexpired(entry.own, now_s))
         ]
         newest.sort(key=lambda mark: -mark.remaining_s)
         return marks.QuarantineReport(
@@ -221,7 +221,7 @@
         entry = self._entries.find_or_add(mark.fingerprint, now_s)
         until_s = now_s + min(mark.remaining_s, self._options.mark_lifetime_s)
         known_targets = entry.targets(now_s)
-        entry.reported = lost_targets.unexpired(entry.reported, now_s)
+        entry.reported = entries.unexpired(entry.reported, now_s)
         for target in mark.targets[:_MAX_TARGETS_PER_MARK]:
             entry.reported[target] = max(until_s, entry.reported.get(target, 0))
         entry.expires_at_s = max(entry.expires_at_s, until_s)
@@ -229,7 +229,12 @@
             self._quarantine(entry, now_s)
         # This daemon may see an outage where the other daemon does not.
         max_s = self._options.quarantine_s * entries.MAX_FACTOR
-        entry.extend_quarantine(now_s + min(mark.held_s, max_s))
+        if mark.held_s > 0:
+            entry.extend_quarantine(
+                now_s,
+                now_s + min(mark.held_s, max_s),
+                self._options.mark_lifetime_s,
+            )
 
     def _quarantine(self, entry: entries.Entry, now_s: float) -> losses.Loss:
         """Quarantine the request if its marks suffice."""
--- a/libraries/once/tests/cover/test_once_quarantine.py
+++ b/libraries/once/tests/cover/test_once_quarantine.py
@@ -240,6 +240,18 @@
     assert all(is_quarantined(local, 200 + number) for number in range(6))
 
 
+def test_marks_outlast_the_quarantine_that_they_caused(local, clock):
+    """Guards against two crashes in a row after each long quarantine.
+
+    A quarantine may last longer than a mark.
+    """
+    lose(local, CRASHING, 'a', 'b')
+    for target, quarantine_s in (('c', 15), ('d', 30), ('e', 60), ('f', 120)):
+        clock.advance(quarantine_s)
+        assert not is_quarantined(local, CRASHING)
+        assert lose(local, CRASHING, target) == [True]
+
+
 def test_an_answer_does_not_end_the_outage_of_another_service(local):
     """Harmless requests of the service that is down are not quarantined."""
     for number, target in enumerate('wxyz'):
