Quarantine few requests while a service answers nothing

What callers saw: while all targets of a service were down, every request that was lost on two of them was refused for 15 s, also once the targets were back. Cause: the targets of a quarantined request don't count as an outage, since crashing requests must not hide each other. In an outage the first requests are quarantined before it shows, and then account for all the losses.

A daemon now takes quarantines of a service without an answer of it between them for further losses, beyond the first three. The new test fails before: 40 of 40 requests in an outage were quarantined, six may be.

--- a/libraries/once/src/sardinepier/once/internal/entries.py
+++ b/libraries/once/src/sardinepier/once/internal/entries.py
@@ -16,12 +16,14 @@
 
     ``own`` and ``reported`` hold the marked targets with the expiry of their
     marks: those that this daemon set, and those that other daemons reported.
+    ``service`` is empty if this daemon set none.
     """
 
     own: dict[ids.TargetId, float] = dataclasses.field(default_factory=dict)
     reported: dict[ids.TargetId, float] = dataclasses.field(
         default_factory=dict,
     )
+    service: ids.ServiceName = ids.ServiceName('')
     quarantined_until_s: float = 0.0
     trial_until_s: float = 0.0
     factor: int = 1
--- a/libraries/once/src/sardinepier/once/internal/lost_targets.py
+++ b/libraries/once/src/sardinepier/once/internal/lost_targets.py
@@ -2,10 +2,16 @@
 
 import collections
 from collections.abc import Collection
+from typing import Final
 
 from sardinepier.core import ids
 
 
+_MAX_QUARANTINES: Final = 3
+"""Quarantines of a service without an answer of it between them that are no sign
+of an outage."""
+
+
 class LostTargets:
     """Recently lost targets by service, each with the expiry of its latest loss.
 
@@ -22,6 +28,9 @@
         self._by_service: dict[ids.ServiceName, set[ids.TargetId]] = (
             collections.defaultdict(set)
         )
+        self._quarantines: collections.Counter[ids.ServiceName] = (
+            collections.Counter()
+        )
 
     def record(
         self,
@@ -39,24 +48,30 @@
             for targets in self._by_service.values():
                 targets.discard(oldest)
 
+    def record_quarantine(self, service: ids.ServiceName) -> None:
+        """Record that a request was quarantined, which accounts for losses."""
+        self._quarantines[service] += 1
+
     def answered(self, service: ids.ServiceName) -> None:
         """Drop the losses of a service, one of whose targets has answered."""
+        self._quarantines.pop(service, None)
         for target_id in self._by_service.pop(service, ()):
             self._until_s.pop(target_id, None)
 
-    def count_beside(
+    def count_except(
         self,
-        marked: Collection[ids.TargetId],
-        explained: Collection[ids.TargetId],
+        service: ids.ServiceName,
+        excluded: Collection[ids.TargetId],
         now_s: float,
     ) -> int:
-        """Return the number of lost targets in the services of ``marked`` ones.
+        """Return the number of a service's lost targets not in ``excluded``.
 
-        Those in ``explained`` are not counted.
+        In an outage requests are lost on two targets each, one after another.
+        Their quarantines would account for all losses, so that each one beyond
+        a few counts as a loss.
         """
-        return sum(
-            self._until_s[target_id] > now_s and target_id not in explained
-            for targets in self._by_service.values()
-            if not targets.isdisjoint(marked)
-            for target_id in targets
+        further = max(0, self._quarantines[service] - _MAX_QUARANTINES)
+        return further + sum(
+            self._until_s[target_id] > now_s and target_id not in excluded
+            for target_id in self._by_service.get(service, ())
         )
--- a/libraries/once/src/sardinepier/once/quarantine.py
+++ b/libraries/once/src/sardinepier/once/quarantine.py
@@ -159,6 +159,7 @@
             self.released(fingerprint)
             return losses.Loss(losses.LossVerdict.ANSWERED_BEFORE)
         entry = self._entries.find_or_add(fingerprint, now_s)
+        entry.service = service
         entry.own[target_id] = until_s
         entry.trial_until_s = 0.0
         entry.expires_at_s = max(entry.expires_at_s, until_s)
@@ -239,13 +240,18 @@
     def _quarantine(self, entry: entries.Entry, now_s: float) -> losses.Loss:
         """Quarantine the request if its marks suffice."""
         targets = entry.targets(now_s)
-        other_losses = self._count_other_losses(targets, now_s)
+        other_losses = self._lost_targets.count_except(
+            entry.service,
+            targets | self._entries.crashed_targets(now_s),
+            now_s,
+        )
         verdict = losses.LossVerdict.QUARANTINED
         if len(targets) < self._options.min_crashed_targets:
             verdict = losses.LossVerdict.MARKED
         elif other_losses > self._options.max_other_losses:
             verdict = losses.LossVerdict.OUTAGE
         else:
+            self._lost_targets.record_quarantine(entry.service)
             entry.begin_quarantine(
                 now_s,
                 self._options.quarantine_s,
@@ -253,12 +259,6 @@
             )
         return losses.Loss(verdict, len(targets), other_losses)
 
-    def _count_other_losses(
-        self, marked: set[ids.TargetId], now_s: float
-    ) -> int:
-        explained = marked | self._entries.crashed_targets(now_s)
-        return self._lost_targets.count_beside(marked, explained, now_s)
-
 
 def _quarantined_error(wait_s: float) -> errors.QuarantinedError:
     return errors.QuarantinedError(
--- a/libraries/once/tests/cover/test_once_quarantine.py
+++ b/libraries/once/tests/cover/test_once_quarantine.py
@@ -102,6 +102,18 @@
             local.released(HARMLESS)
 
 
+def test_few_requests_are_quarantined_while_a_service_answers_nothing(local):
+    """Guards against quarantined requests that account for a whole outage.
+
+    In an outage each request is lost on two targets, one after another.
+    """
+    quarantined = [
+        lose(local, number, f'{number}-1', f'{number}-2')[1]
+        for number in range(40)
+    ]
+    assert sum(quarantined) <= 6
+
+
 def test_targets_crashed_by_quarantined_requests_are_no_outage(local, clock):
     """Guards against crashing requests that hide each other as an outage."""
     for fingerprint, targets in (
