Share the marks of crashing requests with all daemons of all zones

What callers saw: a request that crashes targets arrives at any daemon, and each daemon let it through twice, and once more after each of its own quarantines. Cause: on the users' platform marks stayed with the daemon that set them.

A daemon now sends a new mark at once to the carriers of its zone and to the first carrier of each other zone, which passes it on to its fellow carriers; the first carrier of a zone informs all its daemons of what is quarantined. Marks name their service, so that a daemon weighs them against what it lost there itself. On this path only a request lost on two targets or more explains an earlier loss of a target: with the marks of all daemons a target that resets connections would have a suspect for each of its losses, and all would count.

--- a/libraries/daemon/src/sardinepier/daemon/entry_process.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_process.py
@@ -37,6 +37,7 @@
     carriers,
     expired_entries,
     platform_reader,
+    quarantine_sharing,
     sharing,
     zone_load,
 )
@@ -202,7 +203,14 @@
             request_context.metrics,
         )
         stack.callback(traffic.log)
+        marks_sharing = quarantine_sharing.QuarantineSharing(
+            self._network,
+            self._carriers,
+            request_context.quarantine,
+            self._clock,
+        )
         self._start_tasks(request_context.decision_log)
+        self._tasks.start(marks_sharing.run())
         self._tasks.start(traffic.run())
         request_pipeline = pipeline.Pipeline(request_context)
         front_server = caller_server.HttpServer(
--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -34,6 +34,11 @@
 probability."""
 
 
+_EXPLAINING_TARGETS: Final = 2
+"""Targets on which a request must have been lost to be such a suspect. A target
+that resets connections without a crash marks each of its requests once."""
+
+
 class Forwarding:
     """Sends the requests of one daemon to targets."""
 
@@ -232,7 +237,10 @@
                 request.fingerprint,
                 request.service,
                 target_id,
-                is_target_sound or quarantine.has_suspect_request_on(target_id),
+                is_target_sound
+                or quarantine.has_suspect_request_on(
+                    target_id, _EXPLAINING_TARGETS
+                ),
             )
             self._shared.metrics.lost(loss.verdict)
             self._shared.decision_log.log_loss(request, record, loss)
--- a/libraries/once/src/sardinepier/once/internal/entries.py
+++ b/libraries/once/src/sardinepier/once/internal/entries.py
@@ -16,7 +16,8 @@
 
     ``own`` and ``reported`` hold the marked targets with the expiry of their
     marks: those that this daemon set, and those that other daemons reported.
-    ``service`` is empty if this daemon set none.
+    ``service`` is empty if the daemon that reported them didn't name it.
+    ``marked_s`` is when this daemon set its newest one.
     """
 
     own: dict[ids.TargetId, float] = dataclasses.field(default_factory=dict)
@@ -24,6 +25,7 @@
         default_factory=dict,
     )
     service: ids.ServiceName = ids.ServiceName('')
+    marked_s: float = 0.0
     quarantined_until_s: float = 0.0
     trial_until_s: float = 0.0
     factor: int = 1
--- a/libraries/once/src/sardinepier/once/quarantine.py
+++ b/libraries/once/src/sardinepier/once/quarantine.py
@@ -13,13 +13,18 @@
 """
 
 import dataclasses
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Mapping
 from typing import Final
 
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
 from sardinepier.once import errors, losses, marks
-from sardinepier.once.internal import entries, lost_targets, recent_answers
+from sardinepier.once.internal import (
+    entries,
+    lost_targets,
+    recent_answers,
+)
 
 _MAX_TARGETS_PER_MARK: Final = 4
 
@@ -52,6 +57,8 @@
     A fingerprint is a hash of the service, the method, the path and the body.
     ``on_marked`` is called for each new mark, before the caller gets the error
     for its request: it may resend it to another daemon within milliseconds.
+    ``trial_delay_s`` is how long after a quarantine a request is tried again
+    here, so that daemons do not all try it at once.
     """
 
     def __init__(
@@ -61,6 +68,7 @@
     ) -> None:
         """Start without marks."""
         self.on_marked: Callable[[], None] = _ignore_mark
+        self.trial_delay_s = 0.0
         self._clock = clock
         self._options = options or QuarantineOptions()
         self._entries = entries.Entries(self._options.capacity)
@@ -81,7 +89,8 @@
         entry = self._entries.find(fingerprint, now_s)
         if entry is None:
             return
-        wait_s = max(entry.quarantined_until_s, entry.trial_until_s) - now_s
+        trial_s = entry.quarantined_until_s + self.trial_delay_s
+        wait_s = max(trial_s, entry.trial_until_s) - now_s
         if wait_s > 0:
             raise _quarantined_error(wait_s)
         entry.trial_until_s = now_s + self._options.trial_timeout_s
@@ -119,16 +128,21 @@
         entry = self._entries.find(fingerprint, now_s)
         return frozenset(entry.targets(now_s) if entry else ())
 
-    def has_suspect_request_on(self, target_id: ids.TargetId) -> bool:
+    def has_suspect_request_on(
+        self, target_id: ids.TargetId, min_targets: int = 1
+    ) -> bool:
         """Return whether a suspected request was lost on the target.
 
         That request may have crashed the target. A further loss then does not
         show that the target fails repeatedly by itself. A good answer to the
-        request ends the suspicion.
+        request ends the suspicion. Requests that were lost on fewer than
+        ``min_targets`` targets don't count.
         """
         now_s = self._clock.monotonic_s()
+        suspects = (entry.targets(now_s) for _, entry in self._entries)
         return any(
-            target_id in entry.targets(now_s) for _, entry in self._entries
+            target_id in targets and len(targets) >= min_targets
+            for targets in suspects
         )
 
     def released(self, fingerprint: int) -> None:
@@ -161,33 +175,38 @@
         entry = self._entries.find_or_add(fingerprint, now_s)
         entry.service = service
         entry.own[target_id] = until_s
+        entry.marked_s = now_s
         entry.trial_until_s = 0.0
         entry.expires_at_s = max(entry.expires_at_s, until_s)
         loss = self._quarantine(entry, now_s)
         self.on_marked()
         return loss
 
-    def report(self) -> marks.QuarantineReport:
+    def report(self, max_age_s: float = math.inf) -> marks.QuarantineReport:
         """Return this daemon's own newest marks, for its group.
 
-        Marks from other daemons are not forwarded: daemons would send them
-        back and forth, and they would never expire.
+        Left out are requests without a mark in the last ``max_age_s``. Marks
+        from other daemons are not forwarded: daemons would send them back and
+        forth, and they would never expire.
         """
         now_s = self._clock.monotonic_s()
         newest = [
-            marks.CrashMark(
-                fingerprint,
-                tuple(own)[-_MAX_TARGETS_PER_MARK:],
-                max(own.values()) - now_s,
-                max(0.0, entry.quarantined_until_s - now_s),
-            )
+            _mark_of(fingerprint, entry, own, now_s)
             for fingerprint, entry in self._entries
             if (own := entries.unexpired(entry.own, now_s))
+            and entry.marked_s >= now_s - max_age_s
         ]
-        newest.sort(key=lambda mark: -mark.remaining_s)
-        return marks.QuarantineReport(
-            tuple(newest[: self._options.max_reported_marks]),
-        )
+        return _newest(newest, self._options.max_reported_marks)
+
+    def quarantine_report(self) -> marks.QuarantineReport:
+        """Return the quarantined requests with the marks of all daemons."""
+        now_s = self._clock.monotonic_s()
+        quarantined = [
+            _mark_of(fingerprint, entry, entry.reported | entry.own, now_s)
+            for fingerprint, entry in self._entries
+            if entry.quarantined_until_s > now_s and entry.targets(now_s)
+        ]
+        return _newest(quarantined, self._options.max_reported_marks)
 
     def receive_report(
         self,
@@ -216,10 +235,17 @@
             if entry.quarantined_until_s > now_s
         )
 
+    def _newest(self, known: list[marks.CrashMark]) -> marks.QuarantineReport:
+        known.sort(key=lambda mark: -mark.remaining_s)
+        return marks.QuarantineReport(
+            tuple(known[: self._options.max_reported_marks]),
+        )
+
     def _apply(self, mark: marks.CrashMark, now_s: float) -> None:
         if self._answered.has(mark.fingerprint):
             return
         entry = self._entries.find_or_add(mark.fingerprint, now_s)
+        entry.service = entry.service or mark.service
         until_s = now_s + min(mark.remaining_s, self._options.mark_lifetime_s)
         known_targets = entry.targets(now_s)
         entry.reported = entries.unexpired(entry.reported, now_s)
@@ -260,6 +286,26 @@
         return losses.Loss(verdict, len(targets), other_losses)
 
 
+def _mark_of(
+    fingerprint: int,
+    entry: entries.Entry,
+    deadlines: Mapping[ids.TargetId, float],
+    now_s: float,
+) -> marks.CrashMark:
+    return marks.CrashMark(
+        fingerprint,
+        tuple(deadlines)[-_MAX_TARGETS_PER_MARK:],
+        max(deadlines.values(), default=now_s) - now_s,
+        max(0.0, entry.quarantined_until_s - now_s),
+        entry.service,
+    )
+
+
+def _newest(known: list[marks.CrashMark], count: int) -> marks.QuarantineReport:
+    known.sort(key=lambda mark: -mark.remaining_s)
+    return marks.QuarantineReport(tuple(known[:count]))
+
+
 def _quarantined_error(wait_s: float) -> errors.QuarantinedError:
     return errors.QuarantinedError(
         'This request was lost on targets that were otherwise healthy, so it '
--- a/libraries/workbench/src/sardinepier/workbench/policy/daemons.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/daemons.py
@@ -31,7 +31,13 @@
     targets,
     virtual_loop,
 )
-from sardinepier.zones import carriers, expired_entries, sharing, zone_load
+from sardinepier.zones import (
+    carriers,
+    expired_entries,
+    quarantine_sharing,
+    sharing,
+    zone_load,
+)
 
 _PORT: Final = 7000
 _FIRST_ADDRESS: Final = ipaddress.IPv4Address('10.9.0.1')
@@ -90,9 +96,13 @@
             failure_estimate.EstimateOptions(),
         )
         activity = active_requests.ActiveRequests()
+        network = hub.network(
+            messages.Sender(own.instance_id, own.peer_address)
+        )
+        zone_carriers = carriers.Carriers(view, clock)
         self._sharing = sharing.ZoneSharing(
-            hub.network(messages.Sender(own.instance_id, own.peer_address)),
-            carriers.Carriers(view, clock),
+            network,
+            zone_carriers,
             services,
             expired_entries.ExpiredEntryGuard(clock),
             zone_load.ZoneLoad(clock, activity),
@@ -103,6 +113,10 @@
         services.on_outcome = self._on_outcome
         services.offer_configuration(_configuration(setup))
         services.set_retry_burst(setup.retry_burst)
+        shared_quarantine = quarantine.Quarantine(clock)
+        marks_sharing = quarantine_sharing.QuarantineSharing(
+            network, zone_carriers, shared_quarantine, clock
+        )
         self._services = services
         self._activity = activity
         self._forwarding = forwarding.Forwarding(
@@ -120,14 +134,17 @@
                     ),
                 ),
                 services=services,
-                quarantine=quarantine.Quarantine(clock),
+                quarantine=shared_quarantine,
                 activity=activity,
                 decision_log=decision_log.DecisionLog(services, clock),
                 metrics=entry_metrics.RequestMetrics(),
                 buffer_budget=buffer_budget.BufferBudget(),
             ),
         )
-        self._sharing_task = asyncio.ensure_future(self._sharing.run())
+        self._tasks = [
+            asyncio.ensure_future(self._sharing.run()),
+            asyncio.ensure_future(marks_sharing.run()),
+        ]
 
     def offer_targets(self, listed: model.TargetList) -> None:
         """Apply a list of targets."""
@@ -142,7 +159,8 @@
 
     def stop(self) -> None:
         """Stop sending updates to the other daemons."""
-        self._sharing_task.cancel()
+        for task in self._tasks:
+            task.cancel()
 
     def _on_outcome(self, is_good: bool) -> None:
         if not is_good:
--- a/libraries/zones/src/sardinepier/zones/messages.py
+++ b/libraries/zones/src/sardinepier/zones/messages.py
@@ -6,6 +6,7 @@
 
 from sardinepier.core import ids
 from sardinepier.entry import model
+from sardinepier.once import marks
 from sardinepier.wire import messages
 
 
@@ -181,6 +182,12 @@
     waiting: tuple[WaitingCount, ...] = ()
 
 
+class QuarantineUpdate(messages.Message, frozen=True):
+    """Marks of requests that crash targets, of the sender or a whole zone."""
+
+    report: marks.QuarantineReport
+
+
 SEQUENCE_NUMBERS: Final = 128
 """Numbers below this take one byte. A report that is lost with the 127 after it
 has expired long before."""
@@ -230,6 +237,7 @@
     ConfirmationReply,
     UsageNews,
     SlotUse,
+    QuarantineUpdate,
     NewsRequest,
     ConfigurationNews,
     TargetsNews,
--- a/libraries/zones/tests/zones_support.py
+++ b/libraries/zones/tests/zones_support.py
@@ -8,12 +8,14 @@
 from sardinepier.entry import model, platform_state, service_registry
 from sardinepier.health import failure_estimate
 from sardinepier.membership import capacity, members
+from sardinepier.once import quarantine
 from sardinepier.platform import errors
 from sardinepier.wire import memory_network, messages
 from sardinepier.zones import (
     carriers,
     expired_entries,
     platform_reader,
+    quarantine_sharing,
     sharing,
     zone_load,
 )
@@ -182,6 +184,10 @@
             random.Random(own.instance_id),
             lambda configuration: None,
         )
+        self.quarantine = quarantine.Quarantine(zone.clock)
+        self.marks = quarantine_sharing.QuarantineSharing(
+            self.network, self.carriers, self.quarantine, zone.clock
+        )
         self.reader = platform_reader.PlatformReader(
             zone.platform.for_daemon(own.daemon_id),
             self.services,
@@ -265,6 +271,7 @@
                 await asyncio.sleep(0)
                 if step % 5 == 0:
                     daemon.sharing.step()
+                    daemon.marks.step()
             self.hub.deliver()
             self.clock.advance(step_s)
 
