Skip the exchange of marks while no request is suspected

Each step looked up all receivers and the role of the daemon four times a second. Marks whose time is over are dropped; they stayed until they were looked up.

--- a/libraries/once/src/sardinepier/once/internal/entries.py
+++ b/libraries/once/src/sardinepier/once/internal/entries.py
@@ -112,6 +112,15 @@
             self._entries[fingerprint] = entry
         return entry
 
+    def has_unexpired(self, now_s: float) -> bool:
+        """Return whether any entry is left after expired ones are dropped."""
+        self._entries = {
+            fingerprint: entry
+            for fingerprint, entry in self._entries.items()
+            if now_s < entry.expires_at_s
+        }
+        return bool(self._entries)
+
     def remove(self, fingerprint: int) -> None:
         """Drop the entry, if there is one."""
         self._entries.pop(fingerprint, None)
--- a/libraries/once/src/sardinepier/once/quarantine.py
+++ b/libraries/once/src/sardinepier/once/quarantine.py
@@ -79,6 +79,10 @@
             self._options.answered_capacity,
         )
 
+    def has_marks(self) -> bool:
+        """Return whether any request is suspected."""
+        return self._entries.has_unexpired(self._clock.monotonic_s())
+
     def admit(self, fingerprint: int) -> None:
         """Admit a request, or raise ``QuarantinedError``.
 
--- a/libraries/zones/src/sardinepier/zones/quarantine_sharing.py
+++ b/libraries/zones/src/sardinepier/zones/quarantine_sharing.py
@@ -70,6 +70,8 @@
 
     def step(self) -> None:
         """Send the marks and quarantined requests that are due."""
+        if not self._quarantine.has_marks():
+            return
         self._quarantine.trial_delay_s = self._trial_delay_s()
         now_s = self._clock.monotonic_s()
         if self._has_unsent_mark or now_s >= self._repeat_marks_s:
@@ -101,13 +103,10 @@
         self._has_unsent_mark = False
         self._next_marks_s = now_s + _MIN_INTERVAL_S
         self._repeat_marks_s = now_s + _REPEAT_INTERVAL_S
-        self._send(
-            (
-                *carriers.other_carriers(self._carriers),
-                *self._carriers.of_other_zones(),
-            ),
-            self._quarantine.report(max_age_s=_REPEAT_TIME_S),
-        )
+        report = self._quarantine.report(max_age_s=_REPEAT_TIME_S)
+        if report.marks:
+            self._send(carriers.other_carriers(self._carriers), report)
+            self._send(self._carriers.of_other_zones(), report)
 
     def _send_quarantined(self, now_s: float) -> None:
         """Inform the zone of quarantines that are new, or of all again."""
@@ -123,7 +122,8 @@
             > self._sent_until_s.get(fingerprint, 0) + _TOLERANCE_S
             for fingerprint in until_s
         )
-        if is_new or now_s >= self._repeat_quarantine_s:
+        is_due = bool(until_s) and now_s >= self._repeat_quarantine_s
+        if is_new or is_due:
             self._sent_until_s = until_s
             self._repeat_quarantine_s = now_s + _QUARANTINE_INTERVAL_S
             self._send(self._carriers.zone_peers(), report)
@@ -133,8 +133,6 @@
         receivers: ranking.Members,
         report: marks.QuarantineReport,
     ) -> None:
-        if not report.marks:
-            return
         for member in receivers:
             self._network.send(
                 member.peer_address, messages.QuarantineUpdate(report)
