Start no hedge of a request that is suspected of crashing targets

What callers saw: the trial of such a request could take two targets at once, as a hedge reached the second before the first had crashed. Cause: the users' path did not ask the quarantine before a hedge, which the other path does. Found by reading the callers of the quarantine on both paths. The new test failed before: 122 requests ran in place of 121.

--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -196,6 +196,8 @@
             return None
         if request.left_s(self._shared.clock) <= pool.typical_latency_s:
             return None
+        if self._shared.quarantine.crashed_targets(request.fingerprint):
+            return None
         record = pool.try_acquire(_requirements(request, pool, history))
         if record is None:
             return None
--- a/libraries/entry/tests/cover/test_entry_callers.py
+++ b/libraries/entry/tests/cover/test_entry_callers.py
@@ -4,7 +4,10 @@
 import collections
 
 import entry_support as support
+import xxhash
+from sardinepier.core import ids
 from sardinepier.entry import model
+from sardinepier.once import marks
 
 CHUNKED = {'Transfer-Encoding': 'chunked'}
 
@@ -198,3 +201,39 @@
     await entry.send('/once/7', 'POST')
     status, _, _ = await entry.send('/once/7', 'POST')
     assert (status, failing.run_count, other.run_count) == (503, 1, 1)
+
+
+async def test_a_suspected_request_is_not_hedged(entry):
+    """Guards against a trial that takes two targets at once.
+
+    The first target is slow to crash, so that a hedge would reach the second.
+    """
+    targets = [support.RawTarget('t1'), support.RawTarget('t2')]
+    await entry.set_targets(*targets)
+    for _ in range(120):
+        await entry.send()
+    entry.shared.quarantine.receive_report(
+        ids.InstanceId('d2~0000000000000000'),
+        marks.QuarantineReport(
+            (marks.CrashMark(_fingerprint(b'deadly'), ('t0',), 60.0),),
+        ),
+    )
+    ran_before = entry.run_count
+    for target in targets:
+        target.behaviours = ['gated']
+    request = asyncio.ensure_future(
+        entry.send('/books/1', 'POST', b'deadly'),
+    )
+    await support.wait_until(lambda: entry.run_count > ran_before)
+    await asyncio.sleep(1.0)
+    assert entry.run_count == ran_before + 1
+    for target in targets:
+        target.gate.set()
+    assert (await request)[0] == 200
+
+
+def _fingerprint(body):
+    digest = xxhash.xxh3_64(b'POST')
+    digest.update(b'/books/1')
+    digest.update(body)
+    return digest.intdigest()
