--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -30,13 +30,14 @@
 
 _SUSPECTED_PROBABILITY: Final = 0.5
 """Probability that the target is failing above which a lost connection is not
-attributed to the request, unless a suspect request explains that
-probability."""
+attributed to the request, unless a suspect request accounts for the target's
+failures."""
 
 
 _EXPLAINING_TARGETS: Final = 2
-"""Targets on which a request must have been lost to be such a suspect. A target
-that resets connections without a crash marks each of its requests once."""
+"""Targets on which a request must have been lost to account for the failures of
+one of them. A target that resets connections without a crash marks each of its
+requests once."""
 
 
 class Forwarding:
--- a/libraries/once/src/sardinepier/once/internal/entries.py
+++ b/libraries/once/src/sardinepier/once/internal/entries.py
@@ -33,12 +33,11 @@
 
     def targets(self, now_s: float) -> set[ids.TargetId]:
         """Return the targets with an unexpired mark."""
-        return {
-            target
-            for deadlines in (self.own, self.reported)
-            for target, until_s in deadlines.items()
-            if until_s > now_s
-        }
+        return set(self.deadlines(now_s))
+
+    def deadlines(self, now_s: float) -> dict[ids.TargetId, float]:
+        """Return the unexpired marks of all daemons by target."""
+        return unexpired(self.reported, now_s) | unexpired(self.own, now_s)
 
     def begin_quarantine(
         self, now_s: float, quarantine_s: float, mark_lifetime_s: float
--- a/libraries/once/src/sardinepier/once/quarantine.py
+++ b/libraries/once/src/sardinepier/once/quarantine.py
@@ -20,11 +20,7 @@
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
 from sardinepier.once import errors, losses, marks
-from sardinepier.once.internal import (
-    entries,
-    lost_targets,
-    recent_answers,
-)
+from sardinepier.once.internal import entries, lost_targets, recent_answers
 
 _MAX_TARGETS_PER_MARK: Final = 4
 
@@ -37,8 +33,8 @@
     ``quarantine_s`` once ``min_crashed_targets`` have a mark of it. That time
     doubles with each further crash, up to 16 times. It is not quarantined
     while more than ``max_other_losses`` other targets of the service were lost
-    since its last good answer, which is taken for an outage. A request with a mark
-    may be tried again after ``trial_timeout_s`` without an outcome.
+    since its last good answer, which is taken for an outage. A request with a
+    mark may be tried again after ``trial_timeout_s`` without an outcome.
     """
 
     mark_lifetime_s: float = 60.0
@@ -206,9 +202,10 @@
         """Return the quarantined requests with the marks of all daemons."""
         now_s = self._clock.monotonic_s()
         quarantined = [
-            _mark_of(fingerprint, entry, entry.reported | entry.own, now_s)
+            _mark_of(fingerprint, entry, known, now_s)
             for fingerprint, entry in self._entries
-            if entry.quarantined_until_s > now_s and entry.targets(now_s)
+            if entry.quarantined_until_s > now_s
+            and (known := entry.deadlines(now_s))
         ]
         return _newest(quarantined, self._options.max_reported_marks)
 
@@ -239,12 +236,6 @@
             if entry.quarantined_until_s > now_s
         )
 
-    def _newest(self, known: list[marks.CrashMark]) -> marks.QuarantineReport:
-        known.sort(key=lambda mark: -mark.remaining_s)
-        return marks.QuarantineReport(
-            tuple(known[: self._options.max_reported_marks]),
-        )
-
     def _apply(self, mark: marks.CrashMark, now_s: float) -> None:
         if self._answered.has(mark.fingerprint):
             return
@@ -299,7 +290,7 @@
     return marks.CrashMark(
         fingerprint,
         tuple(deadlines)[-_MAX_TARGETS_PER_MARK:],
-        max(deadlines.values(), default=now_s) - now_s,
+        max(deadlines.values()) - now_s,
         max(0.0, entry.quarantined_until_s - now_s),
         entry.service,
     )
--- a/libraries/workbench/src/sardinepier/workbench/policy/emulation.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/emulation.py
@@ -143,8 +143,8 @@
 
     def _restart(self, target: targets.Target) -> None:
         self._list_revision += 1
-        address = f'{target.listed.ip}-{self._list_revision}'
-        target.restart(ids.TargetId(address))
+        target_id = f'{target.listed.ip}-{self._list_revision}'
+        target.restart(ids.TargetId(target_id))
         self._offer_targets()
 
     def _stop_daemons(self) -> None:
@@ -180,14 +180,10 @@
         sent_s = self._loop.time()
         score = await self._send(request_class, zone, sent_s, work_s)
         for _ in range(request_class.caller_retries):
-            is_final = score.credit > 0 or not (
-                request_class.repeatable or score.is_refused
-            )
+            if not _may_resend(request_class, score):
+                break
             await asyncio.sleep(_CALLER_PAUSE_S)
-            if (
-                is_final
-                or self._loop.time() > sent_s + request_class.deadline_s
-            ):
+            if self._loop.time() > sent_s + request_class.deadline_s:
                 break
             score = await self._send(request_class, zone, sent_s, work_s)
         self.counts.add(request_class.name, sent_s, score)
@@ -239,7 +235,7 @@
             await self._disturb_targets(disturbance)
 
     async def _send_crashing(self, disturbance: scenario.Disturbance) -> None:
-        """Send one crashing request repeatedly, to one daemon after another."""
+        """Send one crashing request repeatedly, each time to a random daemon."""
         request_class = next(
             request_class
             for request_class in self._setup.classes
@@ -283,6 +279,15 @@
         await daemon.forward(request)
 
 
+def _may_resend(
+    request_class: scenario.RequestClass, score: tally.RequestScore
+) -> bool:
+    """Return whether a caller sends a request with this result again."""
+    if score.credit > 0:
+        return False
+    return request_class.repeatable or score.is_refused
+
+
 def _score_of_error(
     request_class: scenario.RequestClass,
     error: core_errors.SardinepierError,
--- a/libraries/workbench/src/sardinepier/workbench/policy/scenario.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/scenario.py
@@ -121,7 +121,7 @@
 
     CRASHING_REQUEST = 'crashing_request'
     """A request that crashes each target that runs it is sent ``strength``
-    times a second, each time to another daemon."""
+    times a second, each time to a random daemon."""
 
     RESTART = 'restart'
     """All daemons stop, and restart without any knowledge of the targets."""
