Send to a peer that does not run yet to test the limit of sockets

The test sends to a running peer and assumes that its socket is not connected yet, so that no second one may be opened. Shown by a run: with 0.1 s between opening the socket and sending it fails 3 of 3, at the same line. The product is right either way.

The first peer now starts after both sends. All checks stay. Passed 3 of 3 with the 0.1 s, 20 of 20 without; fails when the limit is not applied.

--- a/libraries/wire/tests/cover/test_wire_zmq_network.py
+++ b/libraries/wire/tests/cover/test_wire_zmq_network.py
@@ -145,14 +145,19 @@
 
 async def test_sockets_are_limited_and_an_idle_one_is_replaced():
     left = _network(bounds=limits.ZmqLimits(max_peers=1))
-    peers = [_network('b~1'), _network('c~1')]
+    with socket.socket() as reserved:
+        reserved.bind(('127.0.0.1', 0))
+        address = messages.PeerAddress(*reserved.getsockname())
+    peers = [_network('b~1', bind=address), _network('c~1')]
     received = [_collect(peer) for peer in peers]
-    async with _running(left, *peers):
-        assert left.send(peers[0].sender.address, Item(b'first'))
+    async with _running(left, peers[1]):
+        # The socket of a peer is not idle until the peer has accepted it.
+        assert left.send(address, Item(b'first'))
         assert not left.send(peers[1].sender.address, Item(b'second'))
-        await _until(lambda: received[0])
-        assert left.send(peers[1].sender.address, Item(b'third'))
-        await _until(lambda: received[1])
+        async with _running(peers[0]):
+            await _until(lambda: received[0])
+            assert left.send(peers[1].sender.address, Item(b'third'))
+            await _until(lambda: received[1])
     assert received == [[b'first'], [b'third']]
     assert left.counters().dropped == {counters.DropReason.PEER_LIMIT: 1}
 
