Take the number of marks that prove a crash from the quarantine

The users' path had the two of the quarantine's options as a constant of its own. No behaviour changes; cases of once, entry_callers and policy_crashing_requests pass.

--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -34,12 +34,6 @@
 failures."""
 
 
-_EXPLAINING_TARGETS: Final = 2
-"""Targets on which a request must have been lost to account for the failures of
-one of them. A target that resets connections without a crash marks each of its
-requests once."""
-
-
 class Forwarding:
     """Sends the requests of one daemon to targets."""
 
@@ -241,8 +235,10 @@
                 request.service,
                 target_id,
                 is_target_sound
+                # A target that resets connections without a crash marks each
+                # of its requests once.
                 or quarantine.has_suspect_request_on(
-                    target_id, _EXPLAINING_TARGETS
+                    target_id, must_be_proved=True
                 ),
             )
             self._shared.metrics.lost(loss.verdict)
--- a/libraries/once/src/sardinepier/once/quarantine.py
+++ b/libraries/once/src/sardinepier/once/quarantine.py
@@ -129,16 +129,17 @@
         return frozenset(entry.targets(now_s) if entry else ())
 
     def has_suspect_request_on(
-        self, target_id: ids.TargetId, min_targets: int = 1
+        self, target_id: ids.TargetId, *, must_be_proved: bool = False
     ) -> bool:
         """Return whether a suspected request was lost on the target.
 
         That request may have crashed the target. A further loss then does not
         show that the target fails repeatedly by itself. A good answer to the
-        request ends the suspicion. Requests that were lost on fewer than
-        ``min_targets`` targets don't count.
+        request ends the suspicion. If it ``must_be_proved``, only requests
+        with as many marks as a quarantine needs count.
         """
         now_s = self._clock.monotonic_s()
+        min_targets = self._options.min_crashed_targets if must_be_proved else 1
         suspects = (entry.targets(now_s) for _, entry in self._entries)
         return any(
             target_id in targets and len(targets) >= min_targets
