--- a/libraries/entry/src/sardinepier/entry/request_metrics.py
+++ b/libraries/entry/src/sardinepier/entry/request_metrics.py
@@ -247,7 +247,7 @@
         exposition.Gauge(
             'accepted_share',
             pool.retries.accepted_share(),
-            (metrics.Label('service', pool.name),),
+            _labels_of(pool),
         )
         for pool in itertools.islice(registry.pools(), _MAX_SERVICES)
     )
