Cut daemons off from all targets in the emulator, and test that callers are served

In a cut connections hang, are reset, are refused while open ones hang, or live on while new ones are refused; half a zone or all of it, carriers first. First tries are compared with those at other daemons from 3 s after the cut, and no request may run more often than its route allows.

--- a/libraries/workbench/src/sardinepier/workbench/policy/client.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/client.py
@@ -12,12 +12,7 @@
 from sardinepier.gateway import errors
 from sardinepier.gateway import headers as gateway_headers
 from sardinepier.membership import members
-from sardinepier.workbench.policy import (
-    crash_tally,
-    scenario,
-    statement_compliance,
-    targets,
-)
+from sardinepier.workbench.policy import links, scenario, tally, targets
 
 WORK_HEADER: Final = 'X-Emulated-Work'
 """Carries the processing time of the request in seconds. The caller draws it,
@@ -66,15 +61,16 @@
         setup: scenario.Scenario,
         own: members.Member,
         known_targets: Sequence[targets.Target],
-        compliance: statement_compliance.StatementCompliance,
-        crashes: crash_tally.CrashTally,
+        counts: tally.Tally,
     ) -> None:
-        """Send to ``known_targets``; ``compliance`` records every arrival."""
+        """Send to ``known_targets``; ``counts`` records every arrival."""
+        self.links = links.TargetLinks()
         self._setup = setup
         self._zone = own.zone
         self._source = str(own.instance_id)
-        self._compliance = compliance
-        self._crashes = crashes
+        self._compliance = counts.compliance
+        self._crashes = counts.crashes
+        self._runs = counts.runs
         self._by_ip = {target.listed.ip: target for target in known_targets}
 
     async def close(self) -> None:
@@ -87,6 +83,7 @@
         headers: list[tuple[str, str]],
         body: bytes,
         *,
+        connect_timeout_s: float,
         permit: Callable[[], None],
         **options: Any,
     ) -> Response:
@@ -95,28 +92,45 @@
         delay_s = self._setup.cross_zone_s
         if target.listed.zone == self._zone:
             delay_s = self._setup.in_zone_s
-        if target.is_refusing:
-            await asyncio.sleep(2 * delay_s)
-            raise errors.ConnectRefusedError(
-                'The target refused the connection',
-                'Check whether the target runs',
-            )
+        await self.links.connect(
+            target.listed.ip,
+            delay_s,
+            connect_timeout_s,
+            is_refusing=target.is_refusing,
+        )
         permit()
-        await asyncio.sleep(delay_s)
-        loop = asyncio.get_running_loop()
+        async with self.links.exchange():
+            reply = await self._exchange(target, dict(headers), delay_s)
+        self.links.release(target.listed.ip)
+        now_s = asyncio.get_running_loop().time()
+        self._record_statements(target, reply, now_s)
+        return Response(reply.status, _headers(target, reply))
+
+    async def _exchange(
+        self,
+        target: targets.Target,
+        headers: Mapping[str, str],
+        delay_s: float,
+    ) -> targets.Reply:
+        """Return the target's reply once it has arrived."""
+        await self.links.transfer(delay_s)
+        now_s = asyncio.get_running_loop().time()
         target_id = target.listed.target_id
-        self._compliance.record_arrival(target_id, self._source, loop.time())
+        self._compliance.record_arrival(target_id, self._source, now_s)
+        request_id = headers[_NAMES.attempt_id]
+        self._runs.record_start(request_id)
         try:
-            reply = await target.serve(self._work(dict(headers)))
+            reply = await target.serve(self._work(headers))
         except targets.ResetError as error:
             await asyncio.sleep(delay_s)
             raise errors.ConnectionLostError(
                 'The target ended the connection without an answer',
                 'Check whether the request ran before sending it again',
             ) from error
-        await asyncio.sleep(delay_s)
-        self._record_statements(target, reply, loop.time())
-        return Response(reply.status, _headers(target, reply))
+        if not reply.has_run:
+            self._runs.record_not_run(request_id)
+        await self.links.transfer(delay_s)
+        return reply
 
     def _work(self, headers: Mapping[str, str]) -> targets.Work:
         """Return what the request means for its target."""
--- a/libraries/workbench/src/sardinepier/workbench/policy/daemons.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/daemons.py
@@ -74,7 +74,7 @@
 
 
 class EmulatedDaemon:
-    """One incarnation of a daemon that is a carrier of its zone."""
+    """One incarnation of a daemon; ``links`` are those to the targets."""
 
     def __init__(
         self,
@@ -100,6 +100,7 @@
             messages.Sender(own.instance_id, own.peer_address)
         )
         zone_carriers = carriers.Carriers(view, clock)
+        self.carriers = zone_carriers
         self._sharing = sharing.ZoneSharing(
             network,
             zone_carriers,
@@ -119,20 +120,15 @@
         )
         self._services = services
         self._activity = activity
+        target_client = client.EmulatedClient(
+            setup, own, emulated_targets, counts
+        )
+        self.links = target_client.links
         self._forwarding = forwarding.Forwarding(
             context.EntryContext(
                 clock=clock,
                 names=header_names.HeaderNames(),
-                client=cast(
-                    Any,
-                    client.EmulatedClient(
-                        setup,
-                        own,
-                        emulated_targets,
-                        counts.compliance,
-                        counts.crashes,
-                    ),
-                ),
+                client=cast(Any, target_client),
                 services=services,
                 quarantine=shared_quarantine,
                 activity=activity,
@@ -167,6 +163,11 @@
             self._sharing.request_early_beat()
 
 
+def in_order(zone_daemons: Sequence[EmulatedDaemon]) -> list[EmulatedDaemon]:
+    """Return the daemons of a zone, its carriers first."""
+    return sorted(zone_daemons, key=lambda daemon: daemon.carriers.own_rank())
+
+
 def member_of(number: int, zone: str) -> fleet.Member:
     """Return a daemon of a zone; ``number`` is unique in the fleet."""
     ip = str(_FIRST_ADDRESS + number)
--- a/libraries/workbench/src/sardinepier/workbench/policy/emulation.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/emulation.py
@@ -13,6 +13,7 @@
 from sardinepier.wire import memory_network
 from sardinepier.workbench.policy import (
     client,
+    cuts,
     daemons,
     floor,
     scenario,
@@ -87,6 +88,8 @@
         self._random = random.Random(seed + 3)
         self._are_daemons_down = False
         self._arrival_factor = 1.0
+        self._cuts = cuts.Cuts(self.counts.cuts)
+        self._sent_requests = 0
         self._requests: set[asyncio.Task[None]] = set()
 
     async def run(self) -> tally.Tally:
@@ -178,31 +181,45 @@
         work_s: float,
     ) -> None:
         sent_s = self._loop.time()
-        score = await self._send(request_class, zone, sent_s, work_s)
+        score = await self._send_first(request_class, zone, sent_s, work_s)
         for _ in range(request_class.caller_retries):
             if not _may_resend(request_class, score):
                 break
             await asyncio.sleep(_CALLER_PAUSE_S)
             if self._loop.time() > sent_s + request_class.deadline_s:
                 break
-            score = await self._send(request_class, zone, sent_s, work_s)
+            daemon = self._random.choice(self._daemons[zone])
+            score = await self._send(request_class, daemon, sent_s, work_s)
         self.counts.add(request_class.name, sent_s, score)
 
-    async def _send(
+    async def _send_first(
         self,
         request_class: scenario.RequestClass,
         zone: str,
         sent_s: float,
         work_s: float,
     ) -> tally.RequestScore:
-        """Send a request once, which its caller first sent at ``sent_s``."""
         daemon = self._random.choice(self._daemons[zone])
+        cut_tries = self._cuts.tries_at(daemon)
+        score = await self._send(request_class, daemon, sent_s, work_s)
+        if cut_tries is not None:
+            cut_tries.add(is_served=score.credit > 0)
+        return score
+
+    async def _send(
+        self,
+        request_class: scenario.RequestClass,
+        daemon: daemons.EmulatedDaemon,
+        sent_s: float,
+        work_s: float,
+    ) -> tally.RequestScore:
+        """Send a request once, which its caller first sent at ``sent_s``."""
         incarnation = self._incarnation
         if self._are_daemons_down:
             return tally.RequestScore(0.0, request_class.worth)
         try:
             answer = await daemon.forward(
-                _caller_request(request_class, sent_s, work_s)
+                self._caller_request(request_class, sent_s, work_s)
             )
         except core_errors.SardinepierError as error:
             self.counts.crashes.held_back += isinstance(
@@ -219,6 +236,35 @@
             )
         return tally.RequestScore(credit, request_class.worth)
 
+    def _caller_request(
+        self,
+        request_class: scenario.RequestClass,
+        sent_s: float,
+        work_s: float,
+    ) -> caller_request.CallerRequest:
+        self._sent_requests += 1
+        request_id = str(self._sent_requests)
+        allowed_runs = (
+            request_class.max_attempts if request_class.repeatable else 1
+        )
+        self.counts.runs.record_request(request_id, allowed_runs)
+        return caller_request.CallerRequest(
+            request_id=request_id,
+            method='GET',
+            path='/',
+            headers=[(client.WORK_HEADER, str(work_s))],
+            body=b'',
+            route=daemons.route_of(request_class),
+            service=ids.ServiceName(request_class.service),
+            arrived_s=sent_s,
+            caller_deadline_s=sent_s + request_class.deadline_s,
+            deadline_s=sent_s + request_class.deadline_s,
+            # Unique per request, so that the quarantine never takes a request for
+            # a repetition of one that crashed targets.
+            fingerprint=int(work_s * _FINGERPRINT_FACTOR),
+            priority=request_class.priority,
+        )
+
     async def _disturb(self, disturbance: scenario.Disturbance) -> None:
         await asyncio.sleep(disturbance.at_s)
         if disturbance.kind is scenario.DisturbanceKind.RESTART:
@@ -229,6 +275,8 @@
             self._arrival_factor = disturbance.strength
             await asyncio.sleep(disturbance.for_s)
             self._arrival_factor = 1.0
+        elif disturbance.kind is scenario.DisturbanceKind.CUT:
+            await self._cuts.play(disturbance, self._daemons)
         elif disturbance.kind is scenario.DisturbanceKind.CRASHING_REQUEST:
             await self._send_crashing(disturbance)
         else:
@@ -245,7 +293,7 @@
         fingerprint = self._crashing_requests
         ends_s = self._loop.time() + disturbance.for_s
         while self._loop.time() < ends_s:
-            request = _caller_request(
+            request = self._caller_request(
                 request_class, self._loop.time(), request_class.work_s
             )
             request.fingerprint = fingerprint
@@ -334,29 +382,6 @@
         setattr(target, name, True if default is False else strength)
 
 
-def _caller_request(
-    request_class: scenario.RequestClass,
-    sent_s: float,
-    work_s: float,
-) -> caller_request.CallerRequest:
-    return caller_request.CallerRequest(
-        request_id='',
-        method='GET',
-        path='/',
-        headers=[(client.WORK_HEADER, str(work_s))],
-        body=b'',
-        route=daemons.route_of(request_class),
-        service=ids.ServiceName(request_class.service),
-        arrived_s=sent_s,
-        caller_deadline_s=sent_s + request_class.deadline_s,
-        deadline_s=sent_s + request_class.deadline_s,
-        # Unique per request, so that the quarantine never takes a request for
-        # a repetition of one that crashed targets.
-        fingerprint=int(work_s * _FINGERPRINT_FACTOR),
-        priority=request_class.priority,
-    )
-
-
 def emulate(setup: scenario.Scenario, seed: int) -> tally.Tally:
     """Run a scenario in virtual time and return the results of its callers."""
     return virtual_loop.run(_emulate(setup, seed))
--- a/libraries/workbench/src/sardinepier/workbench/policy/scenario.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/scenario.py
@@ -94,6 +94,22 @@
     caller_retries: int = 0
 
 
+class CutManner(enum.Enum):
+    """What a cut does to connections between a daemon and the targets."""
+
+    SILENT = 'silent'
+    """Open connections and new ones hang."""
+
+    RESET = 'reset'
+    """Open connections are reset, and new ones hang."""
+
+    REFUSED = 'refused'
+    """Open connections hang, and new ones are refused."""
+
+    LIVE_ON = 'live_on'
+    """Open connections still work, and new ones are refused."""
+
+
 class DisturbanceKind(enum.Enum):
     """The kinds of temporary disturbances."""
 
@@ -123,12 +139,18 @@
     """A request that crashes each target that runs it is sent ``strength``
     times a second, each time to a random daemon."""
 
+    CUT = 'cut'
+    """A ``share`` of the daemons of ``zone`` is cut off from all targets."""
+
     RESTART = 'restart'
     """All daemons stop, and restart without any knowledge of the targets."""
 
 
 class Disturbance(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A disturbance that starts at ``at_s`` and lasts ``for_s`` seconds."""
+    """A disturbance that starts at ``at_s`` and lasts ``for_s`` seconds.
+
+    ``zone`` and ``manner`` are those of a cut; without a zone it affects all.
+    """
 
     kind: DisturbanceKind
     at_s: float
@@ -136,6 +158,8 @@
     service: str = ''
     share: float = 1.0
     strength: float = 1.0
+    zone: str = ''
+    manner: CutManner = CutManner.SILENT
 
 
 class Scenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/libraries/workbench/src/sardinepier/workbench/policy/tally.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/tally.py
@@ -7,7 +7,9 @@
 
 from sardinepier.workbench.policy import (
     crash_tally,
+    cut_tally,
     floor,
+    run_tally,
     statement_compliance,
 )
 
@@ -72,6 +74,8 @@
         """Start without requests."""
         self.floor = floor.Floor()
         self.crashes = crash_tally.CrashTally()
+        self.cuts = cut_tally.CutTally()
+        self.runs = run_tally.RunTally()
         self.compliance = statement_compliance.StatementCompliance()
         self.total = Count()
         self.by_class: dict[str, Count] = collections.defaultdict(Count)
