Relay requests to daemons that reach the targets

Callers of a daemon that had lost the path to all targets were refused, though daemons a millisecond away served the same service: there was no second way.

Change: a daemon that fails to connect to two targets of a service, with no new connection made since, counts as cut off from it and lets a peer make the attempt. Carriers of the own zone come first, then those of other zones, then other daemons. The peer makes one attempt and never relays it on. The first daemon keeps the route by its own configuration, limits of customers, retries with their budget, the hedge, and the deadline, of which the remainder goes along. Nothing but a new connection clears the state: a background check connects to a target each 0.25 to 1 s meanwhile. Relays use an address of their own, which callers don't get; the header is read only there, and only from known daemons. A peer that reaches no target either says so at once and is avoided for a second; after three, the request is refused.

--- a/libraries/daemon/src/sardinepier/daemon/entry_process.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_process.py
@@ -17,6 +17,7 @@
     entry_parts,
     page_servers,
     peer_traffic,
+    relays,
     task_set,
 )
 from sardinepier.entry import (
@@ -24,10 +25,12 @@
     decision_log,
     model,
     pages,
+    path_check,
     pipeline,
     platform_state,
     service_registry,
 )
+from sardinepier.entry import context as contexts
 from sardinepier.gateway import active_requests
 from sardinepier.health import failure_estimate
 from sardinepier.telemetry import logs
@@ -212,7 +215,10 @@
         self._start_tasks(request_context.decision_log)
         self._tasks.start(marks_sharing.run())
         self._tasks.start(traffic.run())
-        request_pipeline = pipeline.Pipeline(request_context)
+        request_relays = await self._open_relays(request_context)
+        request_pipeline = pipeline.Pipeline(
+            request_context, request_relays.relaying
+        )
         front_server = caller_server.HttpServer(
             request_pipeline.handle,
             self._bounds,
@@ -237,7 +243,7 @@
         gc.collect()
         gc.freeze()
         await self._stop.wait()
-        await self._shut_down(front_server, opened_pages)
+        await self._shut_down(front_server, request_relays, opened_pages)
 
     def _start_tasks(self, decisions: decision_log.DecisionLog) -> None:
         self._tasks.start(self._network.run())
@@ -246,6 +252,23 @@
         self._tasks.start(self._maintain(decisions))
         self._tasks.start(self._platform_reader.run())
 
+    async def _open_relays(
+        self, request_context: contexts.EntryContext
+    ) -> relays.Relays:
+        request_relays = relays.Relays(
+            self._settings,
+            request_context,
+            self._carriers,
+            self._membership,
+            self._random,
+        )
+        await request_relays.open()
+        path_checker = path_check.PathChecker(
+            self._services, request_context.client, self._random
+        )
+        self._tasks.start(path_checker.run())
+        return request_relays
+
     async def _open_pages(
         self,
         page_metrics: entry_metrics.EntryMetrics,
@@ -277,6 +300,7 @@
     async def _shut_down(
         self,
         front_server: caller_server.HttpServer,
+        request_relays: relays.Relays,
         opened_pages: page_servers.PageServers,
     ) -> None:
         """Leave the fleet without cutting off a request.
@@ -303,6 +327,7 @@
                 await self._activity.wait_until_idle()
         left_s = deadline_s - self._clock.monotonic_s() - _CLOSE_RESERVE_S / 2
         await front_server.close(max(0.0, left_s))
+        await request_relays.close(0)
         await opened_pages.close()
 
     async def _maintain(self, decisions: decision_log.DecisionLog) -> None:
--- a/libraries/daemon/src/sardinepier/daemon/entry_settings.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_settings.py
@@ -46,7 +46,8 @@
     are read; the last three may be absent. ``seeds`` are the peer addresses
     that the membership starts from. ``names`` are the names of the headers.
     ``capacity`` is what the instance may use of its processor and its network
-    link.
+    link. ``relay`` is the address for requests that other daemons relay; without
+    one, none are relayed from here either.
     """
 
     daemon_id: ids.DaemonId
@@ -61,3 +62,4 @@
     bounds: EntryBounds
     names: header_names.HeaderNames
     capacity: capacities.Capacity = capacities.DEFAULT
+    relay: messages.PeerAddress | None = None
--- a/libraries/daemon/src/sardinepier/daemon/internal/entry_parts.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/entry_parts.py
@@ -105,6 +105,7 @@
         state=members.MemberState.ALIVE,
         started_at_s=clock.monotonic_s(),
         capacity=settings.capacity,
+        relay_port=settings.relay.port if settings.relay else 0,
     )
     fleet = membership.Membership(
         own,
--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import http
 from typing import Final
 
@@ -12,6 +13,7 @@
     caller_request,
     context,
     events,
+    path_check,
     service_pool,
     target_record,
     traffic,
@@ -19,11 +21,6 @@
 from sardinepier.gateway import connections, errors, statements
 from sardinepier.health import refusal_estimate
 
-_CONNECT_TIMEOUT_S: Final = 0.35
-"""A connection within a region takes a few milliseconds. One that takes longer
-than this leads to a dead instance or crosses a link that loses packets. Nothing
-was sent yet, so that another target may get the request."""
-
 _MS_PER_S: Final = 1000
 _OK: Final = 'ok'
 _TARGET_FAILED: Final = 'target_failed'
@@ -133,13 +130,17 @@
             self._headers(),
             self._request.body,
             fresh=False,
-            connect_timeout_s=_CONNECT_TIMEOUT_S,
+            connect_timeout_s=path_check.CONNECT_TIMEOUT_S,
             permit=self._require_sendable,
             path=self._request.path,
             expects=connections.Expectation(
                 self._is_own_answer,
                 self._record.known_since_s,
                 self._open_exchange.mark_sent,
+                functools.partial(
+                    self._shared.services.connectivity.connected,
+                    self._request.service,
+                ),
             ),
         )
         self._traffic.opened(response)
@@ -256,6 +257,13 @@
             self._record_failure(error)
 
     def _record_failure(self, error: errors.GatewayError) -> None:
+        if isinstance(error, errors.ConnectFailedError):
+            self._request.unreached.add(self._record.listed.target_id)
+            self._shared.services.connectivity.failed(
+                self._request.service,
+                self._record.listed.target_id,
+                len(self._pool.targets.records()),
+            )
         if isinstance(error, errors.ConnectTimeoutError):
             self._record.mark_unreachable(self._shared.clock.monotonic_s())
             return
--- a/libraries/entry/src/sardinepier/entry/caller_request.py
+++ b/libraries/entry/src/sardinepier/entry/caller_request.py
@@ -22,7 +22,8 @@
     ``admitted_s`` is when it got a token of the customer's limit, if it had to
     wait for one. ``attempts`` counts the attempts that were started. ``was_sent`` means that
     the first byte was sent to a target. ``is_abandoned`` means that the caller
-    has disconnected, after which no new attempt starts.
+    has disconnected, after which no new attempt starts. Nothing of the request
+    arrived at the targets in ``unreached``, to which this daemon had no path.
     """
 
     request_id: str
@@ -42,6 +43,7 @@
     attempts: int = 0
     was_sent: bool = False
     is_abandoned: bool = False
+    unreached: set[ids.TargetId] = dataclasses.field(default_factory=set)
 
     def left_s(self, clock: clocks.Clock) -> float:
         """Return the seconds until the deadline, not below 0."""
--- a/libraries/entry/src/sardinepier/entry/decision_log.py
+++ b/libraries/entry/src/sardinepier/entry/decision_log.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from sardinepier.core import clock as clocks
+from sardinepier.core import ids
 from sardinepier.entry import (
     caller_request,
     events,
@@ -129,6 +130,29 @@
             ),
         )
 
+    def log_relayed(
+        self,
+        request: caller_request.CallerRequest,
+        peer: ids.InstanceId,
+        outcome: str,
+        taken_s: float,
+    ) -> None:
+        """Log how an attempt by a peer ended."""
+        if not self._failure_lines.allows():
+            return
+        logs.write(
+            events.RequestRelayed(
+                request_id=request.request_id,
+                route=request.route.name,
+                service=request.service,
+                peer=peer,
+                outcome=outcome,
+                attempt=request.attempts,
+                taken_ms=_ms(taken_s),
+                left_ms=_ms(request.left_s(self._clock)),
+            ),
+        )
+
     def log_loss(
         self,
         request: caller_request.CallerRequest,
--- a/libraries/entry/src/sardinepier/entry/events.py
+++ b/libraries/entry/src/sardinepier/entry/events.py
@@ -130,6 +130,23 @@
     other_losses: int
 
 
+class RequestRelayed(line_events.LineEvent, frozen=True):
+    """An attempt was made by another daemon, and how it ended.
+
+    ``outcome`` is ``answered``, ``cancelled`` or the type of the error. The
+    lines of ``peer`` have the same ``request_id``.
+    """
+
+    request_id: str
+    route: str
+    service: str
+    peer: str
+    outcome: str
+    attempt: int
+    taken_ms: int
+    left_ms: int
+
+
 class RetryWaited(line_events.LineEvent, frozen=True):
     """A request waited for retry budget, and got it or was refused.
 
@@ -193,3 +210,22 @@
     added: Sequence[str]
     gone: Sequence[str]
     draining: Sequence[str]
+
+
+class CutOff(line_events.LineEvent, frozen=True):
+    """No target of a service can be connected to; requests are relayed.
+
+    ``failed`` are some targets whose connections failed, of ``targets`` known
+    ones.
+    """
+
+    service: str
+    failed: Sequence[str]
+    targets: int
+
+
+class Reconnected(line_events.LineEvent, frozen=True):
+    """A target of a service that was cut off can be connected to again."""
+
+    service: str
+    lasted_ms: int
--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -3,7 +3,8 @@
 An idempotent request may be retried at another target after a failure, within
 the retry budget and the route's number of attempts. A non-idempotent one may be
 retried only if it is proved that nothing ran. No target gets the same request
-twice.
+twice. While this daemon can't connect to the targets of a service, attempts are
+relayed to daemons that can.
 """
 
 from typing import Final
@@ -20,7 +21,7 @@
     target_record,
 )
 from sardinepier.entry import caller_request as caller_requests
-from sardinepier.entry import retry_waits
+from sardinepier.entry import refusals, relay_messages, relaying, retry_waits
 from sardinepier.gateway import errors
 from sardinepier.routing import admission, retry_queue
 
@@ -37,9 +38,14 @@
 class Forwarding:
     """Sends the requests of one daemon to targets."""
 
-    def __init__(self, shared: context.EntryContext) -> None:
-        """Use the daemon's shared objects."""
+    def __init__(
+        self,
+        shared: context.EntryContext,
+        relay: relaying.Relaying | None = None,
+    ) -> None:
+        """Use the daemon's shared objects; relay requests by ``relay``."""
         self._shared = shared
+        self._relay = relay
 
     async def forward(
         self, request: caller_requests.CallerRequest
@@ -59,6 +65,33 @@
                 pool.refused()
             return history.resolve(error, pool.retry_after_s())
 
+    async def attempt_once(
+        self,
+        request: caller_requests.CallerRequest,
+        history: retries.AttemptHistory,
+    ) -> answers.Answer:
+        """Make one attempt for another daemon, which retries it if need be.
+
+        Other targets are tried as long as nothing arrived at one. Raises
+        ``CutOffError`` if this daemon reaches no target, and the errors of
+        attempts and refusals.
+        """
+        pool = self._shared.services.pool(request.service)
+        while True:
+            if self._shared.services.connectivity.is_cut_off(request.service):
+                raise relay_messages.CutOffError(
+                    'This daemon reaches no target of the service',
+                    'Let another daemon make the attempt',
+                )
+            record = await self._admit(request, pool, history)
+            history.tried.add(record.listed.target_id)
+            try:
+                return await self._attempt(request, pool, record)
+            except errors.NOTHING_ARRIVED as error:
+                history.record_failure(error)
+                if not retries.may_retry_after(request, history, error):
+                    raise
+
     async def _attempts(
         self,
         request: caller_requests.CallerRequest,
@@ -66,10 +99,9 @@
         history: retries.AttemptHistory,
     ) -> answers.Answer:
         while True:
-            record = await self._admit_or_refund(request, pool, history)
-            history.tried.add(record.listed.target_id)
+            run = await self._begin(request, pool, history)
             try:
-                answer = await self._run(request, pool, record, history)
+                answer = await self._run(run, request, pool, history)
             except errors.GatewayError as error:
                 await self._prepare_retry(request, pool, history, error)
                 continue
@@ -81,6 +113,61 @@
             history.answer = answer
             await self._wait_for_budget(request, pool, history)
 
+    async def _begin(
+        self,
+        request: caller_requests.CallerRequest,
+        pool: service_pool.ServicePool,
+        history: retries.AttemptHistory,
+    ) -> racing.Run:
+        """Return the next attempt, by a peer or at the target that was chosen.
+
+        A relayed attempt waits for a slot at the peer.
+        """
+        relayed = self._relayed(request, pool, history)
+        if relayed is not None:
+            return self._relay_or_refund(relayed, pool, history)
+        record = await self._admit_or_refund(request, pool, history)
+        history.tried.add(record.listed.target_id)
+        return self._attempt(request, pool, record)
+
+    async def _relay_or_refund(
+        self,
+        relayed: racing.Run,
+        pool: service_pool.ServicePool,
+        history: retries.AttemptHistory,
+    ) -> answers.Answer:
+        """Run an attempt by a peer, and refund it if the peer refuses."""
+        spent_s = history.spent_s
+        history.spent_s = None
+        is_made = True
+        try:
+            return await relayed
+        except (refusals.NotRunError, relay_messages.CutOffError):
+            is_made = False
+            raise
+        finally:
+            if spent_s is not None and is_made:
+                pool.retries.queue.made(spent_s)
+            elif spent_s is not None:
+                pool.retries.queue.refund(spent_s)
+
+    def _relayed(
+        self,
+        request: caller_requests.CallerRequest,
+        pool: service_pool.ServicePool,
+        history: retries.AttemptHistory,
+    ) -> racing.Run | None:
+        """Return an attempt by a peer, None while targets can be reached."""
+        if not self._shared.services.connectivity.is_cut_off(request.service):
+            return None
+        if self._relay is None or not self._relay.knows_peers():
+            return None
+        return self._relay.attempt(
+            request,
+            history,
+            is_final=not retries.could_retry(request, pool, history),
+        )
+
     async def _prepare_retry(
         self,
         request: caller_requests.CallerRequest,
@@ -127,10 +214,15 @@
             if history.spent_s is not None:
                 pool.retries.queue.refund(history.spent_s)
             raise
+        self._record_spent(pool, history)
+        return record
+
+    def _record_spent(
+        self, pool: service_pool.ServicePool, history: retries.AttemptHistory
+    ) -> None:
         if history.spent_s is not None:
             pool.retries.queue.made(history.spent_s)
             history.spent_s = None
-        return record
 
     async def _admit(
         self,
@@ -164,13 +256,12 @@
 
     async def _run(
         self,
+        first: racing.Run,
         request: caller_requests.CallerRequest,
         pool: service_pool.ServicePool,
-        record: target_record.TargetRecord,
         history: retries.AttemptHistory,
     ) -> answers.Answer:
         """Run one attempt, and a hedge if it is slow."""
-        first = self._attempt(request, pool, record)
         delay_s = pool.hedge_delay_s()
         if delay_s is None or not request.route.is_idempotent:
             return await first
@@ -193,6 +284,9 @@
             return None
         if self._shared.quarantine.crashed_targets(request.fingerprint):
             return None
+        relayed = self._relayed(request, pool, history)
+        if relayed is not None:
+            return self._relayed_hedge(relayed, pool, history)
         record = pool.try_acquire(_requirements(request, pool, history))
         if record is None:
             return None
@@ -203,6 +297,18 @@
         history.ran += 1
         return self._attempt(request, pool, record, is_hedge=True)
 
+    def _relayed_hedge(
+        self,
+        relayed: racing.Run,
+        pool: service_pool.ServicePool,
+        history: retries.AttemptHistory,
+    ) -> racing.Run | None:
+        if not pool.retries.queue.try_spend_for_hedge():
+            relayed.close()
+            return None
+        history.ran += 1
+        return relayed
+
     async def _attempt(
         self,
         request: caller_requests.CallerRequest,
--- a/libraries/entry/src/sardinepier/entry/pipeline.py
+++ b/libraries/entry/src/sardinepier/entry/pipeline.py
@@ -15,19 +15,26 @@
     request_reader,
     responses,
 )
-from sardinepier.entry import caller_request, customer_admission
+from sardinepier.entry import caller_request, customer_admission, relaying
 from sardinepier.telemetry import logs
 
 
 class Pipeline:
     """Answers the requests of callers."""
 
-    def __init__(self, shared: context.EntryContext) -> None:
-        """Use the shared objects of the request path."""
+    def __init__(
+        self,
+        shared: context.EntryContext,
+        relay: relaying.Relaying | None = None,
+    ) -> None:
+        """Use the shared objects of the request path.
+
+        Requests that can't reach a target from here are relayed by ``relay``.
+        """
         self._shared = shared
         self._request_reader = request_reader.RequestReader(shared)
         self._admission = customer_admission.CustomerAdmission(shared)
-        self._forwarding = forwarding.Forwarding(shared)
+        self._forwarding = forwarding.Forwarding(shared, relay)
         self._abandoned_tasks: set[asyncio.Task[answers.Answer]] = set()
 
     async def handle(
--- /dev/null
+++ b/libraries/entry/src/sardinepier/entry/relaying.py
@@ -0,0 +1,280 @@
+"""Relays requests to daemons that reach the targets, over one hop at most.
+
+A daemon that can't connect to the targets of a service lets a peer make the
+attempt. The peer makes one attempt and never relays it on. Retries, their
+budget, limits of customers and the deadline stay with the daemon that received
+the request, so that each counts once.
+"""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable, Iterable
+from typing import Final, Protocol
+
+import yarl
+
+from sardinepier.core import errors as core_errors
+from sardinepier.core import ids
+from sardinepier.entry import (
+    answers,
+    caller_request,
+    context,
+    relay_messages,
+    retries,
+)
+from sardinepier.gateway import errors
+
+_MAX_PEERS: Final = 3
+"""Peers that are tried before a request is refused."""
+
+_AVOIDED_S: Final = 1.0
+"""How long a peer is avoided that could not be reached, or reaches no target."""
+
+_REPLY_MARGIN_S: Final = 0.01
+"""How much earlier the peer's deadline is, so that its reply arrives in time."""
+
+_MS_PER_S: Final = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Peer:
+    """A daemon that accepts relayed requests at ``url``."""
+
+    instance_id: ids.InstanceId
+    zone: ids.ZoneName
+    url: yarl.URL
+
+
+class PeerSource(Protocol):
+    """Names the daemons to which requests may be relayed."""
+
+    @property
+    def own_id(self) -> ids.InstanceId:
+        """Return the id of this daemon."""
+        ...
+
+    def candidates(self) -> Iterable[Peer]:
+        """Return the peers, those first that most likely reach the targets."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayedAnswer:
+    """A target's answer that came through a peer, with the peer's reply."""
+
+    reply: relay_messages.RelayReply
+    answer: answers.Answer
+
+
+class Transport(Protocol):
+    """Sends one relayed attempt to one peer."""
+
+    async def send(
+        self,
+        peer: Peer,
+        request: caller_request.CallerRequest,
+        attempt: relay_messages.RelayedAttempt,
+        permit: Callable[[], None],
+    ) -> RelayedAnswer | relay_messages.RelayReply:
+        """Return the peer's reply, with the answer if a target answered.
+
+        ``permit`` is called right before the first byte. Raises
+        ``ConnectFailedError`` if nothing was sent, and subclasses of
+        ``UnknownFateError`` if the reply was lost.
+        """
+        ...
+
+
+class Relaying:
+    """Relays the requests of one daemon to its peers."""
+
+    def __init__(
+        self,
+        shared: context.EntryContext,
+        peers: PeerSource,
+        transport: Transport,
+    ) -> None:
+        """Relay to ``peers`` by ``transport``."""
+        self._shared = shared
+        self._peers = peers
+        self._transport = transport
+        self._avoided_until_s: dict[
+            tuple[ids.InstanceId, ids.ServiceName], float
+        ] = {}
+
+    def knows_peers(self) -> bool:
+        """Return whether there is any daemon to relay to."""
+        return next(iter(self._peers.candidates()), None) is not None
+
+    async def attempt(
+        self,
+        request: caller_request.CallerRequest,
+        history: retries.AttemptHistory,
+        *,
+        is_final: bool,
+    ) -> answers.Answer:
+        """Let a peer make one attempt, and return the target's answer.
+
+        Another peer is tried as long as nothing was sent to a target. Raises
+        ``CutOffError`` if no peer reaches one, and the errors of attempts.
+        """
+        request.attempts += 1
+        failure: errors.ProvedNotRunError | None = None
+        for _ in range(_MAX_PEERS):
+            peer = next(iter(self._available(request.service)), None)
+            if peer is None:
+                break
+            try:
+                return await self._attempt_at(
+                    peer, request, history, is_final=is_final
+                )
+            except (
+                relay_messages.CutOffError,
+                errors.ConnectFailedError,
+            ) as error:
+                failure = error
+                self._avoid(peer, request.service)
+        raise relay_messages.CutOffError(
+            'No daemon reaches a target of the service',
+            'Send it again after the stated time',
+        ) from failure
+
+    async def _attempt_at(
+        self,
+        peer: Peer,
+        request: caller_request.CallerRequest,
+        history: retries.AttemptHistory,
+        *,
+        is_final: bool,
+    ) -> answers.Answer:
+        began_s = self._shared.clock.monotonic_s()
+        outcome = relay_messages.RelayOutcome.ANSWERED.value
+        try:
+            return await self._exchange(
+                peer, request, history, is_final=is_final
+            )
+        except core_errors.SardinepierError as error:
+            outcome = type(error).__name__
+            raise
+        except asyncio.CancelledError:
+            outcome = 'cancelled'
+            raise
+        finally:
+            self._record(request, peer, outcome, began_s)
+
+    def _record(
+        self,
+        request: caller_request.CallerRequest,
+        peer: Peer,
+        outcome: str,
+        began_s: float,
+    ) -> None:
+        elapsed_s = self._shared.clock.monotonic_s() - began_s
+        self._shared.metrics.relayed(request.service, outcome)
+        self._shared.decision_log.log_relayed(
+            request, peer.instance_id, outcome, elapsed_s
+        )
+
+    async def _exchange(
+        self,
+        peer: Peer,
+        request: caller_request.CallerRequest,
+        history: retries.AttemptHistory,
+        *,
+        is_final: bool,
+    ) -> answers.Answer:
+        sent = _Permit(self._shared, request)
+        left_s = request.left_s(self._shared.clock)
+        try:
+            async with asyncio.timeout(left_s):
+                replied = await self._transport.send(
+                    peer,
+                    request,
+                    self._message(request, history, is_final=is_final),
+                    sent.require,
+                )
+        except TimeoutError as error:
+            if not sent.was_given:
+                request.require_time_left(self._shared.clock)
+            raise errors.AnswerOverdueError(
+                'The daemon that has the request did not answer in time',
+                'Check whether the request ran before sending it again',
+            ) from error
+        if isinstance(replied, relay_messages.RelayReply):
+            _record_tried(request, history, replied)
+            relay_messages.raise_error(replied)
+            raise errors.BadAnswerError(
+                'The daemon that has the request sent no answer of a target',
+                'Check whether the request ran before sending it again',
+            )
+        _record_tried(request, history, replied.reply)
+        return replied.answer
+
+    def _message(
+        self,
+        request: caller_request.CallerRequest,
+        history: retries.AttemptHistory,
+        *,
+        is_final: bool,
+    ) -> relay_messages.RelayedAttempt:
+        now_s = self._shared.clock.monotonic_s()
+        return relay_messages.RelayedAttempt(
+            self._peers.own_id,
+            request.service,
+            request.route,
+            request.priority,
+            _ms(now_s - request.arrived_s),
+            _ms(request.caller_deadline_s - now_s - _REPLY_MARGIN_S),
+            _ms(request.deadline_s - now_s - _REPLY_MARGIN_S),
+            tuple(history.tried - request.unreached),
+            is_final,
+        )
+
+    def _available(self, service: ids.ServiceName) -> Iterable[Peer]:
+        now_s = self._shared.clock.monotonic_s()
+        for peer in self._peers.candidates():
+            key = (peer.instance_id, service)
+            if now_s >= self._avoided_until_s.get(key, now_s):
+                yield peer
+
+    def _avoid(self, peer: Peer, service: ids.ServiceName) -> None:
+        now_s = self._shared.clock.monotonic_s()
+        self._avoided_until_s = {
+            key: until_s
+            for key, until_s in self._avoided_until_s.items()
+            if until_s > now_s
+        }
+        self._avoided_until_s[peer.instance_id, service] = now_s + _AVOIDED_S
+
+
+class _Permit:
+    """Marks a request as sent right before its first byte."""
+
+    def __init__(
+        self,
+        shared: context.EntryContext,
+        request: caller_request.CallerRequest,
+    ) -> None:
+        self.was_given = False
+        self._shared = shared
+        self._request = request
+
+    def require(self) -> None:
+        """Raise if the request must not be sent any more."""
+        self._request.require_time_left(self._shared.clock)
+        self._request.require_caller()
+        self.was_given = True
+        self._request.was_sent = True
+
+
+def _ms(seconds: float) -> int:
+    return max(0, round(seconds * _MS_PER_S))
+
+
+def _record_tried(
+    request: caller_request.CallerRequest,
+    history: retries.AttemptHistory,
+    reply: relay_messages.RelayReply,
+) -> None:
+    history.tried.update(reply.tried)
+    request.unreached.difference_update(reply.tried)
--- a/libraries/entry/src/sardinepier/entry/request_metrics.py
+++ b/libraries/entry/src/sardinepier/entry/request_metrics.py
@@ -28,6 +28,8 @@
     'repeats_granted': 'Further attempts that the retry budgets allowed.',
     'repeats_denied': 'Further attempts that they did not allow.',
     'retry_waits': 'Requests that waited for retry budget, by service.',
+    'relays': 'Attempts by other daemons, by service and how they ended.',
+    'cut_off': 'Whether no target of a service can be connected to, 1 or 0.',
     'sheds': 'Requests that a target refused, by service and cause.',
     'accepted_share': 'Share of the requests that targets accept, by service.',
     'request_duration_ms': 'From a request read to its answer, in ms.',
@@ -144,6 +146,10 @@
         """Count a request that had to wait for retry budget."""
         self._metrics.counter('retry_waits', service=service).add()
 
+    def relayed(self, service: str, outcome: str) -> None:
+        """Count an attempt by a peer, by how it ended."""
+        self._metrics.counter('relays', service=service, how=outcome).add()
+
     def shed(self, service: str, cause: refusal_estimate.ShedCause) -> None:
         """Count a request that a target refused."""
         self._metrics.counter(
@@ -237,7 +243,20 @@
         exposition.Gauge('repeats_granted', granted),
         exposition.Gauge('repeats_denied', denied),
     )
-    return gauges + _accepted_shares(registry)
+    return gauges + _accepted_shares(registry) + _cut_off(registry)
+
+
+def _cut_off(
+    registry: service_registry.ServiceRegistry,
+) -> tuple[exposition.Gauge, ...]:
+    return tuple(
+        exposition.Gauge(
+            'cut_off',
+            int(registry.connectivity.is_cut_off(pool.name)),
+            _labels_of(pool),
+        )
+        for pool in itertools.islice(registry.pools(), _MAX_SERVICES)
+    )
 
 
 def _accepted_shares(
--- a/libraries/entry/src/sardinepier/entry/request_reader.py
+++ b/libraries/entry/src/sardinepier/entry/request_reader.py
@@ -86,7 +86,7 @@
             arrived_s=arrived_s,
             caller_deadline_s=caller_deadline_s,
             deadline_s=min(caller_deadline_s, arrived_s + route.timeout_s),
-            fingerprint=_fingerprint(http_request, content),
+            fingerprint=fingerprint(http_request, content),
             priority=_priority(route, customer),
             customer=customer,
         )
@@ -178,7 +178,7 @@
     return routes.find(host, http_request.raw_path)
 
 
-def _fingerprint(
+def fingerprint(
     http_request: web_request.BaseRequest,
     content: bytes,
 ) -> int:
--- a/libraries/entry/src/sardinepier/entry/retries.py
+++ b/libraries/entry/src/sardinepier/entry/retries.py
@@ -15,6 +15,7 @@
     answers,
     caller_request,
     final_failure,
+    relay_messages,
     service_pool,
 )
 from sardinepier.gateway import errors
@@ -34,6 +35,13 @@
 """Lost connections after which the request is assumed to be the cause."""
 
 
+_FINAL_ERRORS: Final = (
+    errors.AnswerOverdueError,
+    relay_messages.CutOffError,
+)
+"""Errors after which no further attempt could succeed."""
+
+
 @dataclasses.dataclass(slots=True)
 class AttemptHistory:
     """The outcomes of the attempts of one request so far.
@@ -42,7 +50,8 @@
     that a target shed, which ``sheds`` counts. ``ran`` counts those that may
     have run. ``failure`` is the newest error with an unknown fate, ``answer``
     the newest failing answer of a target. ``spent_s`` is when budget was spent
-    for an attempt that has not begun, None without one.
+    for an attempt that has not begun, None without one. ``is_final_attempt``
+    says that another daemon, which the attempt is made for, makes no other.
     """
 
     tried: set[ids.TargetId] = dataclasses.field(default_factory=set)
@@ -53,6 +62,7 @@
     lost_connections: int = 0
     failure: errors.UnknownFateError | None = None
     answer: answers.Answer | None = None
+    is_final_attempt: bool = False
 
     def record_failure(self, error: errors.GatewayError) -> None:
         """Record an attempt that ended without an answer."""
@@ -103,6 +113,8 @@
 
     This spends nothing of the retry budget.
     """
+    if history.is_final_attempt:
+        return False
     if not has_attempts_left(request, history.ran + 1):
         return False
     return pool.retries.queue.can_spend(request.priority)
@@ -116,7 +128,7 @@
     """Return whether a retry may follow ``error``, if there is budget."""
     if request.is_abandoned:
         return False
-    if isinstance(error, errors.AnswerOverdueError):
+    if isinstance(error, _FINAL_ERRORS):
         return False
     if isinstance(error, errors.ShedError):
         return history.sheds < _MAX_SHEDS
--- a/libraries/entry/src/sardinepier/entry/service_registry.py
+++ b/libraries/entry/src/sardinepier/entry/service_registry.py
@@ -10,6 +10,7 @@
 
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
+from sardinepier.entry import connectivity as connectivities
 from sardinepier.entry import (
     customers,
     events,
@@ -66,6 +67,7 @@
         self.confirmation = confirmations.Confirmation(
             clock, confirmed_within_s
         )
+        self.connectivity = connectivities.Connectivity(clock)
         self.limits = fleet_limits.FleetLimits(clock, leeway)
         self.customer_queues = customer_queues.CustomerQueues(
             clock, random_source, self.limits
--- /dev/null
+++ b/libraries/entry/tests/cover/test_entry_relays.py
@@ -0,0 +1,167 @@
+"""Requests relayed by a daemon that can't connect to the targets."""
+
+import asyncio
+
+import entry_support as support
+import pytest
+
+from sardinepier.gateway import headers
+
+LONG_ANSWER = bytes(range(256)) * 12_000
+"""More than a daemon buffers of one answer."""
+
+
+async def cut_off(fleet, *targets):
+    """Cut the first daemon off from targets that the second one reaches."""
+    first, second = fleet
+    await second.set_targets(*targets)
+    await first.lose_path_to(*targets)
+    return first
+
+
+@pytest.mark.parametrize('path', ['/once/1?a=b', '/books/1'])
+async def test_a_request_without_a_path_to_targets_is_relayed(fleet, path):
+    """Guards against refusals where a peer reaches the targets."""
+    targets = support.RawTarget('t-1'), support.RawTarget('t-2')
+    first = await cut_off(fleet, *targets)
+    status, reply_headers, body = await first.send(path, 'POST', b'a body')
+    assert (status, body) == (200, support.BODY)
+    assert reply_headers[support.NAMES.signature] == 'proof-of-id-1'
+    assert headers.OUTCOME not in reply_headers
+    received = [one for target in targets for one in target.received]
+    assert len(received) == 1
+    line, sent_headers, sent_body = received[0]
+    assert line == f'POST {path} HTTP/1.1'.encode()
+    assert sent_body == b'a body'
+    assert sent_headers[support.NAMES.attempt_id] == 'id-1'
+    assert 0 < int(sent_headers[support.NAMES.deadline_ms]) < 2000
+    assert headers.RELAYED not in sent_headers
+
+
+async def test_a_relayed_request_goes_one_hop_at_most(fleet):
+    """Guards against requests that wander between daemons cut off."""
+    targets = support.RawTarget('t-1'), support.RawTarget('t-2')
+    for entry in fleet:
+        await entry.lose_path_to(*targets)
+    status, reply_headers, _ = await fleet[0].send('/once/1', 'POST', b'a')
+    assert status == 503
+    assert float(reply_headers['Retry-After']) < 1
+    assert 'relays_total{how="CutOffError",service="books"} 1' in (
+        await fleet[0].shared.metrics.text(())
+    )
+    assert 'relays_total' not in await fleet[1].shared.metrics.text(())
+
+
+@pytest.mark.parametrize(
+    ('path', 'status', 'runs'), [('/once/1', 502, 1), ('/books/1', 200, 2)]
+)
+async def test_a_lost_relayed_attempt_is_retried_only_if_allowed(
+    fleet, path, status, runs
+):
+    """Guards against a request that runs twice since its reply was lost."""
+    targets = [
+        support.RawTarget('t-1', ('reset', 'ok')),
+        support.RawTarget('t-2', ('reset', 'ok')),
+    ]
+    first = await cut_off(fleet, *targets)
+    targets[1].behaviours = targets[0].behaviours
+    reply = await first.send(path, 'POST', b'a')
+    assert reply[0] == status
+    assert sum(target.run_count for target in targets) == runs
+
+
+async def test_a_peer_that_dies_leaves_the_outcome_unknown(fleet):
+    """Guards against a false statement that the request did not run."""
+    first = await cut_off(fleet, support.RawTarget('t-1', ('hang',)))
+    sent = asyncio.ensure_future(first.send('/once/1', 'POST', b'a'))
+    await support.wait_until(lambda: fleet[1].run_count)
+    for connection in fleet[1].relay_server.connections:
+        connection.transport.abort()
+    reply = await sent
+    assert reply[0] == 502
+    assert fleet[1].run_count == 1
+
+
+async def test_a_target_that_refuses_leaves_the_retry_to_the_first_daemon(
+    fleet,
+):
+    """Guards against retries that no daemon's budget counts."""
+    targets = [support.RawTarget('t-1', ('shed',)), support.RawTarget('t-2')]
+    targets[1].behaviours = ['shed']
+    first = await cut_off(fleet, *targets)
+    budgets = [
+        entry.shared.services.pool(support.SERVICE).retry_budget
+        for entry in fleet
+    ]
+    reply = await first.send('/once/1', 'POST', b'a')
+    assert reply[0] == 503
+    assert [budget.granted for budget in budgets] == [1, 0]
+    assert sorted(len(target.received) for target in targets) == [1, 1]
+
+
+async def test_the_remaining_deadline_passes_over_the_hop(fleet):
+    """Guards against a target that works on after the caller's deadline."""
+    target = support.RawTarget('t-1', ('hang',))
+    first = await cut_off(fleet, target)
+    deadline = {support.NAMES.deadline_ms: '300'}
+    reply = await asyncio.wait_for(
+        first.send('/once/1', 'POST', b'a', **deadline), 1.0
+    )
+    assert reply[0] == 504
+    assert int(target.received[0][1][support.NAMES.deadline_ms]) < 300
+    await support.wait_until(lambda: target.disconnects_while_running)
+
+
+async def test_a_caller_that_leaves_ends_the_attempt_behind_the_hop(fleet):
+    """Guards against targets that work for callers who have left."""
+    target = support.RawTarget('t-1', ('hang',))
+    first = await cut_off(fleet, target)
+    _, writer = await asyncio.open_connection(support.LOOPBACK, first.port)
+    writer.write(support.request('/books/1'))
+    await support.wait_until(lambda: target.received)
+    writer.close()
+    await support.wait_until(lambda: target.disconnects_while_running)
+
+
+async def test_a_long_answer_is_streamed_over_the_hop(fleet):
+    target = support.RawTarget('t-1', (support.with_body(LONG_ANSWER),))
+    first = await cut_off(fleet, target)
+    status, _, body = await first.send()
+    assert status == 200
+    assert body == LONG_ANSWER
+
+
+async def test_an_answer_that_breaks_off_does_not_look_whole(fleet):
+    def broken(echo):
+        return support.answer(echo, body=LONG_ANSWER)[:-1000]
+
+    target = support.RawTarget('t-1', (broken,))
+    first = await cut_off(fleet, target)
+    sent = asyncio.ensure_future(first.send())
+    await support.wait_until(lambda: target.received)
+    await asyncio.sleep(0.1)
+    target.server.close()
+    for task in asyncio.all_tasks():
+        if 'RawTarget._serve' in str(task.get_coro()):
+            task.cancel()
+    with pytest.raises(asyncio.IncompleteReadError):
+        await sent
+
+
+async def test_callers_can_not_mark_a_request_as_relayed(fleet):
+    """Guards against callers who avoid the limits of the first daemon."""
+    target = support.RawTarget('t-1')
+    await fleet[0].set_targets(target)
+    reply = await fleet[0].send(**{headers.RELAYED: 'kQ=='})
+    assert reply[0] == 200
+    assert headers.RELAYED not in target.received[0][1]
+
+
+async def test_only_daemons_of_the_fleet_may_relay(fleet):
+    """Guards against anybody else who reaches the address for relays."""
+    target = support.RawTarget('t-1')
+    first = await cut_off(fleet, target)
+    first.peers.urls.pop(first.own_id)
+    reply = await first.send('/once/1', 'POST', b'a')
+    assert reply[0] == 503
+    assert not target.received
--- a/libraries/entry/tests/entry_support.py
+++ b/libraries/entry/tests/entry_support.py
@@ -6,9 +6,25 @@
 import socket
 import struct
 
+import yarl
+
+from sardinepier.core import clock as clocks
 from sardinepier.core import ids
-from sardinepier.entry import header_names, model, service_pool
+from sardinepier.entry import (
+    buffer_budget,
+    caller_server,
+    context,
+    decision_log,
+    header_names,
+    model,
+    pipeline,
+)
+from sardinepier.entry import relay_http, relay_service, relaying
+from sardinepier.entry import request_metrics, service_pool, service_registry
+from sardinepier.gateway import active_requests
+from sardinepier.gateway import client as clients
 from sardinepier.health import failure_estimate
+from sardinepier.once import quarantine
 
 LOOPBACK = '127.0.0.1'
 SERVICE = ids.ServiceName('books')
@@ -224,6 +240,16 @@
         self.targets = []
         self.list_revision = 0
 
+    async def lose_path_to(self, *targets):
+        """List targets at addresses where nothing listens."""
+        self.list_revision += 1
+        self.shared.services.offer_targets(
+            model.TargetList(
+                self.list_revision,
+                tuple(listed(target.name, closed_port()) for target in targets),
+            ),
+        )
+
     async def set_targets(self, *targets):
         self.list_revision += 1
         for target in targets:
@@ -252,6 +278,103 @@
         return sum(target.run_count for target in self.targets)
 
 
+class Peers:
+    """The daemons of a test, which know each other by their ids."""
+
+    def __init__(self):
+        self.urls = {}
+
+    def is_member(self, instance_id):
+        return instance_id in self.urls
+
+    def source_for(self, own_id):
+        return PeersOf(self, own_id)
+
+
+class PeersOf:
+    """What one of the daemons knows of the others."""
+
+    def __init__(self, peers, own_id):
+        self.own_id = own_id
+        self.peers = peers
+
+    def candidates(self):
+        return [
+            relaying.Peer(instance_id, ZONE, url)
+            for instance_id, url in self.peers.urls.items()
+            if instance_id != self.own_id
+        ]
+
+
+def closed_port():
+    """Return a port where nothing listens."""
+    with socket.socket() as unused:
+        unused.bind((LOOPBACK, 0))
+        return unused.getsockname()[1]
+
+
+def shared_context():
+    clock = clocks.SystemClock()
+    registry = service_registry.ServiceRegistry(
+        ZONE,
+        clock,
+        random.Random(7),
+        50.0,
+        failure_estimate.EstimateOptions(),
+    )
+    registry.set_retry_burst(10)
+    registry.offer_configuration(configuration())
+    return context.EntryContext(
+        clock=clock,
+        names=NAMES,
+        client=clients.TargetClient(),
+        services=registry,
+        quarantine=quarantine.Quarantine(clock),
+        activity=active_requests.ActiveRequests(),
+        decision_log=decision_log.DecisionLog(registry, clock),
+        metrics=request_metrics.RequestMetrics(),
+        buffer_budget=buffer_budget.BufferBudget(),
+    )
+
+
+@contextlib.asynccontextmanager
+async def running_entry(peers=None):
+    """Run one daemon's request path, which relays if it has ``peers``."""
+    shared = shared_context()
+    relay = None
+    relay_server = None
+    own_id = None
+    if peers is not None:
+        own_id = ids.InstanceId(f'd~{len(peers.urls):016x}')
+        relay = relaying.Relaying(
+            shared, peers.source_for(own_id), relay_http.HttpTransport(shared)
+        )
+        handler = relay_http.RelayHandler(
+            shared, relay_service.RelayService(shared), peers.is_member
+        )
+        relay_server = caller_server.HttpServer(handler.handle, handler.bounds)
+        relay_port = await relay_server.start(LOOPBACK, 0)
+        peers.urls[own_id] = yarl.URL(f'http://{LOOPBACK}:{relay_port}')
+    request_pipeline = pipeline.Pipeline(shared, relay)
+    server = caller_server.HttpServer(
+        request_pipeline.handle,
+        lambda: shared.services.configuration.bounds,
+        request_pipeline.start_pipelined,
+    )
+    port = await server.start(LOOPBACK, 0)
+    entry = Entry(shared, server, port)
+    entry.relay_server = relay_server
+    entry.own_id = own_id
+    entry.peers = peers
+    yield entry
+    await server.close(0.1)
+    if relay_server is not None:
+        await relay_server.close(0.1)
+    await shared.client.close()
+    for target in entry.targets:
+        target.server.close()
+
+
 def request(path='/books/1', method='GET', body=b'', **headers):
     all_headers = {
         'Host': 'a.example',
--- a/libraries/gateway/src/sardinepier/gateway/client.py
+++ b/libraries/gateway/src/sardinepier/gateway/client.py
@@ -76,6 +76,19 @@
                 )
         raise _no_connection()
 
+    async def check_connection(
+        self, ip: str, port: int, timeout_s: float
+    ) -> None:
+        """Make a connection and close it; raise ``ConnectFailedError``."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                transport, _ = await self._loop.create_connection(
+                    asyncio.Protocol, ip, port
+                )
+        except OSError as error:
+            raise outgoing.connect_error(error) from error
+        transport.close()
+
 
 def _no_connection() -> errors.ConnectFailedError:
     return errors.ConnectFailedError(
--- a/libraries/gateway/src/sardinepier/gateway/outgoing.py
+++ b/libraries/gateway/src/sardinepier/gateway/outgoing.py
@@ -56,6 +56,8 @@
                 'The target closed a pooled connection, or has restarted',
                 'Use another connection',
             )
+        if self.expects.on_connected is not None and not protocol.is_reused:
+            self.expects.on_connected()
         writer = await self._writer_to(conn, protocol)
         self.exchange.begin_writing()
         protocol.set_body_length(len(self.content))
@@ -164,24 +166,29 @@
             raise
 
     def _connection_error(self, error: Exception) -> errors.GatewayError:
+        if not self.written:
+            return connect_error(error)
         name = type(error).__name__
-        if self.written and connections.is_gone(error):
+        if connections.is_gone(error):
             return errors.TargetGoneError(
                 f'The target is gone and left no answer ({name})',
                 'Check whether the request ran before sending it again',
             )
-        if self.written:
-            return errors.ConnectionLostError(
-                f'The target ended the connection without an answer ({name})',
-                'Check whether the request ran before sending it again',
-            )
-        return _connect_error_type(error)(
-            f'The connection to the target failed ({name})',
-            'Send the request again',
-            _RETRY_AFTER_S,
+        return errors.ConnectionLostError(
+            f'The target ended the connection without an answer ({name})',
+            'Check whether the request ran before sending it again',
         )
 
 
+def connect_error(error: Exception) -> errors.ConnectFailedError:
+    """Return the error for a connection that was not made."""
+    return _connect_error_type(error)(
+        f'The connection to the target failed ({type(error).__name__})',
+        'Send the request again',
+        _RETRY_AFTER_S,
+    )
+
+
 def _connect_error_type(error: Exception) -> type[errors.ConnectFailedError]:
     if isinstance(error, TimeoutError):
         return errors.ConnectTimeoutError
--- a/libraries/membership/src/sardinepier/membership/internal/record.py
+++ b/libraries/membership/src/sardinepier/membership/internal/record.py
@@ -27,6 +27,7 @@
     http_ip: str
     http_port: int
     capacity: capacities.Capacity
+    relay_port: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,6 +92,7 @@
         http_ip=member.http_ip,
         http_port=member.http_port,
         capacity=member.capacity,
+        relay_port=member.relay_port,
     )
     return Record(
         identity,
@@ -113,6 +115,7 @@
         http_ip=identity.http_ip,
         http_port=identity.http_port,
         capacity=identity.capacity,
+        relay_port=identity.relay_port,
         incarnation=record.incarnation,
         state=_state(record),
         started_at_s=record.started_at_s,
@@ -131,6 +134,7 @@
         http_ip=identity.http_ip,
         http_port=identity.http_port,
         capacity=identity.capacity,
+        relay_port=identity.relay_port,
         incarnation=record.incarnation,
         liveness=record.liveness,
         leaving=record.leaving,
@@ -152,6 +156,7 @@
         http_ip=update.http_ip,
         http_port=update.http_port,
         capacity=update.capacity,
+        relay_port=update.relay_port,
     )
     return Record(
         identity,
--- a/libraries/membership/src/sardinepier/membership/kinds.py
+++ b/libraries/membership/src/sardinepier/membership/kinds.py
@@ -15,6 +15,8 @@
 MAX_UPDATES: Final = 1024
 DIGEST_BYTES: Final = 256
 
+_MAX_PORT: Final = 65535
+_Port = Annotated[int, msgspec.Meta(ge=0, le=_MAX_PORT)]
 _Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INCARNATION)]
 
 
@@ -45,6 +47,7 @@
     leaving: bool
     age_ms: _Count
     capacity: capacities.Capacity = capacities.DEFAULT
+    relay_port: _Port = 0
 
 
 _Buckets = Annotated[
--- a/libraries/membership/src/sardinepier/membership/members.py
+++ b/libraries/membership/src/sardinepier/membership/members.py
@@ -32,6 +32,7 @@
     member started. The estimate is late by the transit time of the updates
     and never early. The member increments ``incarnation`` to refute claims
     about itself. ``capacity`` is what the instance announces it can process.
+    ``relay_port``, at ``http_ip``, accepts relayed requests; 0 if none does.
     """
 
     instance_id: ids.InstanceId
@@ -45,6 +46,7 @@
     state: MemberState
     started_at_s: float
     capacity: capacities.Capacity = capacities.DEFAULT
+    relay_port: int = 0
 
 
 def daemon_of(instance_id: ids.InstanceId) -> ids.DaemonId:
--- a/libraries/workbench/src/sardinepier/workbench/policy/client.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/client.py
@@ -9,7 +9,7 @@
 import yarl
 
 from sardinepier.entry import header_names
-from sardinepier.gateway import errors
+from sardinepier.gateway import connections, errors
 from sardinepier.gateway import headers as gateway_headers
 from sardinepier.membership import members
 from sardinepier.workbench.policy import links, scenario, tally, targets
@@ -85,6 +85,7 @@
         *,
         connect_timeout_s: float,
         permit: Callable[[], None],
+        expects: connections.Expectation,
         **options: Any,
     ) -> Response:
         """Send a request; ``options`` of real connections have no effect."""
@@ -92,12 +93,14 @@
         delay_s = self._setup.cross_zone_s
         if target.listed.zone == self._zone:
             delay_s = self._setup.in_zone_s
-        await self.links.connect(
+        is_new = await self.links.connect(
             target.listed.ip,
             delay_s,
             connect_timeout_s,
             is_refusing=target.is_refusing,
         )
+        if is_new and expects.on_connected is not None:
+            expects.on_connected()
         permit()
         async with self.links.exchange():
             reply = await self._exchange(target, dict(headers), delay_s)
@@ -106,6 +109,15 @@
         self._record_statements(target, reply, now_s)
         return Response(reply.status, _headers(target, reply))
 
+    async def check_connection(
+        self, ip: str, port: int, timeout_s: float
+    ) -> None:
+        """Make a connection; raise ``ConnectFailedError``."""
+        target = self._by_ip[ip]
+        await self.links.make(
+            self._setup.cross_zone_s, timeout_s, is_refusing=target.is_refusing
+        )
+
     async def _exchange(
         self,
         target: targets.Target,
--- a/libraries/workbench/src/sardinepier/workbench/policy/daemons.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/daemons.py
@@ -3,7 +3,7 @@
 import asyncio
 import ipaddress
 import random
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Any, cast, Final
 
 from sardinepier.core import ids
@@ -15,10 +15,12 @@
     forwarding,
     header_names,
     model,
-    service_registry,
+    path_check,
 )
-from sardinepier.entry import request_metrics as entry_metrics
 from sardinepier.entry import caller_request
+from sardinepier.entry import relay_messages, relay_service, relaying
+from sardinepier.entry import request_metrics as entry_metrics
+from sardinepier.entry import service_registry
 from sardinepier.gateway import active_requests
 from sardinepier.health import failure_estimate
 from sardinepier.membership import members as fleet
@@ -26,6 +28,7 @@
 from sardinepier.wire import memory_network, messages
 from sardinepier.workbench.policy import (
     client,
+    relays,
     scenario,
     tally,
     targets,
@@ -35,6 +38,7 @@
     carriers,
     expired_entries,
     quarantine_sharing,
+    relay_peers,
     sharing,
     zone_load,
 )
@@ -84,8 +88,12 @@
         emulated_targets: Sequence[targets.Target],
         random_source: random.Random,
         counts: tally.Tally,
+        receivers: Mapping[ids.InstanceId, relays.RelayReceiver],
     ) -> None:
-        """Start without any target and estimate."""
+        """Start without any target and estimate.
+
+        Requests are relayed to the daemons in ``receivers``.
+        """
         clock = virtual_loop.VirtualClock(asyncio.get_running_loop())
         own = view.own
         services = service_registry.ServiceRegistry(
@@ -124,22 +132,33 @@
             setup, own, emulated_targets, counts
         )
         self.links = target_client.links
+        shared = context.EntryContext(
+            clock=clock,
+            names=header_names.HeaderNames(),
+            client=cast(Any, target_client),
+            services=services,
+            quarantine=shared_quarantine,
+            activity=activity,
+            decision_log=decision_log.DecisionLog(services, clock),
+            metrics=entry_metrics.RequestMetrics(),
+            buffer_budget=buffer_budget.BufferBudget(),
+        )
+        self._relay_service = relay_service.RelayService(shared)
         self._forwarding = forwarding.Forwarding(
-            context.EntryContext(
-                clock=clock,
-                names=header_names.HeaderNames(),
-                client=cast(Any, target_client),
-                services=services,
-                quarantine=shared_quarantine,
-                activity=activity,
-                decision_log=decision_log.DecisionLog(services, clock),
-                metrics=entry_metrics.RequestMetrics(),
-                buffer_budget=buffer_budget.BufferBudget(),
+            shared,
+            relaying.Relaying(
+                shared,
+                relay_peers.RelayPeers(zone_carriers, random_source),
+                relays.EmulatedTransport(setup, own.zone, receivers),
             ),
         )
+        path_checker = path_check.PathChecker(
+            services, target_client, random_source
+        )
         self._tasks = [
             asyncio.ensure_future(self._sharing.run()),
             asyncio.ensure_future(marks_sharing.run()),
+            asyncio.ensure_future(path_checker.run()),
         ]
 
     def offer_targets(self, listed: model.TargetList) -> None:
@@ -153,6 +172,15 @@
         with self._activity:
             return await self._forwarding.forward(request)
 
+    async def relayed(
+        self,
+        request: caller_request.CallerRequest,
+        attempt: relay_messages.RelayedAttempt,
+    ) -> relaying.RelayedAnswer | relay_messages.RelayReply:
+        """Make an attempt for another daemon."""
+        with self._activity:
+            return await self._relay_service.attempt(request, attempt)
+
     def stop(self) -> None:
         """Stop sending updates to the other daemons."""
         for task in self._tasks:
@@ -182,6 +210,7 @@
         incarnation=0,
         state=fleet.MemberState.ALIVE,
         started_at_s=0.0,
+        relay_port=_PORT + 2,
     )
 
 
--- a/libraries/workbench/src/sardinepier/workbench/policy/emulation.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/emulation.py
@@ -120,17 +120,19 @@
         self._are_daemons_down = False
         self._incarnation += 1
         self._daemons = {zone: [] for zone in self._setup.zones}
+        by_id: dict[ids.InstanceId, daemons.EmulatedDaemon] = {}
         for number, member in enumerate(self._members):
-            self._daemons[member.zone].append(
-                daemons.EmulatedDaemon(
-                    self._setup,
-                    daemons.FleetView(self._members, member),
-                    self._hub,
-                    self._targets,
-                    random.Random(hash((self._seed, number))),
-                    self.counts,
-                ),
+            daemon = daemons.EmulatedDaemon(
+                self._setup,
+                daemons.FleetView(self._members, member),
+                self._hub,
+                self._targets,
+                random.Random(hash((self._seed, number))),
+                self.counts,
+                by_id,
             )
+            by_id[member.instance_id] = daemon
+            self._daemons[member.zone].append(daemon)
         self._offer_targets()
 
     def _offer_targets(self) -> None:
--- a/libraries/workbench/src/sardinepier/workbench/policy/links.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/links.py
@@ -65,13 +65,26 @@
 
     async def connect(
         self, ip: str, delay_s: float, timeout_s: float, *, is_refusing: bool
-    ) -> None:
-        """Take an idle connection or make one; raise ``ConnectFailedError``."""
+    ) -> bool:
+        """Take an idle connection or make one; return whether it is new.
+
+        Raises ``ConnectFailedError``.
+        """
         now_s = asyncio.get_running_loop().time()
         pooled = self._idle_until_s[ip]
         while pooled:
             if pooled.pop() > now_s and not is_refusing:
-                return
+                return False
+        await self.make(delay_s, timeout_s, is_refusing=is_refusing)
+        return True
+
+    async def make(
+        self, delay_s: float, timeout_s: float, *, is_refusing: bool
+    ) -> None:
+        """Make a connection, at no cost without a fault.
+
+        Raises ``ConnectFailedError``.
+        """
         if self._cut is None and not is_refusing:
             return
         if self._cut in _HANGS_WHEN_NEW:
--- a/tests/adapter/instance_process.py
+++ b/tests/adapter/instance_process.py
@@ -31,7 +31,7 @@
         # take a port between its release and its use.
         high, low = divmod(os.getpid(), 250)
         self.ip = f'127.{1 + high % 250}.{low}.{name[-1]}'
-        free = free_ports(self.ip, len(LISTENERS))
+        relay_port, *free = free_ports(self.ip, 1 + len(LISTENERS))
         self.ports = dict(zip(LISTENERS, free, strict=True))
         self.path = folder / f'{name}.conf'
         lines = [
@@ -43,6 +43,7 @@
             f'provider.address={store_address}',
             f'seeds={seeds or self.address("control")}',
             f'ip={self.ip}',
+            f'port_range={relay_port},{relay_port}',
             *(
                 f'listen.{listener}={self.address(listener)}'
                 for listener in LISTENERS
--- a/tests/adapter/test_adapter_settings.py
+++ b/tests/adapter/test_adapter_settings.py
@@ -20,6 +20,7 @@
 listen.ready=10.1.0.18:8388
 listen.control=10.1.0.18:8382
 listen.directory=10.1.0.18:8383
+port_range=7200,7215
 seeds=10.1.0.18:8382,10.2.0.34:8382
 bounds=drain_s=2,grace_s=5,retry_budget_ratio=0.3,retry_budget_burst=64,ttl_max_s=4,min_share=0.6
 provider.address=10.200.1.7:8384
@@ -43,6 +44,7 @@
     assert found.metrics == messages.PeerAddress('10.1.0.18', 9464)
     assert found.directory == messages.PeerAddress('10.1.0.18', 8383)
     assert found.ready == messages.PeerAddress('10.1.0.18', 8388)
+    assert found.relay == messages.PeerAddress('10.1.0.18', 7200)
     assert found.seeds[1] == messages.PeerAddress('10.2.0.34', 8382)
     assert settings_file.store_address(fields) == '10.200.1.7:8384'
 
