Hand a zone over to a daemon that reaches targets

Callers were sent to a successor that was cut off like the carrier before it, and stayed there for ten seconds: a handover went blindly to the next daemon, and there was one at a time. A carrier to which connections were refused never handed over.

Change: a carrier that is cut off from all targets asks the next two daemons to check their paths, and hands the zone over as soon as the first of them reaches a target. Those that reach none drop out of the order, and stay out until they reach one. Where none does, nothing changes: requests are relayed. A first carrier that is cut off says so to the other zones, which then use the targets of its zone, too. The handover of a carrier that misses only some targets stays as it was.

--- a/libraries/daemon/src/sardinepier/daemon/entry_process.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_process.py
@@ -266,6 +266,7 @@
         path_checker = path_check.PathChecker(
             self._services, request_context.client, self._random
         )
+        self._sharing.successors.check_paths = path_checker.check_all
         self._tasks.start(path_checker.run())
         return request_relays
 
--- a/libraries/entry/src/sardinepier/entry/service_registry.py
+++ b/libraries/entry/src/sardinepier/entry/service_registry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import random
 from collections.abc import Callable, Iterable
 from typing import Final
@@ -181,6 +182,18 @@
         """Return the pools of all services."""
         return self._pools.values()
 
+    def is_cut_off_from_all(self) -> bool:
+        """Return whether no target of any service can be connected to."""
+        known = [pool.name for pool in self.pools() if pool.targets.records()]
+        return bool(known) and all(map(self.connectivity.is_cut_off, known))
+
+    def failed_targets(self) -> list[ids.TargetId]:
+        """Return some targets that could not be connected to lately."""
+        failed = itertools.chain.from_iterable(
+            self.connectivity.failed_targets(pool.name) for pool in self.pools()
+        )
+        return sorted(failed)[:_MAX_NAMED]
+
     async def wait_until_configured(self, within_s: float) -> None:
         """Wait until there is a configuration, ``within_s`` at most."""
         if self._table is not None:
--- a/libraries/workbench/src/sardinepier/workbench/policy/daemons.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/daemons.py
@@ -155,6 +155,7 @@
         path_checker = path_check.PathChecker(
             services, target_client, random_source
         )
+        self._sharing.successors.check_paths = path_checker.check_all
         self._tasks = [
             asyncio.ensure_future(self._sharing.run()),
             asyncio.ensure_future(marks_sharing.run()),
--- a/libraries/zones/src/sardinepier/zones/estimate_sharing.py
+++ b/libraries/zones/src/sardinepier/zones/estimate_sharing.py
@@ -100,8 +100,11 @@
         report = messages.BeliefReport(
             self._collect_due_estimates(now_s),
             statements=self._other_zone_statements.collect(),
+            is_cut_off=self._services.is_cut_off_from_all(),
+        )
+        is_empty = not (
+            report.estimates or report.statements or report.is_cut_off
         )
-        is_empty = not report.estimates and not report.statements
         for member in self._carriers.of_other_zones():
             if not (is_empty and self.sends_regularly_to(member.instance_id)):
                 self._network.send(member.peer_address, report)
@@ -148,6 +151,8 @@
     ) -> None:
         if zone is not None:
             self.unreachable_zones.record_report(zone)
+        if zone is not None and report.is_cut_off:
+            self.unreachable_zones.record_cut_off(zone)
         self._apply(report, target_record.ObservationSource.OTHER_ZONE)
 
     def _apply(
@@ -174,7 +179,7 @@
         if self._carriers.is_first():
             return
         forwarded = messages.BeliefReport(
-            report.estimates, zone, report.statements
+            report.estimates, zone, report.statements, report.is_cut_off
         )
         for member in self._carriers.of_own_zone()[:1]:
             self._network.send(member.peer_address, forwarded)
--- a/libraries/zones/src/sardinepier/zones/handover.py
+++ b/libraries/zones/src/sardinepier/zones/handover.py
@@ -11,7 +11,7 @@
 from sardinepier.core import ids
 from sardinepier.entry import service_registry, target_record
 from sardinepier.telemetry import logs
-from sardinepier.zones import carriers, events
+from sardinepier.zones import carriers, events, successors
 
 _MIN_TARGETS: Final = 2
 """Unreachable targets of one service that cause a handover; a single one may be
@@ -39,21 +39,36 @@
         self,
         services: service_registry.ServiceRegistry,
         zone_carriers: carriers.Carriers,
+        search: successors.SuccessorSearch,
         clock: clocks.Clock,
     ) -> None:
-        """Check the targets of ``services``."""
+        """Check the targets of ``services``.
+
+        While none of them can be reached, ``search`` finds a successor.
+        """
+        self._search = search
         self._services = services
         self._carriers = zone_carriers
         self._clock = clock
 
     def begin(self) -> bool:
         """Hand the zone over if that is due; return whether it was done."""
+        if self._services.is_cut_off_from_all():
+            return self._begin_cut_off()
         unreachable = self._unreachable_targets()
         if not unreachable or not self._carriers.hand_over():
             return False
         logs.write(events.ZoneHandedOver(out_of_reach=unreachable))
         return True
 
+    def _begin_cut_off(self) -> bool:
+        if not self._search.step():
+            return False
+        logs.write(
+            events.ZoneHandedOver(out_of_reach=self._services.failed_targets())
+        )
+        return True
+
     def _unreachable_targets(self) -> list[ids.TargetId]:
         """Return the unreachable targets of the first service with enough."""
         now_s = self._clock.monotonic_s()
--- a/libraries/zones/src/sardinepier/zones/messages.py
+++ b/libraries/zones/src/sardinepier/zones/messages.py
@@ -80,12 +80,14 @@
 
     Non-carriers report to the carriers of their zone, and first carriers to
     those of other zones. ``of_zone`` names the zone that a report came from if
-    a daemon of the receiver's own zone forwards it.
+    a daemon of the receiver's own zone forwards it. ``is_cut_off`` says that the
+    sender, a first carrier, can't connect to any target.
     """
 
     estimates: tuple[TargetEstimate, ...]
     of_zone: ids.ZoneName | None = None
     statements: tuple[StatementUpdate, ...] = ()
+    is_cut_off: bool = False
 
 
 class ConfirmationRequest(messages.Message, frozen=True):
@@ -230,6 +232,16 @@
     snapshot_age_ms: int
 
 
+class PathQuery(messages.Message, frozen=True):
+    """Requests that the receiver check its paths to the targets."""
+
+
+class PathReport(messages.Message, frozen=True):
+    """Whether the sender, which has just tried, can't connect to any target."""
+
+    is_cut_off: bool
+
+
 KINDS = (
     ZoneBeat,
     BeliefReport,
@@ -242,4 +254,6 @@
     ConfigurationNews,
     TargetsNews,
     TargetsChange,
+    PathQuery,
+    PathReport,
 )
--- a/libraries/zones/src/sardinepier/zones/role.py
+++ b/libraries/zones/src/sardinepier/zones/role.py
@@ -3,7 +3,13 @@
 from sardinepier.core import clock as clocks
 from sardinepier.entry import service_registry
 from sardinepier.telemetry import logs
-from sardinepier.zones import carriers, events, handover, zone_load
+from sardinepier.zones import (
+    carriers,
+    events,
+    handover,
+    successors,
+    zone_load,
+)
 
 
 class Role:
@@ -17,13 +23,16 @@
         services: service_registry.ServiceRegistry,
         zone_carriers: carriers.Carriers,
         load: zone_load.ZoneLoad,
+        search: successors.SuccessorSearch,
         clock: clocks.Clock,
     ) -> None:
-        """Start as a non-carrier."""
+        """Start as a non-carrier; ``search`` finds successors."""
         self.load = load
         self._services = services
         self._carriers = zone_carriers
-        self._handover = handover.Handover(services, zone_carriers, clock)
+        self._handover = handover.Handover(
+            services, zone_carriers, search, clock
+        )
         self._was_carrier = False
 
     def step(self) -> bool:
--- a/libraries/zones/src/sardinepier/zones/sharing.py
+++ b/libraries/zones/src/sardinepier/zones/sharing.py
@@ -28,7 +28,7 @@
 from sardinepier.zones import limit_shares as shares
 from sardinepier.zones import slot_sharing as slots
 from sardinepier.zones import updates as zone_updates
-from sardinepier.zones import usage_sharing
+from sardinepier.zones import successors, usage_sharing
 
 _MIN_INTERVAL_S: Final = 0.02
 """Minimum time between two heartbeats, also when targets keep failing."""
@@ -49,7 +49,7 @@
     """Exchanges updates between one daemon and its zone.
 
     ``on_configuration`` is called with each configuration that comes into
-    force.
+    force. ``successors`` finds another carrier while this daemon is cut off.
     """
 
     def __init__(
@@ -103,7 +103,12 @@
         self._estimates.sends_regularly_to = self._usage.sends_regularly_to
         self._usage.on_regular_usage = self._estimates.record_reachable
         self._limit_shares = shares.LimitShares(services, zone_carriers)
-        self._role = role.Role(services, zone_carriers, load, clock)
+        self.successors = successors.SuccessorSearch(
+            peer_network, zone_carriers, services, clock
+        )
+        self._role = role.Role(
+            services, zone_carriers, load, self.successors, clock
+        )
         self._early_beat = asyncio.Event()
         peer_network.subscribe(messages.ZoneBeat, self._on_heartbeat)
 
