Blame no target and no request for what is lost with the path to all targets

A cut that resets connections marked the requests on them as crashing targets, and refused connections counted as failures of their targets. Both were told to all daemons, so that innocent requests could be quarantined and sound targets avoided everywhere.

Cause: an attempt that failed was evidence about its target or request, whatever else failed at the same moment.

Change: while a service is cut off, failures of attempts are no evidence. Connections to three targets that are lost in the same moment start a check of the paths, before any of the losses counts. A refused connection no longer ends open exchanges with its target when all new connections are refused.

A single refused or lost connection still counts, as long as it is alone.

--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -8,6 +8,7 @@
 
 from aiohttp import client_reqrep
 
+from sardinepier.core import clock as clocks
 from sardinepier.entry import (
     answers,
     caller_request,
@@ -44,6 +45,7 @@
         ``is_hedge`` means that another attempt of ``request`` is in flight.
         """
         self._shared = shared
+        self._connectivity = shared.services.connectivity
         self._request = request
         self._pool = pool
         self._record = record
@@ -83,6 +85,10 @@
             try:
                 answer = await self._exchange_in_time()
             except errors.GatewayError as error:
+                if isinstance(error, errors.ConnectionLostError):
+                    await self._connectivity.is_path_lost(
+                        self._request.service, self._record.listed.target_id
+                    )
                 self._record_error(error)
                 self._report_failure(type(error).__name__, error.what)
                 raise
@@ -138,8 +144,7 @@
                 self._record.known_since_s,
                 self._open_exchange.mark_sent,
                 functools.partial(
-                    self._shared.services.connectivity.connected,
-                    self._request.service,
+                    self._connectivity.connected, self._request.service
                 ),
             ),
         )
@@ -151,7 +156,9 @@
                 response,
                 self._shared.names,
                 self._shared.buffer_budget.answer_limit_bytes(),
-                self._read_deadline_s(),
+                _loop_time_of(
+                    self._request.caller_deadline_s, self._shared.clock
+                ),
             )
         except BaseException:
             response.close()
@@ -159,13 +166,6 @@
         self._shared.buffer_budget.charge(answer, len(answer.body))
         return answer
 
-    def _read_deadline_s(self) -> float:
-        """Return the caller's deadline, as a time of the event loop."""
-        left_s = (
-            self._request.caller_deadline_s - self._shared.clock.monotonic_s()
-        )
-        return asyncio.get_running_loop().time() + left_s
-
     def _headers(self) -> list[tuple[str, str]]:
         names = self._shared.names
         request = self._request
@@ -259,12 +259,13 @@
     def _record_failure(self, error: errors.GatewayError) -> None:
         if isinstance(error, errors.ConnectFailedError):
             self._request.unreached.add(self._record.listed.target_id)
-            self._shared.services.connectivity.failed(
+            self._connectivity.failed(
                 self._request.service,
                 self._record.listed.target_id,
                 len(self._pool.targets.records()),
             )
-        if isinstance(error, errors.ConnectTimeoutError):
+        is_timeout = isinstance(error, errors.ConnectTimeoutError)
+        if is_timeout or self._is_cut_off():
             self._record.mark_unreachable(self._shared.clock.monotonic_s())
             return
         self._open_exchange.record_error(error)
@@ -272,12 +273,15 @@
             target_id = self._record.listed.target_id
             self._shared.exchanges.record_refused(
                 self._open_exchange,
-                lambda: self._pool.targets.find(target_id) is self._record,
+                lambda: (
+                    self._pool.targets.find(target_id) is self._record
+                    and not self._is_cut_off()
+                ),
             )
         self._pool.failed(self._record, self._elapsed_s())
 
     def _record_cancellation(self) -> None:
-        if self._is_sent:
+        if self._is_sent and not self._is_cut_off():
             self._pool.failed(
                 self._record,
                 self._elapsed_s(),
@@ -290,9 +294,14 @@
         The route's timeout may be shorter than the typical latency.
         """
         elapsed_s = self._elapsed_s()
+        if self._is_cut_off():
+            return
         if target_record.is_hang(elapsed_s, self._pool.typical_latency_s):
             self._pool.failed(self._record, 0)
 
+    def _is_cut_off(self) -> bool:
+        return self._connectivity.is_cut_off(self._request.service)
+
     def _report_failure(self, kind: str, what: str) -> None:
         elapsed_s = self._elapsed_s()
         self._shared.metrics.attempt_ended(
@@ -320,3 +329,9 @@
     if request.attempts:
         return events.Reason.AGAIN
     return events.Reason.TURN if record.is_exploration else events.Reason.FIRST
+
+
+def _loop_time_of(time_s: float, clock: clocks.Clock) -> float:
+    """Return a time of ``clock`` as a time of the event loop."""
+    left_s = time_s - clock.monotonic_s()
+    return asyncio.get_running_loop().time() + left_s
--- a/libraries/entry/src/sardinepier/entry/connectivity.py
+++ b/libraries/entry/src/sardinepier/entry/connectivity.py
@@ -2,12 +2,13 @@
 
 A daemon may lose the network path to all targets while other daemons keep
 theirs. Only new connections show it: open ones may outlive the path, and a
-target that resets them may be failing by itself.
+target that resets them may be failing by itself. What fails while the path is
+lost is no evidence about targets and requests.
 """
 
 import asyncio
 import dataclasses
-from collections.abc import Collection
+from collections.abc import Awaitable, Callable, Collection
 from typing import Final
 
 from sardinepier.core import clock as clocks
@@ -22,6 +23,11 @@
 _FAILURE_VALID_S: Final = 5.0
 """Connections are pooled, so that a failure is seldom followed by a success."""
 
+_MIN_LOST_TARGETS: Final = 3
+"""Targets whose connections are lost at the same moment before the paths are
+checked: several targets seldom crash together."""
+
+_SAME_MOMENT_S: Final = 0.05
 _MAX_NAMED: Final = 4
 _MS_PER_S: Final = 1000
 
@@ -30,7 +36,7 @@
 class _ServicePaths:
     """Failed connection attempts since the last connection that was made.
 
-    ``failed_s`` maps each target to when its newest attempt failed.
+    ``lost_s`` maps each target to when its newest connection was lost. ``failed_s`` maps each target to when its newest attempt failed.
     ``cut_off_s`` is since when the service counts as unreachable, if it does.
     """
 
@@ -38,11 +44,15 @@
         default_factory=dict
     )
     cut_off_s: float | None = None
+    lost_s: dict[ids.TargetId, float] = dataclasses.field(default_factory=dict)
 
 
 class Connectivity:
     """Judges by connection attempts which services can be reached.
 
+    ``check`` tries to connect to targets of a service. It is set by the code
+    that owns the connections.
+
     For example::
 
         connectivity.failed(service, target_id, target_count)
@@ -55,6 +65,31 @@
         self._clock = clock
         self._paths: dict[ids.ServiceName, _ServicePaths] = {}
         self._changed = asyncio.Event()
+        self.check: Callable[[ids.ServiceName], Awaitable[None]] = (
+            _check_nothing
+        )
+
+    async def is_path_lost(
+        self, service: ids.ServiceName, target_id: ids.TargetId
+    ) -> bool:
+        """Return whether an open connection was lost because its path was.
+
+        A cut may reset the connections to all targets at once. The paths are
+        then checked before any of these losses counts.
+        """
+        now_s = self._clock.monotonic_s()
+        paths = self._paths.setdefault(service, _ServicePaths())
+        paths.lost_s[target_id] = now_s
+        # The other connections are lost in the same iteration of the loop.
+        await asyncio.sleep(0)
+        paths.lost_s = {
+            lost_id: lost_s
+            for lost_id, lost_s in paths.lost_s.items()
+            if now_s - lost_s < _SAME_MOMENT_S
+        }
+        if len(paths.lost_s) >= _MIN_LOST_TARGETS:
+            await self.check(service)
+        return self.is_cut_off(service)
 
     def failed(
         self,
@@ -117,3 +152,7 @@
         while not self.cut_off_services():
             self._changed.clear()
             await self._changed.wait()
+
+
+async def _check_nothing(service: ids.ServiceName) -> None:
+    """Do nothing: the default of ``check``."""
--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -335,6 +335,9 @@
             quarantine.released(request.fingerprint)
             raise
         except errors.ConnectionLostError:
+            if self._shared.services.connectivity.is_cut_off(request.service):
+                quarantine.released(request.fingerprint)
+                raise
             target_id = record.listed.target_id
             loss = quarantine.crashed(
                 request.fingerprint,
--- a/libraries/entry/src/sardinepier/entry/path_check.py
+++ b/libraries/entry/src/sardinepier/entry/path_check.py
@@ -47,6 +47,8 @@
         self._connectivity = services.connectivity
         self._connector = connector
         self._random = random_source
+        self._checks: dict[ids.ServiceName, asyncio.Task[None]] = {}
+        self._connectivity.check = self._check_shared
 
     async def run(self) -> None:
         """Check while anything is cut off, until cancelled."""
@@ -66,6 +68,17 @@
             *(self._check(pool) for pool in tuple(self._services.pools()))
         )
 
+    async def _check_shared(self, service: ids.ServiceName) -> None:
+        """Check one service, in one check for all who ask meanwhile."""
+        check = self._checks.get(service)
+        if check is None:
+            check = asyncio.create_task(
+                self._check(self._services.pool(service))
+            )
+            self._checks[service] = check
+            check.add_done_callback(lambda _: self._checks.pop(service))
+        await asyncio.shield(check)
+
     async def _check_cut_off(self) -> None:
         await asyncio.gather(
             *(
--- a/libraries/entry/tests/cover/test_entry_relays.py
+++ b/libraries/entry/tests/cover/test_entry_relays.py
@@ -1,10 +1,12 @@
 """Requests relayed by a daemon that can't connect to the targets."""
 
 import asyncio
+import random
 
 import entry_support as support
 import pytest
 
+from sardinepier.entry import path_check
 from sardinepier.gateway import headers
 
 LONG_ANSWER = bytes(range(256)) * 12_000
@@ -140,10 +142,7 @@
     sent = asyncio.ensure_future(first.send())
     await support.wait_until(lambda: target.received)
     await asyncio.sleep(0.1)
-    target.server.close()
-    for task in asyncio.all_tasks():
-        if 'RawTarget._serve' in str(task.get_coro()):
-            task.cancel()
+    target.vanish()
     with pytest.raises(asyncio.IncompleteReadError):
         await sent
 
@@ -165,3 +164,35 @@
     reply = await first.send('/once/1', 'POST', b'a')
     assert reply[0] == 503
     assert not target.received
+
+
+async def test_what_a_cut_resets_is_no_evidence(fleet):
+    """Guards against requests and targets that are blamed for a lost path."""
+    first = fleet[0]
+    path_check.PathChecker(
+        first.shared.services, first.shared.client, random.Random(1)
+    )
+    targets = [support.RawTarget(f't-{number}', ('hang',)) for number in '123']
+    await first.set_targets(*targets)
+    pool = first.shared.services.pool(support.SERVICE)
+    before = failing_probabilities(pool)
+    requests = [
+        asyncio.ensure_future(first.send('/once/1', 'POST', bytes([number])))
+        for number in range(3)
+    ]
+    await support.wait_until(lambda: all(one.received for one in targets))
+    for target in targets:
+        target.vanish()
+    replies = await asyncio.gather(*requests)
+    assert [reply[0] for reply in replies] == [502, 502, 502]
+    assert not first.shared.quarantine.has_marks()
+    assert failing_probabilities(pool) <= before
+
+
+def failing_probabilities(pool):
+    """Return the estimates of all targets, rounded, best first."""
+    now_s = asyncio.get_running_loop().time()
+    return sorted(
+        round(record.estimate.failing_probability(now_s), 1)
+        for record in pool.targets.records()
+    )
--- a/libraries/entry/tests/entry_support.py
+++ b/libraries/entry/tests/entry_support.py
@@ -112,6 +112,13 @@
         self.disconnects_while_running = 0
         self.gate = asyncio.Event()
         self.server = None
+        self.writers = []
+
+    def vanish(self):
+        """Reset all connections and refuse new ones."""
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
 
     @property
     def port(self):
@@ -122,6 +129,7 @@
 
     async def _serve(self, reader, writer):
         self.connections += 1
+        self.writers.append(writer)
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
