Relay requests that wait for a slot when the path to the targets is lost

Requests in flight hang with the path and keep their slots, so that others waited behind them for a slot that never came, up to their deadline, while new ones were relayed.

Cause: whether to relay was decided once, before the wait.

Change: the wait ends as soon as attempts are relayed. When to relay, and how relays draw on the retry budget, has a class of its own.

Test: entry_relays, a_request_that_waits_for_a_slot_is_relayed_too; without the change it times out after 0.5 s.

--- a/libraries/entry/src/sardinepier/entry/attempt_requirements.py
+++ b/libraries/entry/src/sardinepier/entry/attempt_requirements.py
@@ -1,7 +1,7 @@
 """What a request requires of its target, and how this is relaxed over time."""
 
 import dataclasses
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from typing import Final
 
 from sardinepier.core import ids
@@ -13,6 +13,10 @@
 _MIN_WAIT_S: Final = 0.01
 
 
+def _accept() -> None:
+    """Do nothing: the targets can be reached."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptRequirements:
     """What one attempt of a request requires of its target.
@@ -22,6 +26,7 @@
     with a free slot. ``is_final_attempt`` says that no retry may follow, so
     that a failure would be final. A request with a lower ``priority`` is more
     urgent; it may have to leave free slots to more urgent ones of other daemons.
+    ``require_path`` raises as soon as the request is not to wait here any more.
     """
 
     tried: Collection[ids.TargetId]
@@ -30,6 +35,7 @@
     prefer_best_until_s: float
     is_final_attempt: bool = False
     priority: int = 0
+    require_path: Callable[[], None] = _accept
 
     def tolerance(self, now_s: float) -> float:
         """Return by how much the target may cost more than the best one."""
--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -7,21 +7,27 @@
 relayed to daemons that can.
 """
 
+import contextlib
+import dataclasses
+import functools
+from collections.abc import Callable
 from typing import Final
 
 from sardinepier.core import errors as core_errors
+from sardinepier.core import ids
 from sardinepier.entry import (
     answers,
     attempt,
-    attempt_requirements,
     context,
     racing,
+    relayed_attempts,
     retries,
     service_pool,
     target_record,
 )
 from sardinepier.entry import caller_request as caller_requests
-from sardinepier.entry import refusals, relay_messages, relaying, retry_waits
+from sardinepier.entry import attempt_requirements, relay_messages, relaying
+from sardinepier.entry import retry_waits
 from sardinepier.gateway import errors
 from sardinepier.routing import admission, retry_queue
 
@@ -45,7 +51,9 @@
     ) -> None:
         """Use the daemon's shared objects; relay requests by ``relay``."""
         self._shared = shared
-        self._relay = relay
+        self._relayed = relayed_attempts.RelayedAttempts(
+            shared.services.connectivity, relay
+        )
 
     async def forward(
         self, request: caller_requests.CallerRequest
@@ -78,12 +86,10 @@
         """
         pool = self._shared.services.pool(request.service)
         while True:
-            if self._shared.services.connectivity.is_cut_off(request.service):
-                raise relay_messages.CutOffError(
-                    'This daemon reaches no target of the service',
-                    'Let another daemon make the attempt',
-                )
-            record = await self._admit(request, pool, history)
+            self._relayed.require_path(request.service)
+            record = await self._admit(
+                request, pool, history, self._relayed.require_path
+            )
             history.tried.add(record.listed.target_id)
             try:
                 return await self._attempt(request, pool, record)
@@ -121,52 +127,15 @@
     ) -> racing.Run:
         """Return the next attempt, by a peer or at the target that was chosen.
 
-        A relayed attempt waits for a slot at the peer.
+        A relayed attempt waits for a slot at the peer, also if the path is lost
+        while the request waits for one here.
         """
-        relayed = self._relayed(request, pool, history)
-        if relayed is not None:
-            return self._relay_or_refund(relayed, pool, history)
-        record = await self._admit_or_refund(request, pool, history)
-        history.tried.add(record.listed.target_id)
-        return self._attempt(request, pool, record)
-
-    async def _relay_or_refund(
-        self,
-        relayed: racing.Run,
-        pool: service_pool.ServicePool,
-        history: retries.AttemptHistory,
-    ) -> answers.Answer:
-        """Run an attempt by a peer, and refund it if the peer refuses."""
-        spent_s = history.spent_s
-        history.spent_s = None
-        is_made = True
-        try:
-            return await relayed
-        except (refusals.NotRunError, relay_messages.CutOffError):
-            is_made = False
-            raise
-        finally:
-            if spent_s is not None and is_made:
-                pool.retries.queue.made(spent_s)
-            elif spent_s is not None:
-                pool.retries.queue.refund(spent_s)
-
-    def _relayed(
-        self,
-        request: caller_requests.CallerRequest,
-        pool: service_pool.ServicePool,
-        history: retries.AttemptHistory,
-    ) -> racing.Run | None:
-        """Return an attempt by a peer, None while targets can be reached."""
-        if not self._shared.services.connectivity.is_cut_off(request.service):
-            return None
-        if self._relay is None or not self._relay.knows_peers():
-            return None
-        return self._relay.attempt(
-            request,
-            history,
-            is_final=not retries.could_retry(request, pool, history),
-        )
+        while not self._relayed.are_due(request.service):
+            with contextlib.suppress(relay_messages.CutOffError):
+                record = await self._admit_or_refund(request, pool, history)
+                history.tried.add(record.listed.target_id)
+                return self._attempt(request, pool, record)
+        return self._relayed.run(request, pool, history)
 
     async def _prepare_retry(
         self,
@@ -209,7 +178,9 @@
         history: retries.AttemptHistory,
     ) -> target_record.TargetRecord:
         try:
-            record = await self._admit(request, pool, history)
+            record = await self._admit(
+                request, pool, history, self._relayed.require_not_due
+            )
         except BaseException:
             if history.spent_s is not None:
                 pool.retries.queue.refund(history.spent_s)
@@ -229,7 +200,9 @@
         request: caller_requests.CallerRequest,
         pool: service_pool.ServicePool,
         history: retries.AttemptHistory,
+        require: Callable[[ids.ServiceName], None],
     ) -> target_record.TargetRecord:
+        """Wait for a slot, as long as ``require`` does not raise."""
         request.require_time_left(self._shared.clock)
         self._shared.quarantine.admit(request.fingerprint)
         # A second crash of the same target would give no new information.
@@ -248,7 +221,10 @@
                     accepts_any_target=not history.tried,
                     preferred_start_by_s=preferred_start_by_s(request, pool),
                 ),
-                _requirements(request, pool, history),
+                dataclasses.replace(
+                    _requirements(request, pool, history),
+                    require_path=functools.partial(require, request.service),
+                ),
             )
         except BaseException:
             self._shared.quarantine.released(request.fingerprint)
@@ -284,9 +260,8 @@
             return None
         if self._shared.quarantine.crashed_targets(request.fingerprint):
             return None
-        relayed = self._relayed(request, pool, history)
-        if relayed is not None:
-            return self._relayed_hedge(relayed, pool, history)
+        if self._relayed.are_due(request.service):
+            return self._relayed.hedge(request, pool, history)
         record = pool.try_acquire(_requirements(request, pool, history))
         if record is None:
             return None
@@ -297,18 +272,6 @@
         history.ran += 1
         return self._attempt(request, pool, record, is_hedge=True)
 
-    def _relayed_hedge(
-        self,
-        relayed: racing.Run,
-        pool: service_pool.ServicePool,
-        history: retries.AttemptHistory,
-    ) -> racing.Run | None:
-        if not pool.retries.queue.try_spend_for_hedge():
-            relayed.close()
-            return None
-        history.ran += 1
-        return relayed
-
     async def _attempt(
         self,
         request: caller_requests.CallerRequest,
--- a/libraries/entry/src/sardinepier/entry/relay_messages.py
+++ b/libraries/entry/src/sardinepier/entry/relay_messages.py
@@ -82,6 +82,14 @@
     """The daemon that was to make the attempt reaches no target."""
 
 
+def cut_off_error() -> CutOffError:
+    """Return the error of a daemon that reaches no target of a service."""
+    return CutOffError(
+        'This daemon reaches no target of the service',
+        'Let another daemon make the attempt',
+    )
+
+
 class RelayRefusedError(refusals.NotRunError):
     """The daemon that was to make the attempt refused it."""
 
--- /dev/null
+++ b/libraries/entry/src/sardinepier/entry/relayed_attempts.py
@@ -0,0 +1,88 @@
+"""When attempts are relayed, and how they draw on the retry budget."""
+
+from sardinepier.core import ids
+from sardinepier.entry import (
+    answers,
+    caller_request,
+    connectivity,
+    racing,
+    refusals,
+    relay_messages,
+    relaying,
+)
+from sardinepier.entry import retries, service_pool
+
+
+class RelayedAttempts:
+    """Attempts that peers make while this daemon is cut off from a service."""
+
+    def __init__(
+        self,
+        paths: connectivity.Connectivity,
+        relay: relaying.Relaying | None,
+    ) -> None:
+        """Relay by ``relay``, or nothing without it."""
+        self._paths = paths
+        self._relay = relay
+
+    def are_due(self, service: ids.ServiceName) -> bool:
+        """Return whether attempts for a service are relayed now."""
+        if not self._paths.is_cut_off(service):
+            return False
+        return self._relay is not None and self._relay.knows_peers()
+
+    def require_not_due(self, service: ids.ServiceName) -> None:
+        """Raise ``CutOffError`` if attempts are relayed now."""
+        if self.are_due(service):
+            raise relay_messages.cut_off_error()
+
+    def require_path(self, service: ids.ServiceName) -> None:
+        """Raise ``CutOffError`` if this daemon is cut off from a service."""
+        if self._paths.is_cut_off(service):
+            raise relay_messages.cut_off_error()
+
+    async def run(
+        self,
+        request: caller_request.CallerRequest,
+        pool: service_pool.ServicePool,
+        history: retries.AttemptHistory,
+    ) -> answers.Answer:
+        """Let a peer make an attempt, and refund it if the peer refuses."""
+        spent_s = history.spent_s
+        history.spent_s = None
+        is_made = True
+        try:
+            return await self._attempt(request, pool, history)
+        except (refusals.NotRunError, relay_messages.CutOffError):
+            is_made = False
+            raise
+        finally:
+            if spent_s is not None and is_made:
+                pool.retries.queue.made(spent_s)
+            elif spent_s is not None:
+                pool.retries.queue.refund(spent_s)
+
+    def hedge(
+        self,
+        request: caller_request.CallerRequest,
+        pool: service_pool.ServicePool,
+        history: retries.AttemptHistory,
+    ) -> racing.Run | None:
+        """Return a hedge by a peer, None without budget for it."""
+        if not pool.retries.queue.try_spend_for_hedge():
+            return None
+        history.ran += 1
+        return self._attempt(request, pool, history)
+
+    def _attempt(
+        self,
+        request: caller_request.CallerRequest,
+        pool: service_pool.ServicePool,
+        history: retries.AttemptHistory,
+    ) -> racing.Run:
+        assert self._relay is not None  # noqa: S101 - the callers checked it
+        return self._relay.attempt(
+            request,
+            history,
+            is_final=not retries.could_retry(request, pool, history),
+        )
--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -137,6 +137,7 @@
         )
         if accepts_from_s >= queued_request.deadline_s:
             raise _no_target(self)
+
         target_id = await self._queue.acquire(
             queued_request,
             lambda: self._choose(requirements),
@@ -263,6 +264,7 @@
     def _choose(
         self, requirements: attempt_requirements.AttemptRequirements
     ) -> ids.TargetId | None:
+        requirements.require_path()
         now_s = self._clock.monotonic_s()
         not_accepting = self.targets.not_accepting()
         accepting = [
--- a/libraries/entry/tests/cover/test_entry_relays.py
+++ b/libraries/entry/tests/cover/test_entry_relays.py
@@ -40,6 +40,23 @@
     assert headers.RELAYED not in sent_headers
 
 
+async def test_a_request_that_waits_for_a_slot_is_relayed_too(fleet):
+    """Guards against waits behind requests that hang with the path."""
+    first = fleet[0]
+    target = support.RawTarget('t-1')
+    for entry in fleet:
+        await entry.set_targets(target)
+    services = first.shared.services
+    record = services.pool(support.SERVICE).targets.find('t-1')
+    record.full_until_s = float('inf')
+    sent = asyncio.ensure_future(first.send('/once/1', 'POST', b'a'))
+    await support.wait_until(lambda: first.shared.activity.in_flight)
+    await asyncio.sleep(0.05)
+    assert not target.received
+    services.connectivity.failed(support.SERVICE, 't-1', 1)
+    assert (await asyncio.wait_for(sent, 0.5))[0] == 200
+
+
 async def test_a_relayed_request_goes_one_hop_at_most(fleet):
     """Guards against requests that wander between daemons cut off."""
     targets = support.RawTarget('t-1'), support.RawTarget('t-2')
