Make no attempts for others while exiting, and keep relay connections longer than their users

Read on the new code: a peer that exits could cut off an attempt that it made for another daemon, a connection could be closed by the peer just as a request was written to it, and an occupied port kept the instance from starting.

A daemon that drains answers that it reaches no target, so that another one is asked. An occupied port is logged, and the instance serves without relays.

Test: entry_relays, a_daemon_that_exits_makes_no_attempts_for_others.

--- a/libraries/daemon/src/sardinepier/daemon/internal/relays.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/relays.py
@@ -12,6 +12,7 @@
     relaying,
 )
 from sardinepier.membership import members, view
+from sardinepier.telemetry import logs
 from sardinepier.zones import carriers, relay_peers
 
 
@@ -42,9 +43,13 @@
         self._server = caller_server.HttpServer(handler.handle, handler.bounds)
 
     async def open(self) -> None:
-        """Accept relayed requests, if there is an address for them."""
-        if self._address is not None:
+        """Accept relayed requests, if there is a free address for them."""
+        if self._address is None:
+            return
+        try:
             await self._server.start(self._address.ip, self._address.port)
+        except OSError as error:
+            logs.failure('relays-unavailable', error)
 
     async def close(self, within_s: float) -> None:
         """Close the connections of other daemons."""
--- a/libraries/daemon/tests/cover/test_daemon_line_events.py
+++ b/libraries/daemon/tests/cover/test_daemon_line_events.py
@@ -53,5 +53,6 @@
     'daemon-failed',
     'settings-refused',
     'metrics-unavailable',
+    'relays-unavailable',
 }
 """Log events without a class of their own, for failures of any type."""
--- a/libraries/entry/src/sardinepier/entry/relay_http.py
+++ b/libraries/entry/src/sardinepier/entry/relay_http.py
@@ -29,6 +29,10 @@
 _HEADER_BYTES: Final = 16384
 """Room for the message beside the headers of the caller."""
 
+_IDLE_TIMEOUT_S: Final = 60.0
+"""Longer than the client keeps a connection, so that a request never meets one
+that is being closed."""
+
 IsMember = Callable[[ids.InstanceId], bool]
 
 
@@ -114,12 +118,18 @@
     async def handle(
         self, http_request: web_request.BaseRequest
     ) -> web_response.StreamResponse:
-        """Return the response to a relayed request."""
-        with self._shared.activity:
-            response = await self._answer(http_request)
+        """Return the response to a relayed request.
+
+        A daemon that is about to exit makes no new attempts for others.
+        """
         if self._shared.activity.is_draining:
+            response = _reply_response(
+                relay_messages.reply_of(relay_messages.cut_off_error(), ())
+            )
             response.force_close()
-        return response
+            return response
+        with self._shared.activity:
+            return await self._answer(http_request)
 
     def bounds(self) -> model.CallerBounds:
         """Return the limits of requests that other daemons relay."""
@@ -129,7 +139,7 @@
             bounds.header_bytes + _HEADER_BYTES,
             bounds.body_bytes,
             bounds.header_timeout_s,
-            bounds.idle_timeout_s,
+            _IDLE_TIMEOUT_S,
         )
 
     async def _answer(
--- a/libraries/entry/tests/cover/test_entry_relays.py
+++ b/libraries/entry/tests/cover/test_entry_relays.py
@@ -142,6 +142,15 @@
     await support.wait_until(lambda: target.disconnects_while_running)
 
 
+async def test_a_daemon_that_exits_makes_no_attempts_for_others(fleet):
+    """Guards against attempts that are cut off by the exit of a peer."""
+    target = support.RawTarget('t-1')
+    first = await cut_off(fleet, target)
+    fleet[1].shared.activity.begin_draining()
+    assert (await first.send('/once/1', 'POST', b'a'))[0] == 503
+    assert not target.received
+
+
 async def test_a_long_answer_is_streamed_over_the_hop(fleet):
     target = support.RawTarget('t-1', (support.with_body(LONG_ANSWER),))
     first = await cut_off(fleet, target)
