Let few daemons of a zone announce that they are cut off

Where all of a large zone is cut off, its daemons would drop out of the order one after the other, and each of them tell all others, again each five seconds: messages that grow with the square of the zone (computed for 500 daemons: 100 a second and daemon).

After eight, no further one is asked or drops out; requests are relayed anyway. Whether there is a peer to relay to is answered without ordering the zone.

Test: zones_successors, few_daemons_of_a_large_zone: of 40, fewer than 12 are out.

--- a/libraries/entry/src/sardinepier/entry/relaying.py
+++ b/libraries/entry/src/sardinepier/entry/relaying.py
@@ -53,6 +53,10 @@
         """Return the id of this daemon."""
         ...
 
+    def knows_any(self) -> bool:
+        """Return whether there is any peer."""
+        ...
+
     def candidates(self) -> Iterable[Peer]:
         """Return the peers, those first that most likely reach the targets."""
         ...
@@ -104,7 +108,7 @@
 
     def knows_peers(self) -> bool:
         """Return whether there is any daemon to relay to."""
-        return next(iter(self._peers.candidates()), None) is not None
+        return self._peers.knows_any()
 
     async def attempt(
         self,
--- a/libraries/entry/tests/entry_support.py
+++ b/libraries/entry/tests/entry_support.py
@@ -306,6 +306,9 @@
         self.own_id = own_id
         self.peers = peers
 
+    def knows_any(self):
+        return bool(self.candidates())
+
     def candidates(self):
         return [
             relaying.Peer(instance_id, ZONE, url)
--- a/libraries/zones/src/sardinepier/zones/relay_peers.py
+++ b/libraries/zones/src/sardinepier/zones/relay_peers.py
@@ -30,6 +30,14 @@
         """Return the id of this daemon."""
         return self._carriers.own_id
 
+    def knows_any(self) -> bool:
+        """Return whether there is any other daemon to relay to."""
+        return any(
+            member.relay_port and member.instance_id != self._carriers.own_id
+            for zone_members in self._carriers.ranking.by_zone().values()
+            for member in zone_members
+        )
+
     def candidates(self) -> Iterator[relaying.Peer]:
         """Yield the daemons that accept relayed requests, best first."""
         named = {self._carriers.own_id}
--- a/libraries/zones/src/sardinepier/zones/successors.py
+++ b/libraries/zones/src/sardinepier/zones/successors.py
@@ -28,6 +28,11 @@
 others take it back into the order."""
 
 
+_MAX_EXCLUDED: Final = 8
+"""Daemons that drop out at most. If so many in a row reach no target, most likely
+none of the zone does, and each one that drops out tells the whole zone."""
+
+
 class SuccessorSearch:
     """Hands the zone over while this daemon is cut off, and answers others.
 
@@ -62,14 +67,18 @@
         """
         now_s = self._clock.monotonic_s()
         successors = self._successors()
-        if not successors or now_s < self._next_announcement_s:
+        if now_s < self._next_announcement_s:
+            return False
+        is_excluded = self._carriers.availability.has_handed_over(
+            self._carriers.own_id
+        )
+        if not successors and not is_excluded:
             return False
         if self._carriers.is_carrier():
-            reported_s = self._reachable_s.get(successors[0].instance_id)
-            if reported_s is None or now_s - reported_s > _REPORT_VALID_S:
+            if not self._is_reachable(successors[:1]):
                 self._ask(successors, now_s)
                 return False
-        elif not self._may_follow(successors):
+        elif not is_excluded and not self._may_follow(successors):
             return False
         self._next_announcement_s = now_s + _ANNOUNCE_INTERVAL_S
         self._carriers.availability.record_handover(self._carriers.own_id)
@@ -79,24 +88,30 @@
         """Return the daemons that would carry the zone next, best first."""
         zone_carriers = self._carriers
         current = zone_carriers.of_own_zone()
-        return tuple(
-            member
-            for member in zone_carriers.ranking.of_zone(zone_carriers.own_zone)
-            if member not in current
-            and not zone_carriers.availability.has_handed_over(
-                member.instance_id
-            )
-        )
+        zone = zone_carriers.ranking.of_zone(zone_carriers.own_zone)
+        has_handed_over = zone_carriers.availability.has_handed_over
+        included = [
+            member for member in zone if not has_handed_over(member.instance_id)
+        ]
+        if len(zone) - len(included) >= _MAX_EXCLUDED:
+            return ()
+        return tuple(member for member in included if member not in current)
 
     def _may_follow(self, successors: tuple[members.Member, ...]) -> bool:
-        """Return whether this daemon is next, or was excluded before."""
+        """Return whether this daemon is one of the next."""
         own_id = self._carriers.own_id
-        if self._carriers.availability.has_handed_over(own_id):
-            return True
         return any(
             member.instance_id == own_id for member in successors[:_CANDIDATES]
         )
 
+    def _is_reachable(self, successor: tuple[members.Member, ...]) -> bool:
+        """Return whether a daemon reported lately that it reaches targets."""
+        since_s = self._clock.monotonic_s() - _REPORT_VALID_S
+        return any(
+            self._reachable_s.get(member.instance_id, since_s) > since_s
+            for member in successor
+        )
+
     def _ask(
         self, successors: tuple[members.Member, ...], now_s: float
     ) -> None:
--- a/libraries/zones/tests/cover/test_zones_successors.py
+++ b/libraries/zones/tests/cover/test_zones_successors.py
@@ -110,6 +110,24 @@
     assert 1 <= links.checks <= 4
 
 
+async def test_few_daemons_of_a_large_zone_announce_that_they_are_cut_off():
+    """Guards against messages that grow with the square of the zone."""
+    zone = support.Zone(count=40)
+    await support.with_targets(zone)
+    links = Links(zone)
+    links.cut_off(*zone.daemons)
+    for noticing in zone.daemons:
+        links.notice(noticing)
+    await zone.run(12.0)
+    records = zone.daemons[0].carriers.availability
+    excluded = [
+        daemon.own.instance_id
+        for daemon in zone.daemons
+        if records.has_handed_over(daemon.own.instance_id)
+    ]
+    assert len(excluded) < 12
+
+
 async def test_other_zones_use_the_targets_of_a_zone_that_is_cut_off():
     """Guards against targets that are idle since no daemon reaches them."""
     zone = support.Zone(count=2, zones=('z1', 'zone2'))
