Ask the next peer for all targets that no peer has reached

A request whose first peer did not know yet that it was cut off, too, was refused, though the second one reached every target.

Cause: a peer named the targets to which its connections failed among those that it had tried, and the next peer left them out, as if they had the request already.

Change: only targets at which the request may have arrived count as tried elsewhere.

--- a/libraries/entry/src/sardinepier/entry/relay_service.py
+++ b/libraries/entry/src/sardinepier/entry/relay_service.py
@@ -33,19 +33,24 @@
             answer = await self._forwarding.attempt_once(request, history)
         except core_errors.SardinepierError as error:
             return relay_messages.reply_of(
-                error, _newly_tried(history, attempt)
+                error, _newly_tried(request, history, attempt)
             )
         return relaying.RelayedAnswer(
             relay_messages.RelayReply(
                 relay_messages.RelayOutcome.ANSWERED,
-                _newly_tried(history, attempt),
+                _newly_tried(request, history, attempt),
             ),
             answer,
         )
 
 
 def _newly_tried(
+    request: caller_request.CallerRequest,
     history: retries.AttemptHistory,
     attempt: relay_messages.RelayedAttempt,
 ) -> tuple[ids.TargetId, ...]:
-    return tuple(history.tried.difference(attempt.tried))
+    """Return the targets at which the request may have arrived.
+
+    Another daemon may try those to which only this one has no path.
+    """
+    return tuple(history.tried - request.unreached.union(attempt.tried))
--- a/libraries/entry/tests/conftest.py
+++ b/libraries/entry/tests/conftest.py
@@ -1,7 +1,5 @@
 """Fixtures: daemons' request paths, whose targets the test starts."""
 
-import contextlib
-
 import entry_support as support
 import pytest
 
@@ -15,9 +13,12 @@
 @pytest.fixture
 async def fleet():
     """Return two daemons that relay to each other."""
-    async with contextlib.AsyncExitStack() as stack:
-        peers = support.Peers()
-        yield [
-            await stack.enter_async_context(support.running_entry(peers))
-            for _ in range(2)
-        ]
+    async with support.running_fleet(2) as daemons:
+        yield daemons
+
+
+@pytest.fixture
+async def large_fleet():
+    """Return eight daemons that relay to each other."""
+    async with support.running_fleet(8) as daemons:
+        yield daemons
--- a/libraries/entry/tests/cover/test_entry_relays.py
+++ b/libraries/entry/tests/cover/test_entry_relays.py
@@ -71,6 +71,19 @@
     assert 'relays_total' not in await fleet[1].shared.metrics.text(())
 
 
+async def test_a_target_that_a_peer_did_not_reach_may_get_the_request(
+    large_fleet,
+):
+    """Guards against refusals since a peer without a path tried all targets."""
+    targets = support.RawTarget('t-1'), support.RawTarget('t-2')
+    for entry in large_fleet[:3]:
+        await entry.lose_path_to(*targets)
+    await large_fleet[3].set_targets(*targets)
+    reply = await large_fleet[0].send('/once/1', 'POST', b'a')
+    assert reply[0] == 200
+    assert large_fleet[3].run_count == 1
+
+
 @pytest.mark.parametrize(
     ('path', 'status', 'runs'), [('/once/1', 502, 1), ('/books/1', 200, 2)]
 )
--- a/libraries/entry/tests/entry_support.py
+++ b/libraries/entry/tests/entry_support.py
@@ -386,6 +386,17 @@
         target.server.close()
 
 
+@contextlib.asynccontextmanager
+async def running_fleet(count):
+    """Run the request paths of daemons that know each other."""
+    async with contextlib.AsyncExitStack() as stack:
+        peers = Peers()
+        yield [
+            await stack.enter_async_context(running_entry(peers))
+            for _ in range(count)
+        ]
+
+
 def request(path='/books/1', method='GET', body=b'', **headers):
     all_headers = {
         'Host': 'a.example',
