Refuse without asking each peer when no daemon reaches a target

Where the targets of a service are gone, each request asked three peers, which were then avoided for a second, so that the next request asked three others: a flood of relays in a large fleet. And a zone with several carriers, all cut off, could use up the three on its own carriers.

For a quarter second after three peers reached no target, requests are refused at once. One carrier of the own zone is asked, then those of other zones.

Test: entry_relays, few_peers_are_asked, fails without.

--- a/libraries/entry/src/sardinepier/entry/relaying.py
+++ b/libraries/entry/src/sardinepier/entry/relaying.py
@@ -30,6 +30,10 @@
 _AVOIDED_S: Final = 1.0
 """How long a peer is avoided that could not be reached, or reaches no target."""
 
+_HOPELESS_S: Final = 0.25
+"""How long requests are refused without asking after no peer reached a target:
+the targets are gone, and each request would ask further peers."""
+
 _REPLY_MARGIN_S: Final = 0.01
 """How much earlier the peer's deadline is, so that its reply arrives in time."""
 
@@ -105,6 +109,7 @@
         self._avoided_until_s: dict[
             tuple[ids.InstanceId, ids.ServiceName], float
         ] = {}
+        self._hopeless_until_s: dict[ids.ServiceName, float] = {}
 
     def knows_peers(self) -> bool:
         """Return whether there is any daemon to relay to."""
@@ -122,6 +127,7 @@
         Another peer is tried as long as nothing was sent to a target. Raises
         ``CutOffError`` if no peer reaches one, and the errors of attempts.
         """
+        self._require_hope(request.service)
         request.attempts += 1
         failure: errors.ProvedNotRunError | None = None
         for _ in range(_MAX_PEERS):
@@ -138,10 +144,14 @@
             ) as error:
                 failure = error
                 self._avoid(peer, request.service)
-        raise relay_messages.CutOffError(
-            'No daemon reaches a target of the service',
-            'Send it again after the stated time',
-        ) from failure
+        now_s = self._shared.clock.monotonic_s()
+        self._hopeless_until_s[request.service] = now_s + _HOPELESS_S
+        raise _no_peer_error() from failure
+
+    def _require_hope(self, service: ids.ServiceName) -> None:
+        now_s = self._shared.clock.monotonic_s()
+        if now_s < self._hopeless_until_s.get(service, now_s):
+            raise _no_peer_error()
 
     async def _attempt_at(
         self,
@@ -275,6 +285,13 @@
     return max(0, round(seconds * _MS_PER_S))
 
 
+def _no_peer_error() -> relay_messages.CutOffError:
+    return relay_messages.CutOffError(
+        'No daemon reaches a target of the service',
+        'Send it again after the stated time',
+    )
+
+
 def _record_tried(
     request: caller_request.CallerRequest,
     history: retries.AttemptHistory,
--- a/libraries/entry/tests/cover/test_entry_relays.py
+++ b/libraries/entry/tests/cover/test_entry_relays.py
@@ -84,6 +84,22 @@
     assert large_fleet[3].run_count == 1
 
 
+async def test_few_peers_are_asked_while_no_daemon_reaches_a_target(
+    large_fleet,
+):
+    """Guards against a flood of relays when all targets are gone."""
+    targets = support.RawTarget('t-1'), support.RawTarget('t-2')
+    for entry in large_fleet:
+        await entry.lose_path_to(*targets)
+    first = large_fleet[0]
+    replies = [await first.send('/once/1', 'POST', b'a') for _ in range(4)]
+
+    assert {reply[0] for reply in replies} == {503}
+    assert 'relays_total{how="CutOffError",service="books"} 3' in (
+        await first.shared.metrics.text(())
+    )
+
+
 @pytest.mark.parametrize(
     ('path', 'status', 'runs'), [('/once/1', 502, 1), ('/books/1', 200, 2)]
 )
--- a/libraries/zones/src/sardinepier/zones/relay_peers.py
+++ b/libraries/zones/src/sardinepier/zones/relay_peers.py
@@ -14,8 +14,8 @@
 class RelayPeers:
     """Names peers: carriers first, as they use the targets all the time.
 
-    Those of the own zone come before those of others, and after all carriers
-    the other daemons, since a whole zone may be cut off.
+    One of the own zone comes before those of other zones, which come before the
+    others of the own zone: a whole zone may be cut off.
     """
 
     def __init__(
@@ -50,16 +50,18 @@
 
     def _tiers(self) -> Iterator[Sequence[members.Member]]:
         zone_carriers = self._carriers
-        yield [
+        own_zone = [
             member
             for member in zone_carriers.of_own_zone()
-            if not zone_carriers.availability.has_handed_over(
+            if member.instance_id != zone_carriers.own_id
+            and not zone_carriers.availability.has_handed_over(
                 member.instance_id
             )
         ]
+        yield self._random.sample(own_zone, min(1, len(own_zone)))
         yield zone_carriers.of_other_zones(zone_carriers.count)
-        for members_of_zone in zone_carriers.ranking.by_zone().values():
-            yield members_of_zone
+        yield own_zone
+        yield from zone_carriers.ranking.by_zone().values()
 
 
 def _peer(member: members.Member) -> relaying.Peer:
