Ask a peer after one connection that times out while no target answers

Change: a failed connection while nothing has answered for half a second starts a check of the paths at once, and the request goes to a peer. A peer in that state answers that it reaches no target, so that another one is asked.

Tests: entry_relays, one_connection_times_out; failed before, with two.

--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -150,6 +150,7 @@
         )
         self._traffic.opened(response)
         self._record.mark_reachable()
+        self._connectivity.answered(self._request.service)
         self._record_reports(response)
         try:
             answer = await answers.read(
--- a/libraries/entry/src/sardinepier/entry/connectivity.py
+++ b/libraries/entry/src/sardinepier/entry/connectivity.py
@@ -23,6 +23,10 @@
 _FAILURE_VALID_S: Final = 5.0
 """Connections are pooled, so that a failure is seldom followed by a success."""
 
+_RECENT_S: Final = 0.5
+"""For this time after an answer a failed connection is the target's own fault,
+as long as it is the only one."""
+
 _MIN_LOST_TARGETS: Final = 3
 """Targets whose connections are lost at the same moment before the paths are
 checked: several targets seldom crash together."""
@@ -64,6 +68,8 @@
         """Start with all services reachable."""
         self._clock = clock
         self._paths: dict[ids.ServiceName, _ServicePaths] = {}
+        self._answered_s: dict[ids.ServiceName, float] = {}
+        self._checks: set[asyncio.Future[None]] = set()
         self._changed = asyncio.Event()
         self.check: Callable[[ids.ServiceName], Awaitable[None]] = (
             _check_nothing
@@ -118,9 +124,14 @@
                     targets=target_count,
                 )
             )
+        elif self.is_doubtful(service):
+            check = asyncio.ensure_future(self.check(service))
+            self._checks.add(check)
+            check.add_done_callback(self._checks.discard)
 
     def connected(self, service: ids.ServiceName) -> None:
         """Record that a new connection to a target of the service was made."""
+        self.answered(service)
         paths = self._paths.pop(service, None)
         if paths is None or paths.cut_off_s is None:
             return
@@ -131,6 +142,25 @@
             )
         )
 
+    def answered(self, service: ids.ServiceName) -> None:
+        """Record that a target of the service has answered."""
+        self._answered_s[service] = self._clock.monotonic_s()
+
+    def is_doubtful(self, service: ids.ServiceName) -> bool:
+        """Return whether the newest connection failed, and nothing answers.
+
+        The daemon may be cut off, or only this target gone: a peer can tell
+        sooner than a second connection that has to time out.
+        """
+        paths = self._paths.get(service)
+        if paths is None:
+            return False
+        since_s = self._clock.monotonic_s() - _RECENT_S
+        newest_failed_s = max(paths.failed_s.values(), default=since_s)
+        if newest_failed_s <= since_s:
+            return False
+        return self._answered_s.get(service, since_s) <= since_s
+
     def is_cut_off(self, service: ids.ServiceName) -> bool:
         """Return whether no target of the service can be connected to."""
         paths = self._paths.get(service)
--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -81,8 +81,8 @@
         """Make one attempt for another daemon, which retries it if need be.
 
         Other targets are tried as long as nothing arrived at one. Raises
-        ``CutOffError`` if this daemon reaches no target, and the errors of
-        attempts and refusals.
+        ``CutOffError`` if this daemon seems to reach no target, and the errors
+        of attempts and refusals.
         """
         pool = self._shared.services.pool(request.service)
         while True:
@@ -95,6 +95,10 @@
                 return await self._attempt(request, pool, record)
             except errors.NOTHING_ARRIVED as error:
                 history.record_failure(error)
+                if self._shared.services.connectivity.is_doubtful(
+                    request.service
+                ):
+                    raise relay_messages.cut_off_error() from error
                 if not retries.may_retry_after(request, history, error):
                     raise
 
@@ -130,6 +134,8 @@
         A relayed attempt waits for a slot at the peer, also if the path is lost
         while the request waits for one here.
         """
+        if request.unreached and self._relayed.is_retry_due(request.service):
+            return self._relayed.run(request, pool, history)
         while not self._relayed.are_due(request.service):
             with contextlib.suppress(relay_messages.CutOffError):
                 record = await self._admit_or_refund(request, pool, history)
--- a/libraries/entry/src/sardinepier/entry/relayed_attempts.py
+++ b/libraries/entry/src/sardinepier/entry/relayed_attempts.py
@@ -27,9 +27,11 @@
 
     def are_due(self, service: ids.ServiceName) -> bool:
         """Return whether attempts for a service are relayed now."""
-        if not self._paths.is_cut_off(service):
-            return False
-        return self._relay is not None and self._relay.knows_peers()
+        return self._paths.is_cut_off(service) and self._has_peers()
+
+    def is_retry_due(self, service: ids.ServiceName) -> bool:
+        """Return whether the retry after a failed connection is relayed."""
+        return self._paths.is_doubtful(service) and self._has_peers()
 
     def require_not_due(self, service: ids.ServiceName) -> None:
         """Raise ``CutOffError`` if attempts are relayed now."""
@@ -74,6 +76,9 @@
         history.ran += 1
         return self._attempt(request, pool, history)
 
+    def _has_peers(self) -> bool:
+        return self._relay is not None and self._relay.knows_peers()
+
     def _attempt(
         self,
         request: caller_request.CallerRequest,
--- a/libraries/entry/tests/cover/test_entry_relays.py
+++ b/libraries/entry/tests/cover/test_entry_relays.py
@@ -7,7 +7,7 @@
 import pytest
 
 from sardinepier.entry import path_check
-from sardinepier.gateway import headers
+from sardinepier.gateway import errors, headers
 
 LONG_ANSWER = bytes(range(256)) * 12_000
 """More than a daemon buffers of one answer."""
@@ -84,6 +84,42 @@
     assert large_fleet[3].run_count == 1
 
 
+async def test_one_connection_times_out_before_a_peer_is_asked(large_fleet):
+    """Guards against waits for one timeout after the other, at each daemon."""
+    targets = support.RawTarget('t-1'), support.RawTarget('t-2')
+    for entry in large_fleet[:3]:
+        await entry.set_targets(*targets)
+        hang_connections(entry.shared.client, targets)
+    await large_fleet[3].set_targets(*targets)
+    for entry in large_fleet[4:]:
+        entry.peers.urls.pop(entry.own_id)
+    reply = await large_fleet[0].send('/once/1', 'POST', b'a')
+    assert reply[0] == 200
+    for entry in large_fleet[:3]:
+        text = await entry.shared.metrics.text(())
+        assert 'how="ConnectTimeoutError",service="books"} 1' in text
+
+
+def hang_connections(client, targets):
+    """Let connections to the targets time out, and others succeed."""
+    send = client.open
+    ports = {target.port for target in targets}
+
+    async def send_or_hang(method, url, *args, connect_timeout_s, **options):
+        if url.port not in ports:
+            return await send(
+                method,
+                url,
+                *args,
+                connect_timeout_s=connect_timeout_s,
+                **options,
+            )
+        await asyncio.sleep(connect_timeout_s / 10)
+        raise errors.ConnectTimeoutError('No path', 'Wait')
+
+    client.open = send_or_hang
+
+
 async def test_few_peers_are_asked_while_no_daemon_reaches_a_target(
     large_fleet,
 ):
