Send a hedge or retry of a relayed request to another peer

A hedge of a relayed attempt went to the same peer, which chooses the same target: two attempts waited for one target. Peers that had a request come last for it, and a hedge is relayed in the same states as a retry. Some names and lines read plainer.

Test: entry_relays, a_hedge_goes_to_another_peer; times out without.

--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -86,7 +86,7 @@
                 answer = await self._exchange_in_time()
             except errors.GatewayError as error:
                 if isinstance(error, errors.ConnectionLostError):
-                    await self._connectivity.is_path_lost(
+                    await self._connectivity.lost(
                         self._request.service, self._record.listed.target_id
                     )
                 self._record_error(error)
--- a/libraries/entry/src/sardinepier/entry/caller_request.py
+++ b/libraries/entry/src/sardinepier/entry/caller_request.py
@@ -24,6 +24,7 @@
     the first byte was sent to a target. ``is_abandoned`` means that the caller
     has disconnected, after which no new attempt starts. Nothing of the request
     arrived at the targets in ``unreached``, to which this daemon had no path.
+    The daemons in ``relayed_to`` were asked to make an attempt.
     """
 
     request_id: str
@@ -44,6 +45,7 @@
     was_sent: bool = False
     is_abandoned: bool = False
     unreached: set[ids.TargetId] = dataclasses.field(default_factory=set)
+    relayed_to: set[ids.InstanceId] = dataclasses.field(default_factory=set)
 
     def left_s(self, clock: clocks.Clock) -> float:
         """Return the seconds until the deadline, not below 0."""
--- a/libraries/entry/src/sardinepier/entry/connectivity.py
+++ b/libraries/entry/src/sardinepier/entry/connectivity.py
@@ -40,8 +40,9 @@
 class _ServicePaths:
     """Failed connection attempts since the last connection that was made.
 
-    ``lost_s`` maps each target to when its newest connection was lost. ``failed_s`` maps each target to when its newest attempt failed.
-    ``cut_off_s`` is since when the service counts as unreachable, if it does.
+    ``failed_s`` maps each target to when its newest attempt failed, ``lost_s``
+    to when an open connection was lost. ``cut_off_s`` is since when the service
+    counts as unreachable, if it does.
     """
 
     failed_s: dict[ids.TargetId, float] = dataclasses.field(
@@ -75,13 +76,13 @@
             _check_nothing
         )
 
-    async def is_path_lost(
+    async def lost(
         self, service: ids.ServiceName, target_id: ids.TargetId
-    ) -> bool:
-        """Return whether an open connection was lost because its path was.
+    ) -> None:
+        """Record a lost connection, and check the paths if many were lost.
 
-        A cut may reset the connections to all targets at once. The paths are
-        then checked before any of these losses counts.
+        A cut may reset the connections to all targets at once. The caller then
+        waits with its conclusions until the check is over.
         """
         now_s = self._clock.monotonic_s()
         paths = self._paths.setdefault(service, _ServicePaths())
@@ -95,7 +96,6 @@
         }
         if len(paths.lost_s) >= _MIN_LOST_TARGETS:
             await self.check(service)
-        return self.is_cut_off(service)
 
     def failed(
         self,
--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -134,9 +134,7 @@
         A relayed attempt waits for a slot at the peer, also if the path is lost
         while the request waits for one here.
         """
-        if request.unreached and self._relayed.is_retry_due(request.service):
-            return self._relayed.run(request, pool, history)
-        while not self._relayed.are_due(request.service):
+        while not self._relayed.are_due_for(request):
             with contextlib.suppress(relay_messages.CutOffError):
                 record = await self._admit_or_refund(request, pool, history)
                 history.tried.add(record.listed.target_id)
@@ -191,15 +189,10 @@
             if history.spent_s is not None:
                 pool.retries.queue.refund(history.spent_s)
             raise
-        self._record_spent(pool, history)
-        return record
-
-    def _record_spent(
-        self, pool: service_pool.ServicePool, history: retries.AttemptHistory
-    ) -> None:
         if history.spent_s is not None:
             pool.retries.queue.made(history.spent_s)
             history.spent_s = None
+        return record
 
     async def _admit(
         self,
@@ -266,7 +259,7 @@
             return None
         if self._shared.quarantine.crashed_targets(request.fingerprint):
             return None
-        if self._relayed.are_due(request.service):
+        if self._relayed.are_due_for(request):
             return self._relayed.hedge(request, pool, history)
         record = pool.try_acquire(_requirements(request, pool, history))
         if record is None:
--- a/libraries/entry/src/sardinepier/entry/relayed_attempts.py
+++ b/libraries/entry/src/sardinepier/entry/relayed_attempts.py
@@ -29,9 +29,14 @@
         """Return whether attempts for a service are relayed now."""
         return self._paths.is_cut_off(service) and self._has_peers()
 
-    def is_retry_due(self, service: ids.ServiceName) -> bool:
-        """Return whether the retry after a failed connection is relayed."""
-        return self._paths.is_doubtful(service) and self._has_peers()
+    def are_due_for(self, request: caller_request.CallerRequest) -> bool:
+        """Return whether attempts for a request are relayed now.
+
+        After a connection failed for it, a doubtful path is enough.
+        """
+        if request.unreached and self._paths.is_doubtful(request.service):
+            return self._has_peers()
+        return self.are_due(request.service)
 
     def require_not_due(self, service: ids.ServiceName) -> None:
         """Raise ``CutOffError`` if attempts are relayed now."""
--- a/libraries/entry/src/sardinepier/entry/relaying.py
+++ b/libraries/entry/src/sardinepier/entry/relaying.py
@@ -132,9 +132,10 @@
         request.attempts += 1
         failure: errors.ProvedNotRunError | None = None
         for _ in range(_MAX_PEERS):
-            peer = next(iter(self._available(request.service)), None)
+            peer = self._choose(request)
             if peer is None:
                 break
+            request.relayed_to.add(peer.instance_id)
             try:
                 return await self._attempt_at(
                     peer, request, history, is_final=is_final
@@ -250,6 +251,15 @@
             is_final,
         )
 
+    def _choose(self, request: caller_request.CallerRequest) -> Peer | None:
+        """Return the best peer, rather one that has not had the request."""
+        first: Peer | None = None
+        for peer in self._available(request.service):
+            if peer.instance_id not in request.relayed_to:
+                return peer
+            first = first or peer
+        return first
+
     def _available(self, service: ids.ServiceName) -> Iterable[Peer]:
         now_s = self._shared.clock.monotonic_s()
         for peer in self._peers.candidates():
--- a/libraries/entry/tests/cover/test_entry_relays.py
+++ b/libraries/entry/tests/cover/test_entry_relays.py
@@ -86,6 +86,19 @@
     assert reaching.run_count == 1
 
 
+async def test_a_hedge_goes_to_another_peer(large_fleet):
+    """Guards against two attempts that wait for the same target."""
+    first, hanging, answering = large_fleet[:3]
+    targets = support.RawTarget('t-1', ('hang',)), support.RawTarget('t-2')
+    await hanging.set_targets(targets[0])
+    await answering.set_targets(targets[1])
+    await first.lose_path_to(*targets)
+    first.shared.services.pool(support.SERVICE).typical_latency_s = 0.02
+    reply = await asyncio.wait_for(first.send('/books/1'), 1.0)
+    assert reply[0] == 200
+    assert [len(target.received) for target in targets] == [1, 1]
+
+
 async def test_one_connection_times_out_before_a_peer_is_asked(large_fleet):
     """Guards against waits for one timeout after the other, at each daemon."""
     targets = support.RawTarget('t-1'), support.RawTarget('t-2')
