Build the requirements of an attempt once, and one reading of the caller's deadline

Found by reading the change again; no behaviour changes. Each attempt built its requirements and then a copy with the check of the path; they are built with it now. The caller's deadline in time of the event loop was computed in two places. A doc comment said that a relayed route goes without its shares, which it does not.

--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -8,7 +8,6 @@
 
 from aiohttp import client_reqrep
 
-from sardinepier.core import clock as clocks
 from sardinepier.entry import (
     answers,
     caller_request,
@@ -157,9 +156,7 @@
                 response,
                 self._shared.names,
                 self._shared.buffer_budget.answer_limit_bytes(),
-                _loop_time_of(
-                    self._request.caller_deadline_s, self._shared.clock
-                ),
+                self._request.caller_loop_deadline_s(self._shared.clock),
             )
         except BaseException:
             response.close()
@@ -330,9 +327,3 @@
     if request.attempts:
         return events.Reason.AGAIN
     return events.Reason.TURN if record.is_exploration else events.Reason.FIRST
-
-
-def _loop_time_of(time_s: float, clock: clocks.Clock) -> float:
-    """Return a time of ``clock`` as a time of the event loop."""
-    left_s = time_s - clock.monotonic_s()
-    return asyncio.get_running_loop().time() + left_s
--- a/libraries/entry/src/sardinepier/entry/attempt_requirements.py
+++ b/libraries/entry/src/sardinepier/entry/attempt_requirements.py
@@ -13,7 +13,7 @@
 _MIN_WAIT_S: Final = 0.01
 
 
-def _accept() -> None:
+def accept() -> None:
     """Do nothing: the targets can be reached."""
 
 
@@ -35,7 +35,7 @@
     prefer_best_until_s: float
     is_final_attempt: bool = False
     priority: int = 0
-    require_path: Callable[[], None] = _accept
+    require_path: Callable[[], None] = accept
 
     def tolerance(self, now_s: float) -> float:
         """Return by how much the target may cost more than the best one."""
--- a/libraries/entry/src/sardinepier/entry/caller_request.py
+++ b/libraries/entry/src/sardinepier/entry/caller_request.py
@@ -1,5 +1,6 @@
 """A caller's request while the daemon handles it."""
 
+import asyncio
 import dataclasses
 from typing import Final
 
@@ -51,6 +52,11 @@
         """Return the seconds until the deadline, not below 0."""
         return max(0.0, self.deadline_s - clock.monotonic_s())
 
+    def caller_loop_deadline_s(self, clock: clocks.Clock) -> float:
+        """Return when the caller stops waiting, in time of the event loop."""
+        left_s = self.caller_deadline_s - clock.monotonic_s()
+        return asyncio.get_running_loop().time() + left_s
+
     def require_time_left(self, clock: clocks.Clock) -> None:
         """Raise ``TimeUpError`` if the deadline has passed."""
         if self.left_s(clock) <= 0:
--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -8,7 +8,6 @@
 """
 
 import contextlib
-import dataclasses
 import functools
 from collections.abc import Callable
 from typing import Final
@@ -220,9 +219,11 @@
                     accepts_any_target=not history.tried,
                     preferred_start_by_s=preferred_start_by_s(request, pool),
                 ),
-                dataclasses.replace(
-                    _requirements(request, pool, history),
-                    require_path=functools.partial(require, request.service),
+                _requirements(
+                    request,
+                    pool,
+                    history,
+                    functools.partial(require, request.service),
                 ),
             )
         except BaseException:
@@ -329,6 +330,7 @@
     request: caller_requests.CallerRequest,
     pool: service_pool.ServicePool,
     history: retries.AttemptHistory,
+    require_path: Callable[[], None] = attempt_requirements.accept,
 ) -> attempt_requirements.AttemptRequirements:
     since_s = max(request.arrived_s, request.admitted_s)
     wait_s = _WAIT_SHARE * request.route.target_latency_s
@@ -342,6 +344,7 @@
         prefer_best_until_s,
         is_final_attempt=not retries.could_retry(request, pool, history),
         priority=request.priority,
+        require_path=require_path,
     )
 
 
--- a/libraries/entry/src/sardinepier/entry/relay_http.py
+++ b/libraries/entry/src/sardinepier/entry/relay_http.py
@@ -4,7 +4,6 @@
 relayed attempt: it is read only there, and never forwarded.
 """
 
-import asyncio
 import http
 from collections.abc import Callable
 from typing import Final
@@ -87,12 +86,11 @@
             await response.content.readany()
             response.release()
             return reply
-        left_s = request.caller_deadline_s - self._shared.clock.monotonic_s()
         answer = await answers.read(
             response,
             self._shared.names,
             self._shared.buffer_budget.answer_limit_bytes(),
-            asyncio.get_running_loop().time() + left_s,
+            request.caller_loop_deadline_s(self._shared.clock),
         )
         self._shared.buffer_budget.charge(answer, len(answer.body))
         return relaying.RelayedAnswer(reply, answer)
--- a/libraries/entry/src/sardinepier/entry/relay_messages.py
+++ b/libraries/entry/src/sardinepier/entry/relay_messages.py
@@ -23,8 +23,8 @@
 class RelayedAttempt(msgspec.Struct, frozen=True, array_like=True):
     """One attempt that the receiver makes for the sender of a request.
 
-    ``route`` is the one by which the sender serves the request; its shares are
-    left out, as the sender has chosen ``service``. ``elapsed_ms`` have passed
+    ``route`` is the one by which the sender serves the request; its shares play
+    no part, as the sender has chosen ``service``. ``elapsed_ms`` have passed
     since the request arrived; its caller waits for ``caller_left_ms`` and the
     attempt may take ``left_ms``. Targets in ``tried`` had the request already.
     """
--- a/libraries/entry/src/sardinepier/entry/relaying.py
+++ b/libraries/entry/src/sardinepier/entry/relaying.py
@@ -221,15 +221,15 @@
                 'The daemon that has the request did not answer in time',
                 'Check whether the request ran before sending it again',
             ) from error
-        if isinstance(replied, relay_messages.RelayReply):
-            _record_tried(request, history, replied)
-            relay_messages.raise_error(replied)
-            raise errors.BadAnswerError(
-                'The daemon that has the request sent no answer of a target',
-                'Check whether the request ran before sending it again',
-            )
-        _record_tried(request, history, replied.reply)
-        return replied.answer
+        if isinstance(replied, RelayedAnswer):
+            _record_tried(request, history, replied.reply)
+            return replied.answer
+        _record_tried(request, history, replied)
+        relay_messages.raise_error(replied)
+        raise errors.BadAnswerError(
+            'The daemon that has the request sent no answer of a target',
+            'Check whether the request ran before sending it again',
+        )
 
     def _message(
         self,
