--- a/review/1/case.py
+++ b/review/1/case.py
@@ -61,7 +61,9 @@
     rig.record.say(f'in the last half: {sum(last)} of {len(last)} served')
     for daemon in rig.daemons:
         moments = ', '.join(f'{moment_s:.1f}' for moment_s in daemon.ends)
-        rig.record.say(f'{daemon.name} ended by itself at: {moments or "never"}')
+        rig.record.say(
+            f'{daemon.name} ended by itself at: {moments or "never"}'
+        )
     often = sum(len(daemon.ends) >= 3 for daemon in rig.daemons)
     rig.record.say(
         f'{often} of {len(rig.daemons)} daemons ended by themselves three times'
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -72,7 +72,8 @@
         await rig.until(are_ready, 6, 'the served machines are not ready')
         ready_s = rig.record.now()
         rig.store.put(
-            'op/config', rigs.configuration(self.new, routes(self.new), SERVICES)
+            'op/config',
+            rigs.configuration(self.new, routes(self.new), SERVICES),
         )
         self.leaver.state = 'draining'
         self.leaver.sequence += 1
@@ -122,15 +123,24 @@
                 if worker.service == old_service:
                     self.late_config.append(attempt_id)
                     rig.record(
-                        'CONFIG:', attempt_id, 'was sent to', daemon.name,
+                        'CONFIG:',
+                        attempt_id,
+                        'was sent to',
+                        daemon.name,
                         f'{sent_s - acked_s:.2f} s after the acknowledgement',
-                        'and ran at the old service', worker.service,
+                        'and ran at the old service',
+                        worker.service,
                     )
                 if worker is self.leaver and runs[0] - acked_s > DRAIN_S:
                     self.late_drain.append(attempt_id)
                     rig.record(
-                        'DRAIN:', attempt_id, 'from', daemon.name, 'reached',
-                        worker.name, f'{runs[0] - acked_s:.2f} s after the',
+                        'DRAIN:',
+                        attempt_id,
+                        'from',
+                        daemon.name,
+                        'reached',
+                        worker.name,
+                        f'{runs[0] - acked_s:.2f} s after the',
                         'acknowledgement that it drains',
                     )
                     if answer is None or answer.status >= 500:
--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -68,7 +68,9 @@
         wanted = (*PORTS.values(), *RELAY_PORTS, METRICS_PORT)
         with contextlib.ExitStack() as stack, contextlib.suppress(OSError):
             for port in wanted:
-                stack.enter_context(socket.create_server((f'{network}.1', port)))
+                stack.enter_context(
+                    socket.create_server((f'{network}.1', port))
+                )
             return network
     raise RuntimeError('no free loopback addresses')
 
@@ -129,6 +131,9 @@
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError, ValueError):
             pass
+        except asyncio.CancelledError:
+            # The script ends.
+            pass
         finally:
             self.writers.discard(writer)
             writer.close()
@@ -291,8 +296,14 @@
             self.running += 1
             self.ran.append((attempt_id, self.record.now()))
             self.record(
-                'worker', self.name, 'of', self.service, 'runs', attempt_id,
-                method, path,
+                'worker',
+                self.name,
+                'of',
+                self.service,
+                'runs',
+                attempt_id,
+                method,
+                path,
             )
             try:
                 await asyncio.sleep(self.work_s)
@@ -377,7 +388,8 @@
         while True:
             with open(self.log, 'ab') as log:
                 self.process = await asyncio.create_subprocess_exec(
-                    'python3', 'platform/start.py',
+                    'python3',
+                    'platform/start.py',
                     cwd=ROOT,
                     env={
                         'PATH': os.environ.get('PATH', ''),
@@ -394,7 +406,9 @@
             if self._ending:
                 return
             if code < 0:
-                self.rig.record('daemon', self.name, 'was ended by signal', -code)
+                self.rig.record(
+                    'daemon', self.name, 'was ended by signal', -code
+                )
             else:
                 self.ends.append(self.rig.record.now())
                 self.rig.record(
@@ -415,7 +429,9 @@
         self._keeping = None
 
     def signal(self, number):
-        self.rig.record('daemon', self.name, 'gets', signal.Signals(number).name)
+        self.rig.record(
+            'daemon', self.name, 'gets', signal.Signals(number).name
+        )
         with contextlib.suppress(ProcessLookupError):
             self.process.send_signal(number)
 
@@ -518,7 +534,9 @@
     async def until_all_ready(self, within_s=15):
         async def are_ready():
             return all(
-                await asyncio.gather(*(each.is_ready() for each in self.daemons))
+                await asyncio.gather(
+                    *(each.is_ready() for each in self.daemons)
+                )
             )
 
         await self.until(are_ready, within_s, 'not all daemons became ready')
