--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,11 +1,12 @@
 """One entry of the store that can't be read, beside the sound ones."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / 'standins'))
+sys.path.insert(0, str(FOLDER))
 
 import rig as rigs
 
@@ -73,4 +74,9 @@
     return 1 if is_broken else 0
 
 
-rigs.main(FOLDER, case, ZONES)
+rigs.main(
+    FOLDER,
+    case,
+    ZONES,
+    with_trouble=os.environ.get('TROUBLE', '1') != '0',
+)
--- a/review/standins/rig.py
+++ b/review/1/rig.py
@@ -595,9 +595,8 @@
 HOST = 'close.example'
 
 
-def main(folder, case, zones):
+def main(folder, case, zones, *, with_trouble):
     """Run ``case(rig, with_trouble)``, and exit with what it returns."""
-    with_trouble = os.environ.get('TROUBLE', '1') != '0'
 
     async def run():
         rig = Rig(folder, zones)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,12 +1,13 @@
 """Daemons start again while the store turns one machine of each zone away."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / 'standins'))
+sys.path.insert(0, str(FOLDER))
 
 import rig as rigs
 
@@ -178,4 +179,9 @@
     return 1 if late_config or late_drain else 0
 
 
-rigs.main(FOLDER, case, ZONES)
+rigs.main(
+    FOLDER,
+    case,
+    ZONES,
+    with_trouble=os.environ.get('TROUBLE', '1') != '0',
+)
