--- a/review/2/case.py
+++ b/review/2/case.py
@@ -17,6 +17,8 @@
 ROUNDS = 4
 REFUSED_S = 9.0
 STABLE_S = 3.0
+MIN_REQUESTS = 30
+"""A round with fewer shows nothing: the machines were ready too late."""
 APPLY_S = 2.0
 DRAIN_S = 2.0
 SERVES_ON_S = 5.0
@@ -94,6 +96,8 @@
         await asyncio.sleep(max(0.0, began_s + REFUSED_S - rig.record.now()))
         rig.store.refuses = set()
         rig.record('store: serves all again')
+        if self.sent < MIN_REQUESTS:
+            raise rigs.CannotRunError(f'{self.sent} requests in a round')
         rig.record.say(
             f'{self.sent} requests to {len(served)} machines that the store',
             f'serves: {len(self.late_config)} ran at the old service,',
