Count the bodies of requests by what is held, on both request paths

A caller who stated a long body reserved its whole length before a byte had arrived, so that three slow uploads of 60 MB used up the memory of a daemon: later bodies waited for them, until their deadline at most. The project's own path refused them at once with 503, and counted a chunked body as 1 MB, however long it was.

Now a body takes room for one part after another as it is read, on the platform's path, for relayed requests and on the project's own path, and holds what it is long once it is complete. Stated lengths only decide who may grow when little room is left (the safety check of the banker's algorithm), so that half-read bodies never wait for each other. Bodies are kept in parts, which are neither copied as they grow nor joined. On the project's own path a body is held until its request ends, also without its caller.

--- a/libraries/entry/src/sardinepier/entry/caller_request.py
+++ b/libraries/entry/src/sardinepier/entry/caller_request.py
@@ -7,7 +7,7 @@
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
 from sardinepier.entry import model, refusals
-from sardinepier.gateway import body_budget
+from sardinepier.gateway import body_budget, request_body
 from sardinepier.routing import errors
 
 _RETRY_AFTER_S: Final = 0.2
@@ -34,7 +34,7 @@
     method: str
     path: str
     headers: list[tuple[str, str]]
-    body: bytes
+    body: request_body.RequestBody
     route: model.Route
     service: ids.ServiceName
     arrived_s: float
@@ -53,7 +53,7 @@
 
     def close(self) -> None:
         """Give back the memory of the body, once nothing sends it any more."""
-        self.body = b''
+        self.body = request_body.EMPTY
         if self.reservation is not None:
             self.reservation.release()
 
--- a/libraries/entry/src/sardinepier/entry/relay_http.py
+++ b/libraries/entry/src/sardinepier/entry/relay_http.py
@@ -24,7 +24,7 @@
 )
 from sardinepier.entry import relay_service as services
 from sardinepier.entry import relaying, request_reader, responses
-from sardinepier.gateway import errors, headers
+from sardinepier.gateway import errors, headers, request_body
 
 _MS_PER_S: Final = 1000
 _HEADER_BYTES: Final = 16384
@@ -182,8 +182,10 @@
     ) -> caller_request.CallerRequest:
         now_s = self._shared.clock.monotonic_s()
         caller_deadline_s = now_s + attempt.caller_left_ms / _MS_PER_S
-        content = b''
-        reservation = self._shared.body_budget.reservation()
+        content = request_body.EMPTY
+        reservation = self._shared.body_budget.reservation(
+            http_request.content_length
+        )
         if http_request.body_exists:
             content = await body_memory.read(
                 http_request,
@@ -202,7 +204,7 @@
 def _request_of(
     http_request: web_request.BaseRequest,
     attempt: relay_messages.RelayedAttempt,
-    content: bytes,
+    content: request_body.RequestBody,
     shared: context.EntryContext,
     now_s: float,
 ) -> caller_request.CallerRequest:
--- a/libraries/entry/src/sardinepier/entry/request_reader.py
+++ b/libraries/entry/src/sardinepier/entry/request_reader.py
@@ -15,7 +15,7 @@
     refusals,
     route_table,
 )
-from sardinepier.gateway import body_budget, headers
+from sardinepier.gateway import body_budget, headers, request_body
 from sardinepier.gateway import refusals as gateway_refusals
 
 _MS_PER_S: Final = 1000
@@ -72,7 +72,9 @@
             )
         customer = self._authenticator.customer_of(http_request, route)
         caller_deadline_s = arrived_s + self._caller_timeout_s(http_request)
-        reservation = self._shared.body_budget.reservation()
+        reservation = self._shared.body_budget.reservation(
+            http_request.content_length
+        )
         content = await self._read_body(
             http_request, caller_deadline_s, reservation
         )
@@ -120,9 +122,9 @@
         http_request: web_request.BaseRequest,
         deadline_s: float,
         reservation: body_budget.Reservation,
-    ) -> bytes:
+    ) -> request_body.RequestBody:
         if not http_request.body_exists:
-            return b''
+            return request_body.EMPTY
         configuration = self._shared.services.configuration
         bounds = configuration.bounds if configuration else model.CallerBounds()
         try:
@@ -187,10 +189,11 @@
 
 def fingerprint(
     http_request: web_request.BaseRequest,
-    content: bytes,
+    body: request_body.RequestBody,
 ) -> int:
     """Return a hash that is the same whenever the same request is sent."""
     digest = xxhash.xxh3_64(http_request.method.encode())
     digest.update(http_request.raw_path.encode())
-    digest.update(content)
+    for part in body.parts:
+        digest.update(part)
     return int(digest.intdigest())
--- a/libraries/entry/tests/cover/test_entry_callers.py
+++ b/libraries/entry/tests/cover/test_entry_callers.py
@@ -8,6 +8,9 @@
 from sardinepier.entry import model
 
 CHUNKED = {'Transfer-Encoding': 'chunked'}
+LONG = {'Content-Length': '60000000'}
+BRIEF = {support.NAMES.deadline_ms: '300'}
+BUDGET_BYTES = 67_108_864
 LONG_BODY = b''.join(number.to_bytes(4, 'big') for number in range(300_000))
 CHUNK_BYTES = 50_000
 
@@ -201,6 +204,42 @@
     writer.close()
 
 
+async def test_slow_uploads_of_long_bodies_keep_nobody_waiting(entry):
+    # Guards against memory that is reserved by stated lengths.
+    await entry.set_targets(support.RawTarget('t1'))
+    entry.shared.services.offer_configuration(
+        support.configuration(
+            2, bounds=model.CallerBounds(body_bytes=60_000_000)
+        ),
+    )
+    writers = []
+    for _ in range(3):
+        _, writer = await asyncio.open_connection(support.LOOPBACK, entry.port)
+        writer.write(support.request('/once/1', 'POST', **LONG))
+        writers.append(writer)
+    await support.wait_until(lambda: entry.shared.activity.in_flight == 3)
+    status, _, _ = await entry.send('/once/2', 'POST', bytes(1_000_000))
+    assert status == 200
+    assert entry.shared.body_budget.held_bytes < 1_000_000
+    for writer in writers:
+        writer.close()
+    await support.wait_until(lambda: not entry.shared.body_budget.held_bytes)
+
+
+async def test_a_body_without_memory_is_refused_and_never_runs(entry):
+    target = support.RawTarget('t1')
+    await entry.set_targets(target)
+    budget = entry.shared.body_budget
+    held = budget.reservation(BUDGET_BYTES)
+    await held.grow(BUDGET_BYTES)
+    status, headers, _ = await entry.send('/once/1', 'POST', b'xy', **BRIEF)
+    assert (status, target.received) == (503, [])
+    assert float(headers['Retry-After']) > 0
+    held.release()
+    status, _, _ = await entry.send('/once/1', 'POST', b'xy')
+    assert (status, budget.held_bytes) == (200, 0)
+
+
 async def test_a_request_that_crashes_targets_is_quarantined(entry):
     targets = [
         support.RawTarget(f't{number}', ['reset']) for number in range(5)
--- a/libraries/gateway/src/sardinepier/gateway/client.py
+++ b/libraries/gateway/src/sardinepier/gateway/client.py
@@ -13,7 +13,12 @@
 import yarl
 from aiohttp import client, client_reqrep
 
-from sardinepier.gateway import connections, errors, outgoing
+from sardinepier.gateway import (
+    connections,
+    errors,
+    outgoing,
+    request_body,
+)
 
 _MAX_STALE_RETRIES: Final = 4
 _MAX_CACHED_TIMEOUTS: Final = 64
@@ -40,7 +45,7 @@
         method: str,
         url: yarl.URL,
         headers: list[tuple[str, str]],
-        body: bytes,
+        body: request_body.RequestBody,
         *,
         fresh: bool,
         connect_timeout_s: float,
@@ -63,7 +68,7 @@
                 method,
                 url,
                 headers=headers,
-                data=outgoing.SlicedPayload(body) if body else None,
+                data=outgoing.PartsPayload(body) if body else None,
                 loop=self._loop,
             )
             request.path = path or url.raw_path_qs
--- a/libraries/gateway/src/sardinepier/gateway/context.py
+++ b/libraries/gateway/src/sardinepier/gateway/context.py
@@ -13,6 +13,7 @@
     service_runtimes,
     wake_guard,
 )
+from sardinepier.gateway import body_budget as body_budgets
 from sardinepier.membership import view as views
 from sardinepier.once import ledger, quarantine
 from sardinepier.settings import model
@@ -26,6 +27,7 @@
     ``configuration`` returns the current configuration, or None before the
     first fleet file. ``started_at_s`` is this process's start on its own clock.
     ``services`` must be updated whenever the configuration changes.
+    ``body_budget`` bounds the memory for the bodies of requests.
     """
 
     own: ids.InstanceId
@@ -44,3 +46,6 @@
     refusals: refusal_counts.RefusalCounts
     metrics: metrics.Metrics
     record_event: Callable[[events.Event], object]
+    body_budget: body_budgets.BodyBudget = dataclasses.field(
+        default_factory=body_budgets.BodyBudget,
+    )
--- a/libraries/gateway/src/sardinepier/gateway/keyed.py
+++ b/libraries/gateway/src/sardinepier/gateway/keyed.py
@@ -1,6 +1,7 @@
 """Non-idempotent requests, which run once and only at their home daemon."""
 
 import asyncio
+import contextlib
 from typing import Final
 
 from aiohttp import web_request, web_response
@@ -70,6 +71,7 @@
     ) -> web_response.StreamResponse:
         # A separate task completes the request even if the caller hangs up,
         # because a resend must get its outcome.
+        request.is_detached = True
         task = asyncio.ensure_future(self._run(http_request, request, record))
         self._running.add(task)
         task.add_done_callback(self._remove_task)
@@ -90,7 +92,7 @@
         request: caller_request.CallerRequest,
         record: records.Record,
     ) -> web_response.StreamResponse:
-        with self._context.activity:
+        with self._context.activity, contextlib.closing(request):
             try:
                 return await self._run_recorded(http_request, request, record)
             except core_errors.SardinepierError as error:
--- a/libraries/gateway/src/sardinepier/gateway/outgoing.py
+++ b/libraries/gateway/src/sardinepier/gateway/outgoing.py
@@ -24,29 +24,35 @@
     payload,
 )
 
-from sardinepier.gateway import connections, errors
+from sardinepier.gateway import connections, errors, request_body
 
 _NO_DEFAULTS: Final = multidict.CIMultiDict[None]({hdrs.CONTENT_TYPE: None})
 _MAX_INLINE_BYTES: Final = 65536
 _RETRY_AFTER_S: Final = 1.0
 
 
-class SlicedPayload(payload.BytesPayload):
-    """A body that is written in slices.
+class PartsPayload(payload.BytesPayload):
+    """A body that is written part by part, once.
 
-    The connection's buffer would copy a long body whole. It can be written once.
+    The connection's buffer would copy a long body whole.
     """
 
+    def __init__(self, body: request_body.RequestBody) -> None:
+        """Write the parts of ``body``."""
+        super().__init__(b'')
+        self._size = len(body)
+        self._parts = body.parts
+
     async def write_with_length(
         self,
         writer: abc.AbstractStreamWriter,
         content_length: int | None,
     ) -> None:
         """Write the body as fast as the target reads it."""
-        whole = memoryview(self._value)[:content_length]
-        self._value = b''
-        for start in range(0, len(whole), _MAX_INLINE_BYTES):
-            await writer.write(whole[start : start + _MAX_INLINE_BYTES])
+        parts = self._parts
+        self._parts = ()
+        for part in parts:
+            await writer.write(part)
 
 
 class Request(client_reqrep.ClientRequest):
@@ -59,7 +65,7 @@
 
     exchange: 'Exchange'
     path: str
-    content: bytes
+    content: request_body.RequestBody
     expects: connections.Expectation
     _skip_auto_headers = _NO_DEFAULTS
 
@@ -82,7 +88,7 @@
         self.exchange.begin_writing()
         # Reference cycles would keep a body until the garbage is collected.
         content = self.content
-        self.content = b''
+        self.content = request_body.EMPTY
         protocol.set_body_length(len(content))
         if self.expects.on_sent is not None:
             self.expects.on_sent(protocol.end_as_gone)
@@ -96,7 +102,7 @@
             task = asyncio.ensure_future(self.write_bytes(writer, conn, length))
             self._writer = task
         else:
-            await writer.write(content, drain=False)
+            await writer.write(bytes(content), drain=False)
             writer.set_eof()
         return self._answer(writer, task)
 
--- a/libraries/gateway/src/sardinepier/gateway/pipeline.py
+++ b/libraries/gateway/src/sardinepier/gateway/pipeline.py
@@ -7,7 +7,6 @@
 
 from sardinepier.core import errors as core_errors
 from sardinepier.core import ids, outcomes
-from sardinepier.gateway import activity as activities
 from sardinepier.gateway import context as contexts
 from sardinepier.gateway import (
     delivery,
@@ -31,7 +30,6 @@
     once_errors.BadKeyError,
     once_errors.FutureTicketError,
 )
-_DEFAULT_BODY_BYTES: Final = 1_048_576
 _UNKNOWN_SERVICE: Final = '-'
 
 
@@ -55,12 +53,10 @@
         service = _UNKNOWN_SERVICE
         with self._context.activity:
             try:
-                with self._context.activity.reserve_body_memory(
-                    _body_bytes(http_request)
-                ):
-                    request = await self._reader.read(http_request)
-                    service = request.snapshot.settings.name
-                    response = await self._answer(http_request, request)
+                self._context.activity.require_capacity()
+                request = await self._reader.read(http_request)
+                service = request.snapshot.settings.name
+                response = await self._answer(http_request, request)
             except asyncio.CancelledError:
                 self._metrics.count(service, 'caller-gone')
                 raise
@@ -78,8 +74,16 @@
         http_request: web_request.BaseRequest,
         request: caller_request.CallerRequest,
     ) -> web_response.StreamResponse:
-        if not request.route.idempotent:
-            return await self._keyed.handle(http_request, request)
+        with request:
+            if not request.route.idempotent:
+                return await self._keyed.handle(http_request, request)
+            return await self._forward(http_request, request)
+
+    async def _forward(
+        self,
+        http_request: web_request.BaseRequest,
+        request: caller_request.CallerRequest,
+    ) -> web_response.StreamResponse:
         answer = await self._forwarding.forward(request)
         if answer.remainder is None and not answer.body:
             return delivery.empty_response(answer)
@@ -154,14 +158,3 @@
             context.random_source,
         )
         return tickets.format_ticket(ticket)
-
-
-def _body_bytes(http_request: web_request.BaseRequest) -> int:
-    """Return how much memory to reserve for the body."""
-    if not http_request.body_exists:
-        return 0
-    stated = http_request.content_length
-    # A larger body is refused later for its size, not for the load.
-    if stated is None or stated > activities.BODY_MEMORY_BYTES:
-        return _DEFAULT_BODY_BYTES
-    return stated
--- a/libraries/gateway/src/sardinepier/gateway/probes.py
+++ b/libraries/gateway/src/sardinepier/gateway/probes.py
@@ -8,7 +8,7 @@
 
 from sardinepier.core import ids
 from sardinepier.gateway import context as contexts
-from sardinepier.gateway import errors, service_runtime
+from sardinepier.gateway import errors, request_body, service_runtime
 
 _INTERVAL_S: Final = 0.1
 _TIMEOUT_S: Final = 2.0
@@ -64,7 +64,7 @@
                     'GET',
                     yarl.URL(url, encoded=True),
                     [],
-                    b'',
+                    request_body.EMPTY,
                     fresh=False,
                     connect_timeout_s=snapshot.connect_timeout_s,
                     permit=_allow,
--- a/libraries/gateway/src/sardinepier/gateway/request_reader.py
+++ b/libraries/gateway/src/sardinepier/gateway/request_reader.py
@@ -8,7 +8,12 @@
 from sardinepier.core import ids
 from sardinepier.gateway import body as bodies
 from sardinepier.gateway import context as contexts
-from sardinepier.gateway import caller_request, headers, refusals
+from sardinepier.gateway import (
+    caller_request,
+    headers,
+    refusals,
+    request_body,
+)
 from sardinepier.settings import model
 
 _MS_PER_S: Final = 1000
@@ -34,26 +39,29 @@
 
         It keeps the settings that are in force now until it ends.
         """
-        context = self._context
-        arrived_s = context.clock.monotonic_s()
+        arrived_s = self._context.clock.monotonic_s()
         configuration = self._configuration()
         service, target_path = _split(request.raw_path)
-        runtime = context.services.get(service)
+        runtime = self._context.services.get(service)
         snapshot = runtime.snapshot
-        path = target_path.partition(_QUERY)[0]
-        route = snapshot.route(request.method, path)
+        route = snapshot.route(request.method, target_path.partition(_QUERY)[0])
         deadline_s = arrived_s + _time_limit_ms(request, route) / _MS_PER_S
-        if not context.wake_guard.check():
-            await context.wake_guard.ready(deadline_s)
+        if not self._context.wake_guard.check():
+            await self._context.wake_guard.ready(deadline_s)
         caller = _caller(request, configuration.fleet)
         runtime.caller_limits.admit(caller)
-        body = b''
+        pairs = _headers(request)
+        reservation = self._context.body_budget.reservation(
+            request.content_length
+        )
+        body = request_body.EMPTY
         if request.body_exists:
             body = await bodies.read(
                 request,
                 snapshot.settings.request_body_limit_bytes,
-                context.clock,
+                self._context.clock,
                 deadline_s,
+                reservation,
             )
         return caller_request.CallerRequest(
             snapshot,
@@ -61,13 +69,14 @@
             route,
             request.method,
             target_path,
-            _headers(request),
+            pairs,
             body,
             caller,
             deadline_s,
             caller_request.fingerprint(
                 service, request.method, target_path, body
             ),
+            reservation,
         )
 
     def _configuration(self) -> model.Configuration:
--- a/libraries/gateway/tests/cover/test_gateway_body_budget.py
+++ b/libraries/gateway/tests/cover/test_gateway_body_budget.py
@@ -17,7 +17,7 @@
 
 
 async def held(budget, size_bytes):
-    reservation = budget.reservation()
+    reservation = budget.reservation(size_bytes)
     await reservation.grow(size_bytes)
     return reservation
 
@@ -69,6 +69,83 @@
     await held(budget, MAX_BYTES)
 
 
+async def test_stated_lengths_keep_nobody_waiting(budget):
+    # Guards against callers who state long bodies and send them slowly.
+    for _ in range(5):
+        await budget.reservation(90).grow(1)
+    await held(budget, 80)
+    assert budget.held_bytes == 85
+
+
+async def test_a_body_of_unknown_length_holds_what_arrived(budget):
+    reservation = budget.reservation()
+    await reservation.grow(50)
+    reservation.settle(30)
+    await held(budget, 70)
+    assert budget.held_bytes == MAX_BYTES
+
+
+async def test_half_read_bodies_do_not_wait_for_each_other(budget):
+    # Guards against bodies that fill the memory and none of which can end.
+    first, second = budget.reservation(90), budget.reservation(90)
+    await first.grow(40)
+    assert not second.try_grow(60)
+    assert second.try_grow(10)
+    waiting = asyncio.create_task(second.grow(40))
+    await first.grow(50)
+    assert not waiting.done()
+    first.release()
+    await waiting
+
+
+async def upload(budget, length_bytes, is_stated, part_bytes):
+    reservation = budget.reservation(length_bytes if is_stated else None)
+    left_bytes = length_bytes
+    while left_bytes:
+        await reservation.grow(min(part_bytes, left_bytes))
+        left_bytes -= min(part_bytes, left_bytes)
+        assert budget.held_bytes <= max(MAX_BYTES, reservation.held_bytes)
+        await asyncio.sleep(0)
+    reservation.settle(length_bytes)
+    await asyncio.sleep(0)
+    reservation.release()
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(1, 150), st.integers(1, 30)),
+        max_size=20,
+    ),
+)
+async def test_all_bodies_of_stated_length_are_read(bodies):
+    budget = body_budget.BodyBudget(MAX_BYTES)
+    async with asyncio.timeout(10):
+        await asyncio.gather(
+            *(
+                upload(budget, length_bytes, True, part_bytes)
+                for length_bytes, part_bytes in bodies
+            )
+        )
+    assert budget.held_bytes == 0
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(1, 150), st.booleans(), st.integers(1, 30)),
+        max_size=20,
+    ),
+)
+async def test_no_body_of_unknown_length_exceeds_the_budget(bodies):
+    budget = body_budget.BodyBudget(MAX_BYTES)
+    uploads = [asyncio.create_task(upload(budget, *body)) for body in bodies]
+    for _ in range(200):
+        await asyncio.sleep(0)
+    for task in uploads:
+        task.cancel()
+    for outcome in await asyncio.gather(*uploads, return_exceptions=True):
+        assert not isinstance(outcome, Exception)
+
+
 @given(st.lists(st.tuples(st.integers(1, 150), st.booleans()), max_size=40))
 async def test_the_budget_is_kept_and_all_get_room(steps):
     budget = body_budget.BodyBudget(MAX_BYTES)
--- a/libraries/gateway/tests/cover/test_gateway_client.py
+++ b/libraries/gateway/tests/cover/test_gateway_client.py
@@ -7,7 +7,7 @@
 import yarl
 
 from sardinepier.gateway import client as clients
-from sardinepier.gateway import errors
+from sardinepier.gateway import errors, request_body
 
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 
@@ -53,7 +53,7 @@
         'PUT',
         peer.url,
         [],
-        b'',
+        request_body.EMPTY,
         fresh=fresh,
         connect_timeout_s=5,
         permit=permit,
@@ -149,7 +149,7 @@
         'GET',
         yarl.URL(f'http://127.0.0.1:{port}/'),
         [],
-        b'',
+        request_body.EMPTY,
         fresh=True,
         connect_timeout_s=0.2,
         permit=lambda: None,
--- a/libraries/gateway/tests/cover/test_gateway_gone_targets.py
+++ b/libraries/gateway/tests/cover/test_gateway_gone_targets.py
@@ -8,7 +8,7 @@
 import pytest
 import yarl
 from sardinepier.gateway import client as clients
-from sardinepier.gateway import errors
+from sardinepier.gateway import errors, request_body
 
 _SO_ATTACH_FILTER = 26
 _DROP_ALL = struct.pack('HBBI', 6, 0, 0, 0)
@@ -64,7 +64,7 @@
             'POST',
             yarl.URL(f'http://127.0.0.1:{listener.port}/'),
             headers,
-            body,
+            request_body.RequestBody((body,) if body else ()),
             fresh=False,
             connect_timeout_s=1.0,
             permit=lambda: None,
--- a/libraries/gateway/tests/cover/test_gateway_held_back.py
+++ b/libraries/gateway/tests/cover/test_gateway_held_back.py
@@ -6,7 +6,7 @@
 import pytest
 
 from sardinepier.core import ids
-from sardinepier.gateway import caller_request
+from sardinepier.gateway import caller_request, request_body
 from sardinepier.once import marks
 
 POISON = 'GET /books/poison HTTP/1.1'
@@ -29,7 +29,9 @@
     gateway = await harness.add_gateway()
     for number in range(4):
         path = f'/books/{number}'
-        suspect = caller_request.fingerprint('books', 'GET', path, b'')
+        suspect = caller_request.fingerprint(
+            'books', 'GET', path, request_body.EMPTY
+        )
         if is_reported_by_a_peer:
             _receive_report(gateway, suspect, 't0')
         else:
@@ -59,7 +61,9 @@
     await until(lambda: len(gateway.runtime().queue))
     _receive_report(
         gateway,
-        caller_request.fingerprint('books', 'GET', '/books/poison', b''),
+        caller_request.fingerprint(
+            'books', 'GET', '/books/poison', request_body.EMPTY
+        ),
         't8',
         't9',
     )
--- a/libraries/gateway/tests/cover/test_gateway_requests.py
+++ b/libraries/gateway/tests/cover/test_gateway_requests.py
@@ -7,6 +7,9 @@
 
 from sardinepier.once import tickets
 
+SHORT_DEADLINE = {'Sardinepier-Deadline-Ms': '300'}
+BUDGET_BYTES = 67_108_864
+
 
 @pytest.mark.parametrize(
     'path',
@@ -260,13 +263,85 @@
 
 
 async def test_the_memory_of_bodies_is_limited(harness):
+    target = await harness.add_target()
+    gateway = await harness.add_gateway()
+    budget = gateway.context.body_budget
+    held = budget.reservation(BUDGET_BYTES)
+    await held.grow(BUDGET_BYTES)
+    answer, content = await harness.send(
+        'PUT', '/books/books/1', data=b'xy', headers=SHORT_DEADLINE
+    )
+    assert (answer.status, answer.headers['Retry-After']) == (503, '1')
+    assert json.loads(content)['type'].endswith('overloaded')
+    assert budget.held_bytes == BUDGET_BYTES
+    assert not target.seen
+    held.release()
+    answer, _ = await harness.send('PUT', '/books/books/1', data=b'xy')
+    assert (answer.status, budget.held_bytes) == (200, 0)
+
+
+async def test_bodies_count_by_what_arrived_of_them(harness):
+    # Guards against callers whose stated lengths use up the memory of bodies.
+    await harness.add_target()
+    gateway = await harness.add_gateway(request_body_limit_bytes=60_000_000)
+    writers = []
+    for _ in range(3):
+        _, writer = await asyncio.open_connection('127.0.0.1', gateway.port)
+        writer.write(
+            b'PUT /books/books/1 HTTP/1.1\r\nHost: a\r\n'
+            b'Content-Length: 60000000\r\n\r\nx'
+        )
+        writers.append(writer)
+    while gateway.context.activity.in_flight < len(writers):
+        await asyncio.sleep(0.01)
+    answer, _ = await harness.send(
+        'PUT', '/books/books/2', data=bytes(1_000_000)
+    )
+    assert answer.status == 200
+    assert gateway.context.body_budget.held_bytes < 1_000_000
+    for writer in writers:
+        writer.close()
+
+
+async def test_a_chunked_body_counts_whole(harness):
+    # Guards against chunked bodies that take more memory than was reserved.
+    target = await harness.add_target('hang')
+    gateway = await harness.add_gateway(request_body_limit_bytes=10_000_000)
+
+    async def body():
+        for _ in range(8):
+            yield bytes(1_000_000)
+
+    sending = asyncio.create_task(
+        harness.send('PUT', '/books/books/1', data=body())
+    )
+    while not target.seen:
+        await asyncio.sleep(0.01)
+    assert gateway.context.body_budget.held_bytes == 8_000_000
+    target.released.set()
+    answer, _ = await sending
+    assert (answer.status, gateway.context.body_budget.held_bytes) == (200, 0)
+
+
+async def test_a_keyed_body_is_held_until_its_request_ends(harness):
+    # Guards against memory given back while a request goes on without its caller.
     target = await harness.add_target('hang')
     gateway = await harness.add_gateway()
-    with gateway.context.activity.reserve_body_memory(67_108_863):
-        answer, content = await harness.send(
-            'PUT', '/books/books/1', data=b'xy'
+    key = f'{await harness.ticket()}.1'
+    sending = asyncio.create_task(
+        harness.send(
+            'POST',
+            '/books/postings',
+            data=bytes(5000),
+            headers={'Idempotency-Key': key},
         )
-        assert (answer.status, answer.headers['Retry-After']) == (503, '1')
-        assert json.loads(content)['type'].endswith('overloaded')
-    assert not gateway.context.activity.body_bytes
-    assert not target.seen
+    )
+    while not target.seen:
+        await asyncio.sleep(0.01)
+    sending.cancel()
+    await asyncio.sleep(0.1)
+    assert gateway.context.body_budget.held_bytes == 5000
+    target.released.set()
+    while gateway.context.activity.in_flight:
+        await asyncio.sleep(0.01)
+    assert gateway.context.body_budget.held_bytes == 0
--- a/libraries/workbench/src/sardinepier/workbench/policy/emulation.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/emulation.py
@@ -10,6 +10,7 @@
 from sardinepier.core import errors as core_errors
 from sardinepier.core import ids
 from sardinepier.entry import caller_request, model, refusals
+from sardinepier.gateway import request_body
 from sardinepier.wire import memory_network
 from sardinepier.workbench.policy import (
     client,
@@ -255,7 +256,7 @@
             method='GET',
             path='/',
             headers=[(client.WORK_HEADER, str(work_s))],
-            body=b'',
+            body=request_body.EMPTY,
             route=daemons.route_of(request_class),
             service=ids.ServiceName(request_class.service),
             arrived_s=sent_s,
