--- a/tests/adapter/test_adapter_uploads.py
+++ b/tests/adapter/test_adapter_uploads.py
@@ -25,6 +25,9 @@
 MIXED_CALLERS = 100
 SLOW_PAUSE_S = 0.2
 SMALL_REQUESTS = 100
+STATED_BYTES = 2_000_000
+STALLED_CALLERS = 40
+ORDINARY_UPLOADS = 28
 
 pytestmark = pytest.mark.processes
 
@@ -134,6 +137,41 @@
     assert set(target[0].ran.values()) == {length}
 
 
+async def stall(instance, attempt_id):
+    """State a long body, send its beginning, and keep the connection open."""
+    _, writer = await asyncio.open_connection(
+        instance.ip, instance.ports['front']
+    )
+    headers = {
+        names.HEADERS.attempt_id: attempt_id,
+        names.HEADERS.deadline_ms: str(DEADLINE_MS),
+        'Content-Length': str(STATED_BYTES),
+    }
+    writer.write(support.request('/once/1', 'POST', **headers) + bytes(1000))
+    await writer.drain()
+    return writer
+
+
+async def test_stalled_uploads_take_no_memory_from_others(instance, target):
+    # Guards against memory that is used up by stated lengths, so that ordinary
+    # uploads are refused.
+    writers = [
+        await stall(instance, f'stalled-{number}')
+        for number in range(STALLED_CALLERS)
+    ]
+    statuses = [
+        await upload(instance, f'id-{number}', MIXED_BYTES)
+        for number in range(ORDINARY_UPLOADS)
+    ]
+    peak_mb = resident.megabytes(instance.process, 'VmHWM')
+    sys.stdout.write(f'resident {peak_mb:.0f} MB at most\n')
+    for writer in writers:
+        writer.close()
+    assert set(statuses) == {200}
+    assert len(target[0].ran) == ORDINARY_UPLOADS
+    assert peak_mb < MAX_RESIDENT_MB
+
+
 async def small_durations_ms(instance, name):
     """Send small requests one after the other; return how long each took."""
     durations_ms = []
