Bound the memory for answers to slow callers on the project's own path, too

Each service has a limit for one buffered answer there, up to 64 MiB, and nothing bounded all of them: 100 callers who do not read 1 MB each held 100 MB. The budget of the platform's path moves to gateway and holds for both. A service's limit stays one for each answer; as the budget is used up, longer ones are streamed.

--- a/libraries/daemon/src/sardinepier/daemon/internal/entry_parts.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/entry_parts.py
@@ -9,14 +9,18 @@
 from sardinepier.daemon import entry_events, entry_settings
 from sardinepier.daemon.internal import peer_zones
 from sardinepier.entry import (
-    buffer_budget,
     context,
     decision_log,
     model,
     request_metrics,
     service_registry,
 )
-from sardinepier.gateway import active_requests, body_budget, client
+from sardinepier.gateway import (
+    active_requests,
+    body_budget,
+    buffer_budget,
+    client,
+)
 from sardinepier.membership import (
     events,
     kinds,
--- a/libraries/entry/src/sardinepier/entry/context.py
+++ b/libraries/entry/src/sardinepier/entry/context.py
@@ -4,7 +4,6 @@
 
 from sardinepier.core import clock as clocks
 from sardinepier.entry import (
-    buffer_budget,
     decision_log,
     header_names,
     open_exchanges,
@@ -13,6 +12,7 @@
 )
 from sardinepier.gateway import active_requests, client
 from sardinepier.gateway import body_budget as body_budgets
+from sardinepier.gateway import buffer_budget as buffer_budgets
 from sardinepier.once import quarantine
 
 
@@ -36,7 +36,7 @@
     activity: active_requests.ActiveRequests
     decision_log: decision_log.DecisionLog
     metrics: request_metrics.RequestMetrics
-    buffer_budget: buffer_budget.BufferBudget
+    buffer_budget: buffer_budgets.BufferBudget
     body_budget: body_budgets.BodyBudget = dataclasses.field(
         default_factory=body_budgets.BodyBudget,
     )
--- a/libraries/entry/tests/cover/test_entry_large_answers.py
+++ b/libraries/entry/tests/cover/test_entry_large_answers.py
@@ -5,7 +5,7 @@
 
 import entry_support as support
 import pytest
-from sardinepier.entry import buffer_budget
+from sardinepier.gateway import buffer_budget
 
 LARGE = bytes(range(256)) * 20_000
 """5 MB: more than the limit of a buffered answer."""
--- a/libraries/entry/tests/entry_support.py
+++ b/libraries/entry/tests/entry_support.py
@@ -11,7 +11,6 @@
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
 from sardinepier.entry import (
-    buffer_budget,
     caller_server,
     context,
     decision_log,
@@ -21,7 +20,7 @@
 )
 from sardinepier.entry import relay_http, relay_service, relaying
 from sardinepier.entry import request_metrics, service_pool, service_registry
-from sardinepier.gateway import active_requests
+from sardinepier.gateway import active_requests, buffer_budget
 from sardinepier.gateway import client as clients
 from sardinepier.health import failure_estimate
 from sardinepier.once import quarantine
--- a/libraries/gateway/src/sardinepier/gateway/answer_reader.py
+++ b/libraries/gateway/src/sardinepier/gateway/answer_reader.py
@@ -4,7 +4,13 @@
 
 from aiohttp import client_exceptions, client_reqrep
 
-from sardinepier.gateway import caller_request, errors, headers, target_answer
+from sardinepier.gateway import (
+    buffer_budget,
+    caller_request,
+    errors,
+    headers,
+    target_answer,
+)
 from sardinepier.settings import model
 
 _NO_CONTENT: Final = frozenset((204, 304))
@@ -15,22 +21,33 @@
 async def read(
     response: client_reqrep.ClientResponse,
     request: caller_request.CallerRequest,
+    budget: buffer_budget.BufferBudget,
     on_end: target_answer.OnEnd,
 ) -> target_answer.TargetAnswer:
     """Return the complete answer, or the beginning of a long one.
 
-    ``on_end`` is passed to the stream of a long answer. Raises
+    What is buffered counts in ``budget``, which limits how long an answer may
+    be. ``on_end`` is passed to the stream of a long answer. Raises
     ``BadAnswerError`` if the answer can't be forwarded. If this raises before
     the answer was read to its end, it closes the connection.
     """
     try:
-        return await _read(response, request, on_end)
+        answer = await _read(
+            response,
+            request,
+            budget.answer_limit_bytes(
+                request.snapshot.settings.answer_buffer_limit_bytes
+            ),
+            on_end,
+        )
     except (client_exceptions.ClientError, OSError) as error:
         response.close()
         raise target_answer.truncated(error) from error
     except BaseException:
         response.close()
         raise
+    budget.charge(answer, len(answer.body))
+    return answer
 
 
 def refuse_shed(
@@ -56,6 +73,7 @@
 async def _read(
     response: client_reqrep.ClientResponse,
     request: caller_request.CallerRequest,
+    limit_bytes: int,
     on_end: target_answer.OnEnd,
 ) -> target_answer.TargetAnswer:
     _require_framing(response, request.method)
@@ -66,7 +84,6 @@
         response.content_length,
     )
     _require_readable(answer)
-    limit_bytes = request.snapshot.settings.answer_buffer_limit_bytes
     content = response.content
     if content.is_eof() and content.total_bytes <= limit_bytes:
         # A short answer usually arrives together with its headers.
--- a/libraries/gateway/src/sardinepier/gateway/attempt.py
+++ b/libraries/gateway/src/sardinepier/gateway/attempt.py
@@ -120,7 +120,12 @@
                 request.runtime.health.selectable(),
             ),
         )
-        return await answer_reader.read(response, request, self._on_stream_end)
+        return await answer_reader.read(
+            response,
+            request,
+            self._context.buffer_budget,
+            self._on_stream_end,
+        )
 
     def _apply_statement(self, response: client_reqrep.ClientResponse) -> None:
         """Apply the statement in the headers, whatever the status."""
--- a/libraries/entry/src/sardinepier/entry/buffer_budget.py
+++ b/libraries/gateway/src/sardinepier/gateway/buffer_budget.py
@@ -40,16 +40,16 @@
         self.buffered_bytes = 0
         self._max_bytes = max_bytes
 
-    def answer_limit_bytes(self) -> int:
-        """Return up to how many bytes the next answer may be buffered whole."""
+    def answer_limit_bytes(
+        self, max_bytes: int = MAX_BUFFERED_ANSWER_BYTES
+    ) -> int:
+        """Return up to how many bytes the next answer may be buffered whole.
+
+        That is at most ``max_bytes``, the limit for each.
+        """
         remaining_bytes = max(0, self._max_bytes - self.buffered_bytes)
-        return max(
-            MIN_BUFFERED_ANSWER_BYTES,
-            min(
-                MAX_BUFFERED_ANSWER_BYTES,
-                remaining_bytes // _REMAINING_BUDGET_DIVISOR,
-            ),
-        )
+        share_bytes = remaining_bytes // _REMAINING_BUDGET_DIVISOR
+        return min(max_bytes, max(MIN_BUFFERED_ANSWER_BYTES, share_bytes))
 
     def charge(self, answer: object, size_bytes: int) -> None:
         """Count ``size_bytes`` until ``answer`` is garbage collected."""
--- a/libraries/gateway/src/sardinepier/gateway/context.py
+++ b/libraries/gateway/src/sardinepier/gateway/context.py
@@ -14,6 +14,7 @@
     wake_guard,
 )
 from sardinepier.gateway import body_budget as body_budgets
+from sardinepier.gateway import buffer_budget as buffer_budgets
 from sardinepier.membership import view as views
 from sardinepier.once import ledger, quarantine
 from sardinepier.settings import model
@@ -27,7 +28,8 @@
     ``configuration`` returns the current configuration, or None before the
     first fleet file. ``started_at_s`` is this process's start on its own clock.
     ``services`` must be updated whenever the configuration changes.
-    ``body_budget`` bounds the memory for the bodies of requests.
+    ``body_budget`` bounds the memory for the bodies of requests, and
+    ``buffer_budget`` that for buffered answers.
     """
 
     own: ids.InstanceId
@@ -49,3 +51,6 @@
     body_budget: body_budgets.BodyBudget = dataclasses.field(
         default_factory=body_budgets.BodyBudget,
     )
+    buffer_budget: buffer_budgets.BufferBudget = dataclasses.field(
+        default_factory=buffer_budgets.BufferBudget,
+    )
--- a/libraries/gateway/src/sardinepier/gateway/delivery.py
+++ b/libraries/gateway/src/sardinepier/gateway/delivery.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 import multidict
-from aiohttp import http, web_request, web_response
+from aiohttp import helpers, http, web_request, web_response
 
 from sardinepier.core import outcomes
 from sardinepier.gateway import context as contexts
@@ -12,20 +12,43 @@
 from sardinepier.once import answers
 
 _COMPLETED: Final = outcomes.Outcome.COMPLETED.value
+_ANSWER_KEY: Final = helpers.ResponseKey('answer', target_answer.TargetAnswer)
 _NOT_KEPT: Final = errors.AnswerNotKeptError(
     'The request ran, but its answer was too large to keep',
     'Read the result from the service instead of sending the request again',
 )
 
 
+def whole_response(
+    answer: target_answer.TargetAnswer,
+    outcome: str = _COMPLETED,
+) -> web_response.Response:
+    """Return an answer that was read to its end."""
+    if answer.body:
+        return buffered_response(answer, outcome)
+    return _empty_response(answer, outcome)
+
+
 def buffered_response(
+    answer: target_answer.TargetAnswer,
+    outcome: str = _COMPLETED,
+) -> web_response.Response:
+    """Return an answer whose complete body is in memory."""
+    response = _response(
+        answer.status, answer.reason, answer.headers, answer.body, outcome
+    )
+    # Keeps ``answer`` in the buffer budget until a slow caller has read it.
+    response[_ANSWER_KEY] = answer
+    return response
+
+
+def _response(
     status: int,
     reason: str | None,
     pairs: headers.Pairs,
     body: bytes,
-    outcome: str = _COMPLETED,
+    outcome: str,
 ) -> web_response.Response:
-    """Return an answer whose complete body is in memory."""
     answer_headers = multidict.CIMultiDict(pairs)
     answer_headers[headers.OUTCOME] = outcome
     return web_response.Response(
@@ -36,9 +59,9 @@
     )
 
 
-def empty_response(
+def _empty_response(
     answer: target_answer.TargetAnswer,
-    outcome: str = _COMPLETED,
+    outcome: str,
 ) -> web_response.Response:
     """Return an answer without a body, which may still state a length."""
     answer_headers = multidict.CIMultiDict(answer.headers)
@@ -56,7 +79,9 @@
     """Return a recorded answer; raise ``AnswerNotKeptError`` without a body."""
     if answer.body is None:
         raise _NOT_KEPT
-    return buffered_response(answer.status, None, answer.headers, answer.body)
+    return _response(
+        answer.status, None, answer.headers, answer.body, _COMPLETED
+    )
 
 
 class Stream:
--- a/libraries/gateway/src/sardinepier/gateway/keyed.py
+++ b/libraries/gateway/src/sardinepier/gateway/keyed.py
@@ -114,12 +114,7 @@
         if answer.remainder is not None:
             return await self._stream(http_request, request, record, answer)
         record.complete(_recorded_answer(answer))
-        return delivery.buffered_response(
-            answer.status,
-            answer.reason,
-            answer.headers,
-            answer.body,
-        )
+        return delivery.buffered_response(answer)
 
     async def _stream(
         self,
--- a/libraries/gateway/src/sardinepier/gateway/pipeline.py
+++ b/libraries/gateway/src/sardinepier/gateway/pipeline.py
@@ -85,15 +85,8 @@
         request: caller_request.CallerRequest,
     ) -> web_response.StreamResponse:
         answer = await self._forwarding.forward(request)
-        if answer.remainder is None and not answer.body:
-            return delivery.empty_response(answer)
         if answer.remainder is None:
-            return delivery.buffered_response(
-                answer.status,
-                answer.reason,
-                answer.headers,
-                answer.body,
-            )
+            return delivery.whole_response(answer)
         stream = delivery.Stream(
             self._context,
             http_request,
--- a/libraries/gateway/src/sardinepier/gateway/relaying.py
+++ b/libraries/gateway/src/sardinepier/gateway/relaying.py
@@ -45,19 +45,13 @@
             async with asyncio.timeout(max(0.0, left_s)):
                 response = await self._open(http_request, request, member)
                 outcome = _outcome(response)
-                answer = await answer_reader.read(response, request, _ignore)
+                answer = await answer_reader.read(
+                    response, request, self._context.buffer_budget, _ignore
+                )
         except (errors.GatewayError, TimeoutError) as error:
             raise _unreachable(home, 'did not answer') from error
-        if answer.remainder is None and not answer.body:
-            return delivery.empty_response(answer, outcome)
         if answer.remainder is None:
-            return delivery.buffered_response(
-                answer.status,
-                answer.reason,
-                answer.headers,
-                answer.body,
-                outcome,
-            )
+            return delivery.whole_response(answer, outcome)
         stream = delivery.Stream(
             self._context,
             http_request,
--- a/libraries/gateway/src/sardinepier/gateway/target_answer.py
+++ b/libraries/gateway/src/sardinepier/gateway/target_answer.py
@@ -10,7 +10,7 @@
 OnEnd = Callable[[BaseException | None], None]
 
 
-@dataclasses.dataclass(slots=True, eq=False)
+@dataclasses.dataclass(slots=True, eq=False, weakref_slot=True)
 class TargetAnswer:
     """The answer of a target.
 
--- a/libraries/settings/src/sardinepier/settings/internal/schema.py
+++ b/libraries/settings/src/sardinepier/settings/internal/schema.py
@@ -142,7 +142,8 @@
     """The largest request body that is taken."""
 
     answer_buffer_limit_bytes: number_types.BufferBytes = 1_048_576
-    """Answers up to this size are checked whole before they are passed on."""
+    """Answers up to this size are checked whole before they are passed on, while the
+    daemon has memory for them."""
 
 
 class ShedReplySection(Section):
--- a/libraries/workbench/src/sardinepier/workbench/policy/daemons.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/daemons.py
@@ -9,7 +9,6 @@
 from sardinepier.core import ids
 from sardinepier.entry import (
     answers,
-    buffer_budget,
     context,
     decision_log,
     forwarding,
@@ -21,7 +20,7 @@
 from sardinepier.entry import relay_messages, relay_service, relaying
 from sardinepier.entry import request_metrics as entry_metrics
 from sardinepier.entry import service_registry
-from sardinepier.gateway import active_requests
+from sardinepier.gateway import active_requests, buffer_budget
 from sardinepier.health import failure_estimate
 from sardinepier.membership import members as fleet
 from sardinepier.once import quarantine
