Bound the connections of callers by the descriptors of the process

A daemon with as many idle callers' connections as descriptors accepted no other caller and could connect to no target: limits.max_fds of the settings was read nowhere, and the project's own daemon did not ask the system. The class is that of the memory: a limit that was stated and not counted.

None with a request in flight is closed.

--- a/libraries/daemon/src/sardinepier/daemon/entry_process.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_process.py
@@ -31,7 +31,7 @@
     service_registry,
 )
 from sardinepier.entry import context as contexts
-from sardinepier.gateway import active_requests
+from sardinepier.gateway import active_requests, descriptors
 from sardinepier.health import failure_estimate
 from sardinepier.telemetry import logs
 from sardinepier.wire import messages
@@ -224,6 +224,7 @@
             request_pipeline.handle,
             self._bounds,
             request_pipeline.start_pipelined,
+            descriptors.caller_connections(self._settings.max_sockets),
         )
         await front_server.start(
             self._settings.front.ip, self._settings.front.port
@@ -275,7 +276,10 @@
         self,
         page_metrics: entry_metrics.EntryMetrics,
     ) -> page_servers.PageServers:
-        opened_pages = page_servers.PageServers(self._bounds)
+        opened_pages = page_servers.PageServers(
+            self._bounds,
+            descriptors.page_connections(self._settings.max_sockets),
+        )
         directory = pages.Directory(
             self._addresses,
             min(_DIRECTORY_LIFETIME_S, self._settings.bounds.directory_s),
--- a/libraries/daemon/src/sardinepier/daemon/entry_settings.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_settings.py
@@ -5,6 +5,7 @@
 
 from sardinepier.core import ids
 from sardinepier.entry import header_names, idle_threshold
+from sardinepier.gateway import descriptors
 from sardinepier.membership import capacity as capacities
 from sardinepier.routing import fleet_limits
 from sardinepier.wire import messages
@@ -52,7 +53,7 @@
     ``capacity`` is what the instance may use of its processor and its network
     link. ``relay`` is the address for requests that other daemons relay; without
     one, none are relayed from here either. ``memory_bytes`` is what the process
-    may use.
+    may use, and ``max_sockets`` how many it may open.
     """
 
     daemon_id: ids.DaemonId
@@ -69,3 +70,6 @@
     capacity: capacities.Capacity = capacities.DEFAULT
     relay: messages.PeerAddress | None = None
     memory_bytes: int = DEFAULT_MEMORY_BYTES
+    max_sockets: int = dataclasses.field(
+        default_factory=descriptors.default_sockets
+    )
--- a/libraries/daemon/src/sardinepier/daemon/internal/page_servers.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/page_servers.py
@@ -8,9 +8,15 @@
 class PageServers:
     """Serves pages at the addresses in the settings, until closed."""
 
-    def __init__(self, bounds: caller_server.BoundsGetter) -> None:
-        """Limit requests by ``bounds``; nothing is opened yet."""
+    def __init__(
+        self, bounds: caller_server.BoundsGetter, max_connections: int
+    ) -> None:
+        """Limit requests by ``bounds``, and the connections to each page.
+
+        Nothing is opened yet.
+        """
         self._bounds = bounds
+        self._max_connections = max_connections
         self._servers: list[caller_server.HttpServer] = []
 
     async def open(
@@ -21,7 +27,11 @@
         """Serve ``page``; raise ``OSError`` if the address is in use."""
         if address is None:
             return
-        server = caller_server.HttpServer(page.handle, self._bounds)
+        server = caller_server.HttpServer(
+            page.handle,
+            self._bounds,
+            max_connections=self._max_connections,
+        )
         await server.start(address.ip, address.port)
         self._servers.append(server)
 
--- a/libraries/daemon/tests/cover/test_daemon_line_events.py
+++ b/libraries/daemon/tests/cover/test_daemon_line_events.py
@@ -55,5 +55,6 @@
     'settings-refused',
     'metrics-unavailable',
     'relays-unavailable',
+    'connections-limited',
 }
-"""Log events without a class of their own, for failures of any type."""
+"""Log events without a class of their own."""
--- a/libraries/entry/src/sardinepier/entry/caller_server.py
+++ b/libraries/entry/src/sardinepier/entry/caller_server.py
@@ -144,13 +144,15 @@
         handler: Any,
         bounds: BoundsGetter,
         start_pipelined: StartPipelined | None = None,
+        max_connections: int | None = None,
     ) -> None:
         """Answer by ``handler``, which is cancelled if the caller disconnects.
 
         ``start_pipelined`` may start to answer a request that is queued behind
         others of its connection, and returns None for one that has to wait.
+        ``max_connections`` is as in ``GracefulServer``.
         """
-        super().__init__(handler)
+        super().__init__(handler, max_connections)
         self.start_pipelined = start_pipelined
         self._bounds = bounds
         self._listener: asyncio.Server | None = None
--- a/libraries/gateway/src/sardinepier/gateway/graceful_connection.py
+++ b/libraries/gateway/src/sardinepier/gateway/graceful_connection.py
@@ -6,9 +6,17 @@
 
 from aiohttp import web_protocol, web_request, web_response, web_server
 
+from sardinepier.telemetry import logs
+
 _LINGERING_TIME_S: Final = 2.0
 """How long a caller may take to close a connection after the last answer."""
 
+_CLOSED_SHARE: Final = 32
+"""Divides the limit of connections into those that are closed at once to make
+room, so that the search for them is seldom."""
+
+_LOG_INTERVAL_S: Final = 1.0
+
 
 class GracefulConnection(web_protocol.RequestHandler):
     """A connection that may be drained: closed once all answers are sent."""
@@ -16,6 +24,7 @@
     def __init__(self, server: 'GracefulServer', **options: Any) -> None:
         """Answer requests by the handler of ``server``."""
         super().__init__(server, **options)
+        self.idle_since_s = asyncio.get_running_loop().time()
         self._is_draining = False
         self._closed: asyncio.Future[None] | None = None
 
@@ -31,7 +40,7 @@
         ``close``. The result is done when the last byte has been sent.
         """
         self._is_draining = True
-        if self._is_idle():
+        if self.is_idle():
             self.force_close()
         return self._until_closed()
 
@@ -51,12 +60,20 @@
         if self._is_last_response():
             resp.force_close()
         finished = await super().finish_response(request, resp, start_time)
+        self.idle_since_s = asyncio.get_running_loop().time()
         # Draining may have begun after the head was sent.
         is_closed_early = request.keep_alive and not resp.keep_alive
         if is_closed_early or self._is_last_response():
             await self._linger()
         return finished
 
+    def is_idle(self) -> bool:
+        """Return whether no request was read that has not been answered."""
+        if self._messages:
+            return False
+        is_waiting = self._waiter is not None and not self._waiter.done()
+        return is_waiting or not self._request_count
+
     async def _linger(self) -> None:
         """Discard what arrives until the caller closes the connection.
 
@@ -80,24 +97,25 @@
     def _is_last_response(self) -> bool:
         return self._is_draining and not self.has_started_requests
 
-    def _is_idle(self) -> bool:
-        """Return whether no request was read that has not been answered."""
-        if self._messages:
-            return False
-        is_waiting = self._waiter is not None and not self._waiter.done()
-        return is_waiting or not self._request_count
-
 
 class GracefulServer(web_server.Server):
     """Creates connections that may be drained.
 
-    The handler of a request is cancelled if the caller disconnects.
+    The handler of a request is cancelled if the caller disconnects. Beyond
+    ``max_connections`` those that were idle for longest are closed, or the new
+    one if none is idle.
     """
 
-    def __init__(self, handler: Any) -> None:
-        """Answer requests by ``handler``."""
+    def __init__(
+        self, handler: Any, max_connections: int | None = None
+    ) -> None:
+        """Answer requests by ``handler``; None is no limit."""
         super().__init__(handler, handler_cancellation=True)
         self._is_draining = False
+        self._max_connections = max_connections
+        self._open_connections = 0
+        self._closed_for_room = 0
+        self._next_log_s = 0.0
 
     def connection_made(
         self,
@@ -106,8 +124,20 @@
     ) -> None:
         """Close a connection that was accepted before draining began."""
         super().connection_made(handler, transport)
+        self._open_connections += 1
         if self._is_draining:
             handler.force_close()
+        elif self._max_connections is not None:
+            self._keep_limit(self._max_connections, handler)
+
+    def connection_lost(
+        self,
+        handler: web_protocol.RequestHandler,
+        exc: BaseException | None = None,
+    ) -> None:
+        """Count a connection that is closed."""
+        super().connection_lost(handler, exc)
+        self._open_connections -= 1
 
     async def drain(self, within_s: float) -> int:
         """Close each connection as soon as its answers are sent.
@@ -128,3 +158,37 @@
         for connection_closed in unfinished:
             closed[connection_closed].force_close()
         return len(unfinished)
+
+    def _keep_limit(
+        self, limit: int, newest: web_protocol.RequestHandler
+    ) -> None:
+        if self._open_connections <= limit:
+            return
+        idle = [
+            connection
+            for connection in self.connections
+            if isinstance(connection, GracefulConnection)
+            and connection is not newest
+            and connection.is_idle()
+        ]
+        idle.sort(key=lambda connection: connection.idle_since_s)
+        closing = idle[: 1 + limit // _CLOSED_SHARE]
+        for connection in closing:
+            connection.force_close()
+        if not closing:
+            newest.force_close()
+        self._closed_for_room += max(1, len(closing))
+        self._log_closed()
+
+    def _log_closed(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if now_s < self._next_log_s:
+            return
+        self._next_log_s = now_s + _LOG_INTERVAL_S
+        logs.event(
+            'connections-limited',
+            level=logs.Level.WARNING,
+            open=self._open_connections,
+            closed=self._closed_for_room,
+        )
+        self._closed_for_room = 0
--- a/libraries/gateway/src/sardinepier/gateway/protocol.py
+++ b/libraries/gateway/src/sardinepier/gateway/protocol.py
@@ -1,7 +1,7 @@
 """aiohttp's server protocol, with problem documents for invalid requests."""
 
 import asyncio
-from typing import Final
+from typing import Any, Final
 
 from aiohttp import (
     http_exceptions,
@@ -10,6 +10,7 @@
 )
 
 from sardinepier.gateway import (
+    descriptors,
     errors,
     graceful_connection,
     problems,
@@ -44,6 +45,13 @@
 class CallerConnections(graceful_connection.GracefulServer):
     """Accepts connections from callers and limits the size of requests."""
 
+    def __init__(self, handler: Any) -> None:
+        """Answer requests by ``handler``, and leave sockets for other uses."""
+        super().__init__(
+            handler,
+            descriptors.caller_connections(descriptors.default_sockets()),
+        )
+
     def __call__(self) -> CallerConnection:
         """Create the protocol of a new connection."""
         return CallerConnection(
