--- a/libraries/zones/tests/cover/test_zones_freshness.py
+++ b/libraries/zones/tests/cover/test_zones_freshness.py
@@ -26,6 +26,16 @@
     HEAL = 'heal'
 
 
+class SlowEvent(enum.Enum):
+    """What happens beside these events to a platform that is slow for some."""
+
+    SLOW = 'slow'
+    FAST = 'fast'
+
+
+USUAL_EVENTS = tuple(Event)
+
+
 class Trial:
     """A zone under random events, and when each daemon was last disturbed."""
 
@@ -79,10 +89,24 @@
     def heal(self):
         self.zone.hub.heal_all()
 
+    def slow(self):
+        self.zone.platform.transfer_s = {
+            daemon.own.daemon_id: self.random.choice((0.1, 0.25, 0.5))
+            for daemon in self.zone.daemons
+            if self.random.random() < 0.35
+        }
+
+    def fast(self):
+        self.zone.platform.transfer_s = {}
+
     async def run(self, seconds):
         for _ in range(round(seconds / STEP_S)):
+            platform = self.zone.platform
             for daemon in self.zone.daemons:
-                if daemon.own.daemon_id in self.zone.platform.refused:
+                if daemon.own.daemon_id in (
+                    *platform.refused,
+                    *platform.transfer_s,
+                ):
                     self.disturbed_s[daemon.own] = self.now_s()
             await self.zone.run(STEP_S)
             self.check()
@@ -96,11 +120,11 @@
                 self.late.append((self.now_s(), daemon.own.daemon_id, known))
 
 
-async def run_trial(seed):
+async def run_trial(seed, events):
     trial = Trial(seed)
     await trial.run(STABLE_S)
     for _ in range(EVENTS):
-        trial.apply(trial.random.choice(list(Event)))
+        trial.apply(trial.random.choice(events))
         await trial.run(trial.random.choice((0.25, 0.5, 1.0, 4.0)))
     await trial.run(APPLY_S + STABLE_S)
     return trial.late
@@ -110,7 +134,13 @@
 async def test_who_is_served_by_the_platform_knows_each_change(seed):
     # In seeds 1108 and 1276 a daemon that is cut off from the one that reads
     # waited too long after the platform had turned it away.
-    assert not await run_trial(seed)
+    assert not await run_trial(seed, USUAL_EVENTS)
+
+
+@pytest.mark.parametrize('seed', range(10))
+async def test_a_platform_that_is_slow_for_some_delays_no_others(seed):
+    # Guards against a zone that waits for the reader with the slowest answers.
+    assert not await run_trial(seed, (*USUAL_EVENTS, *SlowEvent))
 
 
 @pytest.mark.parametrize('refused', [1, 2, 4])
