--- a/tests/adapter/test_adapter_exits.py
+++ b/tests/adapter/test_adapter_exits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import signal
 
 import entry_support as support
@@ -144,8 +145,12 @@
     await ready
     assert before_ticks < running.processor_ticks() / 4
     running.process.send_signal(signal.SIGTERM)
-    while running.process.returncode is None:
-        running.process.send_signal(signal.SIGHUP)
-        await asyncio.sleep(0.001)
+    # Popen.send_signal would take the exit code from the event loop.
+    pidfd = os.pidfd_open(running.process.pid)
+    with contextlib.suppress(ProcessLookupError):
+        while running.process.returncode is None:
+            signal.pidfd_send_signal(pidfd, signal.SIGHUP)
+            await asyncio.sleep(0.001)
+    os.close(pidfd)
     assert await exit_code(running) == 0
     await running.process.communicate()
