Accept no more connections at once than there is room for

Callers: with 600 idle connections and 400 descriptors a daemon gave no answer in 20 s if they arrived while it was paused, or slow beside other load.

Cause: the event loop accepts up to its backlog, 512, before it handles the first connection, and reports each failure after that for up to a second; and all connections that are handled in one iteration closed the same four idle ones, since a closed connection counted until it was released. Evidence: the descriptors, sampled each half second beside a daemon stopped for 1 s: 19, 400, then 4 fewer connections waiting each half second; the stack in the handler of failed accepts.

Change: 1 in 32 of the limit is accepted in one iteration; connections that are being closed neither count nor are closed again. Both request paths listen by the same code.

--- a/libraries/entry/src/sardinepier/entry/caller_server.py
+++ b/libraries/entry/src/sardinepier/entry/caller_server.py
@@ -26,7 +26,6 @@
 ]
 BoundsGetter = Callable[[], model.CallerBounds]
 
-_BACKLOG: Final = 512
 _LINGERING_TIME_S: Final = 2.0
 _MAX_HEADERS: Final = 100
 
@@ -155,7 +154,6 @@
         super().__init__(handler, max_connections)
         self.start_pipelined = start_pipelined
         self._bounds = bounds
-        self._listener: asyncio.Server | None = None
 
     def __call__(self) -> CallerConnection:
         """Create the protocol of a new connection."""
@@ -172,23 +170,6 @@
             auto_decompress=False,
         )
 
-    async def start(self, ip: str, port: int) -> int:
-        """Listen, and return the port; the system chooses one if it is 0."""
-        loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            self,
-            ip,
-            port,
-            backlog=_BACKLOG,
-        )
-        bound: int = self._listener.sockets[0].getsockname()[1]
-        return bound
-
-    def stop_listening(self) -> None:
-        """Accept no new connections; open ones are still served."""
-        if self._listener is not None:
-            self._listener.close()
-
     async def close(self, within_s: float) -> int:
         """Close all connections, after the answers in flight were sent.
 
--- a/libraries/entry/tests/cover/test_entry_connection_limit.py
+++ b/libraries/entry/tests/cover/test_entry_connection_limit.py
@@ -1,12 +1,15 @@
 """Callers' connections leave descriptors for targets, peers and the store."""
 
 import asyncio
+import os
+import socket
 
 import entry_support as support
 import pytest
 from sardinepier.entry import caller_server, model, pipeline
 
 LIMIT = 32
+BURST = 256
 
 
 @pytest.fixture
@@ -30,6 +33,10 @@
     return reader, writer
 
 
+def count_descriptors():
+    return len(os.listdir('/proc/self/fd'))
+
+
 async def is_served(connection):
     reader, writer = connection
     writer.write(support.request())
@@ -66,3 +73,27 @@
     assert await refused.read() == b''
     target.gate.set()
     assert all(await asyncio.gather(*served))
+
+
+async def test_a_burst_of_connections_is_accepted_in_small_batches(
+    entry, limited
+):
+    # Guards against descriptors that run out when more callers connect at once
+    # than the limit allows: connections close only in later iterations of the
+    # event loop.
+    await entry.set_targets(support.RawTarget('t1'))
+    callers = [
+        socket.create_connection((support.LOOPBACK, limited))
+        for _ in range(BURST)
+    ]
+    callers_only = count_descriptors()
+    most_accepted = 0
+    for _ in range(BURST * 4):
+        await asyncio.sleep(0)
+        accepted = count_descriptors() - callers_only
+        most_accepted = max(most_accepted, accepted)
+    assert most_accepted <= LIMIT * 5 // 4
+    assert accepted <= LIMIT
+    assert await is_served(await connect(limited))
+    for caller in callers:
+        caller.close()
--- a/libraries/gateway/src/sardinepier/gateway/graceful_connection.py
+++ b/libraries/gateway/src/sardinepier/gateway/graceful_connection.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import socket
+from collections.abc import Sequence
 from typing import Any, Final
 
 from aiohttp import web_protocol, web_request, web_response, web_server
@@ -11,9 +13,14 @@
 _LINGERING_TIME_S: Final = 2.0
 """How long a caller may take to close a connection after the last answer."""
 
-_CLOSED_SHARE: Final = 32
-"""Divides the limit of connections into those that are closed at once to make
-room, so that the search for them is seldom."""
+_BACKLOG: Final = 512
+
+_BATCH_SHARE: Final = 32
+"""Divides the limit of connections into those that are accepted in one iteration
+of the event loop, and those that are closed at once to make room. A connection
+that is closed keeps its descriptor for a few iterations."""
+
+_UNLIMITED_BATCH: Final = 64
 
 _LOG_INTERVAL_S: Final = 1.0
 
@@ -68,8 +75,8 @@
         return finished
 
     def is_idle(self) -> bool:
-        """Return whether no request was read that has not been answered."""
-        if self._messages:
+        """Return whether it is open and each request that was read is answered."""
+        if self.transport is None or self._messages:
             return False
         is_waiting = self._waiter is not None and not self._waiter.done()
         return is_waiting or not self._request_count
@@ -113,10 +120,35 @@
         super().__init__(handler, handler_cancellation=True)
         self._is_draining = False
         self._max_connections = max_connections
+        self._listener: asyncio.Server | None = None
         self._open_connections = 0
+        self._closing: set[web_protocol.RequestHandler] = set()
         self._closed_for_room = 0
         self._next_log_s = 0.0
 
+    async def start(self, ip: str, port: int) -> int:
+        """Listen, and return the port; the system chooses one if it is 0.
+
+        The event loop accepts up to ``backlog`` connections before it handles
+        the first, so it gets a smaller one than the system.
+        """
+        batch = _UNLIMITED_BATCH
+        if self._max_connections is not None:
+            batch = _batch(self._max_connections)
+        listening = socket.create_server((ip, port))
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            self, sock=listening, backlog=batch
+        )
+        listening.listen(_BACKLOG)
+        bound: int = listening.getsockname()[1]
+        return bound
+
+    def stop_listening(self) -> None:
+        """Accept no new connections; open ones are still served."""
+        if self._listener is not None:
+            self._listener.close()
+
     def connection_made(
         self,
         handler: web_protocol.RequestHandler,
@@ -138,6 +170,7 @@
         """Count a connection that is closed."""
         super().connection_lost(handler, exc)
         self._open_connections -= 1
+        self._closing.discard(handler)
 
     async def drain(self, within_s: float) -> int:
         """Close each connection as soon as its answers are sent.
@@ -162,8 +195,21 @@
     def _keep_limit(
         self, limit: int, newest: web_protocol.RequestHandler
     ) -> None:
-        if self._open_connections <= limit:
+        open_connections = self._open_connections - len(self._closing)
+        if open_connections <= limit:
             return
+        closing: Sequence[web_protocol.RequestHandler] = self._longest_idle(
+            newest
+        )[: _batch(limit)] or [newest]
+        for connection in closing:
+            self._closing.add(connection)
+            connection.force_close()
+            self._closed_for_room += 1
+        self._log_closed(open_connections)
+
+    def _longest_idle(
+        self, newest: web_protocol.RequestHandler
+    ) -> list[GracefulConnection]:
         idle = [
             connection
             for connection in self.connections
@@ -171,16 +217,9 @@
             and connection is not newest
             and connection.is_idle()
         ]
-        idle.sort(key=lambda connection: connection.idle_since_s)
-        closing = idle[: 1 + limit // _CLOSED_SHARE]
-        for connection in closing:
-            connection.force_close()
-        if not closing:
-            newest.force_close()
-        self._closed_for_room += max(1, len(closing))
-        self._log_closed()
+        return sorted(idle, key=lambda connection: connection.idle_since_s)
 
-    def _log_closed(self) -> None:
+    def _log_closed(self, open_connections: int) -> None:
         now_s = asyncio.get_running_loop().time()
         if now_s < self._next_log_s:
             return
@@ -188,7 +227,12 @@
         logs.event(
             'connections-limited',
             level=logs.Level.WARNING,
-            open=self._open_connections,
+            open=open_connections,
             closed=self._closed_for_room,
         )
         self._closed_for_room = 0
+
+
+def _batch(limit: int) -> int:
+    """Return how many of ``limit`` connections are accepted or closed at once."""
+    return 1 + limit // _BATCH_SHARE
--- a/libraries/gateway/src/sardinepier/gateway/server.py
+++ b/libraries/gateway/src/sardinepier/gateway/server.py
@@ -24,7 +24,6 @@
 ]
 
 _PAGES_PREFIX: Final = '/v1/'
-_BACKLOG: Final = 512
 
 
 class CallerServer:
@@ -45,7 +44,6 @@
             addresses.PATH: addresses.Addresses(context).handle,
         }
         self._connections = protocol.CallerConnections(self._dispatch)
-        self._listener: asyncio.Server | None = None
 
     def add_page(self, path: str, handler: Handler) -> None:
         """Serve ``GET <path>`` with ``handler``; the path begins with /v1/.
@@ -56,15 +54,7 @@
 
     async def start(self, ip: str, port: int) -> int:
         """Listen, and return the port; the system chooses one for 0."""
-        loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            self._connections,
-            ip,
-            port,
-            backlog=_BACKLOG,
-        )
-        bound: int = self._listener.sockets[0].getsockname()[1]
-        return bound
+        return await self._connections.start(ip, port)
 
     def begin_draining(self) -> None:
         """Direct callers to other daemons; all requests are still served.
@@ -76,8 +66,7 @@
 
     def stop_listening(self) -> None:
         """Accept no new connections; open ones are still served."""
-        if self._listener is not None:
-            self._listener.close()
+        self._connections.stop_listening()
 
     async def close(self, finish_s: float) -> int:
         """Close each connection as soon as its answers are sent.
--- a/tests/adapter/test_adapter_descriptors.py
+++ b/tests/adapter/test_adapter_descriptors.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import resource
+import signal
 
 import entry_support as support
 import instance_process
@@ -13,6 +14,7 @@
 IDLE_CALLERS = 600
 REQUESTS = 40
 IDLE_TIMEOUT_S = 600
+PAUSE_S = 1
 
 pytestmark = pytest.mark.processes
 
@@ -42,20 +44,43 @@
     target.server.close()
 
 
-async def test_idle_callers_leave_descriptors_for_requests(instance):
-    # Guards against a daemon that can no longer accept callers or reach
-    # targets because of connections that nobody uses.
-    idle = [
+async def connect_callers(instance):
+    """Return connections that are not used for requests."""
+    return [
         await asyncio.open_connection(instance.ip, instance.ports['front'])
         for _ in range(IDLE_CALLERS)
     ]
-    statuses = []
+
+
+async def statuses_of_requests(instance):
+    """Return the statuses of requests on a connection each."""
+    statuses = set()
     for number in range(REQUESTS):
         reader, writer = await instance.send_request('/once/1', f'id-{number}')
         async with asyncio.timeout(support.TIMEOUT_S):
             status, _, _ = await support.read_answer(reader)
-        statuses.append(status)
+        statuses.add(status)
         writer.close()
-    assert set(statuses) == {200}
+    return statuses
+
+
+async def test_idle_callers_leave_descriptors_for_requests(instance):
+    # Guards against a daemon that can no longer accept callers or reach
+    # targets because of connections that nobody uses.
+    idle = await connect_callers(instance)
+    assert await statuses_of_requests(instance) == {200}
+    for _, writer in idle:
+        writer.close()
+
+
+async def test_callers_that_connect_during_a_pause_leave_descriptors(instance):
+    # Guards against a daemon that accepts all waiting connections at once, runs
+    # out of descriptors and spends its time on reporting that.
+    instance.process.send_signal(signal.SIGSTOP)
+    asyncio.get_running_loop().call_later(
+        PAUSE_S, instance.process.send_signal, signal.SIGCONT
+    )
+    idle = await connect_callers(instance)
+    assert await statuses_of_requests(instance) == {200}
     for _, writer in idle:
         writer.close()
