Count buffered answers from their first byte on

Callers: a daemon with 200 requests whose targets send 1 MB each and stall before the end took 274 MB, so that the platform kills it at 300 MB and all requests in flight are lost.

Cause: an answer counted in the budget once it was whole; while it arrived, each had the limit of the moment of its first byte. Besides, each connection read up to 512 kB ahead (aiohttp's default) in reads of 256 kB, which were copied into the caller's connection at once.

Change: the budget counts each part as it arrives, on both request paths and for relays, and an answer is streamed from the moment its part is used up. The budget of answers is an eighth of the memory that the settings state, not a fixed 32 MiB.

The tests of the limit use the new interface and ask the same.

--- a/libraries/daemon/src/sardinepier/daemon/internal/entry_parts.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/entry_parts.py
@@ -36,7 +36,11 @@
 
 _BODY_MEMORY_DIVISOR: Final = 4
 """Divides the memory of the instance into the part for bodies of requests. A
-process without any uses another quarter, buffered answers a sixth at most."""
+process without any uses another quarter."""
+
+_ANSWER_MEMORY_DIVISOR: Final = 8
+"""The same for buffered answers. The two parts are apart, so that callers who
+read slowly keep no body from being read."""
 
 _ZONE_PEERS: Final = 3
 """Of the four peers that each daemon monitors, how many are in its zone."""
@@ -86,7 +90,9 @@
         activity=activity,
         decision_log=decision_log.DecisionLog(services, clock),
         metrics=request_metrics.RequestMetrics(),
-        buffer_budget=buffer_budget.BufferBudget(),
+        buffer_budget=buffer_budget.BufferBudget(
+            settings.memory_bytes // _ANSWER_MEMORY_DIVISOR
+        ),
         body_budget=body_budget.BodyBudget(
             settings.memory_bytes // _BODY_MEMORY_DIVISOR
         ),
--- a/libraries/entry/src/sardinepier/entry/answers.py
+++ b/libraries/entry/src/sardinepier/entry/answers.py
@@ -7,7 +7,7 @@
 from aiohttp import client_reqrep
 
 from sardinepier.entry import answer_stream, header_names
-from sardinepier.gateway import errors, headers
+from sardinepier.gateway import buffer_budget, errors, headers
 
 Headers = multidict.CIMultiDictProxy[str]
 
@@ -65,18 +65,35 @@
 async def read(
     response: client_reqrep.ClientResponse,
     names: header_names.HeaderNames,
-    max_bytes: int,
+    held: buffer_budget.HeldBytes,
     deadline_s: float,
 ) -> Answer:
-    """Return the answer, buffered whole if it has at most ``max_bytes``.
+    """Return the answer, buffered whole as far as ``held`` may grow.
 
-    The remainder of a longer one may be read until ``deadline_s``, a time of
-    the event loop. Raises ``ShedError`` or ``OtherTargetError`` if the target
+    What is buffered counts in ``held`` until the answer is freed. The remainder
+    of a longer one may be read until ``deadline_s``, a time of the event loop.
+    If this raises, the connection is closed. Raises ``ShedError`` or ``OtherTargetError`` if the target
     states that the request did not run, ``TruncatedAnswerError`` if the
     connection ends too early, and ``BadAnswerError`` if a success has no
-    signature of the target or a server error has more than ``max_bytes``.
+    signature of the target or a server error is not buffered whole.
     """
-    body, is_whole = await _read_beginning(response, max_bytes)
+    try:
+        answer = await _read(response, names, held, deadline_s)
+    except BaseException:
+        held.release()
+        response.close()
+        raise
+    held.release_with(answer)
+    return answer
+
+
+async def _read(
+    response: client_reqrep.ClientResponse,
+    names: header_names.HeaderNames,
+    held: buffer_budget.HeldBytes,
+    deadline_s: float,
+) -> Answer:
+    body, is_whole = await _read_beginning(response, held)
     _raise_if_not_run(response, names)
     is_success = response.status < _FIRST_NON_SUCCESS_STATUS
     if is_success and names.signature not in response.headers:
@@ -87,7 +104,7 @@
     if not is_whole and response.status >= _FIRST_SERVER_ERROR_STATUS:
         raise errors.BadAnswerError(
             f'The target failed with {response.status} and over '
-            f'{max_bytes} bytes',
+            f'{len(body)} bytes',
             'Shorten the error answers of the target',
         )
     return Answer(
@@ -101,15 +118,15 @@
 
 async def _read_beginning(
     response: client_reqrep.ClientResponse,
-    max_bytes: int,
+    held: buffer_budget.HeldBytes,
 ) -> tuple[bytes, bool]:
     """Return the first bytes, and whether they are the whole body."""
-    parts = bytearray()
+    parts = []
     while chunk := await answer_stream.read_chunk(response):
-        parts += chunk
-        if len(parts) > max_bytes:
-            return bytes(parts), False
-    return bytes(parts), True
+        parts.append(chunk)
+        if not held.grow(len(chunk)):
+            return b''.join(parts), False
+    return b''.join(parts), True
 
 
 def reported_load(
--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -151,18 +151,12 @@
         self._record.mark_reachable()
         self._connectivity.answered(self._request.service)
         self._record_reports(response)
-        try:
-            answer = await answers.read(
-                response,
-                self._shared.names,
-                self._shared.buffer_budget.answer_limit_bytes(),
-                self._request.caller_loop_deadline_s(self._shared.clock),
-            )
-        except BaseException:
-            response.close()
-            raise
-        self._shared.buffer_budget.charge(answer, len(answer.body))
-        return answer
+        return await answers.read(
+            response,
+            self._shared.names,
+            self._shared.buffer_budget.hold(),
+            self._request.caller_loop_deadline_s(self._shared.clock),
+        )
 
     def _headers(self) -> list[tuple[str, str]]:
         names = self._shared.names
--- a/libraries/entry/src/sardinepier/entry/relay_http.py
+++ b/libraries/entry/src/sardinepier/entry/relay_http.py
@@ -91,10 +91,9 @@
         answer = await answers.read(
             response,
             self._shared.names,
-            self._shared.buffer_budget.answer_limit_bytes(),
+            self._shared.buffer_budget.hold(),
             request.caller_loop_deadline_s(self._shared.clock),
         )
-        self._shared.buffer_budget.charge(answer, len(answer.body))
         return relaying.RelayedAnswer(reply, answer)
 
 
--- a/libraries/entry/tests/cover/test_entry_large_answers.py
+++ b/libraries/entry/tests/cover/test_entry_large_answers.py
@@ -238,28 +238,60 @@
     await support.wait_until(lambda: not in_flight(entry))
 
 
+PART_BYTES = 1000
+
+
 class FakeAnswer:
     """Any object that can be referenced weakly, instead of an answer."""
 
 
+def buffered_whole(budget, max_bytes=buffer_budget.MAX_BUFFERED_ANSWER_BYTES):
+    """Return an answer that is as long as may be buffered, and its length."""
+    held = budget.hold(max_bytes)
+    answer = FakeAnswer()
+    held.release_with(answer)
+    length_bytes = 0
+    while held.grow(PART_BYTES):
+        length_bytes += PART_BYTES
+    return answer, length_bytes
+
+
 def test_the_limit_of_an_answer_shrinks_as_the_budget_is_used():
     budget = buffer_budget.BufferBudget(4_000_000)
-    limits = [budget.answer_limit_bytes()]
-    fake_answers = [FakeAnswer() for _ in range(20)]
-    for fake_answer in fake_answers:
-        budget.charge(fake_answer, limits[-1])
-        limits.append(budget.answer_limit_bytes())
-    assert limits == sorted(limits, reverse=True)
-    assert limits[0] == 500_000
-    assert limits[-1] == buffer_budget.MIN_BUFFERED_ANSWER_BYTES
-    del fake_answer
-    fake_answers.clear()
+    answers, lengths = zip(*(buffered_whole(budget) for _ in range(20)))
+    assert list(lengths) == sorted(lengths, reverse=True)
+    assert lengths[0] == 500_000
+    assert lengths[-1] == buffer_budget.MIN_BUFFERED_ANSWER_BYTES // (
+        PART_BYTES
+    ) * (PART_BYTES)
+    del answers
     gc.collect()
-    assert budget.answer_limit_bytes() == limits[0]
+    assert buffered_whole(budget)[1] == lengths[0]
+
+
+def test_an_answer_counts_while_it_is_read():
+    # Guards against half-read answers that take memory without a limit.
+    budget = buffer_budget.BufferBudget(4_000_000)
+    reading = [budget.hold() for _ in range(200)]
+    whole = [held for held in reading if all_grow(held, 1_000_000)]
+    assert not whole
+    least_bytes = len(reading) * (
+        buffer_budget.MIN_BUFFERED_ANSWER_BYTES + PART_BYTES
+    )
+    assert budget.buffered_bytes <= 4_000_000 + least_bytes
+    for held in reading:
+        held.release()
+        held.release()
+    assert not budget.buffered_bytes
+
+
+def all_grow(held, size_bytes):
+    """Return whether that many bytes could be buffered."""
+    return all(held.grow(PART_BYTES) for _ in range(0, size_bytes, PART_BYTES))
 
 
 def test_no_answer_is_buffered_beyond_its_own_limit():
     budget = buffer_budget.BufferBudget(10**12)
-    assert (
-        budget.answer_limit_bytes() == buffer_budget.MAX_BUFFERED_ANSWER_BYTES
-    )
+    _, length_bytes = buffered_whole(budget)
+    most_bytes = buffer_budget.MAX_BUFFERED_ANSWER_BYTES
+    assert most_bytes - PART_BYTES < length_bytes <= most_bytes
--- a/libraries/gateway/src/sardinepier/gateway/answer_reader.py
+++ b/libraries/gateway/src/sardinepier/gateway/answer_reader.py
@@ -26,27 +26,21 @@
 ) -> target_answer.TargetAnswer:
     """Return the complete answer, or the beginning of a long one.
 
-    What is buffered counts in ``budget``, which limits how long an answer may
-    be. ``on_end`` is passed to the stream of a long answer. Raises
+    What is buffered counts in ``budget`` from its arrival on, and the budget
+    limits how long an answer may be. ``on_end`` is passed to the stream of a long answer. Raises
     ``BadAnswerError`` if the answer can't be forwarded. If this raises before
     the answer was read to its end, it closes the connection.
     """
+    held = budget.hold(request.snapshot.settings.answer_buffer_limit_bytes)
     try:
-        answer = await _read(
-            response,
-            request,
-            budget.answer_limit_bytes(
-                request.snapshot.settings.answer_buffer_limit_bytes
-            ),
-            on_end,
-        )
-    except (client_exceptions.ClientError, OSError) as error:
-        response.close()
-        raise target_answer.truncated(error) from error
-    except BaseException:
+        answer = await _read(response, request, held, on_end)
+    except BaseException as error:
+        held.release()
         response.close()
+        if isinstance(error, (client_exceptions.ClientError, OSError)):
+            raise target_answer.truncated(error) from error
         raise
-    budget.charge(answer, len(answer.body))
+    held.release_with(answer)
     return answer
 
 
@@ -73,7 +67,7 @@
 async def _read(
     response: client_reqrep.ClientResponse,
     request: caller_request.CallerRequest,
-    limit_bytes: int,
+    held: buffer_budget.HeldBytes,
     on_end: target_answer.OnEnd,
 ) -> target_answer.TargetAnswer:
     _require_framing(response, request.method)
@@ -85,16 +79,15 @@
     )
     _require_readable(answer)
     content = response.content
-    if content.is_eof() and content.total_bytes <= limit_bytes:
+    if content.is_eof():
         # A short answer usually arrives together with its headers.
         answer.body = content.read_nowait()
+        held.grow(len(answer.body))
         return answer
     parts: list[bytes] = []
-    size_bytes = 0
     async for chunk in content.iter_any():
         parts.append(chunk)
-        size_bytes += len(chunk)
-        if size_bytes > limit_bytes:
+        if not held.grow(len(chunk)):
             answer.remainder = target_answer.BodyStream(response, on_end)
             break
     answer.body = b''.join(parts)
--- a/libraries/gateway/src/sardinepier/gateway/buffer_budget.py
+++ b/libraries/gateway/src/sardinepier/gateway/buffer_budget.py
@@ -2,17 +2,15 @@
 
 If an answer is buffered whole before its first byte is forwarded, the request
 can be retried at another target when the answer breaks, without the caller
-noticing. A buffered answer takes memory until a slow caller has read it.
-Therefore large answers are streamed, and the limit for buffering shrinks as the
-budget is used up.
+noticing. A buffered answer takes memory while its target sends it, and until a
+slow caller has read it. Therefore large answers are streamed, and the limit for
+buffering shrinks as the budget is used up.
 """
 
 import weakref
 from typing import Final
 
 DEFAULT_BUDGET_BYTES: Final = 33_554_432
-"""For all buffered answers: a sixth of the memory of the smallest instances,
-which have 200 MB and use about 60 MB otherwise."""
 
 MAX_BUFFERED_ANSWER_BYTES: Final = 1_048_576
 """For one answer: twice the size of the longest requested documents."""
@@ -31,8 +29,14 @@
 
     For example::
 
-        max_bytes = budget.answer_limit_bytes()
-        budget.charge(answer, len(answer.body))  # until ``answer`` is freed
+        held = budget.hold()
+        try:
+            while held.grow(len(part)):
+                ...
+        except BaseException:
+            held.release()
+            raise
+        held.release_with(answer)
     """
 
     def __init__(self, max_bytes: int = DEFAULT_BUDGET_BYTES) -> None:
@@ -40,21 +44,46 @@
         self.buffered_bytes = 0
         self._max_bytes = max_bytes
 
-    def answer_limit_bytes(
-        self, max_bytes: int = MAX_BUFFERED_ANSWER_BYTES
-    ) -> int:
-        """Return up to how many bytes the next answer may be buffered whole.
+    def hold(self, max_bytes: int = MAX_BUFFERED_ANSWER_BYTES) -> 'HeldBytes':
+        """Return what an answer holds, nothing yet and ``max_bytes`` at most."""
+        return HeldBytes(self, max_bytes)
 
-        That is at most ``max_bytes``, the limit for each.
+    def limit_bytes(self, max_bytes: int, held_bytes: int) -> int:
+        """Return how many bytes an answer may hold that holds ``held_bytes``.
+
+        That is at most ``max_bytes``.
         """
-        remaining_bytes = max(0, self._max_bytes - self.buffered_bytes)
+        used_bytes = self.buffered_bytes - held_bytes
+        remaining_bytes = max(0, self._max_bytes - used_bytes)
         share_bytes = remaining_bytes // _REMAINING_BUDGET_DIVISOR
         return min(max_bytes, max(MIN_BUFFERED_ANSWER_BYTES, share_bytes))
 
-    def charge(self, answer: object, size_bytes: int) -> None:
-        """Count ``size_bytes`` until ``answer`` is garbage collected."""
-        self.buffered_bytes += size_bytes
-        weakref.finalize(answer, self._release, size_bytes)
 
-    def _release(self, size_bytes: int) -> None:
-        self.buffered_bytes -= size_bytes
+class HeldBytes:
+    """The bytes that one answer holds."""
+
+    def __init__(self, budget: BufferBudget, max_bytes: int) -> None:
+        """Hold nothing yet."""
+        self._budget = budget
+        self._max_bytes = max_bytes
+        self._held_bytes = 0
+
+    def grow(self, size_bytes: int) -> bool:
+        """Hold further bytes, and return whether more may be buffered.
+
+        The bytes count in any case, since they were received.
+        """
+        self._held_bytes += size_bytes
+        self._budget.buffered_bytes += size_bytes
+        return self._held_bytes <= self._budget.limit_bytes(
+            self._max_bytes, self._held_bytes
+        )
+
+    def release(self) -> None:
+        """Hold nothing any more; a second call changes nothing."""
+        self._budget.buffered_bytes -= self._held_bytes
+        self._held_bytes = 0
+
+    def release_with(self, answer: object) -> None:
+        """Hold the bytes until ``answer`` is garbage collected."""
+        weakref.finalize(answer, self.release)
--- a/libraries/gateway/src/sardinepier/gateway/connections.py
+++ b/libraries/gateway/src/sardinepier/gateway/connections.py
@@ -24,7 +24,7 @@
     tracing,
 )
 
-from sardinepier.gateway import keepalive
+from sardinepier.gateway import keepalive, read_buffers
 
 Accepts = Callable[[multidict.CIMultiDictProxy[str]], bool]
 """Returns from the headers whether an answer belongs to the exchange."""
@@ -117,6 +117,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Detect from now on a peer that disappears without closing."""
         keepalive.enable(transport.get_extra_info('socket'))
+        read_buffers.limit_socket_reads(transport)
         super().connection_made(transport)
 
     def end_as_gone(self) -> bool:
--- a/libraries/gateway/src/sardinepier/gateway/graceful_connection.py
+++ b/libraries/gateway/src/sardinepier/gateway/graceful_connection.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web_protocol, web_request, web_response, web_server
 
+from sardinepier.gateway import read_buffers
 from sardinepier.telemetry import logs
 
 _LINGERING_TIME_S: Final = 2.0
@@ -30,7 +31,9 @@
 
     def __init__(self, server: 'GracefulServer', **options: Any) -> None:
         """Answer requests by the handler of ``server``."""
-        super().__init__(server, **options)
+        super().__init__(
+            server, read_bufsize=read_buffers.READ_AHEAD_BYTES, **options
+        )
         self.idle_since_s = asyncio.get_running_loop().time()
         self._is_draining = False
         self._closed: asyncio.Future[None] | None = None
@@ -51,6 +54,11 @@
             self.force_close()
         return self._until_closed()
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Read in small parts, so that flow control takes effect early."""
+        read_buffers.limit_socket_reads(transport)
+        super().connection_made(transport)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Report that the connection is closed."""
         super().connection_lost(exc)
--- a/libraries/gateway/src/sardinepier/gateway/outgoing.py
+++ b/libraries/gateway/src/sardinepier/gateway/outgoing.py
@@ -24,7 +24,12 @@
     payload,
 )
 
-from sardinepier.gateway import connections, errors, request_body
+from sardinepier.gateway import (
+    connections,
+    errors,
+    read_buffers,
+    request_body,
+)
 
 _NO_DEFAULTS: Final = multidict.CIMultiDict[None]({hdrs.CONTENT_TYPE: None})
 _MAX_INLINE_BYTES: Final = 65536
@@ -113,6 +118,7 @@
     ) -> http_writer.StreamWriter:
         """Prepare the headers; nothing is written yet."""
         protocol.set_response_params(
+            read_bufsize=read_buffers.READ_AHEAD_BYTES,
             skip_payload=self.method == hdrs.METH_HEAD,
             read_until_eof=True,
             auto_decompress=False,
--- a/tests/adapter/test_adapter_slow_callers.py
+++ b/tests/adapter/test_adapter_slow_callers.py
@@ -1,4 +1,4 @@
-"""Memory use of an instance whose callers read large answers slowly."""
+"""Memory use of an instance with large answers, for slow callers or of slow targets."""
 
 import asyncio
 import contextlib
@@ -26,6 +26,9 @@
 SMALL_PER_S = 20
 LARGE_PATH = '/once/large'
 SMALL_PATH = '/once/small'
+STALLED_PATH = '/once/stalled'
+STALLED_BODY = BODY * 2
+STALLED_BYTES = len(STALLED_BODY) - 1000
 
 pytestmark = pytest.mark.processes
 
@@ -33,6 +36,10 @@
 class Target:
     """A target that answers at once, with a large body for ``LARGE_PATH``."""
 
+    def __init__(self):
+        self.stalled = 0
+        self.may_end = asyncio.Event()
+
     async def start(self):
         self.server = await asyncio.start_server(
             self._serve,
@@ -48,11 +55,22 @@
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while True:
                 head = (await reader.readuntil(b'\r\n\r\n')).decode()
+                if STALLED_PATH in head:
+                    await self._stall(head, writer)
+                    continue
                 body = BODY if LARGE_PATH in head else support.BODY
                 writer.write(_head(head, body) + body)
                 await writer.drain()
         writer.close()
 
+    async def _stall(self, head, writer):
+        """Send most of an answer, and the end once it may."""
+        writer.write(_head(head, STALLED_BODY) + STALLED_BODY[:STALLED_BYTES])
+        await writer.drain()
+        self.stalled += 1
+        await self.may_end.wait()
+        writer.write(STALLED_BODY[STALLED_BYTES:])
+
 
 def _head(request, body):
     fields = dict(line.split(': ', 1) for line in request.split('\r\n')[1:-2])
@@ -69,9 +87,15 @@
 
 
 @pytest.fixture
-async def instance(tmp_path, standin):
-    target = Target()
-    await target.start()
+async def target():
+    started = Target()
+    await started.start()
+    yield started
+    started.server.close()
+
+
+@pytest.fixture
+async def instance(tmp_path, standin, target):
     standin.put('op/config', store_standin.configuration())
     standin.put(
         'servers/i-1',
@@ -85,7 +109,6 @@
     yield running
     running.process.kill()
     await running.process.communicate()
-    target.server.close()
 
 
 async def read_slowly(instance, number):
@@ -131,3 +154,27 @@
         f'({len(small_ms)} requests)\n',
     )
     assert peak_mb <= MAX_RESIDENT_MB
+
+
+async def read_whole(instance, number):
+    reader, writer = await instance.send_request(STALLED_PATH, f'id-{number}')
+    answer = await support.read_answer(reader)
+    writer.close()
+    return answer
+
+
+async def test_answers_of_slow_targets_take_bounded_memory(instance, target):
+    # Guards against answers that count as buffered only once they are whole, so
+    # that any number of half-read ones is held.
+    requests = [
+        asyncio.ensure_future(read_whole(instance, number))
+        for number in range(CALLERS)
+    ]
+    await support.wait_until(lambda: target.stalled == CALLERS)
+    target.may_end.set()
+    answers = await asyncio.gather(*requests)
+    peak_mb = resident.megabytes(instance.process, 'VmHWM')
+    sys.stdout.write(f'resident {peak_mb:.0f} MB at most\n')
+    assert {status for status, _, _ in answers} == {200}
+    assert {body for _, _, body in answers} == {STALLED_BODY}
+    assert peak_mb <= MAX_RESIDENT_MB
