Bound what connections read ahead of bodies that wait for memory

Cause: a body counts once it has room, but its connection reads ahead before: 512 kB by aiohttp's default, and one read of the socket. Nothing bounded all of them.

Change: connections read 32 kB ahead, in reads of 32 kB. As many bodies wait as keep what their connections hold within an eighth of the budget; beyond that the one that lacks most is refused at once as not run.

--- a/libraries/gateway/src/sardinepier/gateway/body.py
+++ b/libraries/gateway/src/sardinepier/gateway/body.py
@@ -1,6 +1,7 @@
 """Reads the body of a caller's request, up to the limit of the service."""
 
 import asyncio
+import contextlib
 from typing import Final
 
 from aiohttp import http, http_exceptions, web_request
@@ -68,15 +69,16 @@
             await self._wait_for(missing_bytes)
 
     async def _wait_for(self, size_bytes: int) -> None:
-        try:
+        is_granted = False
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_WAIT_SHARE * self.left_s()):
-                await self._reservation.grow(size_bytes)
-        except TimeoutError as error:
+                is_granted = await self._reservation.grow(size_bytes)
+        if not is_granted:
             raise refusals.OverloadedError(
                 'This daemon has no memory left for the body of the request',
                 'Send the request again, preferably to another address',
                 _RETRY_AFTER_S,
-            ) from error
+            )
 
 
 async def _read(
--- a/libraries/gateway/src/sardinepier/gateway/body_budget.py
+++ b/libraries/gateway/src/sardinepier/gateway/body_budget.py
@@ -5,6 +5,9 @@
 who states a long body and sends it slowly keeps nobody waiting. The stated
 lengths only decide which bodies may grow when there is little room left, so
 that a number of half-read bodies never wait for each other.
+
+The connection of a body that waits for room has read ahead. Therefore the number
+of those that wait is limited, too, and the longest give way.
 """
 
 import asyncio
@@ -12,8 +15,15 @@
 import itertools
 from typing import Final
 
+from sardinepier.gateway import read_buffers
+
 DEFAULT_BUDGET_BYTES: Final = 67_108_864
 
+_READ_AHEAD_DIVISOR: Final = 8
+"""Divides the budget into what the connections of waiting bodies may hold."""
+
+_MIN_WAITING: Final = 64
+
 PART_BYTES: Final = 65_536
 """Bodies are read in parts of this size, and room is taken for one at a time."""
 
@@ -38,6 +48,10 @@
         self.held_bytes = 0
         self._max_bytes = max_bytes
         self._holders: set[Reservation] = set()
+        self._max_waiting = max(
+            _MIN_WAITING,
+            max_bytes // _READ_AHEAD_DIVISOR // read_buffers.MAX_BUFFERED_BYTES,
+        )
         self._waiting_begun: _Queue = []
         self._waiting_new: _Queue = []
         self._numbers = itertools.count()
@@ -49,19 +63,23 @@
         """
         return Reservation(self, expected_bytes)
 
-    async def take(self, reservation: 'Reservation', size_bytes: int) -> None:
-        """Add bytes to a reservation as soon as there is room for them."""
+    async def take(self, reservation: 'Reservation', size_bytes: int) -> bool:
+        """Add bytes to a reservation as soon as there is room for them.
+
+        Returns False if too many bodies wait and this one lacks most of all.
+        """
         if self.try_take(reservation, size_bytes):
-            return
+            return True
         claim = _Claim(reservation, size_bytes)
         entry = (reservation.missing_bytes(), next(self._numbers), claim)
         is_begun = reservation.held_bytes > 0
         queue = self._waiting_begun if is_begun else self._waiting_new
         heapq.heappush(queue, entry)
+        self._limit_waiting()
         try:
-            await claim.granted
+            return await claim.granted
         except asyncio.CancelledError:
-            if claim.granted.done() and not claim.granted.cancelled():
+            if claim.is_granted():
                 self.give_back(reservation, size_bytes)
             raise
 
@@ -91,9 +109,18 @@
             if not claim.granted.done():
                 if not self.try_take(claim.reservation, claim.size_bytes):
                     return
-                claim.granted.set_result(None)
+                claim.granted.set_result(True)
             heapq.heappop(queue)
 
+    def _limit_waiting(self) -> None:
+        """Refuse the body that lacks most if too many wait."""
+        self._waiting_begun = _unfinished(self._waiting_begun)
+        self._waiting_new = _unfinished(self._waiting_new)
+        waiting = self._waiting_begun + self._waiting_new
+        if len(waiting) > self._max_waiting:
+            claim = max(waiting)[-1]
+            claim.granted.set_result(False)
+
     def _has_room_for(
         self, reservation: 'Reservation', size_bytes: int
     ) -> bool:
@@ -149,9 +176,12 @@
         """Hold further ``size_bytes`` if there is room for them now."""
         return self._budget.try_take(self, size_bytes)
 
-    async def grow(self, size_bytes: int) -> None:
-        """Wait until there is room for further ``size_bytes``."""
-        await self._budget.take(self, size_bytes)
+    async def grow(self, size_bytes: int) -> bool:
+        """Wait until there is room for further ``size_bytes``.
+
+        Returns False if too many bodies wait for room already.
+        """
+        return await self._budget.take(self, size_bytes)
 
     def settle(self, size_bytes: int) -> None:
         """Hold just ``size_bytes``, as the body is complete."""
@@ -172,7 +202,21 @@
     def __init__(self, reservation: Reservation, size_bytes: int) -> None:
         self.reservation = reservation
         self.size_bytes = size_bytes
-        self.granted = asyncio.get_running_loop().create_future()
+        self.granted: asyncio.Future[bool] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    def is_granted(self) -> bool:
+        """Return whether the bytes were added."""
+        granted = self.granted
+        return granted.done() and not granted.cancelled() and granted.result()
 
 
 _Queue = list[tuple[int, int, _Claim]]
+
+
+def _unfinished(queue: _Queue) -> _Queue:
+    """Return a queue of the claims that still wait."""
+    waiting = [entry for entry in queue if not entry[-1].granted.done()]
+    heapq.heapify(waiting)
+    return waiting
--- a/libraries/gateway/src/sardinepier/gateway/read_buffers.py
+++ b/libraries/gateway/src/sardinepier/gateway/read_buffers.py
@@ -3,10 +3,10 @@
 import asyncio
 from typing import Any, Final, cast
 
-READ_AHEAD_BYTES: Final = 32_768
+READ_AHEAD_BYTES: Final = 16_384
 """A connection stops reading beyond twice this. aiohttp's default is 256 KiB."""
 
-_SOCKET_READ_BYTES: Final = 65_536
+_SOCKET_READ_BYTES: Final = 32_768
 
 MAX_BUFFERED_BYTES: Final = 2 * READ_AHEAD_BYTES + _SOCKET_READ_BYTES
 """The most that a connection holds that nobody has consumed."""
--- a/libraries/gateway/tests/cover/test_gateway_body_budget.py
+++ b/libraries/gateway/tests/cover/test_gateway_body_budget.py
@@ -69,6 +69,23 @@
     await held(budget, MAX_BYTES)
 
 
+async def test_too_many_waiting_bodies_the_longest_gives_way(budget):
+    # Guards against any number of connections that read ahead while their
+    # bodies wait.
+    await held(budget, MAX_BYTES)
+    waiting = [budget.reservation(MAX_BYTES + number) for number in range(100)]
+    claims = [asyncio.create_task(claim.grow(1)) for claim in waiting]
+    await asyncio.sleep(0)
+    refused = [number for number, claim in enumerate(claims) if claim.done()]
+    assert refused == list(range(100 - len(refused), 100))
+    assert len(claims) - len(refused) == body_budget._MIN_WAITING
+    assert not any([await claims[number] for number in refused])
+    small = asyncio.create_task(budget.reservation(1).grow(1))
+    await asyncio.sleep(0)
+    assert not small.done()
+    assert not await claims[refused[0] - 1]
+
+
 async def test_stated_lengths_keep_nobody_waiting(budget):
     # Guards against callers who state long bodies and send them slowly.
     for _ in range(5):
--- a/tests/adapter/test_adapter_uploads.py
+++ b/tests/adapter/test_adapter_uploads.py
@@ -28,6 +28,7 @@
 STATED_BYTES = 2_000_000
 STALLED_CALLERS = 40
 ORDINARY_UPLOADS = 28
+CROWD = 800
 
 pytestmark = pytest.mark.processes
 
@@ -172,6 +173,25 @@
     assert peak_mb < MAX_RESIDENT_MB
 
 
+async def test_a_crowd_of_uploads_takes_bounded_memory(instance, target):
+    # Guards against connections that read ahead without a limit on all while
+    # their bodies wait for memory.
+    statuses = await asyncio.gather(
+        *(
+            upload(instance, f'id-{number}', STATED_BYTES)
+            for number in range(CROWD)
+        )
+    )
+    peak_mb = resident.megabytes(instance.process, 'VmHWM')
+    sys.stdout.write(
+        f'resident {peak_mb:.0f} MB at most; {statuses.count(200)} served\n'
+    )
+    assert peak_mb < MAX_RESIDENT_MB
+    assert set(statuses) <= {200, 503}
+    assert 200 in statuses
+    assert statuses.count(200) == len(target[0].ran) == target[0].run_count
+
+
 async def small_durations_ms(instance, name):
     """Send small requests one after the other; return how long each took."""
     durations_ms = []
