Run parts of a daemon again when they fail

Callers: a fault in what zones share, in membership, in quarantine marks, path checks or maintenance ended the daemon, and since daemons get the same input, all of them.

The failure is logged with the part's name and counted. The network between daemons, which closes its sockets, still ends the daemon.

--- a/libraries/daemon/src/sardinepier/daemon/entry_process.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_process.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import gc
 import random
 import signal
@@ -214,8 +215,8 @@
             self._clock,
         )
         self._start_tasks(request_context.decision_log)
-        self._tasks.start(marks_sharing.run())
-        self._tasks.start(traffic.run())
+        self._tasks.supervise('quarantine', marks_sharing.run)
+        self._tasks.supervise('traffic', traffic.run)
         request_relays = await self._open_relays(request_context)
         request_pipeline = pipeline.Pipeline(
             request_context, request_relays.relaying
@@ -239,6 +240,7 @@
             self._platform_reader,
             self._clock,
             traffic,
+            self._tasks,
         )
         opened_pages = await self._open_pages(page_metrics)
         logs.write(entry_parts.started(self._settings))
@@ -249,9 +251,11 @@
 
     def _start_tasks(self, decisions: decision_log.DecisionLog) -> None:
         self._tasks.start(self._network.run())
-        self._tasks.start(self._membership.run())
-        self._tasks.start(self._sharing.run())
-        self._tasks.start(self._maintain(decisions))
+        self._tasks.supervise('membership', self._membership.run)
+        self._tasks.supervise('sharing', self._sharing.run)
+        self._tasks.supervise(
+            'maintenance', functools.partial(self._maintain, decisions)
+        )
         self._tasks.start(self._platform_reader.run())
 
     async def _open_relays(
@@ -269,7 +273,7 @@
             self._services, request_context.client, self._random
         )
         self._sharing.successors.check_paths = path_checker.check_all
-        self._tasks.start(path_checker.run())
+        self._tasks.supervise('path checks', path_checker.run)
         return request_relays
 
     async def _open_pages(
--- a/libraries/daemon/src/sardinepier/daemon/internal/entry_metrics.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/entry_metrics.py
@@ -4,7 +4,7 @@
 import math
 
 from sardinepier.core import clock as clocks
-from sardinepier.daemon.internal import peer_traffic
+from sardinepier.daemon.internal import peer_traffic, task_set
 from sardinepier.entry import request_metrics, service_registry
 from sardinepier.gateway import active_requests
 from sardinepier.membership import membership
@@ -25,6 +25,7 @@
     platform_reader: platform_reader.PlatformReader
     clock: clocks.Clock
     peer_traffic: peer_traffic.PeerTraffic
+    tasks: task_set.TaskSet
 
     async def text(self) -> str:
         """Return the current metrics in the exposition format."""
@@ -50,6 +51,7 @@
                 'reading_faults',
                 self.platform_reader.unexpected_failures,
             ),
+            exposition.Gauge('part_failures', self.tasks.restarts),
             exposition.Gauge('members', len(self.membership.members())),
         )
         return await self.metrics.text(
--- a/libraries/daemon/src/sardinepier/daemon/process.py
+++ b/libraries/daemon/src/sardinepier/daemon/process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import signal
 
 from sardinepier.daemon import errors
@@ -75,7 +76,7 @@
         stack: contextlib.AsyncExitStack,
     ) -> None:
         self._tasks.start(core.network.run())
-        self._tasks.start(core.membership.run())
+        self._tasks.supervise('membership', core.membership.run)
         self._tasks.start(core.distributor.run())
         configuration = await first_configuration.wait_for(
             core.store,
@@ -107,10 +108,12 @@
         maintenance_loop = maintenance.MaintenanceLoop(
             context, exchange, probes.Probes(context)
         )
-        self._tasks.start(maintenance_loop.run())
-        self._tasks.start(maintenance.expire_records(context))
+        self._tasks.supervise('maintenance', maintenance_loop.run)
+        self._tasks.supervise(
+            'records', functools.partial(maintenance.expire_records, context)
+        )
         self._tasks.start(maintenance.tune_garbage_collection())
-        self._tasks.start(context.refusals.run())
+        self._tasks.supervise('refusals', context.refusals.run)
 
     async def _listen(
         self,
--- a/libraries/entry/src/sardinepier/entry/request_metrics.py
+++ b/libraries/entry/src/sardinepier/entry/request_metrics.py
@@ -42,6 +42,7 @@
     'targets_age_s': 'Since the target list was last read by anybody, in s.',
     'unusable_entries': 'Entries passed over in the newest own reading.',
     'reading_faults': 'Readings of the platform that failed unexpectedly.',
+    'part_failures': 'Failures of parts of the daemon that are run again.',
     'confirmed_age_s': 'Since the configuration was certainly the newest, in s.',
     'slots_used_elsewhere': 'Slots that other daemons reported in use.',
     'waiting_elsewhere': 'Requests that wait at other daemons, as reported.',
