--- a/libraries/zones/tests/cover/test_zones_freshness.py
+++ b/libraries/zones/tests/cover/test_zones_freshness.py
@@ -33,6 +33,13 @@
     FAST = 'fast'
 
 
+class FrozenEvent(enum.Enum):
+    """What stops daemons for a while that then go on with what they had."""
+
+    FREEZE = 'freeze'
+    THAW = 'thaw'
+
+
 USUAL_EVENTS = tuple(Event)
 
 
@@ -99,14 +106,30 @@
     def fast(self):
         self.zone.platform.transfer_s = {}
 
+    def freeze(self):
+        """Stop the daemon that reads, or any; its messages are lost."""
+        frozen = self.random.choice((self.zone.carrier(), *self.zone.daemons))
+        self.zone.stop(frozen)
+        for other in self.zone.daemons:
+            if other is not frozen:
+                self.zone.hub.cut(
+                    frozen.own.peer_address, other.own.peer_address
+                )
+
+    def thaw(self):
+        self.zone.stopped.clear()
+        self.heal()
+
     async def run(self, seconds):
         for _ in range(round(seconds / STEP_S)):
             platform = self.zone.platform
             for daemon in self.zone.daemons:
-                if daemon.own.daemon_id in (
+                is_unserved = daemon.own.daemon_id in (
                     *platform.refused,
                     *platform.transfer_s,
-                ):
+                )
+                is_frozen = daemon.own.instance_id in self.zone.stopped
+                if is_unserved or is_frozen:
                     self.disturbed_s[daemon.own] = self.now_s()
             await self.zone.run(STEP_S)
             self.check()
@@ -144,6 +167,13 @@
     assert not await run_trial(seed, (*USUAL_EVENTS, *SlowEvent))
 
 
+@pytest.mark.parametrize('seed', range(10))
+async def test_daemons_that_freeze_and_go_on_delay_no_others(seed):
+    # Guards against daemons that rely on the news of a reader that is frozen,
+    # and against one that goes on and announces what it had.
+    assert not await run_trial(seed, (*USUAL_EVENTS, *FrozenEvent))
+
+
 @pytest.mark.parametrize('refused', [1, 2, 4])
 async def test_a_zone_starts_without_its_first_daemon(refused):
     # Guards against a zone that keeps the configuration and targets of its
