Blame no target for a connection that lacks a descriptor

Callers: a daemon with no free descriptor took each failed connection for a failure of its target, avoided sound targets and told other daemons so. Found on the way from connections that arrive at once: the class is a limit of this process that shows as an error of something else.

Change: NoDescriptorError, which is no failure of the target or of the path. The request is refused as not run (503).

--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -18,13 +18,17 @@
     target_record,
     traffic,
 )
-from sardinepier.gateway import connections, errors, statements
+from sardinepier.gateway import connections, errors, statements, unsent
 from sardinepier.health import refusal_estimate
 
 _MS_PER_S: Final = 1000
 _OK: Final = 'ok'
 _TARGET_FAILED: Final = 'target_failed'
-_NOT_TARGET_FAILURES: Final = (errors.TargetLeftError, errors.TargetRestsError)
+_NOT_TARGET_FAILURES: Final = (
+    unsent.NoDescriptorError,
+    errors.TargetLeftError,
+    errors.TargetRestsError,
+)
 
 
 class Attempt:
--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -27,7 +27,7 @@
 from sardinepier.entry import caller_request as caller_requests
 from sardinepier.entry import attempt_requirements, relay_messages, relaying
 from sardinepier.entry import retry_waits
-from sardinepier.gateway import errors
+from sardinepier.gateway import errors, unsent
 from sardinepier.routing import admission, retry_queue
 
 _WAIT_SHARE: Final = 0.3
@@ -92,7 +92,7 @@
             history.tried.add(record.listed.target_id)
             try:
                 return await self._attempt(request, pool, record)
-            except errors.NOTHING_ARRIVED as error:
+            except unsent.NOTHING_ARRIVED as error:
                 history.record_failure(error)
                 if self._shared.services.connectivity.is_doubtful(
                     request.service
--- a/libraries/entry/src/sardinepier/entry/path_check.py
+++ b/libraries/entry/src/sardinepier/entry/path_check.py
@@ -6,7 +6,7 @@
 
 from sardinepier.core import ids
 from sardinepier.entry import service_pool, service_registry, target_record
-from sardinepier.gateway import errors
+from sardinepier.gateway import errors, unsent
 
 CONNECT_TIMEOUT_S: Final = 0.35
 """A connection within a region takes a few milliseconds. One that takes longer
@@ -25,7 +25,10 @@
     async def check_connection(
         self, ip: str, port: int, timeout_s: float
     ) -> None:
-        """Make a connection and close it; raise ``ConnectFailedError``."""
+        """Make a connection and close it; raise an error if that fails.
+
+        That is ``ConnectFailedError``, or ``NoDescriptorError``.
+        """
         ...
 
 
@@ -114,7 +117,7 @@
             await self._connector.check_connection(
                 record.listed.ip, record.listed.port, CONNECT_TIMEOUT_S
             )
-        except errors.ConnectFailedError:
+        except (errors.ConnectFailedError, unsent.NoDescriptorError):
             self._connectivity.failed(
                 pool.name,
                 record.listed.target_id,
--- a/libraries/entry/src/sardinepier/entry/relaying.py
+++ b/libraries/entry/src/sardinepier/entry/relaying.py
@@ -22,7 +22,7 @@
     relay_messages,
     retries,
 )
-from sardinepier.gateway import errors
+from sardinepier.gateway import errors, unsent
 
 _MAX_PEERS: Final = 6
 """Peers that are tried before a request is refused: where half of all daemons are
@@ -143,6 +143,7 @@
             except (
                 relay_messages.CutOffError,
                 errors.ConnectFailedError,
+                unsent.NoDescriptorError,
             ) as error:
                 failure = error
                 self._avoid(peer, request.service)
--- a/libraries/entry/src/sardinepier/entry/retries.py
+++ b/libraries/entry/src/sardinepier/entry/retries.py
@@ -18,7 +18,7 @@
     relay_messages,
     service_pool,
 )
-from sardinepier.gateway import errors
+from sardinepier.gateway import errors, unsent
 
 _MAX_NOT_RUN: Final = 4
 """Targets that may refuse a request or be unreachable before the request is
@@ -141,4 +141,4 @@
 
 def needs_budget(error: errors.GatewayError) -> bool:
     """Return whether a retry after ``error`` needs retry budget."""
-    return not isinstance(error, errors.NOTHING_ARRIVED)
+    return not isinstance(error, unsent.NOTHING_ARRIVED)
--- a/libraries/gateway/src/sardinepier/gateway/client.py
+++ b/libraries/gateway/src/sardinepier/gateway/client.py
@@ -84,7 +84,10 @@
     async def check_connection(
         self, ip: str, port: int, timeout_s: float
     ) -> None:
-        """Make a connection and close it; raise ``ConnectFailedError``."""
+        """Make a connection and close it.
+
+        Raises ``ConnectFailedError`` or ``NoDescriptorError``.
+        """
         try:
             async with asyncio.timeout(timeout_s):
                 transport, _ = await self._loop.create_connection(
--- a/libraries/gateway/src/sardinepier/gateway/errors.py
+++ b/libraries/gateway/src/sardinepier/gateway/errors.py
@@ -5,8 +5,6 @@
 written to a target, or when the target itself states that it did not run it.
 """
 
-from typing import Final
-
 from sardinepier.core import errors
 
 
@@ -51,14 +49,6 @@
     """The target asked for backoff after its selection; nothing was sent."""
 
 
-NOTHING_ARRIVED: Final = (
-    ConnectFailedError,
-    TargetLeftError,
-    TargetRestsError,
-)
-"""Errors without load on a target: the next attempt needs no retry budget."""
-
-
 class StaleConnectionError(ProvedNotRunError):
     """The target closed a pooled connection or sent on it before its reuse."""
 
--- a/libraries/gateway/src/sardinepier/gateway/forwarding.py
+++ b/libraries/gateway/src/sardinepier/gateway/forwarding.py
@@ -20,6 +20,7 @@
     refusals,
     service_runtime,
     target_answer,
+    unsent,
 )
 from sardinepier.health import targets
 from sardinepier.routing import admission
@@ -243,7 +244,7 @@
             return history.attempts < _MAX_ATTEMPTS
         if not self._can_try_again(request, history):
             return False
-        if isinstance(error, errors.NOTHING_ARRIVED):
+        if isinstance(error, unsent.NOTHING_ARRIVED):
             # Only the number of attempts limits these retries.
             return True
         if isinstance(error, errors.ShedError):
--- a/libraries/gateway/src/sardinepier/gateway/outgoing.py
+++ b/libraries/gateway/src/sardinepier/gateway/outgoing.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import errno
 from collections.abc import Callable
 from typing import Any, Final, cast
 
@@ -29,10 +30,12 @@
     errors,
     read_buffers,
     request_body,
+    unsent,
 )
 
 _NO_DEFAULTS: Final = multidict.CIMultiDict[None]({hdrs.CONTENT_TYPE: None})
 _MAX_INLINE_BYTES: Final = 65536
+_NO_DESCRIPTOR: Final = frozenset((errno.EMFILE, errno.ENFILE))
 _RETRY_AFTER_S: Final = 1.0
 
 
@@ -215,8 +218,14 @@
         )
 
 
-def connect_error(error: Exception) -> errors.ConnectFailedError:
+def connect_error(error: Exception) -> errors.ProvedNotRunError:
     """Return the error for a connection that was not made."""
+    if isinstance(error, OSError) and error.errno in _NO_DESCRIPTOR:
+        return unsent.NoDescriptorError(
+            'This daemon has no descriptor left for a connection',
+            'Send the request again, preferably to another address',
+            _RETRY_AFTER_S,
+        )
     return _connect_error_type(error)(
         f'The connection to the target failed ({type(error).__name__})',
         'Send the request again',
--- a/libraries/gateway/src/sardinepier/gateway/problem_table.py
+++ b/libraries/gateway/src/sardinepier/gateway/problem_table.py
@@ -10,7 +10,7 @@
 
 from sardinepier.core import errors as core_errors
 from sardinepier.core import outcomes
-from sardinepier.gateway import errors, refusals
+from sardinepier.gateway import errors, refusals, unsent
 from sardinepier.once import errors as once_errors
 from sardinepier.routing import errors as routing_errors
 
@@ -175,6 +175,12 @@
         'connect-failed',
         'No target could be reached',
     ),
+    unsent.NoDescriptorError: _Kind(
+        _Status.SERVICE_UNAVAILABLE,
+        _NOT_RUN,
+        'no-descriptor',
+        'The daemon has too many connections',
+    ),
     errors.TargetLeftError: _Kind(
         _Status.SERVICE_UNAVAILABLE,
         _NOT_RUN,
