--- a/tests/adapter/test_adapter_settings.py
+++ b/tests/adapter/test_adapter_settings.py
@@ -27,6 +27,17 @@
 a.field.nobody.knows=x=y
 """
 
+LIMITS = {
+    'cpu_share': 0.86,
+    'cores': 1.0,
+    'memory_mb': 300,
+    'max_fds': 4100,
+    'link_mbps': 1000.0,
+    'disk_mb': 10,
+}
+USED_LIMITS = {**dict.fromkeys(LIMITS, True), 'disk_mb': False}
+"""Whether each limit is used; a daemon writes no files."""
+
 
 def read(tmp_path, text):
     path = tmp_path / 'node.conf'
@@ -166,3 +177,18 @@
 @pytest.mark.parametrize('stated', ['revoke_strict=false,revoke_s=5', 'x=1'])
 def test_without_a_strict_bound_there_is_no_revocation_time(tmp_path, stated):
     assert bounds_of(tmp_path, stated).revocation_s is None
+
+
+def read_limits(tmp_path, changed, stated):
+    limits = {**LIMITS, changed: stated}
+    lines = [f'limits.{name}={limit}\n' for name, limit in limits.items()]
+    fields = read(tmp_path, TEXT + ''.join(lines))
+    return settings_file.entry_settings_of(fields)
+
+
+@pytest.mark.parametrize(('name', 'is_used'), USED_LIMITS.items())
+def test_each_limit_takes_effect(tmp_path, name, is_used):
+    # Guards against a limit that the platform states and nothing keeps.
+    usual = read_limits(tmp_path, name, LIMITS[name])
+    halved = read_limits(tmp_path, name, LIMITS[name] / 2)
+    assert (halved != usual) is is_used
