--- a/tests/adapter/instance_process.py
+++ b/tests/adapter/instance_process.py
@@ -71,8 +71,14 @@
         )
 
     def handles_sighup(self):
-        """Return whether SIGHUP has no longer its default action."""
-        status = self._proc_text('status')
+        """Return whether SIGHUP has no longer its default action.
+
+        A process that has ended is gone before its exit code is known here.
+        """
+        try:
+            status = self._proc_text('status')
+        except (FileNotFoundError, ProcessLookupError):
+            return False
         masks = re.findall(r'^Sig(?:Ign|Cgt):\s*(\w+)$', status, re.MULTILINE)
         return any(int(mask, 16) & 1 << signal.SIGHUP - 1 for mask in masks)
 
