Begin uploads in one place in their tests, and shorten long lines

stall and upload of adapter_uploads opened a request alike; both call begin_upload now. The test of the shrinking limit has an argument less that nobody passed, and its expectation is written plainer; it is the same number. Two doc comments are within the line length. The checks are the same; adapter_uploads and entry_large_answers pass.

--- a/libraries/entry/src/sardinepier/entry/answers.py
+++ b/libraries/entry/src/sardinepier/entry/answers.py
@@ -72,10 +72,11 @@
 
     What is buffered counts in ``held`` until the answer is freed. The remainder
     of a longer one may be read until ``deadline_s``, a time of the event loop.
-    If this raises, the connection is closed. Raises ``ShedError`` or ``OtherTargetError`` if the target
-    states that the request did not run, ``TruncatedAnswerError`` if the
-    connection ends too early, and ``BadAnswerError`` if a success has no
-    signature of the target or a server error is not buffered whole.
+    If this raises, the connection is closed. Raises ``ShedError`` or
+    ``OtherTargetError`` if the target states that the request did not run,
+    ``TruncatedAnswerError`` if the connection ends too early, and
+    ``BadAnswerError`` if a success has no signature of the target or a server
+    error is not buffered whole.
     """
     try:
         answer = await _read(response, names, held, deadline_s)
--- a/libraries/entry/tests/cover/test_entry_large_answers.py
+++ b/libraries/entry/tests/cover/test_entry_large_answers.py
@@ -245,9 +245,9 @@
     """Any object that can be referenced weakly, instead of an answer."""
 
 
-def buffered_whole(budget, max_bytes=buffer_budget.MAX_BUFFERED_ANSWER_BYTES):
+def buffered_whole(budget):
     """Return an answer that is as long as may be buffered, and its length."""
-    held = budget.hold(max_bytes)
+    held = budget.hold()
     answer = FakeAnswer()
     held.release_with(answer)
     length_bytes = 0
@@ -261,9 +261,8 @@
     answers, lengths = zip(*(buffered_whole(budget) for _ in range(20)))
     assert list(lengths) == sorted(lengths, reverse=True)
     assert lengths[0] == 500_000
-    assert lengths[-1] == buffer_budget.MIN_BUFFERED_ANSWER_BYTES // (
-        PART_BYTES
-    ) * (PART_BYTES)
+    least_bytes = buffer_budget.MIN_BUFFERED_ANSWER_BYTES
+    assert lengths[-1] == least_bytes - least_bytes % PART_BYTES
     del answers
     gc.collect()
     assert buffered_whole(budget)[1] == lengths[0]
--- a/libraries/gateway/src/sardinepier/gateway/answer_reader.py
+++ b/libraries/gateway/src/sardinepier/gateway/answer_reader.py
@@ -27,9 +27,9 @@
     """Return the complete answer, or the beginning of a long one.
 
     What is buffered counts in ``budget`` from its arrival on, and the budget
-    limits how long an answer may be. ``on_end`` is passed to the stream of a long answer. Raises
-    ``BadAnswerError`` if the answer can't be forwarded. If this raises before
-    the answer was read to its end, it closes the connection.
+    limits how long an answer may be. ``on_end`` is passed to the stream of a
+    long answer. Raises ``BadAnswerError`` if the answer can't be forwarded. If
+    this raises before the answer was read to its end, it closes the connection.
     """
     held = budget.hold(request.snapshot.settings.answer_buffer_limit_bytes)
     try:
--- a/tests/adapter/test_adapter_uploads.py
+++ b/tests/adapter/test_adapter_uploads.py
@@ -88,8 +88,8 @@
     await running.process.communicate()
 
 
-async def upload(instance, attempt_id, length, pause_s=0):
-    """Upload a body; return the status of the answer."""
+async def begin_upload(instance, attempt_id, length):
+    """Send a request that states the length of its body."""
     reader, writer = await asyncio.open_connection(
         instance.ip, instance.ports['front']
     )
@@ -99,6 +99,12 @@
         'Content-Length': str(length),
     }
     writer.write(support.request('/once/1', 'POST', **headers))
+    return reader, writer
+
+
+async def upload(instance, attempt_id, length, pause_s=0):
+    """Upload a body; return the status of the answer."""
+    reader, writer = await begin_upload(instance, attempt_id, length)
     sending = asyncio.create_task(send_body(writer, length, pause_s))
     status, _, _ = await support.read_answer(reader)
     sending.cancel()
@@ -140,15 +146,8 @@
 
 async def stall(instance, attempt_id):
     """State a long body, send its beginning, and keep the connection open."""
-    _, writer = await asyncio.open_connection(
-        instance.ip, instance.ports['front']
-    )
-    headers = {
-        names.HEADERS.attempt_id: attempt_id,
-        names.HEADERS.deadline_ms: str(DEADLINE_MS),
-        'Content-Length': str(STATED_BYTES),
-    }
-    writer.write(support.request('/once/1', 'POST', **headers) + bytes(1000))
+    _, writer = await begin_upload(instance, attempt_id, STATED_BYTES)
+    writer.write(bytes(1000))
     await writer.drain()
     return writer
 
