Release what an unread answer holds by a context manager

Both request paths released the budget and closed the connection in handlers of their own, and one of them told error types apart inside a single handler. The bytes that an answer holds are a context manager now, and both readers take the budget. Behaviour is the same: the tests of gateway and entry and adapter_slow_callers pass.

--- a/libraries/entry/src/sardinepier/entry/answers.py
+++ b/libraries/entry/src/sardinepier/entry/answers.py
@@ -65,12 +65,12 @@
 async def read(
     response: client_reqrep.ClientResponse,
     names: header_names.HeaderNames,
-    held: buffer_budget.HeldBytes,
+    budget: buffer_budget.BufferBudget,
     deadline_s: float,
 ) -> Answer:
-    """Return the answer, buffered whole as far as ``held`` may grow.
+    """Return the answer, buffered whole as far as ``budget`` allows.
 
-    What is buffered counts in ``held`` until the answer is freed. The remainder
+    What is buffered counts in ``budget`` until the answer is freed. The remainder
     of a longer one may be read until ``deadline_s``, a time of the event loop.
     If this raises, the connection is closed. Raises ``ShedError`` or
     ``OtherTargetError`` if the target states that the request did not run,
@@ -79,12 +79,12 @@
     error is not buffered whole.
     """
     try:
-        answer = await _read(response, names, held, deadline_s)
+        with budget.hold() as held:
+            answer = await _read(response, names, held, deadline_s)
+            held.release_with(answer)
     except BaseException:
-        held.release()
         response.close()
         raise
-    held.release_with(answer)
     return answer
 
 
--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -158,7 +158,7 @@
         return await answers.read(
             response,
             self._shared.names,
-            self._shared.buffer_budget.hold(),
+            self._shared.buffer_budget,
             self._request.caller_loop_deadline_s(self._shared.clock),
         )
 
--- a/libraries/entry/src/sardinepier/entry/relay_http.py
+++ b/libraries/entry/src/sardinepier/entry/relay_http.py
@@ -91,7 +91,7 @@
         answer = await answers.read(
             response,
             self._shared.names,
-            self._shared.buffer_budget.hold(),
+            self._shared.buffer_budget,
             request.caller_loop_deadline_s(self._shared.clock),
         )
         return relaying.RelayedAnswer(reply, answer)
--- a/libraries/gateway/src/sardinepier/gateway/answer_reader.py
+++ b/libraries/gateway/src/sardinepier/gateway/answer_reader.py
@@ -31,16 +31,17 @@
     long answer. Raises ``BadAnswerError`` if the answer can't be forwarded. If
     this raises before the answer was read to its end, it closes the connection.
     """
-    held = budget.hold(request.snapshot.settings.answer_buffer_limit_bytes)
+    limit_bytes = request.snapshot.settings.answer_buffer_limit_bytes
     try:
-        answer = await _read(response, request, held, on_end)
-    except BaseException as error:
-        held.release()
+        with budget.hold(limit_bytes) as held:
+            answer = await _read(response, request, held, on_end)
+            held.release_with(answer)
+    except (client_exceptions.ClientError, OSError) as error:
+        response.close()
+        raise target_answer.truncated(error) from error
+    except BaseException:
         response.close()
-        if isinstance(error, (client_exceptions.ClientError, OSError)):
-            raise target_answer.truncated(error) from error
         raise
-    held.release_with(answer)
     return answer
 
 
--- a/libraries/gateway/src/sardinepier/gateway/buffer_budget.py
+++ b/libraries/gateway/src/sardinepier/gateway/buffer_budget.py
@@ -7,8 +7,9 @@
 buffering shrinks as the budget is used up.
 """
 
+import types
 import weakref
-from typing import Final
+from typing import Final, Self
 
 DEFAULT_BUDGET_BYTES: Final = 33_554_432
 
@@ -29,14 +30,10 @@
 
     For example::
 
-        held = budget.hold()
-        try:
+        with budget.hold() as held:
             while held.grow(len(part)):
                 ...
-        except BaseException:
-            held.release()
-            raise
-        held.release_with(answer)
+            held.release_with(answer)
     """
 
     def __init__(self, max_bytes: int = DEFAULT_BUDGET_BYTES) -> None:
@@ -60,7 +57,7 @@
 
 
 class HeldBytes:
-    """The bytes that one answer holds."""
+    """The bytes that one answer holds, released at once if reading it fails."""
 
     def __init__(self, budget: BufferBudget, max_bytes: int) -> None:
         """Hold nothing yet."""
@@ -68,6 +65,20 @@
         self._max_bytes = max_bytes
         self._held_bytes = 0
 
+    def __enter__(self) -> Self:
+        """Begin to read the answer."""
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        """Release the bytes of an answer that could not be read."""
+        if error is not None:
+            self.release()
+
     def grow(self, size_bytes: int) -> bool:
         """Hold further bytes, and return whether more may be buffered.
 
