Log what is spent of the retry budget

The lines told how much a daemon had left after a wait, but not what it had spent and for how many requests, so that the sum over a fleet in a window could not be made from logs. retry-budget-used has both for each service, twice a second at most and only where budget was spent; its lines add up over daemons and their incarnations. Its test fails before for lack of the line.

--- a/libraries/daemon/src/sardinepier/daemon/entry_process.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_process.py
@@ -344,6 +344,7 @@
     async def _maintain(self, decisions: decision_log.DecisionLog) -> None:
         while True:
             self._update_retry_burst()
+            decisions.log_retry_budgets()
             decisions.log_dropped()
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
 
--- a/libraries/entry/src/sardinepier/entry/decision_log.py
+++ b/libraries/entry/src/sardinepier/entry/decision_log.py
@@ -42,6 +42,15 @@
     what: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _BudgetUse:
+    """The attempts and requests that a retry budget has counted so far."""
+
+    counted_s: float
+    attempts: int
+    requests: int
+
+
 class DecisionLog:
     """Writes the log lines of one daemon's decisions, at a bounded rate."""
 
@@ -55,6 +64,8 @@
         self._clock = clock
         self._attempt_lines = _budget(clock, _ATTEMPT_LINES_PER_S)
         self._failure_lines = _budget(clock, _FAILURE_LINES_PER_S)
+        self._no_use = _BudgetUse(clock.monotonic_s(), 0, 0)
+        self._logged_use: dict[ids.ServiceName, _BudgetUse] = {}
 
     def log_attempt(
         self,
@@ -199,6 +210,26 @@
             ),
         )
 
+    def log_retry_budgets(self) -> None:
+        """Log for each service what was spent of its retry budget, if any."""
+        now_s = self._clock.monotonic_s()
+        for pool in self._services.pools():
+            budget = pool.retry_budget
+            use = _BudgetUse(now_s, budget.granted, budget.requested)
+            last = self._logged_use.get(pool.name, self._no_use)
+            if use.attempts == last.attempts:
+                continue
+            self._logged_use[pool.name] = use
+            logs.write(
+                events.RetryBudgetUsed(
+                    service=pool.name,
+                    attempts=use.attempts - last.attempts,
+                    requests=use.requests - last.requests,
+                    period_ms=_ms(now_s - last.counted_s),
+                    budget_left=round(budget.available(), 1),
+                ),
+            )
+
     def log_ended(
         self,
         request_id: str,
--- a/libraries/entry/src/sardinepier/entry/events.py
+++ b/libraries/entry/src/sardinepier/entry/events.py
@@ -170,6 +170,21 @@
     waiting: int
 
 
+class RetryBudgetUsed(line_events.LineEvent, frozen=True):
+    """Retry budget of a service was spent since the last such line.
+
+    ``attempts`` were spent, less those that were given back, and ``requests``
+    counted within ``period_ms``; all lines of all daemons add up to what the
+    fleet used in a window. ``budget_left`` are the attempts left.
+    """
+
+    service: str
+    attempts: int
+    requests: int
+    period_ms: int
+    budget_left: float
+
+
 class RequestEnded(line_events.LineEvent, frozen=True):
     """A request ended otherwise than by a good answer to its first attempt.
 
--- a/libraries/entry/tests/cover/test_entry_lines.py
+++ b/libraries/entry/tests/cover/test_entry_lines.py
@@ -247,3 +247,18 @@
     assert len({line['fingerprint'] for line in lost}) == 1
     text = await entry.shared.metrics.text(())
     assert 'losses_total{verdict="quarantined"} 1' in text
+
+
+async def test_used_retry_budget_is_logged_once(entry, lines):
+    """Guards against logs that don't tell what a fleet used of its budget."""
+    await entry.set_targets(
+        support.RawTarget('t1', ['shed']), support.RawTarget('t2', ['shed'])
+    )
+    decisions = entry.shared.decision_log
+    decisions.log_retry_budgets()
+    await entry.send('/once/1', 'POST')
+    decisions.log_retry_budgets()
+    decisions.log_retry_budgets()
+    used = lines.of('retry-budget-used')
+    assert [(line['attempts'], line['requests']) for line in used] == [(1, 1)]
+    assert used[0]['service'] == support.SERVICE
--- a/libraries/routing/src/sardinepier/routing/budget.py
+++ b/libraries/routing/src/sardinepier/routing/budget.py
@@ -67,6 +67,7 @@
         self._parts: deque[_Part] = deque()
         self._spent_s: deque[float] = deque()
         self._requests = 0
+        self.requested = 0
         self.granted = 0
         self.denied = 0
 
@@ -85,6 +86,7 @@
         self._drop_old()
         self._current_part().requests += 1
         self._requests += 1
+        self.requested += 1
 
     def can_spend(self) -> bool:
         """Return whether :meth:`try_spend` would grant an attempt now."""
