Let what requests earn of the retry budget expire after a second

Cause: each daemon could spend 18 percent of its requests of the last ten seconds at any moment. Where callers move to another daemon, by a handover, an exit, a cut or a kill, the successor earns anew from the first request, while the attempts that its predecessor has just spent are still in the window. No daemon sees the sum.

Now 18 percent of a request are to be spent within a second after it, and an attempt that waits longer for a slot is paid for again. In any window all daemons together spend at most 18 percent of the requests of eleven seconds, whoever had them and whether the process still lives, without a word between daemons.

--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -135,9 +135,11 @@
         """
         while not self._relayed.are_due_for(request):
             with contextlib.suppress(relay_messages.CutOffError):
-                record = await self._admit_or_refund(request, pool, history)
+                record = await self._admit_with_budget(request, pool, history)
                 history.tried.add(record.listed.target_id)
                 return self._attempt(request, pool, record)
+        while not self._renew_budget(pool, history):
+            await self._wait_for_budget(request, pool, history)
         return self._relayed.run(request, pool, history)
 
     async def _prepare_retry(
@@ -161,7 +163,7 @@
         history: retries.AttemptHistory,
     ) -> None:
         """Wait until a retry has budget; raise a refusal if it gets none."""
-        history.spent_s = await retry_waits.acquire(
+        history.spending = await retry_waits.acquire(
             self._shared,
             request,
             pool,
@@ -174,6 +176,35 @@
             ),
         )
 
+    async def _admit_with_budget(
+        self,
+        request: caller_requests.CallerRequest,
+        pool: service_pool.ServicePool,
+        history: retries.AttemptHistory,
+    ) -> target_record.TargetRecord:
+        """Wait for a slot, and for new budget if a retry's has expired.
+
+        Raises ``CutOffError`` if the attempt is to be relayed; what was spent
+        for it stays spent.
+        """
+        while True:
+            record = await self._admit_or_refund(request, pool, history)
+            if self._renew_budget(pool, history):
+                history.spending = None
+                return record
+            pool.release(record)
+            self._shared.quarantine.released(request.fingerprint)
+            await self._wait_for_budget(request, pool, history)
+
+    def _renew_budget(
+        self, pool: service_pool.ServicePool, history: retries.AttemptHistory
+    ) -> bool:
+        """Return whether an attempt may begin now, by what was spent for it."""
+        if history.spending is None:
+            return True
+        history.spending = pool.retries.queue.renew(history.spending)
+        return history.spending is not None
+
     async def _admit_or_refund(
         self,
         request: caller_requests.CallerRequest,
@@ -181,17 +212,16 @@
         history: retries.AttemptHistory,
     ) -> target_record.TargetRecord:
         try:
-            record = await self._admit(
+            return await self._admit(
                 request, pool, history, self._relayed.require_not_due
             )
+        except relay_messages.CutOffError:
+            raise
         except BaseException:
-            if history.spent_s is not None:
-                pool.retries.queue.refund(history.spent_s)
+            if history.spending is not None:
+                pool.retries.queue.refund(history.spending)
+                history.spending = None
             raise
-        if history.spent_s is not None:
-            pool.retries.queue.made(history.spent_s)
-            history.spent_s = None
-        return record
 
     async def _admit(
         self,
--- a/libraries/entry/src/sardinepier/entry/relayed_attempts.py
+++ b/libraries/entry/src/sardinepier/entry/relayed_attempts.py
@@ -55,8 +55,8 @@
         history: retries.AttemptHistory,
     ) -> answers.Answer:
         """Let a peer make an attempt, and refund it if the peer refuses."""
-        spent_s = history.spent_s
-        history.spent_s = None
+        spending = history.spending
+        history.spending = None
         is_made = True
         try:
             return await self._attempt(request, pool, history)
@@ -64,10 +64,11 @@
             is_made = False
             raise
         finally:
-            if spent_s is not None and is_made:
-                pool.retries.queue.made(spent_s)
-            elif spent_s is not None:
-                pool.retries.queue.refund(spent_s)
+            if spending is not None and is_made:
+                # The peer may have waited for a slot until now.
+                pool.retries.queue.renew(spending)
+            elif spending is not None:
+                pool.retries.queue.refund(spending)
 
     def hedge(
         self,
--- a/libraries/entry/src/sardinepier/entry/retries.py
+++ b/libraries/entry/src/sardinepier/entry/retries.py
@@ -19,6 +19,7 @@
     service_pool,
 )
 from sardinepier.gateway import errors, unsent
+from sardinepier.routing import fleet_budget
 
 _MAX_NOT_RUN: Final = 4
 """Targets that may refuse a request or be unreachable before the request is
@@ -49,15 +50,15 @@
     ``not_run`` counts attempts that are proved not to have run, without those
     that a target shed, which ``sheds`` counts. ``ran`` counts those that may
     have run. ``failure`` is the newest error with an unknown fate, ``answer``
-    the newest failing answer of a target. ``spent_s`` is when budget was spent
-    for an attempt that has not begun, None without one. ``is_final_attempt``
+    the newest failing answer of a target. ``spending`` is the budget that was
+    spent for an attempt that has not begun, None without one. ``is_final_attempt``
     says that another daemon, which the attempt is made for, makes no other.
     """
 
     tried: set[ids.TargetId] = dataclasses.field(default_factory=set)
     not_run: int = 0
     sheds: int = 0
-    spent_s: float | None = None
+    spending: fleet_budget.Spending | None = None
     ran: int = 0
     lost_connections: int = 0
     failure: errors.UnknownFateError | None = None
--- a/libraries/entry/src/sardinepier/entry/retry_waits.py
+++ b/libraries/entry/src/sardinepier/entry/retry_waits.py
@@ -2,7 +2,7 @@
 
 from sardinepier.core import errors as core_errors
 from sardinepier.entry import caller_request, context, service_pool
-from sardinepier.routing import retry_queue
+from sardinepier.routing import fleet_budget, retry_queue
 
 
 async def acquire(
@@ -10,8 +10,8 @@
     request: caller_request.CallerRequest,
     pool: service_pool.ServicePool,
     waiting: retry_queue.RetryRequest,
-) -> float:
-    """Wait for budget for a retry of ``request``; return when it was spent.
+) -> fleet_budget.Spending:
+    """Wait for budget for a retry of ``request``, and spend it.
 
     ``waiting`` are the properties of ``request`` that determine its place.
     Raises the refusals of :mod:`sardinepier.routing.errors`, and
@@ -19,14 +19,14 @@
     """
     began_s = shared.clock.monotonic_s()
     try:
-        spent_s = await pool.retries.queue.acquire(waiting)
+        spending = await pool.retries.queue.acquire(waiting)
     except core_errors.SardinepierError as error:
         if waiting.has_waited:
             _record_wait(shared, request, pool, began_s, type(error).__name__)
         raise
     if waiting.has_waited:
         _record_wait(shared, request, pool, began_s)
-    return spent_s
+    return spending
 
 
 def _record_wait(
--- a/libraries/entry/src/sardinepier/entry/service_pool.py
+++ b/libraries/entry/src/sardinepier/entry/service_pool.py
@@ -20,7 +20,7 @@
 from sardinepier.entry import service_retries
 from sardinepier.entry import waiting_elsewhere as elsewhere
 from sardinepier.health import failure_estimate
-from sardinepier.routing import admission, budget, hedging
+from sardinepier.routing import admission, fleet_budget, hedging
 
 _QUEUE_LENGTH: Final = 256
 """Requests that may wait for a slot: two seconds of traffic of a busy
@@ -106,7 +106,7 @@
         self.waiting_by_priority = self._queue.waiting_by_priority
 
     @property
-    def retry_budget(self) -> budget.RetryBudget:
+    def retry_budget(self) -> fleet_budget.FleetBudget:
         """The budget of further attempts; ``retries.queue`` spends it."""
         return self.retries.budget
 
--- a/libraries/entry/src/sardinepier/entry/service_retries.py
+++ b/libraries/entry/src/sardinepier/entry/service_retries.py
@@ -7,7 +7,7 @@
 from sardinepier.core import clock as clocks
 from sardinepier.entry import target_record
 from sardinepier.health import refusal_estimate
-from sardinepier.routing import budget, retry_queue
+from sardinepier.routing import fleet_budget, retry_queue
 
 _FULL_PAUSE_S: Final = 0.1
 """How long a target that refused a request gets none: about half of a typical
@@ -30,13 +30,9 @@
         """Allow ``retry_percent`` of the requests as further attempts."""
         self._clock = clock
         self._accepted = refusal_estimate.AcceptedShare()
-        # No floor: each of many daemons with a few requests would use it, so
-        # that the sum would grow with the fleet. Instead each daemon rounds
-        # at random, and carriers have the burst.
-        self.budget = budget.RetryBudget(
+        self.budget = fleet_budget.FleetBudget(
             clock,
             retry_percent,
-            floor=0,
             rounding=random_source.random(),
         )
         self.queue = retry_queue.RetryQueue(
--- a/libraries/routing/src/sardinepier/routing/retry_plan.py
+++ b/libraries/routing/src/sardinepier/routing/retry_plan.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterable
 from typing import Final
 
-from sardinepier.routing import budget, budget_forecast, retry_demand
+from sardinepier.routing import budget_forecast, fleet_budget, retry_demand
 
 _LATE_MARGIN: Final = 1.0
 """Typical service times before the preferred start from which a request counts
@@ -88,7 +88,7 @@
 
 
 def make(
-    retry_budget: budget.RetryBudget,
+    retry_budget: fleet_budget.FleetBudget,
     demand: retry_demand.RetryDemand,
     waiting: Iterable[RetryRequest],
     conditions: Conditions,
@@ -102,7 +102,7 @@
 
     def __init__(
         self,
-        retry_budget: budget.RetryBudget,
+        retry_budget: fleet_budget.FleetBudget,
         demand: retry_demand.RetryDemand,
         conditions: Conditions,
     ) -> None:
--- a/libraries/routing/src/sardinepier/routing/retry_queue.py
+++ b/libraries/routing/src/sardinepier/routing/retry_queue.py
@@ -9,8 +9,8 @@
 from sardinepier.core import clock
 from sardinepier.routing import (
     admission,
-    budget,
     errors,
+    fleet_budget,
     queue_order,
     retry_demand,
     retry_plan,
@@ -36,16 +36,16 @@
     its latest start. Requests of higher priority come first, then those that
     can be answered in time, then those with an earlier deadline. For example::
 
-        spent_s = await queue.acquire(RetryRequest(1, deadline_s))
+        spending = await queue.acquire(RetryRequest(1, deadline_s))
         ...
-        queue.refund(spent_s)  # if no attempt was made
+        queue.refund(spending)  # if no attempt was made
     """
 
     def __init__(
         self,
         local_clock: clock.Clock,
         random_source: random.Random,
-        retry_budget: budget.RetryBudget,
+        retry_budget: fleet_budget.FleetBudget,
         service_time_s: Callable[[], float],
     ) -> None:
         """Spend ``retry_budget``.
@@ -61,20 +61,22 @@
         self._waiting: dict[RetryRequest, None] = {}
         self._plan = retry_plan.RetryPlan()
         self._plan_until_s = -math.inf
-        self._queue: admission.SlotQueue[float] = admission.SlotQueue(
-            local_clock,
-            _LENGTH,
-            random_source,
-            self.refund,
-            rules=_RULES,
+        self._queue: admission.SlotQueue[fleet_budget.Spending] = (
+            admission.SlotQueue(
+                local_clock,
+                _LENGTH,
+                random_source,
+                self.refund,
+                rules=_RULES,
+            )
         )
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
         return len(self._waiting)
 
-    async def acquire(self, request: RetryRequest) -> float:
-        """Wait for an attempt, and return when it was spent.
+    async def acquire(self, request: RetryRequest) -> fleet_budget.Spending:
+        """Wait for an attempt, and spend it.
 
         Raises ``RetryBudgetError`` as soon as the budget has no attempt for it
         in time, ``QueueFullError`` if the queue is full, and ``GivenUpError``
@@ -95,13 +97,15 @@
         self._plan_until_s = -math.inf
         self._queue.wake()
 
-    def refund(self, spent_s: float) -> None:
+    def refund(self, spending: fleet_budget.Spending) -> None:
         """Return an attempt that was not made."""
-        self._budget.refund(spent_s)
+        self._budget.refund(spending)
 
-    def made(self, spent_s: float) -> None:
-        """Record that the attempt that was spent at ``spent_s`` begins now."""
-        self._budget.made(spent_s)
+    def renew(
+        self, spending: fleet_budget.Spending
+    ) -> fleet_budget.Spending | None:
+        """Return the spending of an attempt that begins now, None if late."""
+        return self._budget.renew(spending)
 
     def can_spend(self, priority: int) -> bool:
         """Return whether a request of ``priority`` would not have to wait."""
@@ -135,7 +139,7 @@
                 'Nothing is to be done',
             )
 
-    def _choose(self, request: RetryRequest) -> float | None:
+    def _choose(self, request: RetryRequest) -> fleet_budget.Spending | None:
         if request not in self._waiting:
             # It was granted or refused, but its task has not run since.
             return None
@@ -144,11 +148,11 @@
         if now_s >= self._plan_until_s:
             self._update_plan(now_s)
         if request in self._plan.granted:
-            spent_s = self._budget.spend()
+            spending = self._budget.spend()
             # Since the plan was made, a hedge may have spent the attempt.
-            if spent_s is not None:
+            if spending is not None:
                 self._waiting.pop(request)
-            return spent_s
+            return spending
         needed = self._plan.refused.get(request, 0 if request.can_wait else 1)
         if needed:
             self._waiting.pop(request)
