Read a bounded length of a probe's answer

A target in trouble may answer a probe without end. The answer was read into memory until the probe timed out: 610 MB in a test with a target on the same machine, twice what a daemon has. A probe needs no more than the status, so that an answer over 1 MiB now ends it as failed. The test failed before.

--- a/libraries/gateway/src/sardinepier/gateway/probes.py
+++ b/libraries/gateway/src/sardinepier/gateway/probes.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 import yarl
-from aiohttp import client_exceptions
+from aiohttp import client_exceptions, client_reqrep
 
 from sardinepier.core import ids
 from sardinepier.gateway import context as contexts
@@ -15,6 +15,7 @@
 _MAX_CONCURRENT: Final = 16
 _MS_PER_S: Final = 1000
 _FIRST_BAD_STATUS: Final = 400
+_MAX_ANSWER_BYTES: Final = 1_048_576
 
 
 class Probes:
@@ -69,12 +70,23 @@
                     connect_timeout_s=snapshot.connect_timeout_s,
                     permit=_allow,
                 )
-                await response.read()
+                is_short = await _is_read(response)
         except (errors.GatewayError, client_exceptions.ClientError, OSError):
             return False
         if snapshot.settings.draining_header in response.headers:
             runtime.mark_leaving(target_id)
-        return response.status < _FIRST_BAD_STATUS
+        return is_short and response.status < _FIRST_BAD_STATUS
+
+
+async def _is_read(response: client_reqrep.ClientResponse) -> bool:
+    """Read an answer; return whether it ends, and close it if it does not."""
+    length = 0
+    while chunk := await response.content.readany():
+        length += len(chunk)
+        if length > _MAX_ANSWER_BYTES:
+            response.close()
+            return False
+    return True
 
 
 def _allow() -> None:
--- a/libraries/gateway/tests/conftest.py
+++ b/libraries/gateway/tests/conftest.py
@@ -56,6 +56,7 @@
     def __init__(self, name):
         self.name = ids.TargetId(name)
         self.behaviour = 'ok'
+        self.endless_bytes = 0
         self.content = f'whole answer of {name}'.encode()
         self.is_echoing = False
         self.seen = []
@@ -113,6 +114,12 @@
             writer.write(_head(503, 0, 'Not-Run: shed', 'Retry-After: 4'))
             return True
         self.ran[seen.header('idempotency-key') or seen.line] += 1
+        if behaviour == 'endless':
+            writer.write(b'HTTP/1.1 200 OK\r\n\r\n')
+            while not writer.is_closing():
+                writer.write(bytes(4096))
+                await writer.drain()
+                self.endless_bytes += 4096
         if behaviour == 'hang':
             await _wait_for_first(self.released.wait(), reader.read(1))
             if not self.released.is_set():
--- a/libraries/gateway/tests/cover/test_gateway_pages.py
+++ b/libraries/gateway/tests/cover/test_gateway_pages.py
@@ -81,6 +81,7 @@
         ('ok', True, False),
         ('failing', False, False),
         ('drop while reading', False, False),
+        ('endless', False, False),
         ('draining', True, True),
     ],
 )
@@ -99,6 +100,8 @@
     assert await asyncio.wait_for(reported, 10) is is_good
     state = runtime.health.standing(target.name).state
     assert (state is targets.TargetState.LEAVING) is is_leaving
+    # An endless answer was read into memory until the probe timed out.
+    assert target.endless_bytes < 2**24
     running.cancel()
 
 
