Bound the bytes of a target from which no answer comes

A target in trouble may send without end. Where it sent an answer to another request, a daemon read its body into memory in order to skip it: from 48 to 622 MB within the request's 2 s, over twice what a daemon has. With interim answers, sizes or extensions of chunks, or one late answer after the other, an idempotent request waited for its deadline (504) while the daemon read as fast as the target sent.

Cause: lines are bounded by the parser and bodies by the buffer of the answer; what is read to be discarded was counted by neither. Now each exchange may read 64 KiB in a row without a byte of a body, and 1 MiB before its answer. Beyond that it ends as a bad answer: idempotent requests are retried, others fail at once, and no request is suspected of a crash.

--- a/libraries/gateway/src/sardinepier/gateway/connections.py
+++ b/libraries/gateway/src/sardinepier/gateway/connections.py
@@ -21,10 +21,11 @@
     client_proto,
     client_reqrep,
     connector,
+    http_exceptions,
     tracing,
 )
 
-from sardinepier.gateway import keepalive, read_buffers
+from sardinepier.gateway import endless, keepalive, read_buffers
 
 Accepts = Callable[[multidict.CIMultiDictProxy[str]], bool]
 """Returns from the headers whether an answer belongs to the exchange."""
@@ -86,6 +87,7 @@
         self._idle_until_s = float('inf')
         self._is_gone = False
         self._has_long_body = False
+        self._endless = endless.EndlessBytes()
 
     async def read(self) -> Any:
         """Return the answer to this exchange and skip late answers."""
@@ -94,6 +96,7 @@
             is_final = message.code >= _FIRST_FINAL_STATUS
             if not is_final or self._is_accepted(message):
                 self._record_idle_timeout(message)
+                self._endless.has_begun = is_final
                 return message, payload
             await payload.read()
 
@@ -147,6 +150,14 @@
             self.abort()
             return
         super().data_received(data)
+        if self._endless.exceed(len(data), self._payload):
+            self._end_as_endless()
+
+    def begin_exchange(self, accepts: Accepts | None) -> None:
+        """Expect the answer to a new request, the one that ``accepts`` knows."""
+        self.is_idle = False
+        self.accepts = accepts
+        self._endless.begin()
 
     def is_stale(self, made_since_s: float) -> bool:
         """Return whether the target closed or sent data during idle time.
@@ -170,6 +181,20 @@
         self.is_reused = True
         self.accepts = None
 
+    def _end_as_endless(self) -> None:
+        """Fail the exchange; the target would send on until it is closed."""
+        reason = 'The target sends bytes that are no answer, without end'
+        self.set_exception(http_exceptions.BadHttpMessage(reason))
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(
+                client_exceptions.ClientPayloadError(reason)
+                if self._endless.has_begun
+                else http_exceptions.BadHttpMessage(reason)
+            )
+        if self.transport is not None:
+            self.transport.abort()
+
     def _is_readable(self) -> bool:
         """Return whether bytes or the end of the connection are unread."""
         assert self.transport is not None  # noqa: S101 - the callers checked it
--- a/libraries/gateway/src/sardinepier/gateway/outgoing.py
+++ b/libraries/gateway/src/sardinepier/gateway/outgoing.py
@@ -100,8 +100,7 @@
         protocol.set_body_length(len(content))
         if self.expects.on_sent is not None:
             self.expects.on_sent(protocol.end_as_gone)
-        protocol.is_idle = False
-        protocol.accepts = self.expects.accepts
+        protocol.begin_exchange(self.expects.accepts)
         conn.add_callback(protocol.mark_idle)
         task: asyncio.Task[None] | None = None
         if len(content) > _MAX_INLINE_BYTES or protocol.writing_paused:
