--- a/libraries/entry/tests/cover/test_entry_endless_answers.py
+++ b/libraries/entry/tests/cover/test_entry_endless_answers.py
@@ -72,14 +72,19 @@
         return False
 
 
-async def send_to_endless(entry, beginning, more, path='/books/1', **options):
-    """Send a request that meets an endless answer first."""
-    endless = EndlessTarget('t1', beginning, more)
-    await entry.set_targets(endless, support.RawTarget('t2'))
+def prefer_first(entry):
+    """Let a daemon choose its first target first, and retry at the second."""
     pool = entry.shared.services.pool(support.SERVICE)
     pool.retry_budget.set_burst(5)
     now_s = entry.shared.clock.monotonic_s()
     pool.targets.find('t2').estimate.failed(now_s, is_early=False)
+
+
+async def send_to_endless(entry, beginning, more, path='/books/1', **options):
+    """Send a request that meets an endless answer first."""
+    endless = EndlessTarget('t1', beginning, more)
+    await entry.set_targets(endless, support.RawTarget('t2'))
+    prefer_first(entry)
     reply = await entry.send(path, **options)
     await asyncio.wait_for(endless.is_closed.wait(), support.TIMEOUT_S)
     return endless, reply
@@ -113,6 +118,23 @@
     assert not entry.shared.quarantine.has_marks()
 
 
+@pytest.mark.parametrize(
+    'name',
+    ['interim answers', 'body of a late answer', 'extension of a chunk'],
+)
+async def test_a_relayed_request_is_answered_by_another_target(fleet, name):
+    """Guards against such bytes where a peer reads them for a daemon."""
+    endless = EndlessTarget('t1', *ALL[name])
+    first, second = fleet
+    await second.set_targets(endless, support.RawTarget('t2'))
+    await first.lose_path_to(*second.targets)
+    for entry in fleet:
+        prefer_first(entry)
+    status, _, body = await first.send()
+    assert (status, body, endless.run_count) == (200, support.BODY, 1)
+    assert endless.sent_bytes < MAX_READ_BYTES
+
+
 @pytest.mark.parametrize(
     ('beginning', 'more'),
     [(TO_THE_END, 'a'), (CHUNKED, '4\r\naaaa\r\n')],
