--- a/libraries/daemon/src/sardinepier/daemon/entry_process.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_process.py
@@ -53,7 +53,8 @@
 
 _RETRY_RATIO_SHARE: Final = 0.9
 """Fraction of the allowed retry ratio that is used. The ratio must hold in
-every sliding window, which needs a margin."""
+every sliding window, in which attempts may be spent for requests that came up to
+``fleet_budget.LIFETIME_S`` before it."""
 
 _REVOCATION_MARGIN_S: Final = 0.1
 """Deducted from the time within which a withdrawn key must stop working,
