Add up what a fleet spent of its retry budget by a command

On-call had the lines of each daemon, and no daemon is over its own share. sardinepier retries shows for each service the window with the most attempts and who spent them.

--- a/libraries/cli/src/sardinepier/cli/commands.py
+++ b/libraries/cli/src/sardinepier/cli/commands.py
@@ -15,11 +15,12 @@
     status,
     timeline,
 )
-from sardinepier.cli.from_files import explain, log_timeline
+from sardinepier.cli.from_files import explain, log_timeline, retries
 from sardinepier.cli.internal import options
 
 _POLL_INTERVAL_S: Final = 1.0
 _FOLLOW_S: Final = 60.0
+_RETRY_WINDOW_S: Final = 10.0
 _TIMEOUT_S: Final = 5.0
 _CALLER_HEADER: Final = 'Sardinepier-Caller'
 
@@ -27,8 +28,8 @@
 class Commands:
     """Check settings files and watch a fleet of sardinepier daemons.
 
-    Commands: check, addresses, status, timeline, explain, request. Each has a
-    help of its own, for example sardinepier check --help.
+    Commands: check, addresses, status, timeline, explain, retries, request.
+    Each has a help of its own, for example sardinepier check --help.
 
     No command changes any state of the fleet. Daemons are named by IP:PORT.
     Exit codes: 0 good, 1 a clear negative result, 2 wrong usage, 3 a daemon
@@ -166,6 +167,21 @@
             functools.partial(explain.report, request_id, files),
         )
 
+    def retries(
+        self, *files: str, window_s: float = _RETRY_WINDOW_S
+    ) -> invocations.Invocation:
+        """Show what the fleet spent of its retry budget, from log files.
+
+        For each service the window with the most attempts, and who spent them.
+
+        Args:
+            files: Paths of log files, of as many daemons as there are.
+            window_s: The length of the window of the limit.
+        """
+        return self._invocation(
+            functools.partial(retries.report, files, window_s),
+        )
+
     def request(
         self,
         method: str,
--- a/libraries/cli/src/sardinepier/cli/main.py
+++ b/libraries/cli/src/sardinepier/cli/main.py
@@ -97,6 +97,7 @@
         command_class.status,
         command_class.timeline,
         command_class.explain,
+        command_class.retries,
         command_class.request,
     ):
         fire.decorators.SetParseFn(str)(command)
@@ -106,6 +107,7 @@
         caller_header=options.header_name,
     )(command_class)
     fire.decorators.SetParseFns(once=options.switch)(command_class.request)
+    fire.decorators.SetParseFns(window_s=options.seconds)(command_class.retries)
     fire.decorators.SetParseFns(
         follow=options.switch,
         for_s=options.seconds,
--- a/libraries/cli/tests/cover/test_cli_reference.py
+++ b/libraries/cli/tests/cover/test_cli_reference.py
@@ -13,7 +13,7 @@
     timeline,
 )
 from sardinepier.cli import status as status_command
-from sardinepier.cli.from_files import explain, log_timeline
+from sardinepier.cli.from_files import explain, log_timeline, retries
 from sardinepier.telemetry import events, status
 
 PAGE = pathlib.Path(__file__).parents[4] / 'docs' / 'command-line.md'
@@ -25,6 +25,9 @@
     explain.ExplainReport,
     explain.KnownEvent,
     explain.Step,
+    retries.InstanceUse,
+    retries.RetriesReport,
+    retries.ServiceUse,
     request.Attempt,
     request.RequestReport,
     status_command.StatusReport,
