--- a/libraries/routing/src/sardinepier/routing/budget.py
+++ b/libraries/routing/src/sardinepier/routing/budget.py
@@ -1,26 +1,19 @@
 """Budget of further attempts beyond the first one of each request."""
 
-import dataclasses
 from collections import deque
 from typing import Final
 
 from sardinepier.core import clock
-from sardinepier.routing.internal import checks
+from sardinepier.routing.internal import checks, period_counts
 
 _PARTS: Final = 10
+"""Parts of a window by which requests are counted."""
+
 _PERCENT: Final = 100
 _WINDOW_S: Final = 10.0
 _MIN_ATTEMPTS: Final = 1
 
 
-@dataclasses.dataclass(slots=True)
-class _Part:
-    """The number of requests in one tenth of the window."""
-
-    number: int
-    requests: int = 0
-
-
 class RetryBudget:
     """Limits further attempts to a part of the requests in a sliding window.
 
@@ -53,23 +46,22 @@
         self._fraction = percent / _PERCENT
         self._floor = floor
         self.window_s = window_s
-        self._part_s = window_s / _PARTS
-        self._parts: deque[_Part] = deque()
+        self._requests = period_counts.PeriodCounts(window_s / _PARTS, _PARTS)
         self._spent_s: deque[float] = deque()
-        self._requests = 0
         self.granted = 0
         self.denied = 0
 
     def record_request(self) -> None:
         """Count a new request; its further attempts must not be counted."""
-        self._drop_old()
-        self._current_part().requests += 1
-        self._requests += 1
+        self._requests.record(self._clock.monotonic_s())
 
     def can_spend(self) -> bool:
         """Return whether :meth:`try_spend` would grant an attempt now."""
-        self._drop_old()
-        allowed = max(self._floor, self._fraction * self._requests)
+        now_s = self._clock.monotonic_s()
+        while self._spent_s and self._spent_s[0] <= now_s - self.window_s:
+            self._spent_s.popleft()
+        earned = self._fraction * self._requests.total(now_s)
+        allowed = max(self._floor, earned)
         return allowed - len(self._spent_s) >= 1
 
     def try_spend(self) -> bool:
@@ -80,18 +72,3 @@
         self.granted += 1
         self._spent_s.append(self._clock.monotonic_s())
         return True
-
-    def _drop_old(self) -> None:
-        """Drop requests older than the window by tenths, and attempts exactly."""
-        now_s = self._clock.monotonic_s()
-        while self._spent_s and self._spent_s[0] <= now_s - self.window_s:
-            self._spent_s.popleft()
-        number = int(now_s / self._part_s)
-        while self._parts and self._parts[0].number <= number - _PARTS:
-            self._requests -= self._parts.popleft().requests
-
-    def _current_part(self) -> _Part:
-        number = int(self._clock.monotonic_s() / self._part_s)
-        if not self._parts or self._parts[-1].number != number:
-            self._parts.append(_Part(number))
-        return self._parts[-1]
--- a/libraries/routing/src/sardinepier/routing/fleet_budget.py
+++ b/libraries/routing/src/sardinepier/routing/fleet_budget.py
@@ -18,7 +18,7 @@
 
 from sardinepier.core import clock
 from sardinepier.routing import budget_forecast
-from sardinepier.routing.internal import checks
+from sardinepier.routing.internal import checks, period_counts
 
 LIFETIME_S: Final = 1.0
 """How long after a request its part of an attempt may be spent."""
@@ -27,6 +27,7 @@
 _WINDOW_S: Final = 10.0
 _RATE_PERIOD_S: Final = 1.0
 _RATE_PERIODS: Final = 3
+"""The rate of the ongoing requests is that of the last two to three seconds."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,14 +41,6 @@
     earned_s: float | None = None
 
 
-@dataclasses.dataclass(slots=True)
-class _Period:
-    """The number of requests in one period of the recent past."""
-
-    number: int
-    requests: int = 0
-
-
 class FleetBudget:
     """Grants attempts for the newest requests, and a burst in any window.
 
@@ -85,7 +78,9 @@
         self._earned = 0
         self._earned_s: deque[float] = deque()
         self._spent_s: deque[float] = deque()
-        self._periods: deque[_Period] = deque(maxlen=_RATE_PERIODS)
+        self._requests = period_counts.PeriodCounts(
+            _RATE_PERIOD_S, _RATE_PERIODS
+        )
         self.requested = 0
         self.granted = 0
         self.denied = 0
@@ -102,10 +97,7 @@
         """Count a new request; its further attempts must not be counted."""
         now_s = self._clock.monotonic_s()
         self.requested += 1
-        number = int(now_s / _RATE_PERIOD_S)
-        if not self._periods or self._periods[-1].number != number:
-            self._periods.append(_Period(number))
-        self._periods[-1].requests += 1
+        self._requests.record(now_s)
         earned = int(self._fraction * self.requested + self._rounding)
         if earned > self._earned:
             self._earned = earned
@@ -165,11 +157,13 @@
     def forecast(self) -> budget_forecast.BudgetForecast:
         """Return what the budget will have if requests go on as they do."""
         self._drop_old()
+        now_s = self._clock.monotonic_s()
         return budget_forecast.BudgetForecast(
-            self._clock.monotonic_s(),
+            now_s,
             self.window_s,
             budget_forecast.Earnings(
-                len(self._earned_s), self._fraction * self._requests_per_s()
+                len(self._earned_s),
+                self._fraction * self._requests.per_s(now_s),
             ),
             self._burst + self._rounding,
             tuple(self._spent_s),
@@ -184,14 +178,3 @@
             self._spent_s.popleft()
         while self._earned_s and self._earned_s[0] <= now_s - LIFETIME_S:
             self._earned_s.popleft()
-
-    def _requests_per_s(self) -> float:
-        """Return the rate of the ongoing requests in the last 2 to 3 s."""
-        now_s = self._clock.monotonic_s()
-        first = int(now_s / _RATE_PERIOD_S) - _RATE_PERIODS + 1
-        recent = sum(
-            period.requests
-            for period in self._periods
-            if period.number >= first
-        )
-        return recent / (now_s - first * _RATE_PERIOD_S)
