Share the fleet of budgets between two tests

Both tests had the same daemons, events and counts. The assertions stay; requests exactly as old as the counted time no longer count for the fleet's bound, which is stricter.

--- a/libraries/routing/tests/cover/test_routing_budgets.py
+++ b/libraries/routing/tests/cover/test_routing_budgets.py
@@ -2,6 +2,7 @@
 
 import random
 
+import budget_fleet
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -39,11 +40,10 @@
         assert spent <= percent / 100 * requests + _FLOOR * (windows + 1)
 
 
-_FLEET = 5
 _FLEET_STEPS = st.lists(
     st.tuples(
         st.sampled_from([0.0, 0.0, 0.2, 0.9, 4.0]),
-        st.integers(0, _FLEET - 1),
+        st.integers(0, budget_fleet.SIZE - 1),
         st.sampled_from(['requests', 'tries', 'restart']),
         st.integers(1, 20),
     ),
@@ -51,38 +51,6 @@
 )
 
 
-class _Fleet:
-    """Daemons with a budget each, and the times of their events."""
-
-    def __init__(self):
-        self.clock = clock.ManualClock()
-        self.budgets = [self._new_budget() for _ in range(_FLEET)]
-        self.requested_s = []
-        self.spent_s = []
-        self.started_s = []
-
-    def requests(self, position, count):
-        for _ in range(count):
-            self.budgets[position].record_request()
-            self.requested_s.append(self.clock.monotonic_s())
-
-    def tries(self, position, count):
-        for _ in range(count):
-            if self.budgets[position].try_spend():
-                self.spent_s.append(self.clock.monotonic_s())
-
-    def restart(self, position, count):
-        self.budgets[position] = self._new_budget()
-        self.started_s.append(self.clock.monotonic_s())
-
-    def within(self, times_s, period_s):
-        since_s = self.clock.monotonic_s() - period_s
-        return sum(time_s > since_s for time_s in times_s)
-
-    def _new_budget(self):
-        return budget.RetryBudget(self.clock, 18, floor=1)
-
-
 @given(_FLEET_STEPS)
 def test_each_start_of_a_daemon_adds_at_most_its_floor(steps):
     """Guards the sum over daemons that restart.
@@ -90,12 +58,14 @@
     This budget limits one daemon: what is spent in a window may depend on
     requests of the window before. ``FleetBudget`` limits a fleet.
     """
-    fleet = _Fleet()
-    for gap_s, position, event, count in steps:
-        fleet.clock.advance(gap_s)
-        getattr(fleet, event)(position, count)
+    fleet = budget_fleet.BudgetFleet(
+        lambda fleet_clock: budget.RetryBudget(fleet_clock, 18, floor=1)
+    )
+    for _ in fleet.play(steps):
         bound = 0.18 * fleet.within(fleet.requested_s, 2 * _WINDOW_S)
-        bound += _FLEET + fleet.within(fleet.started_s, 2 * _WINDOW_S)
+        bound += budget_fleet.SIZE + fleet.within(
+            fleet.started_s, 2 * _WINDOW_S
+        )
         assert fleet.within(fleet.spent_s, _WINDOW_S) <= bound
 
 
--- a/libraries/routing/tests/cover/test_routing_fleet_budget.py
+++ b/libraries/routing/tests/cover/test_routing_fleet_budget.py
@@ -2,6 +2,7 @@
 
 import random
 
+import budget_fleet
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -10,12 +11,11 @@
 
 _WINDOW_S = 10.0
 _LIFETIME_S = 1.0
-_FLEET = 5
 _BURST = 4
 _STEPS = st.lists(
     st.tuples(
         st.sampled_from([0.0, 0.0, 0.2, 0.9, 4.0]),
-        st.integers(0, _FLEET - 1),
+        st.integers(0, budget_fleet.SIZE - 1),
         st.sampled_from(
             ['requests', 'tries', 'restart', 'set_burst', 'clear_burst']
         ),
@@ -25,35 +25,17 @@
 )
 
 
-class Fleet:
-    """Daemons with a budget each, and the times of their events."""
+class Fleet(budget_fleet.BudgetFleet):
+    """Daemons that are given a burst at times."""
 
     def __init__(self, rounding=0.0):
-        self.rounding = rounding
-        self.clock = clock.ManualClock()
-        self.budgets = [self.new_budget() for _ in range(_FLEET)]
-        self.requested_s = []
-        self.spent_s = []
-        self.started_s = []
+        super().__init__(
+            lambda fleet_clock: fleet_budget.FleetBudget(
+                fleet_clock, 18, rounding=rounding
+            )
+        )
         self.burst_set_s = []
 
-    def new_budget(self):
-        return fleet_budget.FleetBudget(self.clock, 18, rounding=self.rounding)
-
-    def requests(self, position, count):
-        for _ in range(count):
-            self.budgets[position].record_request()
-            self.requested_s.append(self.clock.monotonic_s())
-
-    def tries(self, position, count):
-        for _ in range(count):
-            if self.budgets[position].try_spend():
-                self.spent_s.append(self.clock.monotonic_s())
-
-    def restart(self, position, count):
-        self.budgets[position] = self.new_budget()
-        self.started_s.append(self.clock.monotonic_s())
-
     def set_burst(self, position, count):
         self.budgets[position].set_burst(_BURST)
         self.burst_set_s.append(self.clock.monotonic_s())
@@ -61,20 +43,13 @@
     def clear_burst(self, position, count):
         self.budgets[position].set_burst(0)
 
-    def within(self, times_s, period_s):
-        since_s = self.clock.monotonic_s() - period_s
-        return sum(time_s >= since_s for time_s in times_s)
-
     def earned(self):
         """Return what the requests of a window and a lifetime allow."""
         counted_s = _WINDOW_S + _LIFETIME_S
         return 0.18 * self.within(self.requested_s, counted_s)
 
     def spent(self):
-        return sum(
-            spent_s > self.clock.monotonic_s() - _WINDOW_S
-            for spent_s in self.spent_s
-        )
+        return self.within(self.spent_s, _WINDOW_S)
 
 
 @given(_STEPS)
@@ -84,23 +59,21 @@
     Only carriers add attempts, their part of the burst, to the percentage.
     """
     fleet = Fleet()
-    for gap_s, position, event, count in steps:
-        fleet.clock.advance(gap_s)
-        getattr(fleet, event)(position, count)
+    for _ in fleet.play(steps):
         # What a daemon earned in part before counts with the next request.
-        bound = fleet.earned() + _FLEET + _BURST * len(fleet.burst_set_s)
+        bound = (
+            fleet.earned() + budget_fleet.SIZE + _BURST * len(fleet.burst_set_s)
+        )
         assert fleet.spent() <= bound
 
 
 @given(_STEPS, st.floats(0, 0.999))
 def test_rounding_adds_less_than_one_attempt_to_each_start(steps, rounding):
     fleet = Fleet(rounding)
-    for gap_s, position, event, count in steps:
-        fleet.clock.advance(gap_s)
-        getattr(fleet, event)(position, count)
+    for _ in fleet.play(steps):
         starts = fleet.within(fleet.started_s, 2 * _WINDOW_S)
         # A burst is rounded as well.
-        bound = fleet.earned() + _FLEET + starts
+        bound = fleet.earned() + budget_fleet.SIZE + starts
         bound += (_BURST + 1) * len(fleet.burst_set_s)
         assert fleet.spent() <= bound
 
