--- a/libraries/entry/tests/entry_support.py
+++ b/libraries/entry/tests/entry_support.py
@@ -176,7 +176,9 @@
 
 
 def answer(echo, status='200 OK', body=BODY, **options):
-    lines = [f'HTTP/1.1 {status}', f'{NAMES.attempt_id}: {echo}']
+    lines = [f'HTTP/1.1 {status}']
+    if options.get('identified', True):
+        lines.append(f'{NAMES.attempt_id}: {echo}')
     if options.get('signed', True):
         lines.append(f'{NAMES.signature}: proof-of-{echo}')
     if options.get('framed', True):
