Take only an answer with the id of a request for its answer

What callers saw: a request that must run once ran twice (TWICE), or its caller got the answer of nobody (MIXED). Cause: an answer without an id counted as the answer to whatever request was open on the connection, so that bytes of a target in trouble could state for a request that its target ran that it had not. Class: a proof that is about another request, or about none.

- The id that a target echoes has to be the one that was sent.
Others are skipped, as late answers with another id were before.
A connection that ends after such answers only is a bad answer, not a crash of the target.
- Bytes that come before any request end a new connection, as they do on a pooled one.
A new connection that is closed or readable before its first request counts as not made.

--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -191,7 +191,10 @@
         self._traffic.sent(self._request)
 
     def _is_own_answer(self, status: int, headers: 'answers.Headers') -> bool:
-        """Return whether an answer belongs to this request."""
+        """Return whether an answer bears the id of this request.
+
+        Targets echo it, so that bytes without it prove nothing of this request.
+        """
         echoed = headers.get(self._shared.names.attempt_id, '')
         is_own = echoed == self._request.request_id
         if not is_own and not self._has_foreign_answer:
@@ -202,7 +205,7 @@
             self._shared.decision_log.log_foreign_answer(
                 self._request, self._choice, status, echoed
             )
-        return is_own or not echoed
+        return is_own
 
     def _record_reports(self, response: client_reqrep.ClientResponse) -> None:
         """Record the load and the statement that the target reports.
--- a/libraries/entry/tests/cover/test_entry_foreign_answers.py
+++ b/libraries/entry/tests/cover/test_entry_foreign_answers.py
@@ -4,6 +4,8 @@
 answer without the id may stand before, behind or in place of it.
 """
 
+import asyncio
+
 import entry_support as support
 import pytest
 
@@ -65,3 +67,48 @@
     )
     sent = await send_series(entry, path)
     assert path == SAFE or entry.run_count == sent
+
+
+@pytest.mark.parametrize('kind', FOREIGN)
+async def test_a_request_whose_only_answer_has_no_id_may_have_run(entry, kind):
+    bad = support.RawTarget('bad', [lambda echo: foreign_answer(kind)])
+    good = support.RawTarget('good')
+    await entry.set_targets(bad, good)
+    entry.shared.services.pool(support.SERVICE).targets.find(
+        'good',
+    ).estimate.failed(entry.shared.clock.monotonic_s(), is_early=False)
+    status, headers, _ = await entry.send(
+        ONCE, 'POST', b'payload', **{support.NAMES.deadline_ms: '300'}
+    )
+    assert status in {502, 504}
+    assert entry.run_count == 1
+    assert support.NAMES.signature not in headers
+
+
+class ForwardTarget:
+    """A target that sends a foreign answer before it gets any request."""
+
+    def __init__(self, kind):
+        self.kind = kind
+        self.target = support.RawTarget('eager')
+
+    async def start(self):
+        self.target.server = await asyncio.start_server(
+            self._serve, support.LOOPBACK, 0
+        )
+
+    async def _serve(self, reader, writer):
+        writer.write(foreign_answer(self.kind))
+        await self.target._serve(reader, writer)
+
+
+@pytest.mark.parametrize('path', [ONCE, SAFE])
+@pytest.mark.parametrize('kind', FOREIGN)
+async def test_an_answer_before_any_request_is_no_answer_to_it(
+    entry, kind, path
+):
+    eager = ForwardTarget(kind)
+    await eager.start()
+    await entry.set_targets(eager.target, support.RawTarget('good'))
+    sent = await send_series(entry, path)
+    assert path == SAFE or entry.run_count == sent
--- a/libraries/gateway/src/sardinepier/gateway/connections.py
+++ b/libraries/gateway/src/sardinepier/gateway/connections.py
@@ -1,9 +1,9 @@
 """Connections to targets and peers that never mix up answers.
 
-A pooled connection is not reused once the target sent data on it or closed it
-while it was idle, because the next request could read the answer to an earlier
-one. A late answer to an earlier request is skipped if the exchange can
-recognize its own answer.
+A connection is not used once the target sent data on it or closed it while no
+exchange was open, because the next request could take that for its answer. An
+answer that is not the exchange's own is skipped if the exchange can recognize
+its own.
 """
 
 import asyncio
@@ -75,22 +75,23 @@
 
 
 class GuardedHandler(client_proto.ResponseHandler):
-    """A connection that closes if the target sends data while it is idle."""
+    """A connection that closes if the target sends data without an exchange."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         """Start without an exchange."""
         super().__init__(loop)
-        self.is_idle = False
+        self.is_idle = True
         self.is_reused = False
         self.made_s = loop.time()
         self.accepts: Accepts | None = None
         self._idle_until_s = float('inf')
         self._is_gone = False
+        self._has_skipped = False
         self._has_long_body = False
         self._endless = endless.EndlessBytes()
 
     async def read(self) -> Any:
-        """Return the answer to this exchange and skip late answers."""
+        """Return the answer to this exchange and skip others."""
         while True:
             message, payload = await super().read()
             is_final = message.code >= _FIRST_FINAL_STATUS
@@ -98,6 +99,7 @@
                 self._record_idle_timeout(message)
                 self._endless.has_begun = is_final
                 return message, payload
+            self._has_skipped = True
             await payload.read()
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -108,6 +110,12 @@
         """
         if self._is_gone and exc is None:
             exc = TimeoutError(errno.ETIMEDOUT, 'The target is gone')
+        elif self._has_skipped and not self._endless.has_begun:
+            self.set_exception(
+                http_exceptions.BadHttpMessage(
+                    'The target sent only answers to other requests',
+                ),
+            )
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
             payload.set_exception(
@@ -157,10 +165,11 @@
         """Expect the answer to a new request, the one that ``accepts`` knows."""
         self.is_idle = False
         self.accepts = accepts
+        self._has_skipped = False
         self._endless.begin()
 
     def is_stale(self, made_since_s: float) -> bool:
-        """Return whether the target closed or sent data during idle time.
+        """Return whether the target closed or sent data without an exchange.
 
         The event loop may not have read that yet, so this polls the socket.
         A connection made before ``made_since_s`` is stale, too.
@@ -169,8 +178,6 @@
             return True
         if self.made_s < made_since_s:
             return True
-        if not self.is_reused:
-            return False
         if self._loop.time() > self._idle_until_s:
             return True
         return self._is_readable()
--- a/libraries/gateway/src/sardinepier/gateway/errors.py
+++ b/libraries/gateway/src/sardinepier/gateway/errors.py
@@ -50,7 +50,7 @@
 
 
 class StaleConnectionError(ProvedNotRunError):
-    """The target closed a pooled connection or sent on it before its reuse."""
+    """The target closed a pooled connection, or sent on it, before its reuse."""
 
 
 class ShedError(ProvedNotRunError):
--- a/libraries/gateway/src/sardinepier/gateway/outgoing.py
+++ b/libraries/gateway/src/sardinepier/gateway/outgoing.py
@@ -85,13 +85,10 @@
     ) -> client_reqrep.ClientResponse:
         """Write the request to ``conn``; a long body in a task of its own."""
         protocol = cast(connections.GuardedHandler, conn.protocol)
-        if protocol.is_stale(self.expects.made_since_s):
-            raise errors.StaleConnectionError(
-                'The target closed a pooled connection, or has restarted',
-                'Use another connection',
-            )
         if self.expects.on_connected is not None and not protocol.is_reused:
             self.expects.on_connected()
+        if protocol.is_stale(self.expects.made_since_s):
+            raise _stale_error(is_reused=protocol.is_reused)
         writer = await self._writer_to(conn, protocol)
         self.exchange.begin_writing()
         # Reference cycles would keep a body until the garbage is collected.
@@ -232,6 +229,19 @@
     )
 
 
+def _stale_error(*, is_reused: bool) -> errors.ProvedNotRunError:
+    if is_reused:
+        return errors.StaleConnectionError(
+            'The target closed a pooled connection, or has restarted',
+            'Use another connection',
+        )
+    return errors.ConnectFailedError(
+        'The target closed a new connection, or sent on it before a request',
+        'Send the request again',
+        _RETRY_AFTER_S,
+    )
+
+
 def _connect_error_type(error: Exception) -> type[errors.ConnectFailedError]:
     if isinstance(error, TimeoutError):
         return errors.ConnectTimeoutError
