Pass on no status that promises what a target did not state

Cause: a target's status was passed on whatever it says to callers. Such an answer is now a bad one: its request may have run, an idempotent one is sent to another target, and the target counts as failing; 408 and 429 counted as good answers.

entry_targets without_the_mark: 6 of 6 cases failed before, all pass now.

--- a/libraries/entry/src/sardinepier/entry/answers.py
+++ b/libraries/entry/src/sardinepier/entry/answers.py
@@ -6,7 +6,7 @@
 import multidict
 from aiohttp import client_reqrep
 
-from sardinepier.entry import answer_stream, header_names
+from sardinepier.entry import answer_stream, header_names, refusals
 from sardinepier.gateway import buffer_budget, errors, headers
 
 Headers = multidict.CIMultiDictProxy[str]
@@ -75,8 +75,9 @@
     If this raises, the connection is closed. Raises ``ShedError`` or
     ``OtherTargetError`` if the target states that the request did not run,
     ``TruncatedAnswerError`` if the connection ends too early, and
-    ``BadAnswerError`` if a success has no signature of the target or a server
-    error is not buffered whole.
+    ``BadAnswerError`` if a success has no signature of the target, a server
+    error is not buffered whole, or the status would tell the caller that the
+    request did not run.
     """
     try:
         with budget.hold() as held:
@@ -96,6 +97,11 @@
 ) -> Answer:
     body, is_whole = await _read_beginning(response, held)
     _raise_if_not_run(response, names)
+    if response.status in refusals.NOT_RUN_STATUSES:
+        raise errors.BadAnswerError(
+            f'The target answered {response.status} and may have run it',
+            'Let the target mark the requests that it does not run',
+        )
     is_success = response.status < _FIRST_NON_SUCCESS_STATUS
     if is_success and names.signature not in response.headers:
         raise errors.BadAnswerError(
--- a/libraries/entry/src/sardinepier/entry/refusals.py
+++ b/libraries/entry/src/sardinepier/entry/refusals.py
@@ -1,15 +1,24 @@
 """Errors that the daemon itself answers to a caller, each with its status.
 
-The statuses 408, 421, 429 and 503 tell the caller that the request did not run
-and will not run. Subclasses of :class:`NotRunError` are therefore raised only
-if that is proved.
+The statuses in ``NOT_RUN_STATUSES`` tell the caller that the request did not
+run and will not run. Subclasses of :class:`NotRunError` are therefore raised
+only if that is proved.
 """
 
 import http
-from typing import ClassVar
+from typing import ClassVar, Final
 
 from sardinepier.core import errors
 
+NOT_RUN_STATUSES: Final = frozenset(
+    (
+        http.HTTPStatus.REQUEST_TIMEOUT,
+        http.HTTPStatus.MISDIRECTED_REQUEST,
+        http.HTTPStatus.TOO_MANY_REQUESTS,
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
+
 
 class EntryError(errors.SardinepierError):
     """Base of the errors that a caller gets, with the HTTP ``status``."""
--- a/libraries/entry/tests/cover/test_entry_targets.py
+++ b/libraries/entry/tests/cover/test_entry_targets.py
@@ -63,6 +63,27 @@
         assert support.NAMES.signature not in headers
 
 
+# Guards against statuses of targets that tell the caller that a request did
+# not run, which then sends it again.
+@pytest.mark.parametrize('signed', [True, False])
+@pytest.mark.parametrize(
+    'status', ['408 Timeout', '429 Slow Down', '503 Unavailable']
+)
+async def test_a_target_promises_nothing_without_the_mark(
+    entry, status, signed
+):
+    ran = support.RawTarget(
+        't1', [lambda echo: support.answer(echo, status, signed=signed)]
+    )
+    await entry.set_targets(ran)
+    got, headers, _ = await entry.send(ONCE, 'POST', b'payload')
+    assert (got, entry.run_count) == (502, 1)
+    assert support.NAMES.signature not in headers
+    await entry.set_targets(ran, support.RawTarget('good'))
+    got, _, body = await entry.send(SAFE)
+    assert (got, body) == (200, support.BODY)
+
+
 async def test_an_extra_answer_is_not_used_for_the_next_request(entry):
     target = support.RawTarget('t1', ['extra-after', 'ok'])
     await entry.set_targets(target)
