Require the id of a request in the reply of a peer

A reply bears the id of its request now, and one without it leaves open whether the request ran. During an upgrade, replies of older daemons that made no attempt are not believed.

--- a/libraries/entry/src/sardinepier/entry/relay_http.py
+++ b/libraries/entry/src/sardinepier/entry/relay_http.py
@@ -78,6 +78,12 @@
         response: client_reqrep.ClientResponse,
         request: caller_request.CallerRequest,
     ) -> relaying.RelayedAnswer | relay_messages.RelayReply:
+        names = self._shared.names
+        if response.headers.get(names.attempt_id, '') != request.request_id:
+            raise errors.BadAnswerError(
+                'The reply does not bear the id of the request',
+                'Use daemons of versions that fit each other',
+            )
         try:
             reply = relay_messages.decode_reply(
                 response.headers.get(headers.OUTCOME, '')
@@ -90,7 +96,7 @@
             return reply
         answer = await answers.read(
             response,
-            self._shared.names,
+            names,
             self._shared.buffer_budget,
             request.caller_loop_deadline_s(self._shared.clock),
         )
@@ -122,8 +128,9 @@
         A daemon that is about to exit makes no new attempts for others.
         """
         if self._shared.activity.is_draining:
-            response = _reply_response(
-                relay_messages.reply_of(relay_messages.cut_off_error(), ())
+            response = self._reply_response(
+                http_request,
+                relay_messages.reply_of(relay_messages.cut_off_error(), ()),
             )
             response.force_close()
             return response
@@ -148,12 +155,14 @@
             attempt = self._attempt_of(http_request)
             request = await self._read(http_request, attempt)
         except core_errors.SardinepierError as error:
-            return _reply_response(relay_messages.reply_of(error, ()))
+            return self._reply_response(
+                http_request, relay_messages.reply_of(error, ())
+            )
         body_bytes = len(request.body)
         with contextlib.closing(request):
             replied = await self._service.attempt(request, attempt)
         if isinstance(replied, relay_messages.RelayReply):
-            return _reply_response(replied)
+            return self._reply_response(http_request, replied)
         self._shared.activity.forwarded_bytes += (
             body_bytes + replied.answer.length_bytes
         )
@@ -161,6 +170,22 @@
         response.headers[headers.OUTCOME] = relay_messages.encode(replied.reply)
         return response
 
+    def _reply_response(
+        self,
+        http_request: web_request.BaseRequest,
+        reply: relay_messages.RelayReply,
+    ) -> web_response.Response:
+        names = self._shared.names
+        return web_response.Response(
+            status=http.HTTPStatus.BAD_GATEWAY,
+            headers={
+                headers.OUTCOME: relay_messages.encode(reply),
+                names.attempt_id: http_request.headers.get(
+                    names.attempt_id, ''
+                ),
+            },
+        )
+
     def _attempt_of(
         self, http_request: web_request.BaseRequest
     ) -> relay_messages.RelayedAttempt:
@@ -227,11 +252,3 @@
         fingerprint=request_reader.fingerprint(http_request, content),
         priority=attempt.priority,
     )
-
-
-def _reply_response(
-    reply: relay_messages.RelayReply,
-) -> web_response.Response:
-    response = web_response.Response(status=http.HTTPStatus.BAD_GATEWAY)
-    response.headers[headers.OUTCOME] = relay_messages.encode(reply)
-    return response
--- a/libraries/entry/tests/cover/test_entry_relays.py
+++ b/libraries/entry/tests/cover/test_entry_relays.py
@@ -5,8 +5,10 @@
 
 import entry_support as support
 import pytest
+import yarl
 
-from sardinepier.entry import path_check
+from sardinepier.core import ids
+from sardinepier.entry import path_check, relay_messages
 from sardinepier.gateway import errors, headers
 
 LONG_ANSWER = bytes(range(256)) * 12_000
@@ -302,3 +304,36 @@
         round(record.estimate.failing_probability(now_s), 1)
         for record in pool.targets.records()
     )
+
+
+# Guards against requests that run twice: a reply about another request, or
+# about none, says that nothing ran.
+@pytest.mark.parametrize('outcome', ['CUT_OFF', 'SHED', 'REFUSED'])
+@pytest.mark.parametrize('replied_id', ['another', None])
+async def test_a_reply_without_the_id_proves_nothing(
+    fleet, outcome, replied_id
+):
+    entry, other = fleet
+    entry.peers.urls.pop(other.own_id)
+    peer = support.RawTarget('peer')
+    await entry.lose_path_to(support.RawTarget('t-1'), support.RawTarget('t-2'))
+    reply = relay_messages.encode(
+        relay_messages.RelayReply(relay_messages.RelayOutcome[outcome])
+    )
+    peer.behaviours = [
+        lambda _: support.answer(
+            replied_id,
+            '502 Bad Gateway',
+            identified=replied_id is not None,
+            signed=False,
+            extra=f'{headers.OUTCOME}: {reply}',
+        )
+    ]
+    await peer.start()
+    for number in (8, 9):
+        entry.peers.urls[ids.InstanceId(f'd~{number:016x}')] = yarl.URL(
+            f'http://{support.LOOPBACK}:{peer.port}'
+        )
+    status, _, _ = await entry.send('/once/1', 'POST', b'a')
+    assert (status, len(peer.received)) == (502, 1)
+    peer.server.close()
