--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -139,7 +139,8 @@
             self._record.url,
             self._headers(),
             self._request.body,
-            fresh=False,
+            # Without an id nothing tells its answer from a late one.
+            fresh=not self._request.request_id,
             connect_timeout_s=path_check.CONNECT_TIMEOUT_S,
             permit=self._require_sendable,
             path=self._request.path,
@@ -167,9 +168,10 @@
         names = self._shared.names
         request = self._request
         left_s = request.caller_deadline_s - self._shared.clock.monotonic_s()
+        request_ids = [request.request_id] if request.request_id else []
         return [
             *request.headers,
-            (names.attempt_id, request.request_id),
+            *((names.attempt_id, request_id) for request_id in request_ids),
             (names.deadline_ms, str(max(1, int(left_s * _MS_PER_S)))),
             (names.expected_target, self._record.listed.stable_name),
         ]
--- a/libraries/entry/tests/cover/test_entry_foreign_answers.py
+++ b/libraries/entry/tests/cover/test_entry_foreign_answers.py
@@ -112,3 +112,21 @@
     await entry.set_targets(eager.target, support.RawTarget('good'))
     sent = await send_series(entry, path)
     assert path == SAFE or entry.run_count == sent
+
+
+async def test_a_request_without_an_id_gets_a_connection_of_its_own(entry):
+    # Guards against an answer to an earlier request, which nothing tells from
+    # the one to a request that bears no id.
+    target = support.RawTarget('t1')
+    await entry.set_targets(target)
+    for name in ('id-1', '', '', 'id-2'):
+        status, _, _ = await entry.send(
+            ONCE, **{support.NAMES.attempt_id: name}
+        )
+        assert status == 200
+    assert target.connections == 3
+    sent_ids = [
+        headers.get(support.NAMES.attempt_id)
+        for _, headers, _ in target.received
+    ]
+    assert sent_ids == ['id-1', None, None, 'id-2']
