Answer the requests that an exit cuts off

The second hypothesis of the incident: a daemon that exits closed the connections of requests at targets without a byte, at the end of the grace time. Common HTTP libraries send a DELETE or PUT of a kept connection again in that case, with the same id, while its target runs it: task-signoff of the users' site is a DELETE that must run once. Shortly before the connections close, each such request now gets an answer that says that it may have run, or 503 if nothing was sent.

adapter_exits outlasts_the_exit: on the code before, the connection closes with 0 bytes; now 502 and Connection: close.

--- a/libraries/entry/src/sardinepier/entry/pipeline.py
+++ b/libraries/entry/src/sardinepier/entry/pipeline.py
@@ -88,7 +88,7 @@
         try:
             recorder.request = await self._request_reader.read(http_request)
             self._require_time_before_exit(recorder.request)
-            answer = await self._within_limit(recorder.request)
+            answer = await self._before_exit(recorder.request)
         except core_errors.SardinepierError as error:
             recorder.refused(error)
             return responses.from_error(error)
@@ -116,11 +116,26 @@
         """Raise ``ExitingError`` if the exit could cut off the request."""
         now_s = self._shared.clock.monotonic_s()
         if not self._shared.activity.accepts(now_s, request.deadline_s):
-            raise refusals.ExitingError(
-                'The daemon may exit before the request would end',
-                'Send the request to another address',
-                _EXITING_RETRY_AFTER_S,
-            )
+            raise _exiting_error()
+
+    async def _before_exit(
+        self, request: caller_request.CallerRequest
+    ) -> answers.Answer:
+        """Return the answer; raise an error if the daemon exits before it.
+
+        Some HTTP libraries send a request again if its connection closes
+        without an answer, whether it may run twice or not.
+        """
+        try:
+            async with self._shared.activity.until_cut_off():
+                return await self._within_limit(request)
+        except TimeoutError as error:
+            if not request.was_sent:
+                raise _exiting_error() from error
+            raise refusals.CutOffByExitError(
+                'The daemon exits while a target has the request',
+                'Check whether the request ran before sending it again',
+            ) from error
 
     async def _within_limit(
         self,
@@ -186,3 +201,11 @@
             task.result().close()
         else:
             logs.event('abandoned-failed', str(task.exception()))
+
+
+def _exiting_error() -> refusals.ExitingError:
+    return refusals.ExitingError(
+        'The daemon may exit before the request would end',
+        'Send the request to another address',
+        _EXITING_RETRY_AFTER_S,
+    )
--- a/libraries/entry/src/sardinepier/entry/refusals.py
+++ b/libraries/entry/src/sardinepier/entry/refusals.py
@@ -115,6 +115,10 @@
     status = http.HTTPStatus.GATEWAY_TIMEOUT
 
 
+class CutOffByExitError(UnknownFateError):
+    """The daemon exits while a target processes the request."""
+
+
 class InternalError(UnknownFateError):
     """An internal error of this program."""
 
--- a/libraries/gateway/src/sardinepier/gateway/active_requests.py
+++ b/libraries/gateway/src/sardinepier/gateway/active_requests.py
@@ -1,8 +1,10 @@
 """The number of requests in flight, and whether the daemon is draining."""
 
 import asyncio
+import contextlib
 import math
 import types
+from collections.abc import AsyncIterator
 from typing import Self
 
 
@@ -29,6 +31,8 @@
         self._exit_s = math.inf
         self._idle = asyncio.Event()
         self._idle.set()
+        self._is_cut_off = False
+        self._cut_off_timers: set[asyncio.Timeout] = set()
 
     def __enter__(self) -> Self:
         """Count the start of a request."""
@@ -66,6 +70,26 @@
         """Return whether a request may begin that ends by ``deadline_s``."""
         return now_s <= self._accept_until_s or deadline_s <= self._exit_s
 
+    @contextlib.asynccontextmanager
+    async def until_cut_off(self) -> AsyncIterator[None]:
+        """Raise ``TimeoutError`` in the body once requests are cut off."""
+        now_s = asyncio.get_running_loop().time()
+        async with asyncio.timeout_at(
+            now_s if self._is_cut_off else None
+        ) as timer:
+            self._cut_off_timers.add(timer)
+            try:
+                yield
+            finally:
+                self._cut_off_timers.discard(timer)
+
+    def cut_off(self) -> None:
+        """Cut off the requests in flight, which are answered then."""
+        self._is_cut_off = True
+        now_s = asyncio.get_running_loop().time()
+        for timer in self._cut_off_timers:
+            timer.reschedule(now_s)
+
     async def wait_until_idle(self) -> None:
         """Wait until no request is in flight."""
         await self._idle.wait()
--- a/tests/adapter/test_adapter_exits.py
+++ b/tests/adapter/test_adapter_exits.py
@@ -35,6 +35,10 @@
     for path in configuration['hosts'][0]['paths']:
         path.pop('traffic_split', None)
         path['service'] = 'books'
+    once = configuration['hosts'][0]['paths'][-1]
+    configuration['hosts'][0]['paths'].append(
+        {**once, 'name': 'r-3', 'prefix': '/long/', 'timeout_s': 20}
+    )
     standin.put('op/config', configuration)
     standin.put(
         'servers/i-1',
@@ -154,3 +158,22 @@
     os.close(pidfd)
     assert await exit_code(running) == 0
     await running.process.communicate()
+
+
+async def test_a_request_that_outlasts_the_exit_gets_an_answer(
+    instance, worker
+):
+    # Guards against connections that close without a byte: many HTTP libraries
+    # then send a DELETE again, while the target runs it.
+    worker.behaviours = ['gated']
+    reader, writer = await connect(instance)
+    deadline = {names.HEADERS.deadline_ms: '9000'}
+    writer.write(support.request('/long/1', 'DELETE', **deadline))
+    await support.wait_until(lambda: len(worker.received) == 1)
+    await send_sigterm(instance)
+    status, headers, _ = await support.read_answer(reader)
+    assert (status, headers['Connection']) == (502, 'close')
+    assert names.HEADERS.signature not in headers
+    writer.close()
+    worker.gate.set()
+    assert await exit_code(instance) == 0
