Give a target that moved to another address a record of its own

Found by a new test of relays: a record took over the listed address but kept its URL, so that requests still went to the old one, and the exchanges in flight were looked for under the new one; their requests ended as failures of the daemon (502) though the target had answered.

--- a/libraries/entry/src/sardinepier/entry/target_table.py
+++ b/libraries/entry/src/sardinepier/entry/target_table.py
@@ -156,7 +156,7 @@
         now_s: float,
     ) -> target_record.TargetRecord:
         record = self._records.get(listed.target_id)
-        if record is not None:
+        if record is not None and _is_at_same_address(record.listed, listed):
             record.listed = listed
             return record
         return target_record.TargetRecord(
@@ -167,3 +167,9 @@
             preference_offset=self._random.random(),
             stated_load=stated_load.StatedLoad(self.load_meaning),
         )
+
+
+def _is_at_same_address(
+    known: model.ListedTarget, listed: model.ListedTarget
+) -> bool:
+    return (known.ip, known.port) == (listed.ip, listed.port)
--- a/libraries/entry/tests/cover/test_entry_gone_targets.py
+++ b/libraries/entry/tests/cover/test_entry_gone_targets.py
@@ -110,3 +110,18 @@
 
 def offer(entry, revision, *listed):
     entry.shared.services.offer_targets(model.TargetList(revision, listed))
+
+
+async def test_a_target_listed_at_another_address_gets_requests_there(entry):
+    # Guards against requests that fail in the daemon, though their target has
+    # answered, since the list named another address meanwhile.
+    old, new = support.RawTarget('t1', ['gated']), support.RawTarget('t1')
+    await entry.set_targets(old)
+    sent = asyncio.ensure_future(entry.send('/once/1', 'POST'))
+    await support.wait_until(lambda: old.received)
+    await entry.set_targets(new)
+    assert (await entry.send('/once/2', 'POST'))[0] == 200
+    assert new.run_count == 1
+    old.gate.set()
+    assert (await sent)[0] == 200
+    old.server.close()
