Answer what an exit cuts off also after a pause of the daemon

The answers and the closing of the connections had timers of their own, so that a daemon that was paused past both closed the connections first. The one follows the other now. adapter_exits and entry_draining pass; the order after a pause has no test of its own, the soak with pauses plays it.

--- a/libraries/daemon/src/sardinepier/daemon/entry_process.py
+++ b/libraries/daemon/src/sardinepier/daemon/entry_process.py
@@ -66,9 +66,6 @@
 _EXIT_RESERVE_S: Final = 0.4
 """Part of the grace time reserved for the exit of the process."""
 
-_CUT_OFF_ANSWER_S: Final = 0.1
-"""How long before the connections close the requests in flight are answered."""
-
 _STALE_DIRECTORY_FACTOR: Final = 3
 """Some callers cache a directory answer for this multiple of its lifetime."""
 
@@ -337,12 +334,9 @@
         self._membership.announce_leaving()
         await asyncio.sleep(accept_until_s - self._clock.monotonic_s())
         left_s = max(0.0, exit_s - self._clock.monotonic_s())
-        asyncio.get_running_loop().call_later(
-            left_s - _CUT_OFF_ANSWER_S, self._activity.cut_off
-        )
         self._connections_cut = sum(
             await asyncio.gather(
-                front_server.close(left_s),
+                front_server.close(left_s, self._activity.cut_off),
                 request_relays.close(left_s),
             ),
         )
--- a/libraries/entry/src/sardinepier/entry/caller_server.py
+++ b/libraries/entry/src/sardinepier/entry/caller_server.py
@@ -170,13 +170,15 @@
             auto_decompress=False,
         )
 
-    async def close(self, within_s: float) -> int:
+    async def close(
+        self, within_s: float, cut_off: Callable[[], None] | None = None
+    ) -> int:
         """Close all connections, after the answers in flight were sent.
 
-        Returns how many connections were cut off after ``within_s`` seconds.
+        ``cut_off`` and the result are as in ``GracefulServer.drain``.
         """
         self.stop_listening()
-        return await self.drain(within_s)
+        return await self.drain(within_s, cut_off)
 
 
 def _abort_stream(task: 'asyncio.Task[web_response.StreamResponse]') -> None:
--- a/libraries/gateway/src/sardinepier/gateway/graceful_connection.py
+++ b/libraries/gateway/src/sardinepier/gateway/graceful_connection.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any, Final
 
 from aiohttp import web_protocol, web_request, web_response, web_server
@@ -14,6 +14,9 @@
 _LINGERING_TIME_S: Final = 2.0
 """How long a caller may take to close a connection after the last answer."""
 
+_CUT_OFF_ANSWER_S: Final = 0.1
+"""How long requests that are cut off may take to be answered."""
+
 _BACKLOG: Final = 512
 
 _BATCH_SHARE: Final = 32
@@ -180,11 +183,14 @@
         self._open_connections -= 1
         self._closing.discard(handler)
 
-    async def drain(self, within_s: float) -> int:
+    async def drain(
+        self, within_s: float, cut_off: Callable[[], None] | None = None
+    ) -> int:
         """Close each connection as soon as its answers are sent.
 
-        Connections that are open after ``within_s`` seconds are cut off;
-        returns their number.
+        Shortly before ``within_s`` seconds have passed, ``cut_off`` lets the
+        requests in flight be answered. Connections that are open after that
+        are closed; returns their number.
         """
         self._is_draining = True
         connections = [
@@ -195,7 +201,14 @@
         closed = {connection.drain(): connection for connection in connections}
         if not closed:
             return 0
+        if cut_off is not None:
+            within_s = max(0.0, within_s - _CUT_OFF_ANSWER_S)
         _, unfinished = await asyncio.wait(closed, timeout=within_s)
+        if unfinished and cut_off is not None:
+            cut_off()
+            _, unfinished = await asyncio.wait(
+                unfinished, timeout=_CUT_OFF_ANSWER_S
+            )
         for connection_closed in unfinished:
             closed[connection_closed].force_close()
         return len(unfinished)
