See a connection that was made before a pause

What callers saw: 503 for a target that had taken the connection in time, as the timeout of connections and their end were due at once after a pause of the daemon, and the timeout came first.

--- a/libraries/gateway/src/sardinepier/gateway/client.py
+++ b/libraries/gateway/src/sardinepier/gateway/client.py
@@ -89,10 +89,9 @@
         Raises ``ConnectFailedError`` or ``NoDescriptorError``.
         """
         try:
-            async with asyncio.timeout(timeout_s):
-                transport, _ = await self._loop.create_connection(
-                    asyncio.Protocol, ip, port
-                )
+            transport, _ = await connections.connect(
+                asyncio.Protocol, ip, port, timeout_s
+            )
         except OSError as error:
             raise outgoing.connect_error(error) from error
         transport.close()
--- a/libraries/gateway/src/sardinepier/gateway/connections.py
+++ b/libraries/gateway/src/sardinepier/gateway/connections.py
@@ -12,7 +12,7 @@
 import re
 import select
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 
 import multidict
 from aiohttp import (
@@ -27,6 +27,8 @@
 
 from sardinepier.gateway import endless, keepalive, read_buffers
 
+_Protocol = TypeVar('_Protocol', bound=asyncio.BaseProtocol)
+
 Accepts = Callable[[int, multidict.CIMultiDictProxy[str]], bool]
 """Returns from status and headers whether an answer belongs to the exchange."""
 
@@ -56,6 +58,9 @@
 
 _HTTP_PORT: Final = 80
 _KEEPALIVE_S: Final = 15.0
+_OVERDUE_READING_S: Final = 0.02
+"""How long events that have arrived before a timeout may take to be handled."""
+
 _FIRST_FINAL_STATUS: Final = 200
 _KEEP_ALIVE: Final = 'Keep-Alive'
 _TIMEOUT: Final = re.compile(r'timeout=(\d+)')
@@ -246,13 +251,51 @@
         timeout: client.ClientTimeout,
     ) -> client_proto.ResponseHandler:
         """Connect within ``timeout``, or raise an ``OSError``."""
-        async with asyncio.timeout(timeout.sock_connect):
-            _, protocol = await self._loop.create_connection(
-                self._new_handler,
-                host=req.host,
-                port=req.port or _HTTP_PORT,
-            )
+        _, protocol = await connect(
+            self._new_handler,
+            req.host,
+            req.port or _HTTP_PORT,
+            timeout.sock_connect,
+        )
         return protocol
 
     def _new_handler(self) -> GuardedHandler:
         return GuardedHandler(self._loop)
+
+
+async def connect(
+    new_protocol: Callable[[], _Protocol],
+    host: str,
+    port: int,
+    timeout_s: float | None,
+) -> tuple[asyncio.Transport, _Protocol]:
+    """Return a new connection with its protocol.
+
+    A connection that was made in time is returned, too, if a pause of the
+    process kept it from being seen. Raises an ``OSError``.
+    """
+    loop = asyncio.get_running_loop()
+    connecting = loop.create_task(
+        loop.create_connection(new_protocol, host=host, port=port)
+    )
+    try:
+        done, _ = await asyncio.wait({connecting}, timeout=timeout_s)
+        if not done:
+            done, _ = await asyncio.wait(
+                {connecting}, timeout=_OVERDUE_READING_S
+            )
+        if not done:
+            raise TimeoutError(errno.ETIMEDOUT, 'No connection in time')
+    except BaseException:
+        connecting.add_done_callback(_discard_connection)
+        connecting.cancel()
+        raise
+    return connecting.result()
+
+
+def _discard_connection(
+    connecting: 'asyncio.Task[tuple[asyncio.Transport, _Protocol]]',
+) -> None:
+    """Close a connection that was made although nobody waits for it."""
+    if not connecting.cancelled() and connecting.exception() is None:
+        connecting.result()[0].abort()
