--- a/tests/adapter/soak_faults.py
+++ b/tests/adapter/soak_faults.py
@@ -15,10 +15,10 @@
 
 import soak
 
+# Run by hand, only ``soak`` finds the folders that these are in.
 names = soak.names
 support = soak.support
 
-
 KILL = 'kill'
 PAUSE = 'pause'
 MAX_PAUSE_S = 1.5
@@ -42,6 +42,7 @@
     ('500 Bad', False),
     ('200 OK', False),
 )
+"""The status of an answer without an id, and whether it says that nothing ran."""
 
 
 class FaultyTarget(soak.Target):
