Connect without a task of its own

The change before made each connection in a task, so that its first request was written one iteration of the loop later. It is true, but the order is that of before again: only the timeout is deferred. gateway_faults and entry_pauses pass.

--- a/libraries/gateway/src/sardinepier/gateway/connections.py
+++ b/libraries/gateway/src/sardinepier/gateway/connections.py
@@ -7,8 +7,10 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import errno
+import math
 import re
 import select
 from collections.abc import Callable
@@ -255,7 +257,7 @@
             self._new_handler,
             req.host,
             req.port or _HTTP_PORT,
-            timeout.sock_connect,
+            timeout.sock_connect or math.inf,
         )
         return protocol
 
@@ -267,7 +269,7 @@
     new_protocol: Callable[[], _Protocol],
     host: str,
     port: int,
-    timeout_s: float | None,
+    timeout_s: float,
 ) -> tuple[asyncio.Transport, _Protocol]:
     """Return a new connection with its protocol.
 
@@ -275,27 +277,13 @@
     process kept it from being seen. Raises an ``OSError``.
     """
     loop = asyncio.get_running_loop()
-    connecting = loop.create_task(
-        loop.create_connection(new_protocol, host=host, port=port)
-    )
-    try:
-        done, _ = await asyncio.wait({connecting}, timeout=timeout_s)
-        if not done:
-            done, _ = await asyncio.wait(
-                {connecting}, timeout=_OVERDUE_READING_S
+    async with asyncio.timeout(None) as timer:
+        overdue = loop.call_later(
+            timeout_s,
+            lambda: timer.reschedule(loop.time() + _OVERDUE_READING_S),
+        )
+        with contextlib.ExitStack() as stack:
+            stack.callback(overdue.cancel)
+            return await loop.create_connection(
+                new_protocol, host=host, port=port
             )
-        if not done:
-            raise TimeoutError(errno.ETIMEDOUT, 'No connection in time')
-    except BaseException:
-        connecting.add_done_callback(_discard_connection)
-        connecting.cancel()
-        raise
-    return connecting.result()
-
-
-def _discard_connection(
-    connecting: 'asyncio.Task[tuple[asyncio.Transport, _Protocol]]',
-) -> None:
-    """Close a connection that was made although nobody waits for it."""
-    if not connecting.cancelled() and connecting.exception() is None:
-        connecting.result()[0].abort()
