Read requests and judge runs of the soak in one place each

The target in trouble parsed a request as the sound one does, and two tests built a run of one request alike. Assertions and cases are the same.

--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -142,10 +142,7 @@
     async def _serve(self, reader, writer):
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while True:
-                head = (await reader.readuntil(b'\r\n\r\n')).decode()
-                lines = head.split('\r\n')[1:-2]
-                fields = dict(line.split(': ', 1) for line in lines)
-                await reader.readexactly(int(fields.get('Content-Length', 0)))
+                head, fields = await read_request(reader)
                 writer.write(await self._answer(head, fields))
                 await writer.drain()
         writer.close()
@@ -163,6 +160,14 @@
         return support.answer(request_id, body=body_of(request_id, size))
 
 
+async def read_request(reader):
+    """Read a whole request; return its head, and the header fields by name."""
+    head = (await reader.readuntil(b'\r\n\r\n')).decode()
+    fields = dict(line.split(': ', 1) for line in head.split('\r\n')[1:-2])
+    await reader.readexactly(int(fields.get('Content-Length', 0)))
+    return head, fields
+
+
 def body_of(request_id, size):
     return (request_id.encode() * size)[:size]
 
--- a/tests/adapter/soak_faults.py
+++ b/tests/adapter/soak_faults.py
@@ -56,9 +56,7 @@
 
     async def _exchange(self, reader, writer):
         """Answer one request; return whether the connection stays open."""
-        head = (await reader.readuntil(b'\r\n\r\n')).decode()
-        fields = dict(line.split(': ', 1) for line in head.split('\r\n')[1:-2])
-        await reader.readexactly(int(fields.get('Content-Length', 0)))
+        head, fields = await soak.read_request(reader)
         request_id = fields.get(names.HEADERS.attempt_id, '')
         fault = ''
         if request_id and self._source.random() < FAULT_SHARE:
--- a/tests/adapter/test_adapter_soak.py
+++ b/tests/adapter/test_adapter_soak.py
@@ -45,14 +45,8 @@
     status, runs, is_idempotent, problem, tmp_path
 ):
     run = soak.Run(1, SECONDS, tmp_path)
-    run.now_s = lambda: 9.0
-    run.daemons = [FakeDaemon(tmp_path)]
-    run.requests = [
-        soak.Request('r', 'pool', is_idempotent, 1.0, 'edge-1', status),
-    ]
-    run.runs['r'] = runs
-    found = ' '.join(line.partition(':')[0] for line in run.problems())
-    assert found == problem
+    request = soak.Request('r', 'pool', is_idempotent, 1.0, 'edge-1', status)
+    assert found_in(run, request, runs, tmp_path) == problem
 
 
 @pytest.mark.parametrize(
@@ -79,6 +73,15 @@
     assert (not run.problems()) is is_allowed
 
 
+def found_in(run, request, runs, folder):
+    """Return the kinds of problems of a run of one request at 9 s."""
+    run.now_s = lambda: 9.0
+    run.daemons = [FakeDaemon(folder)]
+    run.requests = [request]
+    run.runs[request.request_id] = runs
+    return ' '.join(line.partition(':')[0] for line in run.problems())
+
+
 class FakeDaemon:
     """A daemon of a run that was not played."""
 
@@ -116,10 +119,6 @@
     status, runs, killed_s, problem, tmp_path
 ):
     run = soak_faults.FaultRun(1, SECONDS, tmp_path)
-    run.now_s = lambda: 9.0
-    run.daemons = [FakeDaemon(tmp_path)]
     run.killed_s = [('edge-1', killed_s)] if killed_s else []
-    run.requests = [soak.Request('r', 'pool', False, 1.0, 'edge-1', status)]
-    run.runs['r'] = runs
-    found = ' '.join(line.partition(':')[0] for line in run.problems())
-    assert found == problem
+    request = soak.Request('r', 'pool', False, 1.0, 'edge-1', status)
+    assert found_in(run, request, runs, tmp_path) == problem
