Relay requests without an id on connections of their own

Cause: a request without an id was relayed on a kept connection to a peer, where a late reply without an id passes for its own, and with it a statement that nothing ran. The same class as requests that ran twice, docs/incidents/run-twice.md; attempts at targets had their own connections already. No daemon is known to send such a reply.

--- a/libraries/entry/src/sardinepier/entry/relay_http.py
+++ b/libraries/entry/src/sardinepier/entry/relay_http.py
@@ -62,7 +62,8 @@
                 (headers.RELAYED, relay_messages.encode(attempt)),
             ],
             request.body,
-            fresh=False,
+            # Without an id nothing tells its reply from a late one.
+            fresh=not request.request_id,
             connect_timeout_s=path_check.CONNECT_TIMEOUT_S,
             permit=permit,
             path=request.path,
--- a/libraries/entry/tests/cover/test_entry_relays.py
+++ b/libraries/entry/tests/cover/test_entry_relays.py
@@ -313,27 +313,57 @@
 async def test_a_reply_without_the_id_proves_nothing(
     fleet, outcome, replied_id
 ):
+    peer = await relay_to_stranger(
+        fleet,
+        lambda _: relayed(
+            relay_messages.RelayReply(relay_messages.RelayOutcome[outcome]),
+            replied_id,
+        ),
+    )
+    status, _, _ = await fleet[0].send('/once/1', 'POST', b'a')
+    assert (status, len(peer.received)) == (502, 1)
+    peer.vanish()
+
+
+async def test_a_relayed_request_without_an_id_gets_a_connection_of_its_own(
+    fleet,
+):
+    # Guards against a late reply, which nothing tells from the one to a request
+    # that bears no id.
+    peer = await relay_to_stranger(
+        fleet,
+        lambda _: relayed(
+            relay_messages.RelayReply(relay_messages.RelayOutcome.LOST), None
+        ),
+    )
+    for _ in range(3):
+        await fleet[0].send(
+            '/once/1', 'POST', b'a', **{support.NAMES.attempt_id: ''}
+        )
+    assert (len(peer.received), peer.connections) == (3, 3)
+    peer.vanish()
+
+
+def relayed(reply, replied_id):
+    """Return the bytes of a peer's reply, with an id or none."""
+    return support.answer(
+        replied_id,
+        '502 Bad Gateway',
+        identified=replied_id is not None,
+        signed=False,
+        extra=f'{headers.OUTCOME}: {relay_messages.encode(reply)}',
+    )
+
+
+async def relay_to_stranger(fleet, behaviour):
+    """Let the first daemon relay to a peer that replies by ``behaviour``."""
     entry, other = fleet
     entry.peers.urls.pop(other.own_id)
-    peer = support.RawTarget('peer')
+    peer = support.RawTarget('peer', [behaviour])
     await entry.lose_path_to(support.RawTarget('t-1'), support.RawTarget('t-2'))
-    reply = relay_messages.encode(
-        relay_messages.RelayReply(relay_messages.RelayOutcome[outcome])
-    )
-    peer.behaviours = [
-        lambda _: support.answer(
-            replied_id,
-            '502 Bad Gateway',
-            identified=replied_id is not None,
-            signed=False,
-            extra=f'{headers.OUTCOME}: {reply}',
-        )
-    ]
     await peer.start()
     for number in (8, 9):
         entry.peers.urls[ids.InstanceId(f'd~{number:016x}')] = yarl.URL(
             f'http://{support.LOOPBACK}:{peer.port}'
         )
-    status, _, _ = await entry.send('/once/1', 'POST', b'a')
-    assert (status, len(peer.received)) == (502, 1)
-    peer.server.close()
+    return peer
