--- a/tests/adapter/test_adapter_exits.py
+++ b/tests/adapter/test_adapter_exits.py
@@ -16,6 +16,7 @@
 LARGE_BODY = bytes(range(256)) * 4000
 """More than the socket buffers of a caller that reads nothing hold."""
 
+GRACE_S = 3
 STOPPED_LISTENING_S = 1.7
 """Time after SIGTERM by which the instance accepts no connections any more."""
 
@@ -44,7 +45,9 @@
         'servers/i-1',
         store_standin.worker(address=f'127.0.0.1:{worker.port}', slots=20),
     )
-    running = instance_process.Instance(tmp_path, 'edge-1', standin.address)
+    running = instance_process.Instance(
+        tmp_path, 'edge-1', standin.address, grace_s=GRACE_S
+    )
     await running.start()
     await running.until_ready()
     yield running
@@ -160,17 +163,23 @@
     await running.process.communicate()
 
 
+@pytest.mark.parametrize('is_paused', [False, True])
 async def test_a_request_that_outlasts_the_exit_gets_an_answer(
-    instance, worker
+    instance, worker, is_paused
 ):
     # Guards against connections that close without a byte: many HTTP libraries
-    # then send a DELETE again, while the target runs it.
+    # then send a DELETE again, while the target runs it. A daemon that is paused
+    # until after its grace time answers, too.
     worker.behaviours = ['gated']
     reader, writer = await connect(instance)
     deadline = {names.HEADERS.deadline_ms: '9000'}
     writer.write(support.request('/long/1', 'DELETE', **deadline))
     await support.wait_until(lambda: len(worker.received) == 1)
     await send_sigterm(instance)
+    if is_paused:
+        instance.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(GRACE_S)
+        instance.process.send_signal(signal.SIGCONT)
     status, headers, _ = await support.read_answer(reader)
     assert (status, headers['Connection']) == (502, 'close')
     assert names.HEADERS.signature not in headers
