Teach the soak of faults what the platform says of targets and callers

The soak of processes knew extra, refused and reset answers. Targets compare each request with what its caller sent (UNASKED), and the length of an answer counts for MIXED.

--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -79,6 +79,9 @@
     status: int | None = None
     problem: str = ''
     answered_s: float | None = None
+    method: str = 'GET'
+    path: str = ''
+    length: int = 0
 
 
 def plan(seed, seconds):
@@ -156,19 +159,24 @@
         self._run.runs[request_id] += 1
         await asyncio.sleep(self._source.uniform(0.01, MAX_WORK_S))
         self._run.ended_s[request_id] = self._run.now_s()
-        size = LARGE_BYTES if '/large' in head else len(support.BODY)
-        return support.answer(request_id, body=body_of(request_id, size))
+        return support.answer(request_id, body=body_of(request_id, head))
 
 
 async def read_request(reader):
     """Read a whole request; return its head, and the header fields by name."""
-    head = (await reader.readuntil(b'\r\n\r\n')).decode()
-    fields = dict(line.split(': ', 1) for line in head.split('\r\n')[1:-2])
+    head, fields = await read_head(reader)
     await reader.readexactly(int(fields.get('Content-Length', 0)))
     return head, fields
 
 
-def body_of(request_id, size):
+async def read_head(reader):
+    head = (await reader.readuntil(b'\r\n\r\n')).decode()
+    return head, dict(line.split(': ', 1) for line in head.split('\r\n')[1:-2])
+
+
+def body_of(request_id, path):
+    """Return the body of the answer to a request whose path is in ``path``."""
+    size = LARGE_BYTES if '/large' in path else len(support.BODY)
     return (request_id.encode() * size)[:size]
 
 
@@ -242,7 +250,7 @@
             self._writer.close()
 
     async def _connect(self):
-        instance = self._source.choice(self._run.daemons).instance
+        instance = await self._choose_instance()
         self._daemon = instance.path.stem
         caller = socket.socket()
         if self._habit == 'slow':
@@ -264,6 +272,9 @@
         self._writer = connection[1]
         return True
 
+    async def _choose_instance(self):
+        return self._source.choice(self._run.daemons).instance
+
     async def _pool(self):
         await asyncio.sleep(self._source.uniform(0, 0.3))
         return await self._finish(self._send(self._source.random() < 0.5))
@@ -297,22 +308,29 @@
             is_idempotent,
             self._run.now_s(),
             self._daemon,
+            method='GET' if is_idempotent else method,
+            length=length,
         )
         self._run.requests.append(request)
+        self._run.sent[request.request_id] = request
         prefix = '/books/' if is_idempotent else '/once/'
-        method = 'GET' if is_idempotent else method
         # Requests that are alike would be quarantined together.
-        path = f'{prefix}{path}?{request.request_id}'
-        self._write(request, path, method, length)
+        request.path = f'{prefix}{path}?{request.request_id}'
+        self._write(request)
         return request
 
-    def _write(self, request, path, method, length):
+    def _write(self, request):
         headers = {
             names.HEADERS.attempt_id: request.request_id,
             names.HEADERS.deadline_ms: str(DEADLINE_MS),
-            'Content-Length': str(length),
+            **self._framing(request),
         }
-        self._writer.write(support.request(path, method, **headers))
+        self._writer.write(
+            support.request(request.path, request.method, **headers)
+        )
+
+    def _framing(self, request):
+        return {'Content-Length': str(request.length)}
 
     async def _finish(self, request, pause_s=0):
         """Read the answer; return whether the connection stays open."""
@@ -327,7 +345,7 @@
         request.answered_s = self._run.now_s()
         await asyncio.sleep(float(fields.get('Retry-After', 0)))
         is_own = fields.get(names.HEADERS.attempt_id) == request.request_id
-        is_whole = body == body_of(request.request_id, len(body))
+        is_whole = body == body_of(request.request_id, request.path)
         if request.status == 200 and not (is_own and is_whole):
             request.problem = f'MIXED: {head!r}'
         return fields.get('Connection') != 'close'
@@ -348,11 +366,11 @@
     """One run of a seed; ``problems`` is empty if no promise was broken."""
 
     habits = HABITS
-    target_type = Target
 
     def __init__(self, seed, seconds, folder):
         self.seed = seed
         self.requests = []
+        self.sent = {}
         self.daemons = []
         self.runs = collections.Counter()
         self.ended_s = {}
@@ -370,10 +388,7 @@
         await self._store.start()
         self._store.put('op/config', configuration(1))
         for name in TARGETS:
-            port = await self.target_type(name, self).start()
-            address = f'{support.LOOPBACK}:{port}'
-            entry = store_standin.worker(address=address, slots=100)
-            self._store.put(f'servers/{name}', entry)
+            await self._start_target(name)
         async with asyncio.TaskGroup() as tasks:
             self.tasks = tasks
             running = [
@@ -411,6 +426,12 @@
                 found.append(f'{problem}: {request}')
         return found
 
+    def list_target(self, name, port, **fields):
+        entry = store_standin.worker(
+            address=f'{support.LOOPBACK}:{port}', **fields
+        )
+        self._store.put(f'servers/{name}', entry)
+
     def late_exits(self):
         """Return how many daemons outlived their grace time."""
         return sum(daemon.late_exits for daemon in self.daemons)
@@ -429,6 +450,10 @@
             for habit in self.habits
         }
 
+    async def _start_target(self, name):
+        port = await Target(name, self).start()
+        self.list_target(name, port, slots=100)
+
     def _make_caller(self, habit, number):
         return Caller(self, habit, number)
 
--- a/tests/adapter/test_adapter_soak.py
+++ b/tests/adapter/test_adapter_soak.py
@@ -5,6 +5,7 @@
 import pytest
 import soak
 import soak_faults
+import soak_targets
 from sardinepier_adapter import names
 
 SECONDS = 12
@@ -122,3 +123,33 @@
     run.killed_s = [('edge-1', killed_s)] if killed_s else []
     request = soak.Request('r', 'pool', False, 1.0, 'edge-1', status)
     assert found_in(run, request, runs, tmp_path) == problem
+
+
+@pytest.mark.parametrize(
+    ('line', 'body', 'is_found'),
+    [
+        ('POST /once/1?r HTTP/1.1', b'xx', False),
+        ('POST /once/1?r HTTP/1.1', b'xy', True),
+        ('POST /once/1?r HTTP/1.1', b'', True),
+        ('PUT /once/1?r HTTP/1.1', b'xx', True),
+        ('POST /once/2?r HTTP/1.1', b'xx', True),
+    ],
+)
+def test_a_target_finds_requests_that_no_caller_sent_so(
+    line, body, is_found, tmp_path
+):
+    run = soak_faults.FaultRun(1, SECONDS, tmp_path)
+    run.sent['r'] = soak.Request(
+        'r',
+        'pool',
+        False,
+        1.0,
+        'edge-1',
+        method='POST',
+        path='/once/1?r',
+        length=2,
+    )
+    target = soak_targets.FaultyTarget('i-1', run)
+    target.check(f'{line}\r\n', 'r', body)
+    target.check(f'{line}\r\n', 'another', body)
+    assert len(run.problems()) == 1 + is_found
