Cut links between the processes of a soak

Each daemon of soak_cuts has a zone, a store and links to the targets of its own, so that some or all of its paths can be refused, reset or held while other daemons keep theirs.

Resetting a connection whose socket is closed already ended runs of the soak; that is allowed now.

--- a/libraries/entry/tests/entry_support.py
+++ b/libraries/entry/tests/entry_support.py
@@ -169,9 +169,11 @@
 def linger_off(writer):
     """Close the connection by a reset instead of a normal end."""
     sock = writer.get_extra_info('socket')
-    sock.setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
-    )
+    # The socket may have been closed by the other side's end.
+    if sock.fileno() >= 0:
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
     writer.transport.abort()
 
 
--- a/tests/adapter/instance_process.py
+++ b/tests/adapter/instance_process.py
@@ -27,7 +27,16 @@
 class Instance:
     """One daemon process with its settings file."""
 
-    def __init__(self, folder, name, store_address, seeds='', grace_s=3):
+    def __init__(
+        self,
+        folder,
+        name,
+        store_address,
+        seeds='',
+        grace_s=3,
+        zone='z1',
+        zones=('z1',),
+    ):
         # Each instance of each test run has its own address: all use the same
         # metrics port, and on a shared address an outgoing connection could
         # take a port between its release and its use.
@@ -38,9 +47,9 @@
         self.path = folder / f'{name}.conf'
         lines = [
             f'node_name={name}',
-            'zone=z1',
+            f'zone={zone}',
             'region=r',
-            'zones.z1=r',
+            *(f'zones.{name_of_zone}=r' for name_of_zone in zones),
             f'bounds=grace_s={grace_s},ttl_max_s=5,retry_budget_ratio=0.2',
             f'provider.address={store_address}',
             f'seeds={seeds or self.address("control")}',
--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -460,17 +460,20 @@
     def _make_daemons(self):
         seeds = ''
         for number in range(DAEMONS):
-            instance = instance_process.Instance(
-                self._folder,
-                f'edge-{number + 1}',
-                self._store.address,
-                seeds=seeds,
-                grace_s=GRACE_S,
-            )
+            instance = self._make_instance(number, seeds)
             seeds = seeds or instance.address('control')
             self.daemons.append(Daemon(self, instance, self._folder))
         return self.daemons
 
+    def _make_instance(self, number, seeds):
+        return instance_process.Instance(
+            self._folder,
+            f'edge-{number + 1}',
+            self._store.address,
+            seeds=seeds,
+            grace_s=GRACE_S,
+        )
+
     async def _follow_plan(self):
         for version, step in enumerate(plan(self.seed, self._seconds), 2):
             await asyncio.sleep(max(0, step.at_s - self.now_s()))
--- a/tests/adapter/test_adapter_soak.py
+++ b/tests/adapter/test_adapter_soak.py
@@ -4,6 +4,7 @@
 import instance_process
 import pytest
 import soak
+import soak_cuts
 import soak_faults
 import soak_targets
 from sardinepier_adapter import names
@@ -92,14 +93,21 @@
         self.terminated_s = []
 
 
-@pytest.mark.parametrize('seed', [1, 4])
+@pytest.mark.parametrize(
+    ('run_type', 'seed'),
+    [
+        (soak_faults.FaultRun, 1),
+        (soak_faults.FaultRun, 4),
+        (soak_cuts.CutRun, 2),
+    ],
+)
 async def test_targets_in_trouble_run_nothing_twice(
-    seed, tmp_path, monkeypatch
+    run_type, seed, tmp_path, monkeypatch
 ):
     # Guards against answers without an id, and statuses without a mark, that
     # are taken for the word of a target that a request did not run.
     monkeypatch.setattr(support, 'NAMES', names.HEADERS)
-    run = await soak.play(seed, SECONDS, tmp_path, soak_faults.FaultRun)
+    run = await soak.play(seed, SECONDS, tmp_path, run_type)
     assert not run.problems()
     answered = sum(request.status == 200 for request in run.requests)
     assert answered > len(run.requests) / 2
