--- a/tests/adapter/test_adapter_relay_faults.py
+++ b/tests/adapter/test_adapter_relay_faults.py
@@ -8,7 +8,7 @@
 import entry_support as support
 import pytest
 import soak
-import soak_faults
+import soak_targets
 from sardinepier_adapter import names
 
 from sardinepier.entry import model
@@ -21,9 +21,13 @@
 class Fleet:
     """Daemons in one process, and the targets with what they ran."""
 
+    faults = soak_targets.FAULTS
+
     def __init__(self, seed, daemons):
         self.seed = seed
         self.daemons = daemons
+        self.sent = {}
+        self.unasked = []
         self.runs = collections.Counter()
         self.ended_s = {}
         self.statuses = {}
@@ -35,11 +39,13 @@
 
     async def start_targets(self):
         for name in soak.TARGETS:
-            target = soak_faults.FaultyTarget(name, self)
-            self._ports[name] = await target.start()
+            await soak_targets.FaultyTarget(name, self).start()
         for daemon in self.daemons:
             self.set_path(daemon, has_path=True)
 
+    def list_target(self, name, port, **_):
+        self._ports[name] = port
+
     def set_path(self, daemon, *, has_path):
         """List the targets at their addresses, or where nothing listens."""
         daemon.list_revision += 1
@@ -66,16 +72,30 @@
     async def call(self, number):
         source = random.Random(f'{self.seed} {number}')
         for count in range(REQUESTS_PER_CALLER):
-            request_id = f'id-{number}-{count}'
+            request = self._request(f'id-{number}-{count}')
             answer = await source.choice(self.daemons).send(
-                f'/once/{request_id}',
-                'POST',
-                b'payload',
-                **{names.HEADERS.attempt_id: request_id},
+                request.path,
+                request.method,
+                b'x' * request.length,
+                **{names.HEADERS.attempt_id: request.request_id},
             )
-            self.statuses[request_id] = answer[0]
+            self.statuses[request.request_id] = answer[0]
             await asyncio.sleep(float(answer[1].get('Retry-After', 0)))
 
+    def _request(self, request_id):
+        request = soak.Request(
+            request_id,
+            'pool',
+            False,
+            self.now_s(),
+            '',
+            method='POST',
+            path=f'/once/{request_id}',
+            length=7,
+        )
+        self.sent[request_id] = request
+        return request
+
 
 async def play(seed):
     """Play one seed; return the fleet with the statuses and runs by id."""
@@ -101,6 +121,7 @@
     monkeypatch.setattr(support, 'NAMES', names.HEADERS)
     fleet = await play(seed)
     assert max(fleet.runs.values()) == 1
+    assert not fleet.unasked
     refused = {
         name
         for name, status in fleet.statuses.items()
