Show by a test why too few sound targets were in use among many disturbed ones

The number that may be left idle is two tenths of all targets that look sound, 51 here, while the rule counts only the seven that nothing had disturbed.

The test has ten targets that were there before and thirty that have just joined; four of the ten failed two seconds ago.

--- a/libraries/entry/tests/cover/test_entry_idle_targets.py
+++ b/libraries/entry/tests/cover/test_entry_idle_targets.py
@@ -280,3 +280,33 @@
             if record.failure_probability(now_s, PROCESSING_S) >= limit
         ]
         assert len(left_out) == idle
+
+
+UNDISTURBED_S = 6.0
+"""After this time without a disturbance, a target counts for the required share."""
+
+
+def test_targets_that_have_just_joined_leave_no_more_others_idle():
+    """Guards against three of seven sound targets that were idle among fifty.
+
+    Most targets had just been replaced, cut off or reset. They don't count for
+    the required share, but for the number of those that may be left idle.
+    """
+    clock = clocks.ManualClock(100.0)
+    old = [f'old-{number}' for number in range(10)]
+    pool = pool_of(clock, *old)
+    clock.advance(UNDISTURBED_S + 2)
+    for failing in old[:4]:
+        pool.failed(pool.targets.find(failing), 0)
+    clock.advance(WINDOW_S)
+    new = [f'new-{number}' for number in range(30)]
+    pool.targets.set([support.listed(name) for name in (*old, *new)])
+    requested_s = {}
+    for _ in range(int(2 * WINDOW_S * REQUESTS_PER_S)):
+        clock.advance(1 / REQUESTS_PER_S)
+        record = send_final(pool, clock)
+        pool.answered(record, PROCESSING_S)
+        requested_s[record.listed.target_id] = clock.monotonic_s()
+    since_s = clock.monotonic_s() - WINDOW_S
+    used = [target for target in old if requested_s.get(target, 0) > since_s]
+    assert len(used) / len(old) >= MIN_USED_SHARE
