Reject a head that contains two answers

What callers saw: a request that must run once ran on two targets; a success with the signature of another answer; a target's 500 as a success.

Cause: an answer that a target cuts off within its head is followed by the answer to the next request. Its last line goes on with the status line of that answer, and the parser reads one head, with the status and the mark of the first and the id of the second. The class is a proof that is about another request: this one is put together from two answers.

Change: a head with a second status line in its reason or in a field is invalid HTTP. Whatever is cut off before it, a whole answer begins with its status line, so that no such head goes unseen. The fate of the request is unknown then, and nothing promises that it did not run. It holds for both request paths, relays and probes, as they use the same connections.

--- a/libraries/gateway/src/sardinepier/gateway/connections.py
+++ b/libraries/gateway/src/sardinepier/gateway/connections.py
@@ -28,7 +28,7 @@
     tracing,
 )
 
-from sardinepier.gateway import endless, keepalive, read_buffers
+from sardinepier.gateway import endless, keepalive, read_buffers, spliced
 
 _Protocol = TypeVar('_Protocol', bound=asyncio.BaseProtocol)
 
@@ -96,9 +96,13 @@
         self._endless = endless.EndlessBytes()
 
     async def read(self) -> Any:
-        """Return the answer to this exchange and skip others."""
+        """Return the answer to this exchange and skip others.
+
+        Raises ``BadHttpMessage`` if two answers were read as one.
+        """
         while True:
             message, payload = await super().read()
+            spliced.require_one_answer(message)
             is_final = message.code >= _FIRST_FINAL_STATUS
             if not is_final or self._is_accepted(message):
                 self._record_idle_timeout(message)
