--- a/tests/adapter/soak_targets.py
+++ b/tests/adapter/soak_targets.py
@@ -34,7 +34,7 @@
 )
 """The status of an answer without an id, and whether it says that nothing ran."""
 
-FOREIGN_FAULTS = ('foreign before', 'foreign behind')
+FOREIGN_FAULTS = ('foreign before', 'foreign behind', 'spliced')
 FAULTS = (
     *FOREIGN_FAULTS,
     'late copy',
@@ -151,6 +151,8 @@
             return False
         if fault == 'foreign before':
             writer.write(self._foreign_answer())
+        if fault == 'spliced':
+            writer.write(self._cut_answer())
         whole = await self._run_request(head, request_id)
         if fault == 'reset after':
             support.linger_off(writer)
@@ -205,6 +207,11 @@
             extra=f'{names.HEADERS.not_run}: 1',
         )
 
+    def _cut_answer(self):
+        """Return a foreign answer that is cut off within its head."""
+        head = self._foreign_answer().partition(b'\r\n\r\n')[0]
+        return head[: self._source.randrange(len(head))]
+
     def _foreign_answer(self):
         status, is_marked = self._source.choice(FOREIGN)
         extra = names.HEADERS.not_run if is_marked else 'Extra'
