Take a field with a version and an address for no second answer

What callers saw: 502 for a target behind a proxy that states HTTP/1.1 and an address in the field Via. Found by reading the change before: its pattern of a status line ended after three digits, and 127 of 127.0.0.1 are three. A space or the end has to follow, as it does in a status line. The new test fails before; no user had the code before.

--- a/libraries/entry/tests/cover/test_entry_spliced_answers.py
+++ b/libraries/entry/tests/cover/test_entry_spliced_answers.py
@@ -52,3 +52,12 @@
             served += answered == 200
         assert served == good.run_count, beginning
         assert bad.run_count + good.run_count == 2, beginning
+
+
+async def test_a_field_with_a_version_and_an_address_is_no_second_answer(entry):
+    # Guards against answers that were rejected for a proxy before the target.
+    target = support.RawTarget(
+        't1', [support.with_headers('Via: HTTP/1.1 127.0.0.1:80')]
+    )
+    await entry.set_targets(target)
+    assert (await entry.send('/once/1', 'POST', b'payload'))[0] == 200
--- a/libraries/gateway/src/sardinepier/gateway/spliced.py
+++ b/libraries/gateway/src/sardinepier/gateway/spliced.py
@@ -10,7 +10,7 @@
 
 from aiohttp import http_exceptions, http_parser
 
-_STATUS_LINE: Final = re.compile(r'HTTP/\d\.\d \d{3}')
+_STATUS_LINE: Final = re.compile(r'HTTP/\d\.\d \d{3}(?: |$)')
 
 
 def require_one_answer(message: http_parser.RawResponseMessage) -> None:
