Log what became of each request that must run once

The users' record of two such requests has no line of either: lines about attempts and failures share limits, which run out at the moment at which many connections are reset, and no line says on which connection an attempt was sent or what proved that it did not run.

Lines about retries, failures and the end of a non-idempotent request that had an attempt now have a limit of their own, and lines-dropped counts them apart (`once`). request-ended has the history: for each attempt its target or peer, the connection (new, kept, peer, none), its outcome with what proves it.

Test: a_request_that_must_run_once_is_logged_when_lines_run_out.

--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -23,6 +23,7 @@
 
 _MS_PER_S: Final = 1000
 _OK: Final = 'ok'
+_CANCELLED: Final = 'cancelled'
 _TARGET_FAILED: Final = 'target_failed'
 _NOT_TARGET_FAILURES: Final = (
     unsent.NoDescriptorError,
@@ -98,6 +99,7 @@
                 raise
             except asyncio.CancelledError:
                 self._record_cancellation()
+                self._open_exchange.trace(self._request, _CANCELLED)
                 raise
             self._record_outcome(answer)
             if answer.stream is not None:
@@ -110,6 +112,7 @@
         self._pool.retries.accepted(self._record, self._started_s)
         if answer.is_good:
             self._pool.answered(self._record, elapsed_s, len(answer.body))
+            self._open_exchange.trace(self._request, _OK)
             self._shared.metrics.attempt_ended(
                 self._request.service,
                 _OK,
@@ -324,6 +327,7 @@
             f'{kind}: {what}',
             elapsed_s,
         )
+        self._open_exchange.trace(self._request, f'{kind}: {what}')
 
     def _elapsed_s(self) -> float:
         return self._shared.clock.monotonic_s() - self._started_s
--- a/libraries/entry/src/sardinepier/entry/caller_request.py
+++ b/libraries/entry/src/sardinepier/entry/caller_request.py
@@ -6,7 +6,7 @@
 
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
-from sardinepier.entry import model, refusals
+from sardinepier.entry import attempt_trace, model, refusals
 from sardinepier.gateway import body_budget, request_body
 from sardinepier.routing import errors
 
@@ -27,7 +27,7 @@
     has disconnected, after which no new attempt starts. Nothing of the request
     arrived at the targets in ``unreached``, to which this daemon had no path.
     The daemons in ``relayed_to`` were asked to make an attempt. ``reservation``
-    holds the memory of the body.
+    holds the memory of the body. ``history`` has the attempts that have ended.
     """
 
     request_id: str
@@ -50,6 +50,9 @@
     reservation: body_budget.Reservation | None = None
     unreached: set[ids.TargetId] = dataclasses.field(default_factory=set)
     relayed_to: set[ids.InstanceId] = dataclasses.field(default_factory=set)
+    history: list[attempt_trace.AttemptTrace] = dataclasses.field(
+        default_factory=list
+    )
 
     def close(self) -> None:
         """Give back the memory of the body, once nothing sends it any more."""
--- a/libraries/entry/src/sardinepier/entry/decision_log.py
+++ b/libraries/entry/src/sardinepier/entry/decision_log.py
@@ -1,7 +1,10 @@
 """Log lines about the decisions on a request, and what they are based on.
 
 Attempts are logged when they begin, failures and refusals when they occur. The
-end of a request that is answered at the first attempt is not logged.
+end of a request that is answered at the first attempt is not logged. Whether a
+non-idempotent request ran has to be known afterwards, so that lines about its
+retries, failures and end have a limit of their own, which a daemon reaches only
+if all of its traffic fails.
 """
 
 import dataclasses
@@ -29,6 +32,10 @@
 processor."""
 
 _FAILURE_LINES_PER_S: Final = 120.0
+_ONCE_LINES_PER_S: Final = 250.0
+"""Lines about non-idempotent requests that had an attempt: three a request, at
+the traffic of one daemon of the largest fleet."""
+
 _BURST_S: Final = 2.0
 """Seconds' worth of lines at these rates that may be written at once."""
 
@@ -65,6 +72,7 @@
         self._clock = clock
         self._attempt_lines = _budget(clock, _ATTEMPT_LINES_PER_S)
         self._failure_lines = _budget(clock, _FAILURE_LINES_PER_S)
+        self._once_lines = _budget(clock, _ONCE_LINES_PER_S)
         self._no_use = _BudgetUse(clock.monotonic_s(), 0, 0)
         self._logged_use: dict[ids.ServiceName, _BudgetUse] = {}
 
@@ -89,9 +97,11 @@
             belief_source=record.estimate_source,
             in_flight=record.in_flight(now_s),
         )
-        if self._attempt_lines.allows():
+        is_first = request.attempts == 1
+        lines = self._attempt_lines if is_first else self._lines_about(request)
+        if lines.allows():
             logs.write(
-                self._attempt_line(request, choice, now_s), is_routine=True
+                self._attempt_line(request, choice, now_s), is_routine=is_first
             )
         return choice
 
@@ -128,7 +138,7 @@
         echoed_id: str,
     ) -> None:
         """Log that an answer does not bear the id of its request."""
-        if not self._failure_lines.allows():
+        if not self._lines_about(request).allows():
             return
         logs.write(
             events.ForeignAnswer(
@@ -150,7 +160,7 @@
         taken_s: float,
     ) -> None:
         """Log that an attempt failed."""
-        if not self._failure_lines.allows():
+        if not self._lines_about(request).allows():
             return
         logs.write(
             events.AttemptFailed(
@@ -172,7 +182,7 @@
         taken_s: float,
     ) -> None:
         """Log how an attempt by a peer ended."""
-        if not self._failure_lines.allows():
+        if not self._lines_about(request).allows():
             return
         logs.write(
             events.RequestRelayed(
@@ -194,7 +204,7 @@
         loss: losses.Loss,
     ) -> None:
         """Log whether a lost connection counts against its request."""
-        if not self._failure_lines.allows():
+        if not self._lines_about(request).allows():
             return
         logs.write(
             events.ConnectionLost(
@@ -216,7 +226,7 @@
         error: str,
     ) -> None:
         """Log that a request waited for retry budget."""
-        if not self._failure_lines.allows():
+        if not self._lines_about(request).allows():
             return
         logs.write(
             events.RetryWaited(
@@ -263,15 +273,26 @@
         is_plain = end.outcome is events.Outcome.ANSWERED
         if request is not None and is_plain and request.attempts == 1:
             return
-        if self._failure_lines.allows():
+        if self._lines_about(request).allows():
             logs.write(self._ended_line(request_id, request, end))
 
     def log_dropped(self) -> None:
         """Log how many lines were dropped since the last call, if any."""
         sent = self._attempt_lines.pop_dropped_count()
         failed = self._failure_lines.pop_dropped_count()
-        if sent or failed:
-            logs.write(events.LinesDropped(sent=sent, failed=failed))
+        once = self._once_lines.pop_dropped_count()
+        if sent or failed or once:
+            logs.write(events.LinesDropped(sent=sent, failed=failed, once=once))
+
+    def _lines_about(
+        self, request: caller_request.CallerRequest | None
+    ) -> line_budget.LineBudget:
+        """Return the limit for lines about what became of ``request``."""
+        if request is None or not request.attempts:
+            return self._failure_lines
+        if request.route.is_idempotent:
+            return self._failure_lines
+        return self._once_lines
 
     def _attempt_line(
         self,
@@ -311,12 +332,14 @@
             status=end.status,
             error=end.error,
             what=end.what,
+            repeatable=request is None or request.route.is_idempotent,
             attempts=request.attempts if request else 0,
             taken_ms=_ms(now_s - request.arrived_s) if request else 0,
             targets=targets,
             with_room=with_room,
             configuration_version=version,
             targets_revision=revision,
+            history=tuple(request.history) if request else (),
         )
 
     def _target_counts(
--- a/libraries/entry/src/sardinepier/entry/events.py
+++ b/libraries/entry/src/sardinepier/entry/events.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from sardinepier.entry import target_record
+from sardinepier.entry import attempt_trace, target_record
 from sardinepier.once import losses
 from sardinepier.telemetry import line_events
 
@@ -207,6 +207,7 @@
     ``customer`` is empty if the request had no known key. ``error`` and
     ``what`` are empty if a target's answer was forwarded. ``targets`` counts
     the known targets of the service, ``with_room`` those with a free slot.
+    ``history`` has the attempts that have ended, in order.
     """
 
     request_id: str
@@ -217,19 +218,25 @@
     status: int
     error: str
     what: str
+    repeatable: bool
     attempts: int
     taken_ms: int
     targets: int
     with_room: int
     configuration_version: int
     targets_revision: int
+    history: Sequence[attempt_trace.AttemptTrace]
 
 
 class LinesDropped(line_events.LineEvent, frozen=True):
-    """Log lines were dropped by the rate limit: the number of each kind."""
+    """Log lines were dropped by the rate limit: the number of each kind.
+
+    ``once`` counts those about non-idempotent requests that had an attempt.
+    """
 
     sent: int
     failed: int
+    once: int
 
 
 class TargetsChanged(line_events.LineEvent, frozen=True):
--- a/libraries/entry/src/sardinepier/entry/open_exchanges.py
+++ b/libraries/entry/src/sardinepier/entry/open_exchanges.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Iterable
 from typing import Final
 
-from sardinepier.entry import target_record
+from sardinepier.entry import attempt_trace, caller_request, target_record
 from sardinepier.gateway import connections, errors
 
 _REFUSAL_TIME_S: Final = 0.1
@@ -28,6 +28,8 @@
 _READING_S: Final = 0.05
 """How long bytes that have arrived may take to be read."""
 
+_MS_PER_S: Final = 1000
+
 _Address = tuple[str, int]
 
 
@@ -52,14 +54,32 @@
         self.record = record
         self.began_s = asyncio.get_running_loop().time()
         self.cause: EndCause | None = None
+        self.connection = attempt_trace.ConnectionUse.NONE
         self._sent_s = math.inf
         self._end_as_gone: connections.EndAsGone | None = None
 
-    def mark_sent(self, end_as_gone: connections.EndAsGone) -> None:
+    def mark_sent(
+        self, end_as_gone: connections.EndAsGone, is_reused: bool
+    ) -> None:
         """Record that the first byte is sent; ``end_as_gone`` ends it."""
+        self.connection = attempt_trace.connection_use(is_reused=is_reused)
         self._sent_s = asyncio.get_running_loop().time()
         self._end_as_gone = end_as_gone
 
+    def trace(
+        self, request: caller_request.CallerRequest, outcome: str
+    ) -> None:
+        """Add this attempt, which ended with ``outcome``, to the history."""
+        taken_s = asyncio.get_running_loop().time() - self.began_s
+        request.history.append(
+            attempt_trace.AttemptTrace(
+                receiver=self.record.listed.target_id,
+                connection=self.connection,
+                outcome=outcome,
+                taken_ms=round(taken_s * _MS_PER_S),
+            )
+        )
+
     def record_error(self, error: errors.GatewayError) -> None:
         """Record how the attempt failed; an earlier cause is kept."""
         is_gone = isinstance(error, errors.TargetGoneError)
--- a/libraries/entry/src/sardinepier/entry/relaying.py
+++ b/libraries/entry/src/sardinepier/entry/relaying.py
@@ -17,6 +17,7 @@
 from sardinepier.core import ids
 from sardinepier.entry import (
     answers,
+    attempt_trace,
     caller_request,
     context,
     relay_messages,
@@ -166,18 +167,20 @@
     ) -> answers.Answer:
         began_s = self._shared.clock.monotonic_s()
         outcome = relay_messages.RelayOutcome.ANSWERED.value
+        what = ''
         try:
             answer = await self._exchange(
                 peer, request, history, is_final=is_final
             )
         except core_errors.SardinepierError as error:
             outcome = type(error).__name__
+            what = f': {error.what}'
             raise
         except asyncio.CancelledError:
             outcome = 'cancelled'
             raise
         finally:
-            self._record(request, peer, outcome, began_s)
+            self._record(request, peer, outcome, what, began_s)
         self._shared.metrics.relayed_bytes(
             len(request.body) + answer.length_bytes,
             crosses_zones=peer.zone != self._shared.services.zone,
@@ -189,6 +192,7 @@
         request: caller_request.CallerRequest,
         peer: Peer,
         outcome: str,
+        what: str,
         began_s: float,
     ) -> None:
         elapsed_s = self._shared.clock.monotonic_s() - began_s
@@ -196,6 +200,14 @@
         self._shared.decision_log.log_relayed(
             request, peer.instance_id, outcome, elapsed_s
         )
+        request.history.append(
+            attempt_trace.AttemptTrace(
+                receiver=peer.instance_id,
+                connection=attempt_trace.ConnectionUse.PEER,
+                outcome=f'{outcome}{what}',
+                taken_ms=_ms(elapsed_s),
+            )
+        )
 
     async def _exchange(
         self,
--- a/libraries/entry/tests/cover/test_entry_lines.py
+++ b/libraries/entry/tests/cover/test_entry_lines.py
@@ -205,11 +205,43 @@
     decisions.log_ended('id-2', None, end)
     assert lines.of('request-ended')[0]['request_id'] == 'id-2'
     decisions.log_dropped()
-    assert lines.of('lines-dropped') == [{'sent': 1, 'failed': 0}]
+    assert lines.of('lines-dropped') == [{'sent': 1, 'failed': 0, 'once': 0}]
     decisions.log_dropped()
     assert len(lines.of('lines-dropped')) == 1
 
 
+async def test_a_request_that_must_run_once_is_logged_when_lines_run_out(
+    entry, lines
+):
+    # Guards against requests that ran twice, or ran though they were refused,
+    # of which the log says nothing.
+    await entry.set_targets(
+        support.RawTarget('t1', ['shed', 'ok', 'fail']),
+        support.RawTarget('t2', ['shed', 'ok', 'fail']),
+    )
+    decisions = entry.shared.decision_log
+    for lines_left in (decisions._failure_lines, decisions._attempt_lines):
+        assert not [lines_left.allows() for _ in range(400)][-1]
+    for name in ('id-1', 'id-2', 'id-3'):
+        await entry.send('/once/1', 'POST', **{support.NAMES.attempt_id: name})
+    ended = {line['request_id']: line for line in lines.of('request-ended')}
+    assert ended.keys() == {'id-1', 'id-3'}
+    shed, failed = ended['id-1'], ended['id-3']
+    assert (shed['outcome'], shed['repeatable']) == ('refused', False)
+    made = [
+        (each['connection'], each['outcome'].partition(':')[0])
+        for each in (*shed['history'], *failed['history'])
+    ]
+    assert made == [
+        ('new', 'ShedError'),
+        ('new', 'ShedError'),
+        ('kept', 'target_failed'),
+    ]
+    assert len(lines.of('attempt-failed')) == 3
+    decisions.log_dropped()
+    assert lines.of('lines-dropped')[0]['once'] == 0
+
+
 async def test_a_statement_of_a_target_is_logged_when_it_changes(
     entry,
     lines,
--- a/libraries/gateway/src/sardinepier/gateway/outgoing.py
+++ b/libraries/gateway/src/sardinepier/gateway/outgoing.py
@@ -96,7 +96,7 @@
         self.content = request_body.EMPTY
         protocol.set_body_length(len(content))
         if self.expects.on_sent is not None:
-            self.expects.on_sent(protocol.end_as_gone)
+            self.expects.on_sent(protocol.end_as_gone, protocol.is_reused)
         protocol.begin_exchange(self.expects.accepts)
         conn.add_callback(protocol.mark_idle)
         task: asyncio.Task[None] | None = None
