Decide in one place which bytes of a target are an answer

Callers saw a request that must run once run twice, and could see a refusal of one that ran: a target in trouble sends a whole head without an id, whose status is below 100 or 101, with the mark that nothing ran, and then runs the request.

gateway.answer_heads now sees every head before anything is read from it: what is no status of an answer is invalid HTTP, whatever id it bears, and interim answers end there. A response becomes an OwnAnswer by its id in one function, for targets and for peers, and the proofs that nothing ran take only that type. An answer to another request without a length is not skipped any more: nothing can follow it, and its caller waited until the deadline.

--- a/libraries/entry/src/sardinepier/entry/answers.py
+++ b/libraries/entry/src/sardinepier/entry/answers.py
@@ -3,14 +3,16 @@
 import dataclasses
 from typing import Final
 
-import multidict
 from aiohttp import client_reqrep
 
-from sardinepier.entry import answer_stream, header_names, refusals
+from sardinepier.entry import (
+    answer_stream,
+    header_names,
+    own_answer,
+    refusals,
+)
 from sardinepier.gateway import buffer_budget, errors, headers
 
-Headers = multidict.CIMultiDictProxy[str]
-
 _FIRST_SERVER_ERROR_STATUS: Final = 500
 _FIRST_NON_SUCCESS_STATUS: Final = 300
 _MISDIRECTED_STATUS: Final = 421
@@ -63,7 +65,7 @@
 
 
 async def read(
-    response: client_reqrep.ClientResponse,
+    own: own_answer.OwnAnswer,
     names: header_names.HeaderNames,
     budget: buffer_budget.BufferBudget,
     deadline_s: float,
@@ -81,22 +83,23 @@
     """
     try:
         with budget.hold() as held:
-            answer = await _read(response, names, held, deadline_s)
+            answer = await _read(own, names, held, deadline_s)
             held.release_with(answer)
     except BaseException:
-        response.close()
+        own.response.close()
         raise
     return answer
 
 
 async def _read(
-    response: client_reqrep.ClientResponse,
+    own: own_answer.OwnAnswer,
     names: header_names.HeaderNames,
     held: buffer_budget.HeldBytes,
     deadline_s: float,
 ) -> Answer:
+    response = own.response
     body, is_whole = await _read_beginning(response, held)
-    _raise_if_not_run(response, names)
+    _raise_if_not_run(own, names)
     if response.status in refusals.NOT_RUN_STATUSES:
         raise errors.BadAnswerError(
             f'The target answered {response.status} and may have run it',
@@ -137,11 +140,11 @@
 
 
 def reported_load(
-    response: client_reqrep.ClientResponse,
+    own: own_answer.OwnAnswer,
     names: header_names.HeaderNames,
 ) -> Load | None:
     """Return the load that the target reported, None without a valid one."""
-    text = response.headers.get(names.load)
+    text = own.response.headers.get(names.load)
     if text is None:
         return None
     parts = text.split(',')
@@ -154,9 +157,10 @@
 
 
 def _raise_if_not_run(
-    response: client_reqrep.ClientResponse,
+    own: own_answer.OwnAnswer,
     names: header_names.HeaderNames,
 ) -> None:
+    response = own.response
     if response.status == _MISDIRECTED_STATUS:
         raise OtherTargetError(
             'Another target has this address now',
--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -6,8 +6,6 @@
 import http
 from typing import Final
 
-from aiohttp import client_reqrep
-
 from sardinepier.entry import (
     answers,
     caller_request,
@@ -18,6 +16,7 @@
     target_record,
     traffic,
 )
+from sardinepier.entry import own_answer
 from sardinepier.gateway import connections, errors, statements, unsent
 from sardinepier.health import refusal_estimate
 
@@ -159,9 +158,12 @@
         self._traffic.opened(response)
         self._record.mark_reachable()
         self._connectivity.answered(self._request.service)
-        self._record_reports(response)
+        own = own_answer.identify(
+            response, self._shared.names, self._request.request_id
+        )
+        self._record_reports(own)
         return await answers.read(
-            response,
+            own,
             self._shared.names,
             self._shared.buffer_budget,
             self._request.caller_loop_deadline_s(self._shared.clock),
@@ -195,15 +197,13 @@
         self._request.was_sent = True
         self._traffic.sent(self._request)
 
-    def _is_own_answer(self, status: int, headers: 'answers.Headers') -> bool:
-        """Return whether an answer bears the id of this request.
-
-        Targets echo it, so that bytes without it prove nothing of this request.
-        """
-        echoed = headers.get(self._shared.names.attempt_id, '')
-        is_own = echoed == self._request.request_id
+    def _is_own_answer(self, status: int, headers: own_answer.Headers) -> bool:
+        """Return whether an answer is that to this request; log the others."""
+        names = self._shared.names
+        is_own = own_answer.bears_id(headers, names, self._request.request_id)
         if not is_own and not self._has_foreign_answer:
             self._has_foreign_answer = True
+            echoed = headers.get(names.attempt_id, '')
             self._shared.metrics.foreign_answer(
                 self._request.service, has_id=bool(echoed)
             )
@@ -212,17 +212,18 @@
             )
         return is_own
 
-    def _record_reports(self, response: client_reqrep.ClientResponse) -> None:
+    def _record_reports(self, own: own_answer.OwnAnswer) -> None:
         """Record the load and the statement that the target reports.
 
         These hold for any status but 421, which another target at the same
         address has sent.
         """
+        response = own.response
         if response.status == http.HTTPStatus.MISDIRECTED_REQUEST:
             return
         shared = self._shared
         shared.exchanges.record_answer(self._record)
-        load = answers.reported_load(response, shared.names)
+        load = answers.reported_load(own, shared.names)
         if load is not None:
             self._shed_cause = refusal_estimate.shed_cause(
                 load.running, load.slots
--- a/libraries/entry/src/sardinepier/entry/relay_http.py
+++ b/libraries/entry/src/sardinepier/entry/relay_http.py
@@ -19,6 +19,7 @@
     caller_request,
     context,
     model,
+    own_answer,
     path_check,
     relay_messages,
 )
@@ -80,11 +81,7 @@
         request: caller_request.CallerRequest,
     ) -> relaying.RelayedAnswer | relay_messages.RelayReply:
         names = self._shared.names
-        if response.headers.get(names.attempt_id, '') != request.request_id:
-            raise errors.BadAnswerError(
-                'The reply does not bear the id of the request',
-                'Use daemons of versions that fit each other',
-            )
+        own = own_answer.identify(response, names, request.request_id)
         try:
             reply = relay_messages.decode_reply(
                 response.headers.get(headers.OUTCOME, '')
@@ -96,7 +93,7 @@
             response.release()
             return reply
         answer = await answers.read(
-            response,
+            own,
             names,
             self._shared.buffer_budget,
             request.caller_loop_deadline_s(self._shared.clock),
--- a/libraries/entry/tests/cover/test_entry_odd_statuses.py
+++ b/libraries/entry/tests/cover/test_entry_odd_statuses.py
@@ -51,3 +51,25 @@
         assert answered in {200, 502}
         assert answered == 502 or proof == f'proof-of-{name}'
     assert path != '/once/1' or entry.run_count == len(answers)
+
+
+# Guards against refusals of requests that ran, and against callers that get a
+# status that is none: the id alone makes no answer of such bytes.
+@pytest.mark.parametrize('status', NO_STATUSES)
+async def test_a_head_with_the_id_and_no_status_of_an_answer_proves_nothing(
+    entry, status
+):
+    name = support.NAMES.attempt_id
+    await entry.set_targets(
+        support.RawTarget(
+            'bad',
+            [
+                lambda echo: odd_head(
+                    status, f'{name}: {echo}', 'Content-Length: 0'
+                )
+            ],
+        )
+    )
+    answers = await send_series(entry, '/once/1')
+    assert {answered for answered, _ in answers.values()} == {502}
+    assert entry.run_count == len(answers)
--- a/libraries/gateway/src/sardinepier/gateway/connections.py
+++ b/libraries/gateway/src/sardinepier/gateway/connections.py
@@ -28,7 +28,12 @@
     tracing,
 )
 
-from sardinepier.gateway import endless, keepalive, read_buffers, spliced
+from sardinepier.gateway import (
+    answer_heads,
+    endless,
+    keepalive,
+    read_buffers,
+)
 
 _Protocol = TypeVar('_Protocol', bound=asyncio.BaseProtocol)
 
@@ -61,7 +66,6 @@
 
 _HTTP_PORT: Final = 80
 _KEEPALIVE_S: Final = 15.0
-_FIRST_FINAL_STATUS: Final = 200
 _KEEP_ALIVE: Final = 'Keep-Alive'
 _TIMEOUT: Final = re.compile(r'timeout=(\d+)')
 _IDLE_TIMEOUT_SHARE: Final = 0.7
@@ -96,19 +100,20 @@
         self._endless = endless.EndlessBytes()
 
     async def read(self) -> Any:
-        """Return the answer to this exchange and skip others.
+        """Return the answer to this exchange; skip interim and other answers.
 
-        Raises ``BadHttpMessage`` if two answers were read as one.
+        Raises ``BadHttpMessage`` if bytes arrive that are none.
         """
         while True:
             message, payload = await super().read()
-            spliced.require_one_answer(message)
-            is_final = message.code >= _FIRST_FINAL_STATUS
-            if not is_final or self._is_accepted(message):
+            if not answer_heads.is_final(message):
+                continue
+            if self._is_accepted(message):
                 self._record_idle_timeout(message)
-                self._endless.has_begun = is_final
+                self._endless.has_begun = True
                 return message, payload
             self._has_skipped = True
+            answer_heads.require_end(message, payload)
             await payload.read()
 
     def connection_lost(self, exc: BaseException | None) -> None:
