Send a request to an address once on a kept connection

A request that must run once ran twice, or could be refused though it ran. All attempts of a request bear its id. A target refuses the first attempt (503 with the mark, or 421 while another target takes its address over); the next attempt goes to another target that is listed at the same address, on the same kept connection; a copy of the refusal arrives where the answer is due and bears the right id. both have it.

The id names the request and not the attempt, so that an attempt at an address which had the request before gets a new connection, at targets and at peers.

--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -141,8 +141,7 @@
             self._record.url,
             self._headers(),
             self._request.body,
-            # Without an id nothing tells its answer from a late one.
-            fresh=not self._request.request_id,
+            fresh=self._request.needs_new_connection(self._record.url),
             connect_timeout_s=path_check.CONNECT_TIMEOUT_S,
             permit=self._require_sendable,
             path=self._request.path,
--- a/libraries/entry/src/sardinepier/entry/caller_request.py
+++ b/libraries/entry/src/sardinepier/entry/caller_request.py
@@ -4,6 +4,8 @@
 import dataclasses
 from typing import Final
 
+import yarl
+
 from sardinepier.core import clock as clocks
 from sardinepier.core import ids
 from sardinepier.entry import attempt_trace, model, refusals
@@ -27,7 +29,8 @@
     has disconnected, after which no new attempt starts. Nothing of the request
     arrived at the targets in ``unreached``, to which this daemon had no path.
     The daemons in ``relayed_to`` were asked to make an attempt. ``reservation``
-    holds the memory of the body. ``history`` has the attempts that have ended.
+    holds the memory of the body. ``sent_to`` has the URLs of all attempts.
+    ``history`` has the attempts that have ended.
     """
 
     request_id: str
@@ -50,6 +53,7 @@
     reservation: body_budget.Reservation | None = None
     unreached: set[ids.TargetId] = dataclasses.field(default_factory=set)
     relayed_to: set[ids.InstanceId] = dataclasses.field(default_factory=set)
+    sent_to: set[yarl.URL] = dataclasses.field(default_factory=set)
     history: list[attempt_trace.AttemptTrace] = dataclasses.field(
         default_factory=list
     )
@@ -60,6 +64,17 @@
         if self.reservation is not None:
             self.reservation.release()
 
+    def needs_new_connection(self, url: yarl.URL) -> bool:
+        """Return whether an attempt at ``url``, which begins now, needs one.
+
+        All attempts of a request bear its id. Where an earlier one was sent, a
+        copy of the answer to it could be taken for that to this one; without an
+        id, so could any late answer.
+        """
+        was_sent_there = url in self.sent_to
+        self.sent_to.add(url)
+        return was_sent_there or not self.request_id
+
     def left_s(self, clock: clocks.Clock) -> float:
         """Return the seconds until the deadline, not below 0."""
         return max(0.0, self.deadline_s - clock.monotonic_s())
--- a/libraries/entry/src/sardinepier/entry/relay_http.py
+++ b/libraries/entry/src/sardinepier/entry/relay_http.py
@@ -63,8 +63,7 @@
                 (headers.RELAYED, relay_messages.encode(attempt)),
             ],
             request.body,
-            # Without an id nothing tells its reply from a late one.
-            fresh=not request.request_id,
+            fresh=request.needs_new_connection(peer.url),
             connect_timeout_s=path_check.CONNECT_TIMEOUT_S,
             permit=permit,
             path=request.path,
