--- a/tests/adapter/soak_targets.py
+++ b/tests/adapter/soak_targets.py
@@ -31,6 +31,10 @@
     ('421 Misdirected Request', False),
     ('500 Bad', False),
     ('200 OK', False),
+    ('101 Switching Protocols', True),
+    ('099 None', True),
+    ('000 None', True),
+    ('600 None', True),
 )
 """The status of an answer without an id, and whether it says that nothing ran."""
 
@@ -38,6 +42,7 @@
 FAULTS = (
     *FOREIGN_FAULTS,
     'late copy',
+    'late refusal',
     'shed',
     'unmarked',
     'failed',
@@ -88,6 +93,10 @@
         for writer in tuple(self._writers):
             support.linger_off(writer)
         await asyncio.sleep(self._source.uniform(0, 0.5))
+        if how != 'removed' and self._source.random() < 0.5:
+            # For a moment, the address is listed twice.
+            self._list()
+            await asyncio.sleep(self._source.uniform(0, DRAIN_S))
         if how != 'removed':
             self._run.unlist_target(old_id)
         self._list()
@@ -143,6 +152,11 @@
         return self._source.choice(self._run.faults)
 
     async def _answer(self, fault, head, request_id, writer):
+        if fault == 'late refusal':
+            refusal = self._refusal(request_id)
+            writer.write(refusal)
+            await self._late(refusal, writer)
+            return True
         if fault == 'shed' or self._in_hand >= SLOTS + QUEUE:
             writer.write(self._refusal(request_id))
             return True
@@ -161,15 +175,20 @@
             await asyncio.sleep(self._source.uniform(0, MAX_SILENCE_S))
         writer.write(self._bytes_of(fault, head, request_id, whole))
         if fault in {'foreign behind', 'late copy'}:
-            await writer.drain()
-            await asyncio.sleep(self._source.uniform(0, 0.2))
             is_copy = fault == 'late copy'
-            writer.write(whole if is_copy else self._foreign_answer())
+            extra = whole if is_copy else self._foreign_answer()
+            await self._late(extra, writer)
         if fault == 'until-reset':
             await writer.drain()
             support.linger_off(writer)
         return fault not in support.CLOSING_BEHAVIOURS
 
+    async def _late(self, extra, writer):
+        """Send further bytes, often while the next request is on its way."""
+        await writer.drain()
+        await asyncio.sleep(self._source.uniform(0, 0.2))
+        writer.write(extra)
+
     async def _run_request(self, head, request_id):
         """Run a request, and return the bytes of its answer."""
         self._in_hand += 1
