Explain a request by its history where lines were dropped

sardinepier explain said that no attempt failed if the limit of lines had hidden the failures. It now takes them from the history in request-ended.

Test: the_history_tells_of_attempts_whose_lines_were_dropped, fails before.

--- a/libraries/cli/src/sardinepier/cli/from_files/explain.py
+++ b/libraries/cli/src/sardinepier/cli/from_files/explain.py
@@ -165,7 +165,8 @@
     free_slots = (
         f'{fields["with_room"]} of {fields["targets"]} targets had a free slot'
     )
-    attempts = '; '.join(failures) or 'no attempt failed'
+    history = [_trace_text(trace) for trace in fields.get('history', ())]
+    attempts = '; '.join(failures or history) or 'no attempt failed'
     return (
         f'{_ending_text(fields)}. Attempts: {attempts}. At the end {free_slots}'
     )
@@ -180,6 +181,13 @@
     return fields['what'] or f'Answered with status {fields["status"]}'
 
 
+def _trace_text(trace: Mapping[str, Any]) -> str:
+    return (
+        f'{trace["receiver"]} ({trace["connection"]}) after '
+        f'{trace["taken_ms"]} ms: {trace["outcome"]}'
+    )
+
+
 def _failure_text(line: log_files.LogLine) -> str:
     choice = line.fields.get('choice', {})
     target = choice.get('target', '?')
--- a/libraries/cli/tests/cover/test_cli_explain.py
+++ b/libraries/cli/tests/cover/test_cli_explain.py
@@ -163,6 +163,22 @@
     assert 'The daemon cut it off after 5600 ms' in shell.text
 
 
+def test_the_history_tells_of_attempts_whose_lines_were_dropped(shell):
+    shed = {
+        'receiver': 't1',
+        'connection': 'kept',
+        'outcome': 'ShedError: The target answered 503 and did not run it',
+        'taken_ms': 3,
+    }
+    fields = {**ENDED, 'outcome': 'refused', 'status': 503, 'history': [shed]}
+    shell.log(
+        'dropped.log',
+        cli_support.line(8.0, 'd1', 'request-ended', request_id='h', **fields),
+    )
+    shell.run('h')
+    assert f't1 (kept) after 3 ms: {shed["outcome"]}' in shell.text
+
+
 def test_an_unknown_id_is_a_negative_result(shell):
     assert shell.run('nobody') is exit_codes.ExitCode.NEGATIVE
     assert "has the request 'nobody'" in shell.errors[0]
