Let emulated targets echo the id of a request

Since a response becomes an answer only by its id, each emulated answer counted as invalid, and tests of policies failed, found by the tests of workbench. Real targets echo the id.

--- a/libraries/workbench/src/sardinepier/workbench/policy/client.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/client.py
@@ -102,12 +102,14 @@
         if is_new and expects.on_connected is not None:
             expects.on_connected()
         permit()
+        sent = dict(headers)
         async with self.links.exchange():
-            reply = await self._exchange(target, dict(headers), delay_s)
+            reply = await self._exchange(target, sent, delay_s)
         self.links.release(target.listed.ip)
         now_s = asyncio.get_running_loop().time()
         self._record_statements(target, reply, now_s)
-        return Response(reply.status, _headers(target, reply))
+        request_id = sent[_NAMES.attempt_id]
+        return Response(reply.status, _headers(target, reply, request_id))
 
     async def check_connection(
         self, ip: str, port: int, timeout_s: float
@@ -184,9 +186,14 @@
 def _headers(
     target: targets.Target,
     reply: targets.Reply,
+    request_id: str,
 ) -> multidict.CIMultiDictProxy[str]:
     fields = multidict.CIMultiDict(
-        {_NAMES.signature: 'emulated', _NAMES.load: reply.load},
+        {
+            _NAMES.attempt_id: request_id,
+            _NAMES.signature: 'emulated',
+            _NAMES.load: reply.load,
+        },
     )
     if not reply.has_run:
         fields[_NAMES.not_run] = '1'
