Refuse and resend only what no receiver may have run, by count

The users' record shows a request that was refused and ran, and one that ran twice, at a daemon that lost connections and relayed; which error was taken for a proof can't be told from it. Whether nothing ran followed from the type of the last error: any type but those of an unknown fate made a 503, let a request that must run once be sent again, and became "refused" between daemons. A promise was the default.

CallerRequest.unproved now counts the attempts whose first byte was permitted, less those that their receiver stated not to have run (the target's own mark or 421, or a peer's reply). While it is above 0 no request is refused with a promise, none that must run once is sent again, and no peer is told that nothing ran, whatever the error. An error that claims otherwise ends with 502 and UnprovedError.

--- a/libraries/entry/src/sardinepier/entry/answers.py
+++ b/libraries/entry/src/sardinepier/entry/answers.py
@@ -64,6 +64,10 @@
     """Another target or incarnation has the address; the request did not run."""
 
 
+STATED_NOT_RUN: Final = (errors.ShedError, OtherTargetError)
+"""Errors by which a target itself states that it did not run a request."""
+
+
 async def read(
     own: own_answer.OwnAnswer,
     names: header_names.HeaderNames,
--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -93,6 +93,8 @@
                     await self._connectivity.lost(
                         self._request.service, self._record.listed.target_id
                     )
+                if isinstance(error, answers.STATED_NOT_RUN):
+                    self._request.prove_not_run()
                 self._record_error(error)
                 self._report_failure(type(error).__name__, error.what)
                 raise
@@ -193,7 +195,7 @@
         self._pool.targets.require_accepting(self._record)
         self._shared.quarantine.raise_if_quarantined(self._request.fingerprint)
         self._is_sent = True
-        self._request.was_sent = True
+        self._request.mark_sent()
         self._traffic.sent(self._request)
 
     def _is_own_answer(self, status: int, headers: own_answer.Headers) -> bool:
--- a/libraries/entry/src/sardinepier/entry/caller_request.py
+++ b/libraries/entry/src/sardinepier/entry/caller_request.py
@@ -29,7 +29,8 @@
     has disconnected, after which no new attempt starts. Nothing of the request
     arrived at the targets in ``unreached``, to which this daemon had no path.
     The daemons in ``relayed_to`` were asked to make an attempt. ``reservation``
-    holds the memory of the body. ``sent_to`` has the URLs of all attempts.
+    holds the memory of the body. ``unproved`` counts the attempts that were sent
+    and that nobody has stated not to have run. ``sent_to`` has the URLs of all attempts.
     ``history`` has the attempts that have ended.
     """
 
@@ -49,6 +50,7 @@
     admitted_s: float = 0.0
     attempts: int = 0
     was_sent: bool = False
+    unproved: int = 0
     is_abandoned: bool = False
     reservation: body_budget.Reservation | None = None
     unreached: set[ids.TargetId] = dataclasses.field(default_factory=set)
@@ -64,6 +66,15 @@
         if self.reservation is not None:
             self.reservation.release()
 
+    def mark_sent(self) -> None:
+        """Record that the first byte of an attempt is sent."""
+        self.was_sent = True
+        self.unproved += 1
+
+    def prove_not_run(self) -> None:
+        """Record the statement of its receiver that an attempt did not run."""
+        self.unproved -= 1
+
     def needs_new_connection(self, url: yarl.URL) -> bool:
         """Return whether an attempt at ``url``, which begins now, needs one.
 
--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -70,7 +70,7 @@
         except core_errors.SardinepierError as error:
             if history.nothing_ran():
                 pool.refused()
-            return history.resolve(error, pool.retry_after_s())
+            return history.resolve(request, error, pool.retry_after_s())
 
     async def attempt_once(
         self,
--- a/libraries/entry/src/sardinepier/entry/refusals.py
+++ b/libraries/entry/src/sardinepier/entry/refusals.py
@@ -119,6 +119,13 @@
     """The daemon exits while a target processes the request."""
 
 
+class UnprovedError(UnknownFateError):
+    """An error says that nothing ran, but the request was sent.
+
+    No receiver stated that it did not run the request.
+    """
+
+
 class InternalError(UnknownFateError):
     """An internal error of this program."""
 
--- a/libraries/entry/src/sardinepier/entry/relay_messages.py
+++ b/libraries/entry/src/sardinepier/entry/relay_messages.py
@@ -67,6 +67,12 @@
     """A target's answer can't be forwarded."""
 
 
+NOT_RUN: Final = frozenset(
+    (RelayOutcome.CUT_OFF, RelayOutcome.REFUSED, RelayOutcome.SHED)
+)
+"""Outcomes that promise that nothing ran."""
+
+
 class RelayReply(msgspec.Struct, frozen=True, array_like=True):
     """How a relayed attempt ended, and which targets it tried."""
 
@@ -126,11 +132,19 @@
 def reply_of(
     error: core_errors.SardinepierError,
     tried: tuple[ids.TargetId, ...],
+    *,
+    may_have_run: bool = False,
 ) -> RelayReply:
-    """Return the reply for an attempt that ended with ``error``."""
+    """Return the reply for an attempt that ended with ``error``.
+
+    If it ``may_have_run``, the reply makes no promise.
+    """
     retry_after_s = getattr(error, 'retry_after_s', None)
+    outcome = _outcome_of(error)
+    if may_have_run and outcome in NOT_RUN:
+        outcome = RelayOutcome.BAD_ANSWER
     return RelayReply(
-        _outcome_of(error),
+        outcome,
         tried,
         error.what,
         error.remedy,
--- a/libraries/entry/src/sardinepier/entry/relay_service.py
+++ b/libraries/entry/src/sardinepier/entry/relay_service.py
@@ -33,7 +33,9 @@
             answer = await self._forwarding.attempt_once(request, history)
         except core_errors.SardinepierError as error:
             return relay_messages.reply_of(
-                error, _newly_tried(request, history, attempt)
+                error,
+                _newly_tried(request, history, attempt),
+                may_have_run=request.unproved > 0,
             )
         return relaying.RelayedAnswer(
             relay_messages.RelayReply(
--- a/libraries/entry/src/sardinepier/entry/relaying.py
+++ b/libraries/entry/src/sardinepier/entry/relaying.py
@@ -238,6 +238,8 @@
             _record_tried(request, history, replied.reply)
             return replied.answer
         _record_tried(request, history, replied)
+        if replied.outcome in relay_messages.NOT_RUN:
+            request.prove_not_run()
         relay_messages.raise_error(replied)
         raise errors.BadAnswerError(
             'The daemon that has the request sent no answer of a target',
@@ -307,7 +309,7 @@
         self._request.require_time_left(self._shared.clock)
         self._request.require_caller()
         self.was_given = True
-        self._request.was_sent = True
+        self._request.mark_sent()
 
 
 def _ms(seconds: float) -> int:
--- a/libraries/entry/src/sardinepier/entry/retries.py
+++ b/libraries/entry/src/sardinepier/entry/retries.py
@@ -84,6 +84,7 @@
 
     def resolve(
         self,
+        request: caller_request.CallerRequest,
         error: core_errors.SardinepierError,
         retry_after_s: float,
     ) -> answers.Answer:
@@ -97,6 +98,7 @@
             self.failure,
             error,
             retry_after_s,
+            may_have_run=request.unproved > 0,
         )
 
 
@@ -129,6 +131,8 @@
     """Return whether a retry may follow ``error``, if there is budget."""
     if request.is_abandoned:
         return False
+    if request.unproved and not request.route.is_idempotent:
+        return False
     if isinstance(error, _FINAL_ERRORS):
         return False
     if isinstance(error, errors.ShedError):
--- a/libraries/workbench/src/sardinepier/workbench/policy/relays.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/relays.py
@@ -50,7 +50,13 @@
         permit()
         await asyncio.sleep(delay_s)
         relayed = dataclasses.replace(
-            request, attempts=0, was_sent=False, is_abandoned=False
+            request,
+            attempts=0,
+            was_sent=False,
+            unproved=0,
+            is_abandoned=False,
+            sent_to=set(),
+            history=[],
         )
         reply = await self._receivers[peer.instance_id].relayed(
             relayed, attempt
