--- a/libraries/entry/src/sardinepier/entry/caller_request.py
+++ b/libraries/entry/src/sardinepier/entry/caller_request.py
@@ -30,8 +30,8 @@
     arrived at the targets in ``unreached``, to which this daemon had no path.
     The daemons in ``relayed_to`` were asked to make an attempt. ``reservation``
     holds the memory of the body. ``unproved`` counts the attempts that were sent
-    and that nobody has stated not to have run. ``sent_to`` has the URLs of all attempts.
-    ``history`` has the attempts that have ended.
+    and that nobody has stated not to have run. ``sent_to`` has the URLs of all
+    attempts, ``history`` the attempts that have ended.
     """
 
     request_id: str
--- a/libraries/gateway/src/sardinepier/gateway/connections.py
+++ b/libraries/gateway/src/sardinepier/gateway/connections.py
@@ -55,7 +55,8 @@
     an earlier one. A connection made before ``made_since_s``, in event loop
     time, is not used: the process behind it may have been replaced.
     ``on_sent`` is called at the first byte with the function that ends the
-    exchange, and whether the connection was used before. ``on_connected`` is called before if the connection is a new one.
+    exchange, and whether the connection was used before. ``on_connected`` is
+    called before if the connection is a new one.
     """
 
     accepts: Accepts | None = None
