Ask no second peer to make an attempt that the first may have made

Found by reading the change again: retries ask the count of what was sent, but the loop over peers of a daemon that relays did not. An error that says that nothing was sent, after the first byte was, let a second peer get a request that must run once.

Both places now ask retries.may_send_again. no_second_peer_gets_a_request_that_ was_sent: 2 of 2 cases failed before (two sends), none now.

--- a/libraries/entry/src/sardinepier/entry/relaying.py
+++ b/libraries/entry/src/sardinepier/entry/relaying.py
@@ -146,6 +146,8 @@
                 errors.ConnectFailedError,
                 unsent.NoDescriptorError,
             ) as error:
+                if not retries.may_send_again(request):
+                    raise
                 failure = error
                 self._avoid(peer, request.service)
         now_s = self._shared.clock.monotonic_s()
--- a/libraries/entry/src/sardinepier/entry/retries.py
+++ b/libraries/entry/src/sardinepier/entry/retries.py
@@ -123,6 +123,11 @@
     return pool.retries.queue.can_spend(request.priority)
 
 
+def may_send_again(request: caller_request.CallerRequest) -> bool:
+    """Return whether ``request`` may run twice, or is proved not to have run."""
+    return request.route.is_idempotent or not request.unproved
+
+
 def may_retry_after(
     request: caller_request.CallerRequest,
     history: AttemptHistory,
@@ -131,7 +136,7 @@
     """Return whether a retry may follow ``error``, if there is budget."""
     if request.is_abandoned:
         return False
-    if request.unproved and not request.route.is_idempotent:
+    if not may_send_again(request):
         return False
     if isinstance(error, _FINAL_ERRORS):
         return False
--- a/libraries/entry/tests/cover/test_entry_unproved_refusals.py
+++ b/libraries/entry/tests/cover/test_entry_unproved_refusals.py
@@ -63,3 +63,21 @@
         monkeypatch.setattr(peer.shared.client, 'open', claims.open)
         status, _, _ = await cut_off.send('/once/1', 'POST', b'payload')
         assert (status, claims.sent) == (502, 1)
+
+
+# Guards against a second peer that gets a request which the first may have run.
+@pytest.mark.parametrize(
+    'claim',
+    [errors.ConnectFailedError, unsent.NoDescriptorError],
+)
+async def test_no_second_peer_gets_a_request_that_was_sent(claim, monkeypatch):
+    target = support.RawTarget('t1')
+    async with support.running_fleet(3) as (cut_off, *peers):
+        for peer in peers:
+            await peer.set_targets(target)
+        await cut_off.lose_path_to(target)
+        assert (await cut_off.send('/once/1', 'POST', b'first'))[0] == 200
+        claims = FalseClaims(claim('', '', 0.1))
+        monkeypatch.setattr(cut_off.shared.client, 'open', claims.open)
+        status, _, _ = await cut_off.send('/once/1', 'POST', b'second')
+        assert (status, claims.sent) == (502, 1)
