--- a/review/4/case.py
+++ b/review/4/case.py
@@ -208,7 +208,7 @@
         )
     for number in range(1, DAEMONS + 1):
         seed = daemons[0].seed if daemons else None
-        daemons.append(bed.Daemon(number, folder, store, seed))
+        daemons.append(bed.Daemon(number, folder, store.address, seed))
     await asyncio.gather(*(daemon.start() for daemon in daemons))
     await asyncio.sleep(3)
 
--- a/review/lib-2/bed.py
+++ b/review/lib-2/bed.py
@@ -113,12 +113,18 @@
 
     def __init__(self):
         self.revision = 10
+        self.turned_away = set()
         self._items = {}
+        self._servers = []
 
     async def start(self):
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f'127.0.0.1:{port}'
+        self.address = await self.listen()
+
+    async def listen(self):
+        """Return another address; those in ``turned_away`` get a 503."""
+        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        self._servers.append(server)
+        return f'127.0.0.1:{server.sockets[0].getsockname()[1]}'
 
     def put(self, key, document):
         self.revision += 1
@@ -130,9 +136,15 @@
         self._items.pop(key, None)
 
     async def _serve(self, reader, writer):
+        ip, port = writer.get_extra_info('sockname')
         with contextlib.suppress(*LOST):
             while True:
                 first, _ = await read_head(reader)
+                if f'{ip}:{port}' in self.turned_away:
+                    writer.write(
+                        b'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n'
+                    )
+                    continue
                 query = urllib.parse.urlsplit(first.split()[1]).query
                 fields = dict(urllib.parse.parse_qsl(query, True))
                 writer.write(self._range(fields))
@@ -164,8 +176,9 @@
         ).encode() + body
 
 
-def configuration(paths, services, version=7):
+def configuration(paths, services, version=7, **others):
     return {
+        **others,
         'version': version,
         'services': [
             {'name': name, 'health_path': '/health', 'max_connections': 390}
@@ -181,11 +194,11 @@
     }
 
 
-def entry(service, address, slots):
+def entry(service, address, slots, zone='isando'):
     return {
         'service': service,
         'address': address,
-        'zone': 'isando',
+        'zone': zone,
         'version': 'v1',
         'slots': slots,
         'state': 'ready',
@@ -203,11 +216,20 @@
 class Daemon:
     """One daemon as a process, with a settings file as in DEPLOY.md."""
 
-    def __init__(self, number, folder, store, seed=None, memory_mb=300):
+    def __init__(
+        self,
+        number,
+        folder,
+        store_address,
+        seed=None,
+        zone='isando',
+        zones=('isando',),
+        bounds='',
+    ):
         # Each run and daemon has an address of its own; 127/8 is loopback.
         pid = os.getpid()
         self.ip = f'127.{50 + pid // 250 % 200}.{1 + pid % 250}.{number}'
-        self.name = f'edge-isando-{number}'
+        self.name = f'edge-{zone}-{number}'
         ports = _free_ports(self.ip, 5)
         self.front, self.ready, self.control, directory, relay = ports
         self.seed = f'{self.ip}:{self.control}'
@@ -217,18 +239,18 @@
         self._path.write_text(
             f'node_name={self.name}\nrole=entry\nmachine_class=edge\n'
             f'serves=edge,registry,control_plane\nip={self.ip}\n'
-            'zone=isando\nregion=gauteng\nzones.isando=gauteng\n'
+            f'zone={zone}\nregion=gauteng\n{_lines_of(zones)}'
             f'listen.front={self.ip}:{self.front}\n'
             f'listen.ready={self.ip}:{self.ready}\n'
             f'listen.control={self.ip}:{self.control}\n'
             f'listen.directory={self.ip}:{directory}\n'
             f'port_range={relay},{relay}\nseeds={seed or self.seed}\n'
             'bootstrap=true\nloss_counts=false\nlimits.cpu_share=0.86\n'
-            f'limits.cores=1\nlimits.memory_mb={memory_mb}\n'
+            'limits.cores=1\nlimits.memory_mb=300\n'
             'limits.max_fds=4100\nlimits.link_mbps=1000.0\n'
             'limits.disk_mb=0\ndiscovery=platform\nentry=registry\n'
-            f'heartbeat_s=1.5\nbounds={BOUNDS}\n'
-            f'provider.address={store.address}\nprovider.form=read\n'
+            f'heartbeat_s=1.5\nbounds={BOUNDS}{bounds}\n'
+            f'provider.address={store_address}\nprovider.form=read\n'
             'provider.reads_per_s=2000\nprovider.retention_s=20\n'
             'provider.value_bytes=1048576\n'
         )
@@ -280,6 +302,10 @@
             await self.process.wait()
 
 
+def _lines_of(zones):
+    return ''.join(f'zones.{zone}=gauteng\n' for zone in zones)
+
+
 def _free_ports(ip, count):
     servers = [socket.create_server((ip, 0)) for _ in range(count)]
     ports = [server.getsockname()[1] for server in servers]
@@ -291,7 +317,8 @@
 def main(case, within_s=115):
     """Run ``case(record, folder, daemons, trouble)`` and exit with its result.
 
-    The case adds each daemon that it starts to ``daemons``.
+    The case adds each daemon that it starts to ``daemons``. RECORD may name
+    another folder for the record, so that several runs can go on at once.
     """
     record = Record(os.environ.get('RECORD') or pathlib.Path(sys.argv[0]).resolve().parent)
     folder = tempfile.mkdtemp()
