--- a/review/4/case.py
+++ b/review/4/case.py
@@ -256,6 +256,9 @@
             if booking.daemon is daemon:
                 booking.term = term
         await daemon.process.wait()
+        record.write(
+            f'{daemon.name} ended {time.monotonic() - term:.2f} s after SIGTERM'
+        )
         await daemon.start()
         await asyncio.sleep(2)
         del leaving[daemon]
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,37 +1,51 @@
-"""A machine that the store turns away names the old holder of a key.
+"""Workers break some answers off and then send a second answer.
 
-Two keys are taken from their tenant; the other tenant gets one of them. One
-machine of three is turned away by the store from that moment on. Clients go on
-sending the keys on a public route and on one that needs a key.
+Half of the workers stop within the body of one answer in twenty, for five
+seconds, and send a late copy of their answer to another request on the same
+connection. What callers take for the whole answer is what this case looks at.
 """
 
 import asyncio
 import pathlib
+import random
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / 'lib-2'))
 
 import bed  # noqa: E402
 
-SERVICE = 'buscador'
-ZONES = ('sala-norte', 'sala-sur', 'sala-oeste')
-REVOKE_S = 5
-TURNED_AWAY_S = 8
-PAUSE_S = 0.1
-DEADLINE_MS = 2000
-KEPT, MOVED, TAKEN = 'key-kept', 'key-moved', 'key-taken'
-TENANT = 'x-sardinepier-tenant-name'
-BEFORE = {'faculty-a': [KEPT, MOVED, TAKEN], 'faculty-b': ['key-b']}
-AFTER = {'faculty-a': [KEPT], 'faculty-b': ['key-b', MOVED]}
-HOLDER_AFTER = {KEPT: 'faculty-a', MOVED: 'faculty-b', TAKEN: None}
+SERVICE = 'ledger'
+WORKERS = 6
+SLOTS = 4
+WORK_S = 0.16
+DAEMONS = 2
+CALLERS = 40
+PAUSE_S = 0.2
+DEADLINE_MS = 2500
+ENTRIES = 20
+GARBLE_SHARE = 0.5
+GARBLE_X = 0.05
+GARBLE_AT_S = 4
+GARBLE_FOR_S = 5
+LENGTH_S = 12
+LATE_S = 0.05
+
+
+def body_of(attempt):
+    """Return the whole body of the answer to a request, some 400 bytes."""
+    return f'entry of {attempt};'.encode() * ENTRIES
 
 
 class Worker:
-    """Runs each request at once, and keeps the tenant's name that came with it."""
+    """Answers after WORK_S; breaks some answers off while ``garbles``."""
 
-    def __init__(self, name):
+    def __init__(self, name, record):
         self.name = name
-        self.tenants = {}
+        self.garbles = False
+        self.broken = 0
+        self._record = record
+        self._source = random.Random()
+        self._earlier = b''
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
@@ -49,143 +63,132 @@
                         bed.refusal(attempt, '421 Misdirected Request')
                     )
                     continue
-                self.tenants[attempt] = headers.get(TENANT)
-                writer.write(bed.answer(attempt, b'found'))
-                await writer.drain()
+                self._record.write(f'{self.name} runs {attempt}')
+                await asyncio.sleep(WORK_S)
+                await self._answer(attempt, writer)
         except bed.LOST:
             pass
         finally:
             writer.close()
 
+    async def _answer(self, attempt, writer):
+        answer = bed.answer(attempt, body_of(attempt))
+        earlier, self._earlier = self._earlier, answer
+        if not self.garbles or self._source.random() >= GARBLE_X:
+            writer.write(answer)
+            await writer.drain()
+            return
+        self.broken += 1
+        missing = self._source.randrange(10, len(body_of(attempt)))
+        self._record.write(
+            f'{self.name} breaks the answer to {attempt} off, {missing} bytes '
+            'before its end, and sends a second answer'
+        )
+        writer.write(answer[:-missing])
+        await writer.drain()
+        await asyncio.sleep(LATE_S)
+        writer.write(earlier)
+        await writer.drain()
+
+
+async def call(record, daemon, number, until_s, counts):
+    """Post until ``until_s`` on a kept connection."""
+    source = random.Random()
+    connection = None
+    sent = 0
+    while record.now_s() < until_s:
+        await asyncio.sleep(source.uniform(0, 2 * PAUSE_S))
+        sent += 1
+        attempt = f'posting-{number}-{sent}'
+        try:
+            if connection is None:
+                connection = await daemon.connect()
+            reader, writer = connection
+            writer.write(
+                bed.request(
+                    'POST', '/post/x', attempt, DEADLINE_MS, b'debit' * 200
+                )
+            )
+            status, headers, body = await bed.read_answer(reader)
+        except bed.LOST:
+            record.write(f'{attempt} closed without an answer')
+            connection = None
+            continue
+        record.write(f'{attempt} answered {status}, {len(body)} bytes')
+        counts['answered'] += 1
+        if status < 300 and body != body_of(attempt):
+            counts['mixed'] += 1
+            proof = headers.get('x-sardinepier-response-signature')
+            record.say(
+                f'MIXED {attempt} answered {status} with {proof}; its body '
+                f'goes on with {body[_same(body, body_of(attempt)) :][:150]!r}'
+            )
+        if headers.get('connection') == 'close':
+            writer.close()
+            connection = None
+    if connection is not None:
+        connection[1].close()
 
-def configuration(version, tenants):
-    def path(name, **others):
-        return {
-            'name': name,
-            'prefix': f'/{name}/',
-            'route_type': 'idempotent',
-            'timeout_s': 2,
-            'target_latency_s': 1,
-            'priority': 2,
-            'service': SERVICE,
-            'max_attempts': 2,
-            **others,
-        }
-
-    return bed.configuration(
-        [path('catalogue', public=True), path('abstracts')],
-        [SERVICE],
-        version,
-        tenants=[
-            {'name': name, 'api_keys': keys} for name, keys in tenants.items()
-        ],
-    )
 
-
-async def ask(record, daemon, route, key, number):
-    """Send one request, and return its attempt id, sending time and status."""
-    attempt = f'{route}-{key}-{daemon.name}-{number}'
-    reader, writer = await daemon.connect()
-    sent_s = record.now_s()
-    writer.write(
-        bed.request(
-            'GET',
-            f'/{route}/thesis',
-            attempt,
-            DEADLINE_MS,
-            extra=f'Authorization: Token {key}\r\n',
-        )
-    )
-    status, _, _ = await bed.read_answer(reader)
-    writer.close()
-    return attempt, sent_s, status
+def _same(left, right):
+    """Return how many bytes two texts begin with in common."""
+    pairs = enumerate(zip(left, right))
+    return next((place for place, (a, b) in pairs if a != b), len(right))
 
 
 async def case(record, folder, daemons, trouble):
     store = bed.Store()
     await store.start()
-    workers = [Worker(f'i-{number}') for number in range(3)]
-    for worker, zone in zip(workers, ZONES, strict=True):
+    path = {
+        'name': 'journal-post',
+        'prefix': '/post/',
+        'route_type': 'non_idempotent',
+        'timeout_s': 1.2,
+        'target_latency_s': 0.6,
+        'priority': 1,
+        'service': SERVICE,
+        'max_attempts': 2,
+    }
+    store.put('op/config', bed.configuration([path], [SERVICE]))
+    workers = [Worker(f'i-{number}', record) for number in range(WORKERS)]
+    for worker in workers:
         await worker.start()
         store.put(
-            f'servers/{worker.name}',
-            bed.entry(SERVICE, worker.address, 3, zone),
+            f'servers/{worker.name}', bed.entry(SERVICE, worker.address, SLOTS)
         )
-    store.put('op/config', configuration(7, BEFORE))
-    addresses = [await store.listen() for _ in ZONES]
-    for number, zone in enumerate(ZONES):
+    for number in range(1, DAEMONS + 1):
         seed = daemons[0].seed if daemons else None
-        daemons.append(
-            bed.Daemon(
-                number + 1,
-                folder,
-                addresses[number],
-                seed,
-                zone,
-                ZONES,
-                f',revoke_strict=true,revoke_s={REVOKE_S}',
-            )
-        )
+        daemons.append(bed.Daemon(number, folder, store.address, seed))
     await asyncio.gather(*(daemon.start() for daemon in daemons))
-    await asyncio.sleep(4)
-
-    asked = []
-
-    async def ask_all(seconds):
-        until_s = record.now_s() + seconds
-        number = len(asked)
-        while record.now_s() < until_s:
-            for daemon in daemons:
-                for route in ('catalogue', 'abstracts'):
-                    for key in (KEPT, MOVED, TAKEN):
-                        number += 1
-                        answer = await ask(record, daemon, route, key, number)
-                        asked.append((daemon, route, key, *answer))
-            await asyncio.sleep(PAUSE_S)
-
-    await ask_all(2)
-    is_sound = all(status == 200 for *_, status in asked)
-    if trouble:
-        store.turned_away.add(addresses[-1])
-        record.write(f'the store turns {daemons[-1].name} away')
-    store.put('op/config', configuration(9, AFTER))
-    acknowledged_s = record.now_s()
-    record.write(f'acknowledged: {AFTER}')
-    await ask_all(TURNED_AWAY_S)
-    store.turned_away.clear()
-    record.write('the store serves all machines')
-    await ask_all(3)
-
-    named = {}
-    for worker in workers:
-        named.update(worker.tenants)
-    wrong = []
-    for daemon, route, key, attempt, sent_s, status in asked:
-        has_run = attempt in named
-        name = named.get(attempt)
-        record.write(
-            f'{attempt} sent at {sent_s:.3f}, answered {status}, '
-            f'{f"ran as {name}" if has_run else "not run"}'
-        )
-        is_late = sent_s > acknowledged_s + REVOKE_S
-        # A route that is public runs without a name, too.
-        is_wrong = has_run and name not in {HOLDER_AFTER[key], None}
-        if is_late and is_wrong:
-            wrong.append((daemon, route, key, name, sent_s - acknowledged_s))
-    kinds = {}
-    for daemon, route, key, name, after_s in wrong:
-        kinds.setdefault((daemon.name, route, key, name), []).append(after_s)
-    for (daemon, route, key, name), after_s in kinds.items():
-        record.say(
-            f'UNASKED {len(after_s)} requests on {route} by {daemon} ran as '
-            f'{name}, with {key} of {HOLDER_AFTER[key]}, sent '
-            f'{min(after_s):.1f} to {max(after_s):.1f} s after the '
-            'acknowledgement'
+    await asyncio.sleep(2)
+
+    counts = {'answered': 0, 'mixed': 0}
+    until_s = record.now_s() + LENGTH_S
+    tasks = [
+        asyncio.create_task(
+            call(record, daemons[number % DAEMONS], number, until_s, counts)
         )
-    record.say(f'{len(asked)} requests, {len(wrong)} under a wrong name')
-    if not is_sound:
+        for number in range(CALLERS)
+    ]
+    await asyncio.sleep(GARBLE_AT_S)
+    garbling = workers[: int(GARBLE_SHARE * WORKERS)] if trouble else []
+    for worker in garbling:
+        worker.garbles = True
+        record.write(f'{worker.name} begins to break answers off')
+    await asyncio.sleep(GARBLE_FOR_S)
+    for worker in garbling:
+        worker.garbles = False
+        record.write(f'{worker.name} breaks no more answers off')
+    await asyncio.gather(*tasks)
+
+    broken = sum(worker.broken for worker in workers)
+    record.say(
+        f'{counts["answered"]} answered, {broken} answers broken off, '
+        f'{counts["mixed"]} of them taken for whole'
+    )
+    if counts['answered'] < CALLERS:
         return bed.NOT_RUN
-    return bed.BROKEN if wrong else bed.HELD
+    return bed.BROKEN if counts['mixed'] else bed.HELD
 
 
 if __name__ == '__main__':
