--- a/review/lib-2/bed.py
+++ b/review/4/bed.py
@@ -314,15 +314,16 @@
     return ports
 
 
-def main(case, within_s=115):
+def main(case, *, trouble, within_s=115):
     """Run ``case(record, folder, daemons, trouble)`` and exit with its result.
 
+    Without ``trouble`` the case leaves the disruption out.
+
     The case adds each daemon that it starts to ``daemons``. RECORD may name
     another folder for the record, so that several runs can go on at once.
     """
     record = Record(os.environ.get('RECORD') or pathlib.Path(sys.argv[0]).resolve().parent)
     folder = tempfile.mkdtemp()
-    trouble = os.environ.get('TROUBLE', '1') != '0'
     daemons = []
 
     async def run():
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -5,15 +5,12 @@
 """
 
 import asyncio
-import pathlib
+import os
 import random
 import signal
-import sys
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / 'lib-2'))
-
-import bed  # noqa: E402
+import bed
 
 SERVICE = 'reserve'
 SLOTS = 3
@@ -293,4 +290,5 @@
 
 
 if __name__ == '__main__':
-    bed.main(case)
+    # TROUBLE=0 leaves the disruption out.
+    bed.main(case, trouble=os.environ.get('TROUBLE', '1') != '0')
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -6,13 +6,10 @@
 """
 
 import asyncio
-import pathlib
+import os
 import random
-import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / 'lib-2'))
-
-import bed  # noqa: E402
+import bed
 
 SERVICE = 'ledger'
 WORKERS = 6
@@ -192,4 +189,5 @@
 
 
 if __name__ == '__main__':
-    bed.main(case)
+    # TROUBLE=0 leaves the disruption out.
+    bed.main(case, trouble=os.environ.get('TROUBLE', '1') != '0')
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,3 +1,4 @@
 #!/usr/bin/env bash
 # See claim.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if not run.
-cd "$(dirname "$0")/../.." && exec python3 review/6/case.py
+# With TROUBLE=0 the disruption is left out.
+cd "$(dirname "$0")/../.." && TROUBLE="${TROUBLE:-1}" exec python3 review/6/case.py
