Quote no bytes of a target in an error answer

The 502 for an answer that is invalid HTTP contained the bytes at which the parser stopped. They may be of an answer to another caller: a target that breaks an answer off and goes on with another one showed the body of the second to the caller of the first. The caller is told what is invalid, without the bytes.

--- a/libraries/entry/src/sardinepier/entry/answer_stream.py
+++ b/libraries/entry/src/sardinepier/entry/answer_stream.py
@@ -60,6 +60,6 @@
         return await response.content.readany()
     except (client_exceptions.ClientError, OSError) as error:
         raise errors.TruncatedAnswerError(
-            f"The target's answer was truncated ({error!r})",
+            f"The target's answer was truncated ({type(error).__name__})",
             'Check whether the request ran before sending it again',
         ) from error
--- a/libraries/entry/tests/cover/test_entry_foreign_answers.py
+++ b/libraries/entry/tests/cover/test_entry_foreign_answers.py
@@ -130,3 +130,48 @@
         for _, headers, _ in target.received
     ]
     assert sent_ids == ['id-1', None, None, 'id-2']
+
+
+SECRET = 'entry of another caller'
+INVALID = [
+    # What a target sends in place of an answer, and behind an answer's head.
+    (b'', f'{SECRET}\r\n\r\n'.encode()),
+    (b'', f'HTTP/1.1 200 OK\r\n{SECRET}\r\n\r\n'.encode()),
+    (b'', f'HTTP/1.1 {SECRET}\r\n\r\n'.encode()),
+    (b'', f'HTTP/1.1 200 OK\r\nTold: {SECRET * 1000}\r\n\r\n'.encode()),
+    (b'Content-Length: 3\r\n\r\n', f'end{SECRET}\r\n'.encode()),
+    (b'Transfer-Encoding: chunked\r\n\r\n', f'{SECRET}\r\n'.encode()),
+    (b'Transfer-Encoding: chunked\r\n\r\n', f'3\r\nend{SECRET}\r\n'.encode()),
+]
+
+
+class InvalidTarget(support.RawTarget):
+    """A target that sends ``more``, behind a head if there are ``fields``."""
+
+    def __init__(self, name, fields, more, pause_s):
+        super().__init__(name)
+        self.fields = fields
+        self.more = more
+        self.pause_s = pause_s
+
+    async def _answer(self, behaviour, headers, reader, writer):
+        if self.fields:
+            echo = headers[support.NAMES.attempt_id]
+            head = support.answer(echo, body=b'', framed=False)[:-2]
+            writer.write(head + self.fields)
+            await asyncio.sleep(self.pause_s)
+        writer.write(self.more)
+        await writer.drain()
+        return True
+
+
+# Guards against error answers that quote the answer to another caller.
+@pytest.mark.parametrize('pause_s', [0.0, 0.05])
+@pytest.mark.parametrize(('fields', 'more'), INVALID)
+async def test_an_error_quotes_no_bytes_of_a_target(
+    entry, fields, more, pause_s
+):
+    await entry.set_targets(InvalidTarget('bad', fields, more, pause_s))
+    _, _, body = await entry.send(ONCE, 'POST', b'payload')
+    assert SECRET.encode() not in body
+    assert SECRET[1:].encode() not in body
--- a/libraries/gateway/src/sardinepier/gateway/outgoing.py
+++ b/libraries/gateway/src/sardinepier/gateway/outgoing.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import errno
+import re
 from collections.abc import Callable
 from typing import Any, Final, cast
 
@@ -35,6 +36,7 @@
 
 _NO_DEFAULTS: Final = multidict.CIMultiDict[None]({hdrs.CONTENT_TYPE: None})
 _MAX_INLINE_BYTES: Final = 65536
+_QUOTED_BYTES: Final = re.compile('[:\'"\n]')
 _NO_DESCRIPTOR: Final = frozenset((errno.EMFILE, errno.ENFILE))
 _RETRY_AFTER_S: Final = 1.0
 
@@ -179,7 +181,7 @@
             return await self._run(pool, timeout)
         except client_exceptions.ClientResponseError as error:
             raise errors.BadAnswerError(
-                f'The target answered with invalid HTTP: {error.message}',
+                f'The target answered with invalid HTTP: {_reason(error)}',
                 'Check whether the request ran before sending it again',
             ) from error
         except (client_exceptions.ClientError, OSError) as error:
@@ -229,6 +231,14 @@
     )
 
 
+def _reason(error: client_exceptions.ClientResponseError) -> str:
+    """Return what is invalid, without the quoted bytes.
+
+    These may be of an answer to another caller.
+    """
+    return _QUOTED_BYTES.split(error.message, maxsplit=1)[0].strip()
+
+
 def _stale_error(*, is_reused: bool) -> errors.ProvedNotRunError:
     if is_reused:
         return errors.StaleConnectionError(
