Reject an answer that was filled up with the target's next bytes

A target stopped within the body of an answer, kept the connection and sent another answer 50 ms later.

The body ended with its stated length, and the bytes behind it, which the parser rejects, closed the connection only. What ends where no answer begins has not the body that its length promises, so the connection marks a body as broken if invalid bytes come with its end, or within it: the latter was noticed at the deadline only. The last bytes of a broken body are not handed on, as a caller takes a stream of the stated length for complete.

What can't be told: a gap of a few bytes that is filled to the byte.

--- a/libraries/entry/src/sardinepier/entry/answers.py
+++ b/libraries/entry/src/sardinepier/entry/answers.py
@@ -3,8 +3,6 @@
 import dataclasses
 from typing import Final
 
-from aiohttp import client_reqrep
-
 from sardinepier.entry import (
     answer_stream,
     header_names,
@@ -102,7 +100,8 @@
     deadline_s: float,
 ) -> Answer:
     response = own.response
-    body, is_whole = await _read_beginning(response, held)
+    answer_body = answer_stream.AnswerBody(response, names.attempt_id)
+    body, is_whole = await _read_beginning(answer_body, held)
     _raise_if_not_run(own, names)
     if response.status in refusals.NOT_RUN_STATUSES:
         raise errors.BadAnswerError(
@@ -126,17 +125,19 @@
         response.reason,
         headers.for_caller(response.headers),
         body,
-        None if is_whole else answer_stream.AnswerStream(response, deadline_s),
+        None
+        if is_whole
+        else answer_stream.AnswerStream(answer_body, deadline_s),
     )
 
 
 async def _read_beginning(
-    response: client_reqrep.ClientResponse,
+    answer_body: answer_stream.AnswerBody,
     held: buffer_budget.HeldBytes,
 ) -> tuple[bytes, bool]:
     """Return the first bytes, and whether they are the whole body."""
     parts = []
-    while chunk := await answer_stream.read_chunk(response):
+    while chunk := await answer_body.read():
         parts.append(chunk)
         if not held.grow(len(chunk)):
             return b''.join(parts), False
--- a/libraries/gateway/src/sardinepier/gateway/answer_reader.py
+++ b/libraries/gateway/src/sardinepier/gateway/answer_reader.py
@@ -5,6 +5,7 @@
 from aiohttp import client_exceptions, client_reqrep
 
 from sardinepier.gateway import (
+    answer_chunks,
     buffer_budget,
     caller_request,
     errors,
@@ -86,7 +87,7 @@
         held.grow(len(answer.body))
         return answer
     parts: list[bytes] = []
-    async for chunk in content.iter_any():
+    async for chunk in answer_chunks.iterate(response):
         parts.append(chunk)
         if not held.grow(len(chunk)):
             answer.remainder = target_answer.BodyStream(response, on_end)
--- a/libraries/gateway/src/sardinepier/gateway/connections.py
+++ b/libraries/gateway/src/sardinepier/gateway/connections.py
@@ -25,6 +25,7 @@
     client_reqrep,
     connector,
     http_exceptions,
+    streams,
     tracing,
 )
 
@@ -172,7 +173,11 @@
         if self.is_idle and data:
             self.abort()
             return
+        payload = self._payload
+        was_whole = payload is None or payload.is_eof()
         super().data_received(data)
+        if not was_whole and self.exception() is not None:
+            _mark_broken(payload)
         if self._endless.exceed(len(data), self._payload):
             self._end_as_endless()
 
@@ -299,6 +304,20 @@
     return await loop.create_connection(new_protocol, sock=connecting)
 
 
+def _mark_broken(payload: streams.StreamReader | None) -> None:
+    """Fail a body that came with bytes that are invalid HTTP.
+
+    This also holds if the body has its length: one that the target broke off is
+    filled up with what comes next, and ends where no answer begins.
+    """
+    if payload is not None and payload.exception() is None:
+        payload.set_exception(
+            client_exceptions.ClientPayloadError(
+                'Invalid HTTP within the body or at its end',
+            ),
+        )
+
+
 def _require_connected(connecting: socket.socket) -> None:
     """Raise ``TimeoutError`` unless the connection was made, or its error."""
     error = connecting.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
--- a/libraries/gateway/src/sardinepier/gateway/target_answer.py
+++ b/libraries/gateway/src/sardinepier/gateway/target_answer.py
@@ -5,7 +5,7 @@
 
 from aiohttp import client_exceptions, client_reqrep
 
-from sardinepier.gateway import errors, headers
+from sardinepier.gateway import answer_chunks, errors, headers
 
 OnEnd = Callable[[BaseException | None], None]
 
@@ -47,7 +47,7 @@
         Raises ``TruncatedAnswerError`` if it is cut off.
         """
         try:
-            async for chunk in self._response.content.iter_any():
+            async for chunk in answer_chunks.iterate(self._response):
                 yield chunk
         except (client_exceptions.ClientError, OSError) as error:
             cut_error = truncated(error)
--- a/libraries/gateway/tests/conftest.py
+++ b/libraries/gateway/tests/conftest.py
@@ -180,6 +180,19 @@
         [CHUNKED, b'%x\r\n%s\r\n' % (len(content), content)],
         False,
     ),
+    # The next answer on the connection fills up a body that was broken off.
+    'filled up': lambda content: (
+        [_whole(content)[:-9], _whole(b'for another')],
+        True,
+    ),
+    'chunked and filled up': lambda content: (
+        [
+            CHUNKED,
+            (b'%x\r\n%s' % (len(content), content))[:-9],
+            _whole(b'for another'),
+        ],
+        True,
+    ),
     'not framed': lambda content: (
         [b'HTTP/1.1 200 OK\r\n\r\n', content],
         False,
--- a/libraries/gateway/tests/cover/test_gateway_faults.py
+++ b/libraries/gateway/tests/cover/test_gateway_faults.py
@@ -4,6 +4,7 @@
 import json
 
 import pytest
+from aiohttp import client_exceptions
 
 POSTING = '/books/postings'
 ALWAYS_BROKEN = [
@@ -17,6 +18,8 @@
     ('drop after running', 502, 'unknown', 'connection-lost', 1),
     ('truncated', 502, 'unknown', 'bad-answer', 1),
     ('chunked and cut', 502, 'unknown', 'bad-answer', 1),
+    ('filled up', 502, 'unknown', 'bad-answer', 1),
+    ('chunked and filled up', 502, 'unknown', 'bad-answer', 1),
     ('not framed', 502, 'unknown', 'bad-answer', 1),
     ('not HTTP', 502, 'unknown', 'bad-answer', 1),
     ('header not UTF-8', 502, 'unknown', 'bad-answer', 1),
@@ -94,6 +97,7 @@
         ('drop after running', True),
         ('truncated', True),
         ('chunked and cut', True),
+        ('filled up', True),
         ('not HTTP', True),
         ('hang', False),
     ],
@@ -233,3 +237,12 @@
         check(again, content, 502, 'unknown', 'recorded-unknown')
     posted = [seen for seen in target.seen if seen.line.startswith('POST')]
     assert len(posted) == 1
+
+
+async def test_a_long_answer_that_was_filled_up_does_not_look_complete(harness):
+    # Guards against a stream whose end is the beginning of another answer.
+    target = await harness.add_target('filled up')
+    target.content = b'whole answer' * 2000
+    await harness.add_gateway()
+    with pytest.raises(client_exceptions.ClientError):
+        await harness.send('GET', '/books/books/1')
--- a/libraries/workbench/src/sardinepier/workbench/policy/client.py
+++ b/libraries/workbench/src/sardinepier/workbench/policy/client.py
@@ -39,6 +39,9 @@
         self.remaining = b''
         return piece
 
+    def exception(self) -> BaseException | None:
+        """Return None: no body is broken."""
+
 
 @dataclasses.dataclass(slots=True)
 class Response:
