Don't take a refused connection for the end of a target's requests

The daemon ended what it had sent to an address that refused a connection, unless lists showed the target as leaving. But a target takes no connections while its queue is long, and goes on with what it has. TCP decides for each connection now: the peer closes it, or resets or leaves unanswered the keep-alive probes.

Price: up to 2 s later where a process is gone behind a path that drops its segments.

--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -285,15 +285,6 @@
             self._record.mark_unreachable(self._shared.clock.monotonic_s())
             return
         self._open_exchange.record_error(error)
-        if isinstance(error, errors.ConnectRefusedError):
-            target_id = self._record.listed.target_id
-            self._shared.exchanges.record_refused(
-                self._open_exchange,
-                lambda: (
-                    self._pool.targets.find(target_id) is self._record
-                    and not self._is_cut_off()
-                ),
-            )
         self._pool.failed(self._record, self._elapsed_s())
 
     def _record_cancellation(self) -> None:
--- a/libraries/entry/src/sardinepier/entry/open_exchanges.py
+++ b/libraries/entry/src/sardinepier/entry/open_exchanges.py
@@ -1,15 +1,16 @@
 """The open exchanges of one daemon, which end when their target is gone.
 
 A target that disappears may leave its connections open: its machine restarted,
-or the path drops the segments that would close them. What another attempt at
-the same address observes then shows that the process is gone. That a target
-vanished from the list, or is silent, shows nothing.
+or the path drops the segments that would close them. TCP finds that out on each
+connection for itself, and the answer of another process at the same address
+shows it for all. That a target vanished from the list, is silent, or refuses
+another connection shows nothing about the requests that it has: it may be
+leaving, or take no connections while its queue is long.
 """
 
 import asyncio
 import collections
 import enum
-import math
 from collections.abc import Callable, Iterable
 from typing import Final
 
@@ -21,10 +22,6 @@
 at its address refuses those that it got itself within this time, so that they
 are known not to have run."""
 
-_LEAVING_UNKNOWN_S: Final = 2.0
-"""How long a target may leave before lists show it. It may have closed its
-listening socket first, and then completes the requests that it has."""
-
 _READING_S: Final = 0.05
 """How long bytes that have arrived may take to be read."""
 
@@ -39,9 +36,6 @@
     UNREACHABLE = 'unreachable'
     """The machine did not answer TCP any more."""
 
-    REFUSED = 'refused'
-    """The address refused another connection."""
-
     REPLACED = 'replaced'
     """Another process answered at the address."""
 
@@ -55,7 +49,6 @@
         self.began_s = asyncio.get_running_loop().time()
         self.cause: EndCause | None = None
         self.connection = attempt_trace.ConnectionUse.NONE
-        self._sent_s = math.inf
         self._end_as_gone: connections.EndAsGone | None = None
 
     def mark_sent(
@@ -63,7 +56,6 @@
     ) -> None:
         """Record that the first byte is sent; ``end_as_gone`` ends it."""
         self.connection = attempt_trace.connection_use(is_reused=is_reused)
-        self._sent_s = asyncio.get_running_loop().time()
         self._end_as_gone = end_as_gone
 
     def trace(
@@ -86,9 +78,10 @@
         if is_gone and self.cause is None:
             self.cause = EndCause.UNREACHABLE
 
-    def is_sent_before(self, time_s: float) -> bool:
-        """Return whether the first byte was sent before ``time_s``."""
-        return self._sent_s < time_s
+    @property
+    def is_sent(self) -> bool:
+        """Return whether the first byte was sent and the exchange is open."""
+        return self._end_as_gone is not None
 
     def mark_closed(self) -> None:
         """Record that the exchange is over, so that nothing ends it later."""
@@ -113,7 +106,7 @@
 
         exchange = exchanges.begin(record)
         ...
-        exchanges.record_refused(exchange, is_in_use)  # ends those sent earlier
+        exchanges.record_other_target(record)  # ends those sent to the target
         exchanges.close(exchange)
     """
 
@@ -137,25 +130,6 @@
         if not self._by_address[address]:
             del self._by_address[address]
 
-    def record_refused(
-        self, refused: OpenExchange, is_in_use: Callable[[], bool]
-    ) -> None:
-        """End what was sent before the attempt that was refused began.
-
-        It ends once a list would show that the target leaves, unless
-        ``is_in_use`` returns then that it does.
-        """
-        asyncio.get_running_loop().call_later(
-            _LEAVING_UNKNOWN_S,
-            _end_if,
-            is_in_use,
-            self._sent(
-                refused.record,
-                lambda exchange: exchange.is_sent_before(refused.began_s),
-            ),
-            EndCause.REFUSED,
-        )
-
     def record_other_target(self, record: target_record.TargetRecord) -> None:
         """End the exchanges with a target whose address answered 421."""
         asyncio.get_running_loop().call_later(
@@ -194,7 +168,7 @@
         return [
             exchange
             for exchange in exchanges
-            if exchange.is_sent_before(math.inf) and matches(exchange)
+            if exchange.is_sent and matches(exchange)
         ]
 
 
@@ -214,15 +188,6 @@
     )
 
 
-def _end_if(
-    is_in_use: Callable[[], bool],
-    exchanges: Iterable[OpenExchange],
-    cause: EndCause,
-) -> None:
-    if is_in_use():
-        _end_all(exchanges, cause)
-
-
 def _end_all(exchanges: Iterable[OpenExchange], cause: EndCause) -> None:
     for exchange in exchanges:
         exchange.end(cause)
--- a/libraries/entry/tests/entry_support.py
+++ b/libraries/entry/tests/entry_support.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import random
 import socket
 import struct
@@ -177,6 +178,21 @@
     writer.transport.abort()
 
 
+_SO_ATTACH_FILTER = 26
+_DROP_ALL = struct.pack('HBBI', 6, 0, 0, 0)
+"""A classic BPF program that accepts no byte of any segment."""
+
+
+def drop_segments(writer):
+    """Drop all segments to a connection, as if its machine were gone."""
+    program = ctypes.create_string_buffer(_DROP_ALL)
+    writer.get_extra_info('socket').setsockopt(
+        socket.SOL_SOCKET,
+        _SO_ATTACH_FILTER,
+        struct.pack('HL', 1, ctypes.addressof(program)),
+    )
+
+
 def answer(echo, status='200 OK', body=BODY, **options):
     lines = [f'HTTP/1.1 {status}']
     if options.get('identified', True):
--- a/libraries/gateway/src/sardinepier/gateway/errors.py
+++ b/libraries/gateway/src/sardinepier/gateway/errors.py
@@ -38,7 +38,10 @@
 
 
 class ConnectRefusedError(ConnectFailedError):
-    """Nothing listens at the target's address: its process has ended."""
+    """Nothing listens at the target's address.
+
+    Its process has ended, or takes no further connections.
+    """
 
 
 class TargetLeftError(ProvedNotRunError):
