Test that a status of 000 or 600 is no answer on the project's own path

Operators of another system saw an answer with the status 000 passed on. Here it is none: the entry path had tests (entry_odd_statuses), the own path had not. The new cases passed on the code as found.

--- a/libraries/gateway/tests/conftest.py
+++ b/libraries/gateway/tests/conftest.py
@@ -180,6 +180,8 @@
         [CHUNKED, b'%x\r\n%s\r\n' % (len(content), content)],
         False,
     ),
+    'status 000': lambda content: ([_whole(content, '000')], True),
+    'status 600': lambda content: ([_whole(content, 600)], True),
     # The next answer on the connection fills up a body that was broken off.
     'filled up': lambda content: (
         [_whole(content)[:-9], _whole(b'for another')],
