Refuse or answer on the own path what an exit would cut off

Requests that came on open connections late in the grace time of sardinepierd were passed on, and lost their connection without an answer at its end; reported by operators of another system. The own path does both now: exiting (503, not-run) and cut-off-by-exit (502, unknown).

--- a/libraries/daemon/src/sardinepier/daemon/internal/graceful_shutdown.py
+++ b/libraries/daemon/src/sardinepier/daemon/internal/graceful_shutdown.py
@@ -24,7 +24,8 @@
     The daemon first announces its exit to its peers, so that no new answer to
     an address request names it. It keeps accepting connections until the
     addresses returned before have expired, then stops listening and finishes
-    the requests in flight.
+    the requests in flight. After that, or half of the grace time, it refuses
+    requests that could outlast it.
     """
 
     server: server.CallerServer
@@ -40,7 +41,10 @@
         Takes ``shutdown_grace_s`` at most. Requests that are unfinished by
         then are cut off, and their number is recorded in the timeline.
         """
-        deadline_s = self.clock.monotonic_s() + fleet.shutdown_grace_s
+        now_s = self.clock.monotonic_s()
+        grace_s = fleet.shutdown_grace_s
+        drain_s = min(fleet.addresses_valid_s + _ANNOUNCEMENT_S, grace_s)
+        deadline_s = now_s + grace_s
         self.set_state(status_document.DaemonState.DRAINING)
         self.record(
             daemon_events.DaemonDraining(
@@ -50,9 +54,10 @@
             ),
         )
         self.membership.announce_leaving()
-        self.server.begin_draining()
-        drain_s = fleet.addresses_valid_s + _ANNOUNCEMENT_S
-        await asyncio.sleep(min(drain_s, fleet.shutdown_grace_s))
+        self.server.begin_draining(
+            now_s + min(drain_s, grace_s / 2), deadline_s
+        )
+        await asyncio.sleep(drain_s)
         in_flight = self.activity.in_flight
         left_s = max(0.0, deadline_s - self.clock.monotonic_s())
         unfinished = await self.server.close(left_s)
--- a/libraries/gateway/src/sardinepier/gateway/active_requests.py
+++ b/libraries/gateway/src/sardinepier/gateway/active_requests.py
@@ -12,7 +12,8 @@
     """Counts requests in flight, and all requests that were started.
 
     ``forwarded_bytes`` counts the bytes of requests and answers; the code that
-    forwards them adds each once.
+    forwards them adds each once. ``cut_off_requests`` counts those that were in
+    flight when they were cut off.
 
     Used as a context manager around each request. For example::
 
@@ -26,6 +27,7 @@
         self.in_flight = 0
         self.requests_started = 0
         self.forwarded_bytes = 0
+        self.cut_off_requests = 0
         self.is_draining = False
         self._accept_until_s = math.inf
         self._exit_s = math.inf
@@ -86,6 +88,7 @@
     def cut_off(self) -> None:
         """Cut off the requests in flight, which are answered then."""
         self._is_cut_off = True
+        self.cut_off_requests = len(self._cut_off_timers)
         now_s = asyncio.get_running_loop().time()
         for timer in self._cut_off_timers:
             timer.reschedule(now_s)
--- a/libraries/gateway/src/sardinepier/gateway/pipeline.py
+++ b/libraries/gateway/src/sardinepier/gateway/pipeline.py
@@ -31,6 +31,8 @@
     once_errors.FutureTicketError,
 )
 _UNKNOWN_SERVICE: Final = '-'
+_EXITING_RETRY_AFTER_S: Final = 0.001
+"""Another daemon accepts the request at once."""
 
 
 class Pipeline:
@@ -75,9 +77,36 @@
         request: caller_request.CallerRequest,
     ) -> web_response.StreamResponse:
         with request:
-            if not request.route.idempotent:
-                return await self._keyed.handle(http_request, request)
-            return await self._forward(http_request, request)
+            self._require_time_before_exit(request)
+            try:
+                async with self._context.activity.until_cut_off():
+                    return await self._answer_by_kind(http_request, request)
+            except TimeoutError as error:
+                raise refused.CutOffByExitError(
+                    'The daemon exits while it has the request',
+                    'Check whether the request ran before sending it again',
+                ) from error
+
+    def _require_time_before_exit(
+        self, request: caller_request.CallerRequest
+    ) -> None:
+        """Raise ``ExitingError`` if the exit could cut off the request."""
+        now_s = self._context.clock.monotonic_s()
+        if not self._context.activity.accepts(now_s, request.deadline_s):
+            raise refused.ExitingError(
+                'The daemon may exit before the request would end',
+                'Send the request to another address',
+                _EXITING_RETRY_AFTER_S,
+            )
+
+    async def _answer_by_kind(
+        self,
+        http_request: web_request.BaseRequest,
+        request: caller_request.CallerRequest,
+    ) -> web_response.StreamResponse:
+        if not request.route.idempotent:
+            return await self._keyed.handle(http_request, request)
+        return await self._forward(http_request, request)
 
     async def _forward(
         self,
--- a/libraries/gateway/src/sardinepier/gateway/problem_table.py
+++ b/libraries/gateway/src/sardinepier/gateway/problem_table.py
@@ -133,6 +133,12 @@
         'overloaded',
         'The daemon has too much in hand',
     ),
+    refusals.ExitingError: _Kind(
+        _Status.SERVICE_UNAVAILABLE,
+        _NOT_RUN,
+        'exiting',
+        'The daemon is about to exit',
+    ),
     refusals.ReleasedError: _Kind(
         _Status.SERVICE_UNAVAILABLE,
         _NOT_RUN,
@@ -244,6 +250,12 @@
         'answer-overdue',
         'The target did not answer in time',
     ),
+    refusals.CutOffByExitError: _Kind(
+        _Status.BAD_GATEWAY,
+        _UNKNOWN,
+        'cut-off-by-exit',
+        'The daemon exits while it has the request',
+    ),
     errors.UnansweredError: _Kind(
         _Status.BAD_GATEWAY,
         _UNKNOWN,
--- a/libraries/gateway/src/sardinepier/gateway/refusals.py
+++ b/libraries/gateway/src/sardinepier/gateway/refusals.py
@@ -55,5 +55,13 @@
     """This send waited for an earlier one of its key, which did not run."""
 
 
+class ExitingError(errors.ProvedNotRunError):
+    """The daemon may exit before the request would end."""
+
+
+class CutOffByExitError(errors.UnknownFateError):
+    """The daemon exits while it has the request."""
+
+
 class OverloadedError(errors.ProvedNotRunError):
     """The daemon has as many requests in flight as its limits allow."""
--- a/libraries/gateway/src/sardinepier/gateway/server.py
+++ b/libraries/gateway/src/sardinepier/gateway/server.py
@@ -1,6 +1,7 @@
 """The HTTP server for callers."""
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from typing import Final
 
@@ -56,13 +57,16 @@
         """Listen, and return the port; the system chooses one for 0."""
         return await self._connections.start(ip, port)
 
-    def begin_draining(self) -> None:
-        """Direct callers to other daemons; all requests are still served.
+    def begin_draining(
+        self, accept_until_s: float = math.inf, exit_s: float = math.inf
+    ) -> None:
+        """Direct callers to other daemons.
 
         The address lists omit this daemon, and every answer closes its
-        connection.
+        connection. All requests are served until ``accept_until_s``, after that
+        those that end before ``exit_s``; both are times of the daemon's clock.
         """
-        self._context.activity.begin_draining()
+        self._context.activity.begin_draining(accept_until_s, exit_s)
 
     def stop_listening(self) -> None:
         """Accept no new connections; open ones are still served."""
@@ -71,21 +75,23 @@
     async def close(self, finish_s: float) -> int:
         """Close each connection as soon as its answers are sent.
 
-        Returns how many requests were unfinished after ``finish_s`` seconds
-        and were cut off.
+        Returns how many requests were unfinished after ``finish_s`` seconds.
+        Shortly before, their callers are told so.
         """
         self.stop_listening()
         activity = self._context.activity
         unfinished = 0
         async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self._connections.drain(finish_s))
+            tasks.create_task(
+                self._connections.drain(finish_s, activity.cut_off)
+            )
             # Keyed requests continue without their callers.
             try:
                 async with asyncio.timeout(finish_s):
                     await activity.wait_until_idle()
             except TimeoutError:
                 unfinished = activity.in_flight
-        return unfinished
+        return max(unfinished, activity.cut_off_requests)
 
     async def _dispatch(
         self,
--- a/libraries/gateway/tests/cover/test_gateway_targets.py
+++ b/libraries/gateway/tests/cover/test_gateway_targets.py
@@ -298,6 +298,53 @@
     writer.close()
 
 
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+async def test_an_exit_cuts_no_request_that_comes_late(harness, method):
+    # Guards against requests that are taken shortly before the end of the
+    # grace time, passed on, and cut off without an answer.
+    target = await harness.add_target('hang')
+    gateway = await harness.add_gateway()
+    path = '/books/books/1' if method == 'GET' else '/books/postings'
+    headers = {'Idempotency-Key': f'{await harness.ticket()}.1'}
+    now_s = gateway.clock.monotonic_s()
+    gateway.server.begin_draining(now_s, now_s + 5)
+    late, content = await harness.send(method, path, headers=headers)
+    assert (late.status, outcome_of(late)) == (503, 'not-run')
+    assert json.loads(content)['type'].endswith('exiting')
+    assert late.headers['Connection'] == 'close'
+    assert not target.seen
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+async def test_a_request_that_an_exit_cuts_off_is_answered(harness, method):
+    # Guards against connections that end without an answer at the end of the
+    # grace time, though a target has their request.
+    target = await harness.add_target('hang')
+    gateway = await harness.add_gateway()
+    path = '/books/books/1' if method == 'GET' else '/books/postings'
+    headers = {'Idempotency-Key': f'{await harness.ticket()}.1'}
+    sent = asyncio.ensure_future(harness.send(method, path, headers=headers))
+    await until(lambda: target.seen)
+    gateway.server.begin_draining()
+    unfinished = await gateway.server.close(0.5)
+    cut_off, content = await sent
+    assert (cut_off.status, outcome_of(cut_off)) == (502, 'unknown')
+    assert json.loads(content)['type'].endswith('cut-off-by-exit')
+    assert unfinished == 1
+
+
+async def test_a_request_that_ends_before_the_exit_is_served(harness):
+    target = await harness.add_target()
+    gateway = await harness.add_gateway()
+    now_s = gateway.clock.monotonic_s()
+    gateway.server.begin_draining(now_s, now_s + 5)
+    headers = {'Sardinepier-Deadline-Ms': '3000'}
+    answer, content = await harness.send(
+        'GET', '/books/books/1', headers=headers
+    )
+    assert (answer.status, content) == (200, target.content)
+
+
 async def _check_draining_addresses(harness):
     answer, content = await harness.send('GET', '/v1/addresses?service=books')
     ports = [address['port'] for address in json.loads(content)['addresses']]
