--- a/libraries/gateway/src/sardinepier/gateway/refusals.py
+++ b/libraries/gateway/src/sardinepier/gateway/refusals.py
@@ -1,4 +1,4 @@
-"""Errors that refuse a request before any attempt at a target."""
+"""Errors with which a daemon refuses a request, or gives it up at its exit."""
 
 from sardinepier.gateway import errors
 
