Refuse what waits for a slot once the exit would cut it off

Whether the exit leaves enough time was asked when a request arrived, and not again after its wait.

It is asked before the first byte now, and while a request waits: it is refused as not run once fewer than 19 in 20 of the service's answers would come in time.

--- a/libraries/entry/src/sardinepier/entry/forwarding.py
+++ b/libraries/entry/src/sardinepier/entry/forwarding.py
@@ -26,7 +26,7 @@
 )
 from sardinepier.entry import caller_request as caller_requests
 from sardinepier.entry import attempt_requirements, relay_messages, relaying
-from sardinepier.entry import retry_waits
+from sardinepier.entry import exit_check, retry_waits
 from sardinepier.gateway import errors, unsent
 from sardinepier.routing import admission, retry_queue
 
@@ -253,13 +253,25 @@
                     request,
                     pool,
                     history,
-                    functools.partial(require, request.service),
+                    functools.partial(
+                        self._require_to_wait, request, pool, require
+                    ),
                 ),
             )
         except BaseException:
             self._shared.quarantine.released(request.fingerprint)
             raise
 
+    def _require_to_wait(
+        self,
+        request: caller_requests.CallerRequest,
+        pool: service_pool.ServicePool,
+        require: Callable[[ids.ServiceName], None],
+    ) -> None:
+        """Raise as soon as the request is not to wait here any more."""
+        require(request.service)
+        exit_check.require_time_to_run(self._shared, request, pool)
+
     async def _run(
         self,
         first: racing.Run,
--- a/libraries/entry/src/sardinepier/entry/pipeline.py
+++ b/libraries/entry/src/sardinepier/entry/pipeline.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import functools
-from typing import Final
 
 from aiohttp import web_request, web_response
 
@@ -17,12 +16,10 @@
     request_reader,
     responses,
 )
-from sardinepier.entry import caller_request, customer_admission, relaying
+from sardinepier.entry import caller_request, customer_admission
+from sardinepier.entry import exit_check, relaying
 from sardinepier.telemetry import logs
 
-_EXITING_RETRY_AFTER_S: Final = 0.001
-"""Another daemon accepts the request at once."""
-
 
 class Pipeline:
     """Answers the requests of callers."""
@@ -116,7 +113,7 @@
         """Raise ``ExitingError`` if the exit could cut off the request."""
         now_s = self._shared.clock.monotonic_s()
         if not self._shared.activity.accepts(now_s, request.deadline_s):
-            raise _exiting_error()
+            raise exit_check.error()
 
     async def _before_exit(
         self, request: caller_request.CallerRequest
@@ -131,7 +128,7 @@
                 return await self._within_limit(request)
         except TimeoutError as error:
             if not request.was_sent:
-                raise _exiting_error() from error
+                raise exit_check.error() from error
             raise refusals.CutOffByExitError(
                 'The daemon exits while a target has the request',
                 'Check whether the request ran before sending it again',
@@ -201,11 +198,3 @@
             task.result().close()
         else:
             logs.event('abandoned-failed', str(task.exception()))
-
-
-def _exiting_error() -> refusals.ExitingError:
-    return refusals.ExitingError(
-        'The daemon may exit before the request would end',
-        'Send the request to another address',
-        _EXITING_RETRY_AFTER_S,
-    )
--- a/libraries/entry/src/sardinepier/entry/relaying.py
+++ b/libraries/entry/src/sardinepier/entry/relaying.py
@@ -20,6 +20,7 @@
     attempt_trace,
     caller_request,
     context,
+    exit_check,
     relay_messages,
     retries,
 )
@@ -310,6 +311,11 @@
         """Raise if the request must not be sent any more."""
         self._request.require_time_left(self._shared.clock)
         self._request.require_caller()
+        exit_check.require_time_to_run(
+            self._shared,
+            self._request,
+            self._shared.services.pool(self._request.service),
+        )
         self.was_given = True
         self._request.mark_sent()
 
--- a/libraries/entry/tests/cover/test_entry_draining.py
+++ b/libraries/entry/tests/cover/test_entry_draining.py
@@ -182,3 +182,72 @@
     await loop.sock_sendall(caller, support.request())
     assert (await read_all(caller)).endswith(BODY)
     assert entry.run_count == 1
+
+
+class WorkingTarget(support.RawTarget):
+    """A target that takes ``WORK_S`` for a request, and records each start."""
+
+    def __init__(self, name):
+        super().__init__(name)
+        self.started_s = []
+
+    async def _answer(self, behaviour, headers, reader, writer):
+        self.started_s.append(asyncio.get_running_loop().time())
+        await asyncio.sleep(WORK_S)
+        return await super()._answer(behaviour, headers, reader, writer)
+
+
+WORK_S = 0.6
+
+
+@pytest.mark.parametrize('accept_for_s', [0.3, 1.2])
+async def test_no_request_is_sent_that_the_exit_is_likely_to_cut_off(
+    entry, accept_for_s
+):
+    # Guards against requests that wait for a slot, are passed on shortly before
+    # the exit, and are cut off by it.
+    target = WorkingTarget('t1')
+    await entry.set_targets(target)
+    for _ in range(2):
+        await entry.send('/once/1', 'POST')
+    activity = entry.shared.activity
+    exit_in_s = 2 * WORK_S + accept_for_s
+    loop = asyncio.get_running_loop()
+    exit_s = loop.time() + exit_in_s
+    deadline = {support.NAMES.deadline_ms: '4900'}
+    sent = [
+        asyncio.create_task(entry.send('/once/1', 'POST', **deadline))
+        for _ in range(20)
+    ]
+    await asyncio.sleep(0.1)
+    now_s = entry.shared.clock.monotonic_s()
+    activity.begin_draining(now_s + accept_for_s, now_s + exit_in_s - 0.1)
+    loop.call_at(exit_s, activity.cut_off)
+    waiting, refused_s = set(sent), []
+    while waiting:
+        done, waiting = await asyncio.wait(
+            waiting, return_when=asyncio.FIRST_COMPLETED
+        )
+        refused_s += [loop.time() for task in done if task.result()[0] == 503]
+    served = sum(task.result()[0] == 200 for task in sent)
+    assert served + len(refused_s) == len(sent)
+    assert target.run_count == served + 2
+    assert served and refused_s
+    # Callers have time to go elsewhere.
+    assert max(refused_s) < exit_s - WORK_S / 2
+    assert max(target.started_s) < exit_s - WORK_S / 2
+
+
+async def test_a_request_that_ends_before_its_deadline_waits_until_the_exit(
+    entry,
+):
+    # Guards against refusals of requests that no exit cuts off.
+    target = WorkingTarget('t1')
+    await entry.set_targets(target)
+    await entry.send('/once/1', 'POST')
+    now_s = entry.shared.clock.monotonic_s()
+    entry.shared.activity.begin_draining(now_s, now_s + WORK_S / 2)
+    deadline = {support.NAMES.deadline_ms: '200'}
+    status, _, _ = await entry.send('/once/1', 'POST', **deadline)
+    assert status in {502, 504}
+    assert len(target.started_s) == 2
--- a/libraries/gateway/src/sardinepier/gateway/active_requests.py
+++ b/libraries/gateway/src/sardinepier/gateway/active_requests.py
@@ -72,6 +72,13 @@
         """Return whether a request may begin that ends by ``deadline_s``."""
         return now_s <= self._accept_until_s or deadline_s <= self._exit_s
 
+    def may_send(self, now_s: float, deadline_s: float, work_s: float) -> bool:
+        """Return whether a request of ``work_s`` may be sent to a target now.
+
+        One whose deadline ends before the exit is not cut off by it.
+        """
+        return deadline_s <= self._exit_s or now_s + work_s <= self._exit_s
+
     @contextlib.asynccontextmanager
     async def until_cut_off(self) -> AsyncIterator[None]:
         """Raise ``TimeoutError`` in the body once requests are cut off."""
