Refuse as not run what is left with too little time to run

With a tenth of its time left, and less than a quarter of the typical latency, it is refused. One with most of its time left is always sent, however long others took.

What is asked before the first byte is in one place for attempts and relays. 1 of 2 new tests failed before, the other holds the exception.

--- a/libraries/entry/src/sardinepier/entry/attempt.py
+++ b/libraries/entry/src/sardinepier/entry/attempt.py
@@ -16,7 +16,7 @@
     target_record,
     traffic,
 )
-from sardinepier.entry import exit_check, own_answer
+from sardinepier.entry import own_answer, send_checks
 from sardinepier.gateway import connections, errors, statements, unsent
 from sardinepier.health import refusal_estimate
 
@@ -190,9 +190,7 @@
         last request to a leaving target may come at most two seconds after it
         began to leave, so that the target has to be checked again.
         """
-        self._request.require_time_left(self._shared.clock)
-        self._request.require_caller()
-        exit_check.require_time_to_run(self._shared, self._request, self._pool)
+        send_checks.require_sendable(self._shared, self._request, self._pool)
         self._pool.targets.require_accepting(self._record)
         self._shared.quarantine.raise_if_quarantined(self._request.fingerprint)
         self._is_sent = True
--- a/libraries/entry/src/sardinepier/entry/relaying.py
+++ b/libraries/entry/src/sardinepier/entry/relaying.py
@@ -20,9 +20,9 @@
     attempt_trace,
     caller_request,
     context,
-    exit_check,
     relay_messages,
     retries,
+    send_checks,
 )
 from sardinepier.gateway import errors, unsent
 
@@ -309,9 +309,7 @@
 
     def require(self) -> None:
         """Raise if the request must not be sent any more."""
-        self._request.require_time_left(self._shared.clock)
-        self._request.require_caller()
-        exit_check.require_time_to_run(
+        send_checks.require_sendable(
             self._shared,
             self._request,
             self._shared.services.pool(self._request.service),
--- a/libraries/entry/tests/cover/test_entry_hanging.py
+++ b/libraries/entry/tests/cover/test_entry_hanging.py
@@ -58,3 +58,38 @@
     writer.close()
     await support.wait_until(lambda: target.disconnects_while_running)
     assert failing_probability(entry, 't1') <= initial_probability
+
+
+async def send_slowly(entry, body_s, **headers):
+    """Send a body whose second half comes after ``body_s``."""
+    reader, writer = await asyncio.open_connection(support.LOOPBACK, entry.port)
+    message = support.request('/once/1', 'POST', b'payload', **headers)
+    writer.write(message[:-3])
+    await asyncio.sleep(body_s)
+    writer.write(message[-3:])
+    reply = await support.read_answer(reader)
+    writer.close()
+    return reply
+
+
+async def test_a_request_without_time_to_run_is_refused_as_not_run(entry):
+    # Guards against requests that are sent with hardly any time left, and whose
+    # callers can't tell whether they ran.
+    target = support.RawTarget('t1', ['hang'])
+    await entry.set_targets(target)
+    set_typical_latency(entry, 2.0)
+    deadline = {support.NAMES.deadline_ms: '2000'}
+    status, headers, _ = await send_slowly(entry, 1.9, **deadline)
+    assert status == 503
+    assert float(headers['Retry-After']) >= 0
+    assert not target.received
+
+
+async def test_a_request_that_is_not_late_is_sent_however_slow_others_were(
+    entry,
+):
+    # Guards against a slow spell after which nothing is sent any more.
+    await entry.set_targets(support.RawTarget('t1'))
+    set_typical_latency(entry, 100.0)
+    deadline = {support.NAMES.deadline_ms: '2000'}
+    assert (await entry.send('/once/1', 'POST', **deadline))[0] == 200
