Let a spoiled head cost one answer, not its caller's connection

Where nothing of a response can be written for any other reason, its caller gets a 502 in its place, and the connection goes on.

entry_spoiled_heads, each byte in four places of a head: 3 of 4 failed before, as did the response that can't be written. Left: bytes that are not UTF-8 are rejected on the own path and forwarded on the other.

--- a/libraries/entry/src/sardinepier/entry/caller_server.py
+++ b/libraries/entry/src/sardinepier/entry/caller_server.py
@@ -92,24 +92,33 @@
         """Answer a request that can't be parsed, or whose handler failed."""
         if request.writer.output_size > 0:
             raise ConnectionResetError('The answer was interrupted')
-        if exc is not None and not isinstance(
+        if isinstance(exc, Exception) and not isinstance(
             exc,
             http_exceptions.HttpProcessingError,
         ):
-            logs.failure('request-failed', exc, level=logs.Level.ERROR)
-            error: refusals.EntryError = refusals.InternalError(
-                f'The daemon failed: {type(exc).__name__}',
-                'Check whether the request ran before sending it again',
-            )
+            response = self.response_to_failure(request, exc)
         else:
-            error = refusals.BadRequestError(
-                f'The request is not valid HTTP: {message}',
-                'Send a valid HTTP/1.1 request',
+            response = responses.from_error(
+                refusals.BadRequestError(
+                    f'The request is not valid HTTP: {message}',
+                    'Send a valid HTTP/1.1 request',
+                ),
             )
-        response = responses.from_error(error)
         response.force_close()
         return response
 
+    def response_to_failure(
+        self, request: web_request.BaseRequest, error: Exception
+    ) -> web_response.StreamResponse:
+        """Return an error response in place of an answer, and log why."""
+        logs.failure('request-failed', error, level=logs.Level.ERROR)
+        return responses.from_error(
+            refusals.InternalError(
+                f'The daemon failed: {type(error).__name__}',
+                'Check whether the request ran before sending it again',
+            ),
+        )
+
     def _start_early(self, message: Any, payload: Any) -> None:
         is_parsed = isinstance(message, http_parser.RawRequestMessage)
         if not is_parsed or id(message) in self._early_responses:
--- a/libraries/gateway/src/sardinepier/gateway/answer_heads.py
+++ b/libraries/gateway/src/sardinepier/gateway/answer_heads.py
@@ -5,11 +5,13 @@
 """
 
 import re
+from collections.abc import Iterable
 from typing import Final
 
 from aiohttp import hdrs, http_exceptions, http_parser, streams
 
 _STATUS_LINE: Final = re.compile(r'HTTP/\d\.\d \d{3}(?: |$)')
+_CONTROL_CHARACTER: Final = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
 _FIRST_STATUS: Final = 100
 _FIRST_FINAL_STATUS: Final = 200
 _LAST_STATUS: Final = 599
@@ -22,7 +24,9 @@
     Raises ``BadHttpMessage`` if it is not the head of one answer.
     """
     _require_status(message.code)
-    _require_one_answer(message)
+    texts = (message.reason, *message.headers.keys(), *message.headers.values())
+    _require_writable(texts)
+    _require_one_answer(texts)
     return message.code >= _FIRST_FINAL_STATUS
 
 
@@ -49,7 +53,19 @@
         )
 
 
-def _require_one_answer(message: http_parser.RawResponseMessage) -> None:
+def _require_writable(texts: Iterable[str]) -> None:
+    """Raise ``BadHttpMessage`` for a control character.
+
+    The parser of answers lets some through, and a head with one can't be
+    written to the caller.
+    """
+    if any(_CONTROL_CHARACTER.search(text) for text in texts):
+        raise http_exceptions.BadHttpMessage(
+            'The head contains a control character'
+        )
+
+
+def _require_one_answer(texts: Iterable[str]) -> None:
     """Raise ``BadHttpMessage`` if the head contains another status line.
 
     An answer that ends within its head may be followed by the next answer on
@@ -57,6 +73,5 @@
     line of the second, and what is read has the status of one and the headers
     of both.
     """
-    texts = (message.reason, *message.headers.values())
     if any(_STATUS_LINE.search(text) for text in texts):
         raise http_exceptions.BadHttpMessage('One head contains two answers')
--- a/libraries/gateway/src/sardinepier/gateway/graceful_connection.py
+++ b/libraries/gateway/src/sardinepier/gateway/graceful_connection.py
@@ -74,10 +74,20 @@
         resp: web_response.StreamResponse,
         start_time: float | None,
     ) -> tuple[web_response.StreamResponse, bool]:
-        """Send a response, the last one if the connection is drained."""
+        """Send a response, the last one if the connection is drained.
+
+        One of which nothing can be written is replaced: an error would close
+        the connection, and take the requests behind along.
+        """
         if self._is_last_response():
             resp.force_close()
-        finished = await super().finish_response(request, resp, start_time)
+        try:
+            finished = await super().finish_response(request, resp, start_time)
+        except Exception as error:  # noqa: BLE001 - any fault gets an answer
+            replacement = self._replacement(request, resp, error)
+            finished = await super().finish_response(
+                request, replacement, start_time
+            )
         self.idle_since_s = asyncio.get_running_loop().time()
         # Draining may have begun after the head was sent.
         is_closed_early = request.keep_alive and not resp.keep_alive
@@ -85,6 +95,12 @@
             await self._linger()
         return finished
 
+    def response_to_failure(
+        self, request: web_request.BaseRequest, error: Exception
+    ) -> web_response.StreamResponse:
+        """Return the response in place of one that could not be written."""
+        raise NotImplementedError
+
     def is_idle(self) -> bool:
         """Return whether it is open and each request that was read is answered."""
         if self.transport is None or self._messages:
@@ -92,6 +108,20 @@
         is_waiting = self._waiter is not None and not self._waiter.done()
         return is_waiting or not self._request_count
 
+    def _replacement(
+        self,
+        request: web_request.BaseRequest,
+        resp: web_response.StreamResponse,
+        error: Exception,
+    ) -> web_response.StreamResponse:
+        """Return the response in place of ``resp``; raise ``error`` if too late."""
+        if request.writer.output_size > 0:
+            raise error
+        replacement = self.response_to_failure(request, error)
+        if not resp.keep_alive:
+            replacement.force_close()
+        return replacement
+
     async def _linger(self) -> None:
         """Discard what arrives until the caller closes the connection.
 
--- a/libraries/gateway/src/sardinepier/gateway/protocol.py
+++ b/libraries/gateway/src/sardinepier/gateway/protocol.py
@@ -41,6 +41,12 @@
         response.force_close()
         return response
 
+    def response_to_failure(
+        self, request: web_request.BaseRequest, error: Exception
+    ) -> web_response.StreamResponse:
+        """Return a problem document in place of an answer."""
+        return problems.answer(_error_for(error, None), request.raw_path)
+
 
 class CallerConnections(graceful_connection.GracefulServer):
     """Accepts connections from callers and limits the size of requests."""
