Let a key name its customer only while it is known to be valid

On public routes a daemon that the platform turned away went on sending the name of a key's former customer. The name needs a confirmed configuration on every route now; without one a public request goes on without a name. A key was also checked before the body of its request only, and could be withdrawn while the body arrived; it is checked again.

--- a/libraries/entry/src/sardinepier/entry/authentication.py
+++ b/libraries/entry/src/sardinepier/entry/authentication.py
@@ -41,6 +41,9 @@
     ) -> model.Customer | None:
         """Return the customer of the request, None if no key is needed.
 
+        On a public route a key names its customer only while the configuration
+        in force is confirmed.
+
         Raises ``UnknownKeyError`` for a key of no customer, and
         ``NotConfirmedError`` while the configuration in force may be outdated,
         so that the key may have been withdrawn.
@@ -48,9 +51,14 @@
         table = self._shared.services.customers
         if table is None:
             return None
+        is_confirmed = self._shared.services.confirmation.is_valid()
         if route.is_public:
-            return self._optional_customer(request, table)
-        if not self._shared.services.confirmation.is_valid():
+            return (
+                self._optional_customer(request, table)
+                if is_confirmed
+                else None
+            )
+        if not is_confirmed:
             raise refusals.NotConfirmedError(
                 'This daemon has not heard from the platform for too long to '
                 'tell whether the key is still valid',
--- a/libraries/entry/src/sardinepier/entry/request_reader.py
+++ b/libraries/entry/src/sardinepier/entry/request_reader.py
@@ -70,7 +70,7 @@
                 'No route of this host matches the path',
                 'Use a path of a route in the current configuration',
             )
-        customer = self._authenticator.customer_of(http_request, route)
+        self._authenticator.customer_of(http_request, route)
         caller_deadline_s = arrived_s + self._caller_timeout_s(http_request)
         reservation = self._shared.body_budget.reservation(
             http_request.content_length
@@ -78,6 +78,7 @@
         content = await self._read_body(
             http_request, caller_deadline_s, reservation
         )
+        customer = self._customer_of(http_request, route, reservation)
         return caller_request.CallerRequest(
             request_id=http_request.headers.get(
                 self._shared.names.attempt_id,
@@ -105,6 +106,22 @@
         route = _route(self._shared.services.routes(), http_request)
         return route is not None and route.is_idempotent
 
+    def _customer_of(
+        self,
+        http_request: web_request.BaseRequest,
+        route: model.Route,
+        reservation: body_budget.Reservation,
+    ) -> model.Customer | None:
+        """Return the customer now that the body has arrived.
+
+        The key may have been withdrawn since the head came.
+        """
+        try:
+            return self._authenticator.customer_of(http_request, route)
+        except refusals.EntryError:
+            reservation.release()
+            raise
+
     def _caller_timeout_s(self, http_request: web_request.BaseRequest) -> float:
         """Return how long the caller waits, as its header states."""
         text = http_request.headers.get(self._shared.names.deadline_ms, '')
--- a/libraries/entry/tests/cover/test_entry_customers.py
+++ b/libraries/entry/tests/cover/test_entry_customers.py
@@ -274,6 +274,43 @@
     assert (await customer_entry.send(**with_key()))[0] == 200
 
 
+async def test_without_a_confirmation_a_key_names_nobody(customer_entry):
+    # Guards against the name of a customer whose key was withdrawn or given to
+    # another, on routes that need none.
+    registry = customer_entry.shared.services
+    registry.confirmation = confirmations.Confirmation(
+        clocks.SystemClock(), 5.0
+    )
+    status, _, _ = await customer_entry.send('/open/1', **with_key())
+    assert status == 200
+    assert NAMES.customer not in only_received_headers(customer_entry)
+
+
+@pytest.mark.parametrize(
+    ('path', 'status'), [('/books/1', 401), ('/open/1', 200)]
+)
+async def test_a_key_that_is_withdrawn_while_a_body_arrives_names_nobody(
+    customer_entry, path, status
+):
+    # Guards against a customer that was identified before a slow upload.
+    reader, writer = await asyncio.open_connection(
+        support.LOOPBACK, customer_entry.port
+    )
+    message = support.request(path, 'POST', b'payload', **with_key())
+    writer.write(message[:-3])
+    activity = customer_entry.shared.activity
+    await support.wait_until(lambda: activity.in_flight)
+    await asyncio.sleep(0.1)
+    customer_entry.shared.services.offer_configuration(
+        configuration(9, customer('another', 'another-key'))
+    )
+    writer.write(message[-3:])
+    assert (await support.read_answer(reader))[0] == status
+    writer.close()
+    for headers in received_headers(customer_entry):
+        assert NAMES.customer not in headers
+
+
 def test_without_customers_there_is_no_customer_table():
     registry = service_registry.ServiceRegistry(
         support.ZONE,
