Tell a target that reads late from one that is gone

Uploads of 24,000 bytes at a target with a small receive buffer were given up 4.3 s after it had begun, and answered 502: the user timeout of TCP counts the time in which the peer's window is closed. Longer bodies had 30 s, and held their request for as long if the machine vanished.

The kernel's report on the connection decides now, for any length: a peer that answers has all its time, one that leaves segments or two probes unanswered for 4 s is gone.

--- a/libraries/gateway/src/sardinepier/gateway/connections.py
+++ b/libraries/gateway/src/sardinepier/gateway/connections.py
@@ -33,6 +33,7 @@
     answer_heads,
     endless,
     keepalive,
+    peer_watch,
     read_buffers,
 )
 
@@ -100,6 +101,7 @@
         self._has_skipped = False
         self._has_long_body = False
         self._endless = endless.EndlessBytes()
+        self._watch: peer_watch.PeerWatch | None = None
 
     async def read(self) -> Any:
         """Return the answer to this exchange; skip interim and other answers.
@@ -124,6 +126,7 @@
         An answer without a length ends with its connection, and aiohttp
         accepts any end of the connection as the end of the answer.
         """
+        self._stop_watching()
         if self._is_gone and exc is None:
             exc = TimeoutError(errno.ETIMEDOUT, 'The target is gone')
         elif self._has_skipped and not self._endless.has_begun:
@@ -143,7 +146,10 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Detect from now on a peer that disappears without closing."""
-        keepalive.enable(transport.get_extra_info('socket'))
+        sock = transport.get_extra_info('socket')
+        keepalive.enable(sock)
+        watch = peer_watch.PeerWatch(sock, self.end_as_gone)
+        self._watch = watch if watch.is_possible else None
         read_buffers.limit_socket_reads(transport)
         super().connection_made(transport)
 
@@ -159,7 +165,7 @@
 
     def set_body_length(self, length: int) -> None:
         """Allow the target the time to read a request body of ``length``."""
-        is_long = length > keepalive.MAX_SHORT_BYTES
+        is_long = self._watch is None and length > keepalive.MAX_SHORT_BYTES
         if is_long is self._has_long_body or self.transport is None:
             return
         self._has_long_body = is_long
@@ -187,6 +193,8 @@
         self.accepts = accepts
         self._has_skipped = False
         self._endless.begin()
+        if self._watch is not None:
+            self._watch.start()
 
     def is_stale(self, made_since_s: float) -> bool:
         """Return whether the target closed or sent data without an exchange.
@@ -207,6 +215,11 @@
         self.is_idle = True
         self.is_reused = True
         self.accepts = None
+        self._stop_watching()
+
+    def _stop_watching(self) -> None:
+        if self._watch is not None:
+            self._watch.stop()
 
     def _end_as_endless(self) -> None:
         """Fail the exchange; the target would send on until it is closed."""
--- a/libraries/gateway/src/sardinepier/gateway/keepalive.py
+++ b/libraries/gateway/src/sardinepier/gateway/keepalive.py
@@ -10,6 +10,13 @@
 import socket
 from typing import Any, Final
 
+_TCP_RTO_MAX_MS: Final = 44
+"""Option of Linux 6.15 and later, not yet named by ``socket``."""
+
+_MAX_PROBE_INTERVAL_MS: Final = 1000
+"""Longest pause between two probes of a closed receive window, which become
+rarer otherwise."""
+
 _IDLE_S: Final = 1
 _INTERVAL_S: Final = 1
 _PROBES: Final = 3
@@ -18,13 +25,14 @@
 give up on a peer while nothing is in flight."""
 
 _LONG_BODY_TIMEOUT_MS: Final = 30000
-"""The same for a request with a long body. Linux also counts the time in which
-the peer's receive window is closed, and a target that reads its body late is
-not gone: with 4 s one that did not read for 7 s was cut off."""
+"""The same while a peer may take bytes late. Linux also counts the time in
+which the peer's receive window is closed, and one that reads its request late
+is not gone."""
 
 MAX_SHORT_BYTES: Final = 32768
-"""Length of a body that never fills the receive window of a target, which is
-64 KB initially on Linux."""
+"""Length of a body that usually fits into the receive window of a target, which
+is 64 KB initially on Linux. Used where the kernel does not tell whether the peer
+answers."""
 
 _KEEPALIVE_OPTIONS: Final = (
     ('TCP_KEEPIDLE', _IDLE_S),
@@ -39,6 +47,10 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for name, number in _KEEPALIVE_OPTIONS:
         _set(sock, name, number)
+    with contextlib.suppress(OSError):
+        sock.setsockopt(
+            socket.IPPROTO_TCP, _TCP_RTO_MAX_MS, _MAX_PROBE_INTERVAL_MS
+        )
     set_user_timeout(sock, is_long=False)
 
 
--- a/libraries/gateway/tests/cover/test_gateway_gone_targets.py
+++ b/libraries/gateway/tests/cover/test_gateway_gone_targets.py
@@ -100,3 +100,88 @@
         exchange.cancel()
     slow_reader.close()
     assert not done
+
+
+SMALL_BUFFER_BYTES = 4096
+LENGTHS = [24_000, 300_000, 8_000_000]
+GONE_S = 5.0
+"""How long a peer may answer nothing before it counts as gone."""
+
+UNCAPPED_GONE_S = 30.0
+"""The same where the kernel probes a closed window less and less often."""
+
+TCP_RTO_MAX_MS = 44
+
+
+class LateReader(Listener):
+    """A target with a small receive window, which the tests read late."""
+
+    def __init__(self):
+        super().__init__()
+        self.listening.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES
+        )
+
+
+def gone_s():
+    """Return within which time a peer that is gone has to be found out."""
+    with socket.socket() as unconnected:
+        try:
+            unconnected.setsockopt(socket.IPPROTO_TCP, TCP_RTO_MAX_MS, 1000)
+        except OSError:
+            return UNCAPPED_GONE_S
+    return GONE_S
+
+
+async def read_late(client, length):
+    """Read a request after a long time; return the status of its answer."""
+    loop = asyncio.get_running_loop()
+    reader = LateReader()
+    exchange = send(client, reader, bytes(length))
+    accepted = await reader.accept()
+    await asyncio.sleep(2 * GONE_S)
+    left = length
+    while left > 0:
+        left -= len(await loop.sock_recv(accepted, 65536))
+    await loop.sock_sendall(
+        accepted, b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+    )
+    response = await asyncio.wait_for(exchange, GONE_S)
+    reader.close()
+    return response.status
+
+
+async def vanish_after(client, length, alive_s):
+    """Return how long the exchange with a target that vanishes lasts."""
+    loop = asyncio.get_running_loop()
+    reader = LateReader()
+    exchange = send(client, reader, bytes(length))
+    accepted = await reader.accept()
+    await asyncio.sleep(alive_s)
+    vanish(accepted)
+    began_s = loop.time()
+    with pytest.raises(errors.TargetGoneError):
+        await asyncio.wait_for(exchange, 2 * UNCAPPED_GONE_S)
+    reader.close()
+    return loop.time() - began_s
+
+
+async def test_a_target_that_reads_its_request_late_is_not_gone(client):
+    # Guards against requests that are broken off at work, as their target takes
+    # the body only later and its receive window is closed.
+    statuses = await asyncio.gather(
+        *(read_late(client, length) for length in LENGTHS)
+    )
+    assert statuses == [200, 200, 200]
+
+
+async def test_a_target_that_vanishes_before_it_reads_ends_its_exchange(client):
+    """Guards against requests held by the closed window of a dead machine."""
+    taken_s = await asyncio.gather(
+        *(
+            vanish_after(client, length, alive_s)
+            for length in LENGTHS
+            for alive_s in (0.0, 1.0, 3.0, 6.0)
+        )
+    )
+    assert max(taken_s) < gone_s()
