--- a/tests/adapter/soak_targets.py
+++ b/tests/adapter/soak_targets.py
@@ -1,8 +1,9 @@
 """Targets in trouble, for the soaks of processes.
 
-They refuse, fail, answer for nobody, cut answers off, answer before they have
-read a body, close idle connections, and end: another incarnation then has the
-address, and rejects what was meant for the one before.
+They refuse, fail, answer for nobody, cut answers off or fill them up with the
+next one, spoil heads, answer before they have read a body, close idle
+connections, and end: another incarnation then has the address, and rejects what
+was meant for the one before.
 """
 
 import asyncio
@@ -53,6 +54,8 @@
     'until-reset',
     'short',
     'garbage',
+    'filled up',
+    'spoiled',
     'early',
     'silent',
 )
@@ -173,6 +176,10 @@
             return False
         if fault == 'silent':
             await asyncio.sleep(self._source.uniform(0, MAX_SILENCE_S))
+        if fault == 'filled up':
+            writer.write(self._broken_off(whole))
+            await self._late(self._another_whole(), writer)
+            return True
         writer.write(self._bytes_of(fault, head, request_id, whole))
         if fault in {'foreign behind', 'late copy'}:
             is_copy = fault == 'late copy'
@@ -210,6 +217,9 @@
         if fault in {'until-end', 'until-reset'}:
             body = soak.body_of(request_id, head)
             return support.answer(request_id, body=body, framed=False)
+        if fault == 'spoiled':
+            spoiled = self._source.choice((0, 1, 11, 31, 127))
+            return whole.replace(b'OK', bytes([spoiled]), 1)
         if fault == 'short':
             return whole[:-4]
         return support.ANSWERS['garbage']('') if fault == 'garbage' else whole
@@ -226,6 +236,16 @@
             extra=f'{names.HEADERS.not_run}: 1',
         )
 
+    def _broken_off(self, whole):
+        """Return an answer that ends within its body."""
+        body = whole.partition(b'\r\n\r\n')[2]
+        return whole[: -self._source.randint(1, max(1, len(body) // 2))]
+
+    def _another_whole(self):
+        """Return an answer to another caller."""
+        body = b'of another caller' * self._source.choice((1, 30, 3000))
+        return support.answer('another', body=body)
+
     def _cut_answer(self):
         """Return a foreign answer that is cut off within its head."""
         head = self._foreign_answer().partition(b'\r\n\r\n')[0]
