Set the short user timeout again once a slow exchange is over

A connection whose target had read late was pooled with the long user timeout, so that keep-alive would have found a dead peer after 30 s in place of 4. Found by reading; the test of late readers shows it (30,000 ms before).

--- a/libraries/gateway/src/sardinepier/gateway/peer_watch.py
+++ b/libraries/gateway/src/sardinepier/gateway/peer_watch.py
@@ -90,6 +90,7 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+        self._raise_timeout(is_raised=False)
 
     def _check_after(self, delay_s: float) -> None:
         loop = asyncio.get_running_loop()
--- a/libraries/gateway/tests/cover/test_gateway_gone_targets.py
+++ b/libraries/gateway/tests/cover/test_gateway_gone_targets.py
@@ -133,10 +133,20 @@
     return GONE_S
 
 
-async def read_late(client, length):
+def pooled_timeouts_ms(client):
+    """Return the user timeouts of the connections that are kept."""
+    return [
+        handler.transport.get_extra_info('socket').getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+        )
+        for kept in client._pooled._conns.values()
+        for handler, _ in kept
+    ]
+
+
+async def read_late(client, reader, length):
     """Read a request after a long time; return the status of its answer."""
     loop = asyncio.get_running_loop()
-    reader = LateReader()
     exchange = send(client, reader, bytes(length))
     accepted = await reader.accept()
     await asyncio.sleep(2 * GONE_S)
@@ -147,7 +157,6 @@
         accepted, b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
     )
     response = await asyncio.wait_for(exchange, GONE_S)
-    reader.close()
     return response.status
 
 
@@ -169,10 +178,17 @@
 async def test_a_target_that_reads_its_request_late_is_not_gone(client):
     # Guards against requests that are broken off at work, as their target takes
     # the body only later and its receive window is closed.
+    readers = [LateReader() for _ in LENGTHS]
     statuses = await asyncio.gather(
-        *(read_late(client, length) for length in LENGTHS)
+        *(
+            read_late(client, reader, length)
+            for reader, length in zip(readers, LENGTHS)
+        )
     )
     assert statuses == [200, 200, 200]
+    assert pooled_timeouts_ms(client) == [4000, 4000, 4000]
+    for reader in readers:
+        reader.close()
 
 
 async def test_a_target_that_vanishes_before_it_reads_ends_its_exchange(client):
