Refuse what waits for a slot before an exit on the own path, too

sardinepierd passed requests that had waited for a slot on to targets until the end of its grace time, as the entry daemon did. Waiting requests are refused as not run once the route's 95th percentile no longer fits before the exit, and each is checked again before its first byte.

--- a/libraries/gateway/src/sardinepier/gateway/attempt.py
+++ b/libraries/gateway/src/sardinepier/gateway/attempt.py
@@ -16,6 +16,7 @@
     answer_reader,
     caller_request,
     errors,
+    exit_check,
     statements,
     target_answer,
 )
@@ -146,12 +147,14 @@
     def _permit(self) -> None:
         """Permit the first byte, or raise.
 
-        Refused are requests after a pause or after their deadline, requests to
-        a target that began to leave or to back off while the connection was
-        made, and requests that were quarantined since their admission.
+        Refused are requests after a pause or after their deadline, those that
+        the exit would cut off, requests to a target that began to leave or to
+        back off while the connection was made, and requests that were
+        quarantined since their admission.
         """
         self._context.wake_guard.require()
         self._request.require_time_left(self._context.clock)
+        exit_check.require_time_to_run(self._context, self._request)
         self._require_accepting()
         self._context.quarantine.raise_if_quarantined(self._request.fingerprint)
         self._is_sent = True
--- a/libraries/gateway/src/sardinepier/gateway/forwarding.py
+++ b/libraries/gateway/src/sardinepier/gateway/forwarding.py
@@ -20,8 +20,8 @@
     refusals,
     service_runtime,
     target_answer,
-    unsent,
 )
+from sardinepier.gateway import exit_check, unsent
 from sardinepier.health import targets
 from sardinepier.routing import admission
 
@@ -179,6 +179,7 @@
 
         Targets may leave while the request waits; it then fails at once.
         """
+        exit_check.require_time_to_run(self._context, request)
         target_id = self._reserve(request, history)
         if target_id is None and not self._has_target(request, history.tried):
             return service_runtime.NO_TARGET
--- a/libraries/gateway/src/sardinepier/gateway/pipeline.py
+++ b/libraries/gateway/src/sardinepier/gateway/pipeline.py
@@ -20,7 +20,7 @@
 )
 from sardinepier.gateway import refusals as refused
 from sardinepier.gateway import request_metrics
-from sardinepier.gateway import caller_request
+from sardinepier.gateway import caller_request, exit_check
 from sardinepier.once import errors as once_errors
 from sardinepier.once import tickets
 from sardinepier.telemetry import logs
@@ -31,8 +31,6 @@
     once_errors.FutureTicketError,
 )
 _UNKNOWN_SERVICE: Final = '-'
-_EXITING_RETRY_AFTER_S: Final = 0.001
-"""Another daemon accepts the request at once."""
 
 
 class Pipeline:
@@ -77,7 +75,7 @@
         request: caller_request.CallerRequest,
     ) -> web_response.StreamResponse:
         with request:
-            self._require_time_before_exit(request)
+            exit_check.require_accepted(self._context, request)
             try:
                 async with self._context.activity.until_cut_off():
                     return await self._answer_by_kind(http_request, request)
@@ -87,18 +85,6 @@
                     'Check whether the request ran before sending it again',
                 ) from error
 
-    def _require_time_before_exit(
-        self, request: caller_request.CallerRequest
-    ) -> None:
-        """Raise ``ExitingError`` if the exit could cut off the request."""
-        now_s = self._context.clock.monotonic_s()
-        if not self._context.activity.accepts(now_s, request.deadline_s):
-            raise refused.ExitingError(
-                'The daemon may exit before the request would end',
-                'Send the request to another address',
-                _EXITING_RETRY_AFTER_S,
-            )
-
     async def _answer_by_kind(
         self,
         http_request: web_request.BaseRequest,
--- a/libraries/gateway/tests/cover/test_gateway_targets.py
+++ b/libraries/gateway/tests/cover/test_gateway_targets.py
@@ -333,6 +333,35 @@
     assert unfinished == 1
 
 
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+async def test_no_request_is_sent_that_the_exit_is_likely_to_cut_off(
+    harness, method
+):
+    # Guards against requests that wait for a slot, are passed on shortly before
+    # the exit, and are cut off by it.
+    target = await harness.add_target('hang')
+    gateway = await harness.add_gateway(slots=1)
+    path = '/books/books/1' if method == 'GET' else '/books/postings'
+    delay = gateway.runtime().hedge_delay(f'{method} {ROUTES[method]}')
+    for _ in range(200):
+        delay.observe(600)
+    headers = {'Idempotency-Key': f'{await harness.ticket()}.1'}
+    sent = asyncio.ensure_future(harness.send('GET', '/books/books/2'))
+    await until(lambda: target.seen)
+    waiting = asyncio.ensure_future(harness.send(method, path, headers=headers))
+    await asyncio.sleep(0.1)
+    now_s = gateway.clock.monotonic_s()
+    gateway.server.begin_draining(now_s + 5, now_s + 1)
+    refused, _ = await asyncio.wait_for(waiting, 1)
+    assert (refused.status, outcome_of(refused)) == (503, 'not-run')
+    target.released.set()
+    assert (await sent)[0].status == 200
+    assert len(target.seen) == 1
+
+
+ROUTES = {'GET': '/books/{id}', 'POST': '/postings'}
+
+
 async def test_a_request_that_ends_before_the_exit_is_served(harness):
     target = await harness.add_target()
     gateway = await harness.add_gateway()
